--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each a command that prints a slope or a ratio."""
--- /dev/null
+++ b/persimmonhinge/client/__init__.py
@@ -0,0 +1,1 @@
+"""A caller's library: tickets, retransmission, feeds, uploads."""
--- /dev/null
+++ b/persimmonhinge/coap/__init__.py
@@ -0,0 +1,1 @@
+"""CoAP messages as octets: codec, options and exchange numbers."""
--- /dev/null
+++ b/persimmonhinge/errors.py
@@ -0,0 +1,73 @@
+"""The exception tree; each error carries its step and its peer."""
+
+from __future__ import annotations
+
+
+class PersimmonhingeError(Exception):
+    """Root of all errors of the system.
+
+    Attributes:
+        step: What was being done, in a few words.
+        peer: The other side, an address or a name; empty if there is none.
+    """
+
+    def __init__(self, message: str, *, step: str, peer: str = "") -> None:
+        super().__init__(message)
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        where = f"{self.step}, peer {self.peer}" if self.peer else self.step
+        return f"{where}: {super().__str__()}"
+
+
+class SettingsError(PersimmonhingeError):
+    """Settings can't be read or hold a value that is not allowed."""
+
+
+class ContractError(PersimmonhingeError):
+    """A contract can't be read or holds a value that is not allowed."""
+
+
+class MalformedDatagramError(PersimmonhingeError):
+    """A datagram is not a CoAP message."""
+
+
+class TicketError(PersimmonhingeError):
+    """A ticket is forged, expired, or of another flow or service."""
+
+
+class PeerError(PersimmonhingeError):
+    """Something failed between two hosts."""
+
+
+class PeerUnreachableError(PeerError):
+    """No link to the host could be opened: nothing was delivered."""
+
+
+class PeerLinkLostError(PeerError):
+    """The link closed after a message was sent: it may have arrived."""
+
+
+class PeerCallTimeoutError(PeerError):
+    """No answer within the time limit: the message may have arrived."""
+
+
+class PeerProtocolError(PeerError):
+    """A peer sent a frame that can't be read; its link is closed."""
+
+
+class PeerCredentialError(PeerError):
+    """A peer lacks the credential of this deployment."""
+
+
+class PlatformError(PersimmonhingeError):
+    """The platform refused a call or its answer can't be read."""
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform gave no answer; a write may have taken effect."""
+
+
+class ConflictError(PersimmonhingeError):
+    """Another operator changed the same contract first."""
--- /dev/null
+++ b/persimmonhinge/flows/__init__.py
@@ -0,0 +1,1 @@
+"""The home of flows: routing, tickets, requests and feeds."""
--- /dev/null
+++ b/persimmonhinge/flows/port.py
@@ -0,0 +1,96 @@
+"""What the parts of a home need around them, as narrow interfaces."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Protocol
+
+from persimmonhinge import ids
+from persimmonhinge.coap import codec
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.contracts import store
+
+CallerAddress = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Flow:
+    """A caller at a service.
+
+    Attributes:
+        service: The service whose address it calls.
+        caller: Its IP address and port.
+    """
+
+    service: ids.ServiceName
+    caller: CallerAddress
+
+
+class Answers(Protocol):
+    """Sends datagrams to callers from the address of a service."""
+
+    def send(self, flow: Flow, message: codec.Message) -> None:
+        """Queues one datagram; message id, type and token are set."""
+
+    def next_message_id(self, flow: Flow) -> int:
+        """Returns a message id that this host has not used lately."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """Where one piece of work goes.
+
+    Attributes:
+        upstream: The upstream.
+        keeper: Host that keeps it.
+        keeper_ref: The incarnation of that host.
+    """
+
+    upstream: contracts.Upstream
+    keeper: ids.HostId
+    keeper_ref: ids.HostRef
+
+
+class Chooser(Protocol):
+    """Chooses upstreams from what the keepers report."""
+
+    def choose(
+        self,
+        entry: store.ContractEntry,
+        kind: contracts.CallKind,
+        *,
+        exclude: frozenset[ids.UpstreamId] = frozenset(),
+        among: frozenset[ids.HostRef] | None = None,
+    ) -> Choice | None:
+        """Chooses an upstream by the policy of the contract.
+
+        Args:
+            entry: The contract.
+            kind: REQUEST counts busy slots and queue, FEED open feeds.
+            exclude: Upstreams that are not to be chosen.
+            among: Keeper incarnations to stay with; None for all.
+
+        Returns:
+            None if no upstream can be reached through a keeper.
+        """
+
+    def pick_keepers(
+        self, entry: store.ContractEntry, count: int
+    ) -> tuple[ids.HostRef, ...]:
+        """Returns keeper incarnations for a new ticket, best first."""
+
+    def begin(
+        self,
+        service: ids.ServiceName,
+        upstream: ids.UpstreamId,
+        kind: contracts.CallKind,
+    ) -> None:
+        """Counts work that this host has begun at an upstream."""
+
+    def end(
+        self,
+        service: ids.ServiceName,
+        upstream: ids.UpstreamId,
+        kind: contracts.CallKind,
+    ) -> None:
+        """Counts work that this host has ended."""
--- /dev/null
+++ b/persimmonhinge/logs.py
@@ -0,0 +1,43 @@
+"""Logging of the programs: one line an event, a fixed prefix a part."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+
+_FORMAT = "%(asctime)s.%(msecs)03dZ %(levelname)-7s %(prefix)s: %(message)s"
+_DATE_FORMAT = "%Y-%m-%dT%H:%M:%S"
+_PACKAGE = "persimmonhinge"
+
+
+class _PartFilter(logging.Filter):
+    """Gives each record the prefix of its part: package and host."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__()
+        self._name = name
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        parts = record.name.split(".")
+        part = parts[1] if len(parts) > 1 else parts[0]
+        record.prefix = f"[{self._name}/{part}]"
+        return True
+
+
+def configure(name: str, level: str) -> None:
+    """Sends the log of this process to standard error.
+
+    Args:
+        name: Name of the process in each line.
+        level: Name of the lowest level that is written.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    formatter = logging.Formatter(_FORMAT, _DATE_FORMAT)
+    formatter.converter = time.gmtime
+    handler.setFormatter(formatter)
+    handler.addFilter(_PartFilter(name))
+    root = logging.getLogger(_PACKAGE)
+    root.handlers = [handler]
+    root.propagate = False
+    root.setLevel(level)
--- /dev/null
+++ b/persimmonhinge/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of hosts and placement by rendezvous hash."""
--- /dev/null
+++ b/persimmonhinge/membership/view.py
@@ -0,0 +1,68 @@
+"""What one host believes of all hosts; read by all parts of the host."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from persimmonhinge import changes
+from persimmonhinge import ids
+from persimmonhinge.membership import member as members
+
+
+class View:
+    """The members that one host knows, itself included.
+
+    Only the membership part writes to it. Each change of a member's
+    incarnation, state or address announces `changed`.
+
+    Attributes:
+        me: Name of this host.
+        changed: Announced at each change.
+    """
+
+    def __init__(self, me: members.Member) -> None:
+        self.me = me.host
+        self.changed = changes.ChangeSignal()
+        self._members: dict[ids.HostId, members.Member] = {me.host: me}
+
+    @property
+    def self_member(self) -> members.Member:
+        """This host."""
+        return self._members[self.me]
+
+    def get(self, host: ids.HostId) -> members.Member | None:
+        """Returns a member by name, None if it is unknown."""
+        return self._members.get(host)
+
+    def find_ref(self, ref: ids.HostRef) -> members.Member | None:
+        """Returns the member of an incarnation that answers, or None.
+
+        Two incarnations with the same ref (chance about 4e-5 at 610 hosts)
+        count as none: the outcome is then unknown rather than wrong.
+        """
+        found = [m for m in self._members.values() if m.ref == ref]
+        if len(found) != 1 or not found[0].answers:
+            return None
+        return found[0]
+
+    def all(self) -> Iterable[members.Member]:
+        """Returns all members, dead ones included."""
+        return tuple(self._members.values())
+
+    def role_takers(self) -> list[members.Member]:
+        """Returns the members that may be a home or a keeper."""
+        return [m for m in self._members.values() if m.takes_roles]
+
+    def put(self, member: members.Member) -> None:
+        """Adds or replaces a member."""
+        if self._members.get(member.host) == member:
+            return
+        self._members[member.host] = member
+        self.changed.announce()
+
+    def remove(self, host: ids.HostId) -> None:
+        """Forgets a member that died long ago."""
+        if host == self.me or host not in self._members:
+            return
+        del self._members[host]
+        self.changed.announce()
--- /dev/null
+++ b/persimmonhinge/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters of a host and their HTTP page."""
--- /dev/null
+++ b/persimmonhinge/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between the hosts of the system."""
--- /dev/null
+++ b/persimmonhinge/peers/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between hosts, one family in each module."""
--- /dev/null
+++ b/persimmonhinge/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Policies that a contract names."""
--- /dev/null
+++ b/persimmonhinge/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings of the programs."""
--- /dev/null
+++ b/persimmonhinge/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""The keeper of an upstream: slots, queue and feeds."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests and stand-ins of persimmonhinge."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around persimmonhinge."""
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fixtures and plugins that the tests share."""
--- /dev/null
+++ b/tests/test_integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of real processes together."""
