--- /dev/null
+++ b/persimmonhinge/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' command line."""
--- /dev/null
+++ b/persimmonhinge/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Ticket keys: the ring, and what a host holds of it."""
--- /dev/null
+++ b/persimmonhinge/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load tool: callers, their record and the report."""
