Name the asked incarnation in Recover, read whole messages

A keeper that restarted under its name has an empty table; asked by name after a lost link it would answer that a request did not run which its former incarnation ran. Recover now names the incarnation that the ticket names, so that another one can tell. Bodies between hosts are larger than a datagram, so decode takes its limit. The flag flows.recovery lets the share of unknown outcomes be measured with and without asking the keepers.

--- a/persimmonhinge/coap/codec.py
+++ b/persimmonhinge/coap/codec.py
@@ -14,22 +14,29 @@
 Message: TypeAlias = aiocoap.Message
 
 MAX_DATAGRAM_OCTETS = 2048
+# A whole message between hosts: the largest body that a contract allows,
+# and its options.
+MAX_WHOLE_OCTETS = 4_194_304 + 65_536
 MAX_TOKEN_OCTETS = 8
 _HEADER_OCTETS = 4
 _TOKEN_LENGTH_MASK = 0x0F
 
 
-def decode(data: bytes, peer: str = "") -> Message:
-    """Reads one datagram.
+def decode(
+    data: bytes, peer: str = "", limit: int = MAX_DATAGRAM_OCTETS
+) -> Message:
+    """Reads one message.
 
     Args:
-        data: The datagram.
+        data: The message.
         peer: Where it came from, for the error.
+        limit: Octets that it may have; `MAX_WHOLE_OCTETS` for a message
+            with its whole body that came from another host.
 
     Raises:
         MalformedDatagramError: It is not a CoAP message.
     """
-    if not _HEADER_OCTETS <= len(data) <= MAX_DATAGRAM_OCTETS:
+    if not _HEADER_OCTETS <= len(data) <= limit:
         raise _malformed(f"{len(data)} octets", peer)
     token_octets = data[0] & _TOKEN_LENGTH_MASK
     # aiocoap reads a token that is cut short without complaint.
--- a/persimmonhinge/peers/messages/work.py
+++ b/persimmonhinge/peers/messages/work.py
@@ -138,6 +138,10 @@
             block of the answer and so can't show the request again.
         home: The incarnation that minted the ticket.
         ticket_expiry_ms: Uptime of that home at which the ticket expires.
+        keeper: The incarnation that the ticket names and that is asked. A
+            host that is another incarnation, and has not taken over what
+            that one knew, answers NOT_KEEPER: its own empty table says
+            nothing about what the asked one ran. 0 asks whoever reads it.
     """
 
     service: ids.ServiceName
@@ -146,6 +150,7 @@
     digest: bytes
     home: ids.HostRef
     ticket_expiry_ms: int
+    keeper: ids.HostRef = ids.HostRef(0)
 
 
 @base.message_kind("load-query")
--- a/persimmonhinge/settings/entry.py
+++ b/persimmonhinge/settings/entry.py
@@ -129,12 +129,15 @@
         most_flows: Table rows that a host may hold.
         feed_confirm_s: Time between confirmable notifications to a caller,
             by which callers that went away are found, seconds.
+        recovery: Whether the keepers are asked about requests of a home that
+            died; without it their outcome is unknown.
     """
 
     ticket_life_s: float = pydantic.Field(default=120.0, gt=0, le=3600)
     answer_life_s: float = pydantic.Field(default=30.0, gt=0, le=3600)
     most_flows: int = pydantic.Field(default=400_000, ge=1)
     feed_confirm_s: float = pydantic.Field(default=20.0, gt=0, le=86_400)
+    recovery: bool = True
 
 
 class EntrySettings(Part):
