--- /dev/null
+++ b/tests/test_client/test_client_request.py
@@ -0,0 +1,198 @@
+"""Tests of requests."""
+
+from __future__ import annotations
+
+import random
+
+import aiocoap
+import hypothesis
+from hypothesis import strategies
+import trio
+
+from persimmonhinge.client import answer as answers
+from persimmonhinge.client import client as clients
+from persimmonhinge.client import settings as client_settings
+from persimmonhinge.contracts import contract as contracts
+from tests.support import trios
+from tests.test_client import server as servers
+
+POST = contracts.Method.POST
+GET = contracts.Method.GET
+FAST = client_settings.ClientSettings(
+    ack_timeout_s=0.03, retry_s=0.05, deadline_s=20.0, max_retransmit=8
+)
+
+
+@hypothesis.settings(deadline=None, derandomize=True, max_examples=15)
+@hypothesis.given(
+    loss=strategies.floats(0, 0.3),
+    duplicate=strategies.floats(0, 0.5),
+    reorder=strategies.floats(0, 0.5),
+    separate=strategies.booleans(),
+    seed=strategies.integers(0, 1000),
+)
+def test_each_request_gets_its_own_answer(
+    loss: float, duplicate: float, reorder: float, separate: bool, seed: int
+) -> None:
+    """Many requests at once over a bad network each get their own answer.
+
+    Buyers reserve many lots at once while the network loses, duplicates and
+    reorders datagrams, and answers come crossed. Each gets the whole answer
+    to its own request, and none runs twice.
+    """
+
+    async def run() -> None:
+        faults = servers.Faults(loss, duplicate, reorder)
+        async with (
+            servers.open_server(faults, seed) as server,
+            clients.open_client(
+                server.address,
+                settings=FAST,
+                random_source=random.Random(seed),
+            ) as caller,
+        ):
+            server.separate = separate
+            bodies = [b"lot %d " % n * (1 + 300 * (n % 2)) for n in range(8)]
+            results: dict[bytes, answers.Answer] = {}
+
+            async def reserve(body: bytes) -> None:
+                results[body] = await caller.request(POST, "/lots/1", body)
+
+            async with trio.open_nursery() as nursery:
+                for body in bodies:
+                    nursery.start_soon(reserve, body)
+            for body in bodies:
+                assert results[body].outcome is answers.Outcome.ANSWERED
+                assert results[body].payload == body
+            assert sorted(server.runs) == sorted(bodies)
+
+    trio.run(run)
+
+
+@trios.trio_test
+async def test_ticket_is_asked_for_once() -> None:
+    async with (
+        servers.open_server() as server,
+        clients.open_client(server.address, settings=FAST) as caller,
+    ):
+        await caller.request(POST, "/lots/1", b"a")
+        await caller.request(POST, "/lots/1", b"b")
+        echoes = [message.opt.echo for message in server.seen]
+        assert echoes == [None, servers.TICKET, servers.TICKET]
+        assert server.seen[0].token != server.seen[1].token
+
+
+@trios.trio_test
+async def test_refusal_tells_when_to_come_back() -> None:
+    async with (
+        servers.open_server() as server,
+        clients.open_client(server.address, settings=FAST) as caller,
+    ):
+        server.script = [
+            servers.make_answer(aiocoap.SERVICE_UNAVAILABLE, max_age=7),
+            servers.make_answer(aiocoap.SERVICE_UNAVAILABLE),
+        ]
+        first = await caller.request(POST, "/lots/1", b"a")
+        second = await caller.request(POST, "/lots/1", b"a")
+        assert first.outcome is answers.Outcome.REFUSED
+        assert first.retry_after_s == 7
+        assert second.retry_after_s == answers.DEFAULT_MAX_AGE_S
+
+
+@trios.trio_test
+async def test_gateway_timeout_is_unknown() -> None:
+    async with (
+        servers.open_server() as server,
+        clients.open_client(server.address, settings=FAST) as caller,
+    ):
+        server.script = [servers.make_answer(aiocoap.GATEWAY_TIMEOUT)]
+        answer = await caller.request(POST, "/lots/1", b"a")
+        assert answer.outcome is answers.Outcome.UNKNOWN
+
+
+@trios.trio_test
+async def test_silence_is_unknown_after_the_deadline() -> None:
+    settings = FAST.model_copy(update={"grace_s": 0.05})
+    async with (
+        servers.open_server() as server,
+        clients.open_client(server.address, settings=settings) as caller,
+    ):
+        server.silent = True
+        answer = await caller.request(POST, "/lots/1", b"a", deadline_s=0.2)
+        assert answer.outcome is answers.Outcome.UNKNOWN
+        assert answer.code is None
+        tokens = {message.token for message in server.seen}
+        assert len(tokens) == 1
+        assert len(server.seen) > 1
+
+
+@trios.trio_test
+async def test_refused_ticket_is_no_reason_to_run_again() -> None:
+    """A 4.01 to a request with a ticket leaves its outcome unknown.
+
+    A buyer reserves with a ticket. One copy of the request runs and its
+    answer is lost; a later copy meets a host that no longer takes the
+    ticket and answers 4.01. If the caller repeated with the new ticket, the
+    lot would be billed twice.
+    """
+    async with (
+        servers.open_server() as server,
+        clients.open_client(server.address, settings=FAST) as caller,
+    ):
+        await caller.request(POST, "/lots/1", b"a")
+        server.script = [servers.make_answer(aiocoap.UNAUTHORIZED, echo=b"new")]
+        answer = await caller.request(POST, "/lots/1", b"b")
+        assert answer.outcome is answers.Outcome.UNKNOWN
+        assert server.runs == [b"a"]
+
+
+@trios.trio_test
+async def test_large_answer_is_whole() -> None:
+    async with (
+        servers.open_server(servers.Faults(0.1, 0.2, 0.2)) as server,
+        clients.open_client(
+            server.address, settings=FAST, random_source=random.Random(3)
+        ) as caller,
+    ):
+        server.large = bytes(range(256)) * 40
+        answer = await caller.request(GET, "/manifests/1")
+        assert answer.payload == server.large
+
+
+@trios.trio_test
+async def test_large_answer_starts_again_when_it_changes() -> None:
+    async with (
+        servers.open_server() as server,
+        clients.open_client(server.address, settings=FAST) as caller,
+    ):
+        server.large = b"a" * 5000
+        async with trio.open_nursery() as nursery:
+
+            async def change() -> None:
+                while len(server.seen) < 3:
+                    await trio.sleep(0)
+                server.large = b"b" * 6000
+                server.etag = b"e2"
+
+            nursery.start_soon(change)
+            answer = await caller.request(GET, "/manifests/1")
+        assert answer.payload in (b"a" * 5000, b"b" * 6000)
+
+
+@trios.trio_test
+async def test_late_answer_of_a_cancelled_request_is_reset() -> None:
+    async with (
+        servers.open_server() as server,
+        clients.open_client(server.address, settings=FAST) as caller,
+    ):
+        server.silent = True
+        with trio.move_on_after(0.1):
+            await caller.request(GET, "/board")
+        late = servers.make_answer(aiocoap.CONTENT)
+        late.mtype = aiocoap.CON
+        late.mid = 77
+        late.token = server.seen[0].token
+        await server.send_raw(late, server.callers[0])
+        while server.seen[-1].mtype is not aiocoap.RST:
+            await trio.sleep(0.001)
+        assert server.seen[-1].mid == 77
