--- /dev/null
+++ b/persimmonhinge/flows/chooser.py
@@ -0,0 +1,222 @@
+"""Chooses an upstream by the policy that its contract names."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+import trio
+
+from persimmonhinge import errors
+from persimmonhinge import ids
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.contracts import store as stores
+from persimmonhinge.flows import loads
+from persimmonhinge.flows import port
+from persimmonhinge.membership import member as members
+from persimmonhinge.membership import placement as placements
+from persimmonhinge.membership import view as views
+from persimmonhinge.peers import network as networks
+from persimmonhinge.peers.messages import work
+from persimmonhinge.policies import choice as policies
+
+logger = logging.getLogger(__name__)
+
+_QUERY_INTERVAL_S = 0.5
+_QUERY_TIMEOUT_S = 1.0
+# An upstream that nobody trusts still gets a trickle, by which it is seen
+# to recover; with all distrusted alike, the least bad go on serving.
+_LEAST_TRUST = 0.02
+
+
+class UpstreamChooser:
+    """Implements `flows.port.Chooser` from the keepers' reports."""
+
+    def __init__(
+        self,
+        view: views.View,
+        placement: placements.Placement,
+        contract_store: stores.ContractStore,
+        network: networks.PeerNetwork,
+        randomness: random.Random,
+    ) -> None:
+        self._view = view
+        self._placement = placement
+        self._contracts = contract_store
+        self._network = network
+        self._random = randomness
+        self._book = loads.LoadBook()
+        self._policies: dict[tuple[str, str], policies.ChoicePolicy] = {}
+
+    def choose(
+        self,
+        entry: stores.ContractEntry,
+        kind: contracts.CallKind,
+        *,
+        exclude: frozenset[ids.UpstreamId] = frozenset(),
+        among: frozenset[ids.HostRef] | None = None,
+    ) -> port.Choice | None:
+        """Chooses an upstream; see `flows.port.Chooser`."""
+        reachable = self._find_reachable(entry, exclude, among)
+        if not reachable:
+            return None
+        candidates = [
+            self._weigh(entry, choice.upstream, kind)
+            for choice in reachable.values()
+        ]
+        policy = self._get_policy(entry, kind)
+        return reachable[policy.choose(candidates).upstream]
+
+    def pick_keepers(
+        self, entry: stores.ContractEntry, count: int
+    ) -> tuple[ids.HostRef, ...]:
+        """Returns keeper incarnations for a ticket, best first."""
+        picked: list[ids.HostRef] = []
+        exclude: frozenset[ids.UpstreamId] = frozenset()
+        request = contracts.CallKind.REQUEST
+        while len(picked) < count:
+            choice = self.choose(entry, request, exclude=exclude)
+            if choice is None:
+                break
+            exclude |= {ids.UpstreamId(choice.upstream.id)}
+            if choice.keeper_ref not in picked:
+                picked.append(choice.keeper_ref)
+        return tuple(picked)
+
+    def begin(
+        self,
+        service: ids.ServiceName,
+        upstream: ids.UpstreamId,
+        kind: contracts.CallKind,
+    ) -> None:
+        """Counts work that this host has begun at an upstream."""
+        self._book.begin(service, upstream, kind)
+
+    def end(
+        self,
+        service: ids.ServiceName,
+        upstream: ids.UpstreamId,
+        kind: contracts.CallKind,
+    ) -> None:
+        """Counts work that this host has ended."""
+        self._book.end(service, upstream, kind)
+
+    def note(self, service: ids.ServiceName, load: work.UpstreamLoad) -> None:
+        """Takes in a report that came with an answer."""
+        self._book.note(service, load)
+
+    def get_load(
+        self, service: ids.ServiceName, upstream: ids.UpstreamId
+    ) -> work.UpstreamLoad | None:
+        """Returns the last report on an upstream, None if there is none."""
+        return self._book.get(service, upstream)
+
+    async def run(self) -> None:
+        """Asks the keepers for their loads, one task for each keeper."""
+        async with trio.open_nursery() as nursery:
+            asked: set[ids.HostId] = set()
+            while True:
+                version = self._view.changed.version
+                for member in self._view.role_takers():
+                    if member.host not in asked:
+                        asked.add(member.host)
+                        nursery.start_soon(self._ask_keeper, member.host, asked)
+                await self._view.changed.wait_beyond(version)
+
+    async def _ask_keeper(
+        self, host: ids.HostId, asked: set[ids.HostId]
+    ) -> None:
+        while True:
+            member = self._view.get(host)
+            if member is None or not member.answers:
+                asked.discard(host)
+                return
+            await self._ask_once(host)
+            # Hosts that started together would ask together.
+            await trio.sleep(_QUERY_INTERVAL_S * self._random.uniform(0.8, 1.2))
+
+    async def _ask_once(self, host: ids.HostId) -> None:
+        try:
+            report = await self._network.call(
+                host, work.LoadQuery(), _QUERY_TIMEOUT_S
+            )
+        except errors.PeerError:
+            return
+        if isinstance(report, work.LoadReport):
+            for load in report.loads:
+                self._take_in(load)
+
+    def _take_in(self, load: work.UpstreamLoad) -> None:
+        service, _, upstream = load.upstream.partition("/")
+        self._book.note(
+            ids.ServiceName(service),
+            work.UpstreamLoad(
+                ids.UpstreamId(upstream),
+                *(getattr(load, f) for f in load.__struct_fields__[1:]),
+            ),
+        )
+
+    def _find_reachable(
+        self,
+        entry: stores.ContractEntry,
+        exclude: frozenset[ids.UpstreamId],
+        among: frozenset[ids.HostRef] | None,
+    ) -> dict[ids.UpstreamId, port.Choice]:
+        found: dict[ids.UpstreamId, port.Choice] = {}
+        for upstream in entry.contract.upstreams:
+            upstream_id = ids.UpstreamId(upstream.id)
+            if upstream_id in exclude or not self._accepts(entry, upstream):
+                continue
+            keeper = self._find_keeper(entry, upstream)
+            if keeper is None:
+                continue
+            if among is not None and keeper.ref not in among:
+                continue
+            found[upstream_id] = port.Choice(upstream, keeper.host, keeper.ref)
+        return found
+
+    def _find_keeper(
+        self, entry: stores.ContractEntry, upstream: contracts.Upstream
+    ) -> members.Member | None:
+        key = ids.UpstreamId(f"{entry.contract.service}/{upstream.id}")
+        return self._placement.find_keeper(key, upstream.domain)
+
+    def _accepts(
+        self, entry: stores.ContractEntry, upstream: contracts.Upstream
+    ) -> bool:
+        if upstream.state is not contracts.UpstreamState.ACTIVE:
+            return False
+        load = self._book.get(
+            ids.ServiceName(entry.contract.service),
+            ids.UpstreamId(upstream.id),
+        )
+        return load is None or load.accepting
+
+    def _weigh(
+        self,
+        entry: stores.ContractEntry,
+        upstream: contracts.Upstream,
+        kind: contracts.CallKind,
+    ) -> policies.Candidate:
+        service = ids.ServiceName(entry.contract.service)
+        upstream_id = ids.UpstreamId(upstream.id)
+        load = self._book.get(service, upstream_id)
+        trust = max(load.trust if load else 1.0, _LEAST_TRUST)
+        units = upstream.connections
+        if kind is contracts.CallKind.REQUEST:
+            units = load.slots if load else upstream.slots
+        return policies.Candidate(
+            upstream_id,
+            capacity=max(units, 1) * trust,
+            load=self._book.estimate(service, upstream_id, kind),
+            own=self._book.count_own(service, upstream_id, kind),
+        )
+
+    def _get_policy(
+        self, entry: stores.ContractEntry, kind: contracts.CallKind
+    ) -> policies.ChoicePolicy:
+        name = entry.contract.policies.choice
+        key = (f"{entry.contract.service}/{kind.value}", name)
+        if key not in self._policies:
+            self._policies[key] = policies.choices.get(name)(self._random)
+        return self._policies[key]
--- /dev/null
+++ b/persimmonhinge/flows/loads.py
@@ -0,0 +1,95 @@
+"""What this host knows of the load of each upstream."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from persimmonhinge import ids
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.peers.messages import work
+
+UpstreamKey = tuple[ids.ServiceName, ids.UpstreamId]
+_WorkKey = tuple[ids.ServiceName, ids.UpstreamId, contracts.CallKind]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Report:
+    load: work.UpstreamLoad
+    own_requests: int
+    own_feeds: int
+
+
+class LoadBook:
+    """The last report on each upstream, corrected by this host's own work.
+
+    A report is old by the time it is used. What this host has begun and
+    ended since is known exactly, so it is added; what other hosts did in
+    the meantime is not known.
+    """
+
+    def __init__(self) -> None:
+        self._reports: dict[UpstreamKey, _Report] = {}
+        self._own: collections.Counter[_WorkKey] = collections.Counter()
+
+    def note(self, service: ids.ServiceName, load: work.UpstreamLoad) -> None:
+        """Takes in a keeper's report."""
+        key = (service, load.upstream)
+        self._reports[key] = _Report(
+            load,
+            self.count_own(*key, contracts.CallKind.REQUEST),
+            self.count_own(*key, contracts.CallKind.FEED),
+        )
+
+    def begin(
+        self,
+        service: ids.ServiceName,
+        upstream: ids.UpstreamId,
+        kind: contracts.CallKind,
+    ) -> None:
+        """Counts work that this host has begun."""
+        self._own[(service, upstream, kind)] += 1
+
+    def end(
+        self,
+        service: ids.ServiceName,
+        upstream: ids.UpstreamId,
+        kind: contracts.CallKind,
+    ) -> None:
+        """Counts work that this host has ended."""
+        key = (service, upstream, kind)
+        self._own[key] -= 1
+        if self._own[key] <= 0:
+            del self._own[key]
+
+    def count_own(
+        self,
+        service: ids.ServiceName,
+        upstream: ids.UpstreamId,
+        kind: contracts.CallKind,
+    ) -> int:
+        """Returns how much work of this host an upstream has."""
+        return self._own[(service, upstream, kind)]
+
+    def get(
+        self, service: ids.ServiceName, upstream: ids.UpstreamId
+    ) -> work.UpstreamLoad | None:
+        """Returns the last report, None if there is none."""
+        report = self._reports.get((service, upstream))
+        return report.load if report else None
+
+    def estimate(
+        self,
+        service: ids.ServiceName,
+        upstream: ids.UpstreamId,
+        kind: contracts.CallKind,
+    ) -> float:
+        """Returns requests running and waiting, or open feeds, by now."""
+        own = self.count_own(service, upstream, kind)
+        report = self._reports.get((service, upstream))
+        if report is None:
+            return own
+        if kind is contracts.CallKind.FEED:
+            return max(0, report.load.feeds + own - report.own_feeds)
+        load = report.load.busy + report.load.queued
+        return max(0, load + own - report.own_requests)
--- /dev/null
+++ b/persimmonhinge/status/__init__.py
@@ -0,0 +1,1 @@
+"""What a host tells operators of itself."""
