--- /dev/null
+++ b/tests/standins/platform_faults.py
@@ -0,0 +1,59 @@
+"""Faults that tests ask of the platform's stand-in."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Faults(msgspec.Struct):
+    """What goes wrong; a test posts those members that it wants.
+
+    Attributes:
+        down: Connections close without an answer; watches break.
+        delay_s: Each call waits first, seconds.
+        drop_answers: So many writes take effect but get no answer.
+        drop_writes: So many transactions are lost and get no answer.
+        late_writes: So many transactions get no answer and run `late_s`
+            later.
+        late_s: How much later, seconds.
+        silent_from: Watches with a number below this got silent for good;
+            a test sets `silence_watches` instead.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    drop_answers: int = 0
+    drop_writes: int = 0
+    late_writes: int = 0
+    late_s: float = 0.5
+    silent_from: int = 0
+
+
+class FaultsRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Members of `Faults` to change; those left out stay.
+
+    Attributes:
+        silence_watches: True makes all watches that are open now go silent
+            for good, while new ones work.
+    """
+
+    down: bool | None = None
+    delay_s: float | None = None
+    drop_answers: int | None = None
+    drop_writes: int | None = None
+    late_writes: int | None = None
+    late_s: float | None = None
+    silence_watches: bool = False
+
+
+def apply_request(
+    faults: Faults, request: FaultsRequest, next_watch: int
+) -> None:
+    """Changes the faults as asked."""
+    for name in request.__struct_fields__:
+        value = getattr(request, name)
+        if name == "silence_watches":
+            if value:
+                faults.silent_from = next_watch
+        elif value is not None:
+            setattr(faults, name, value)
--- /dev/null
+++ b/tests/standins/platform_process.py
@@ -0,0 +1,86 @@
+"""Starts the platform's stand-in as a process, for tests."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import contextlib
+import pathlib
+import subprocess
+import sys
+from typing import Any
+
+import httpx
+import trio
+
+from persimmonhinge.settings import entry
+
+_ROOT = pathlib.Path(__file__).parents[2]
+
+
+class PlatformProcess:
+    """A stand-in that runs.
+
+    Attributes:
+        url: Base URL of its gateway.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.url = f"http://{address}"
+
+    def settings(self, timeout_s: float = 2.0) -> entry.PlatformSettings:
+        """Returns settings of a client."""
+        return entry.PlatformSettings(
+            endpoints=(self.url,), timeout_s=timeout_s, retry_interval_s=0.05
+        )
+
+    async def set_faults(self, **faults: Any) -> None:
+        """Makes or ends faults; see `platform_faults.FaultsRequest`."""
+        await self._call("POST", "faults", faults)
+
+    async def get_counts(self) -> dict[str, int]:
+        """Returns the calls so far, by kind."""
+        return await self._call("GET", "counts", None)
+
+    async def take_copy(self) -> None:
+        """Keeps a copy of all that it holds."""
+        await self._call("POST", "snapshot", {})
+
+    async def restore(self) -> None:
+        """Goes back to the copy."""
+        await self._call("POST", "restore", {})
+
+    async def compact(self, revision: int) -> None:
+        """Forgets changes up to a revision."""
+        async with httpx.AsyncClient() as client:
+            await client.post(
+                f"{self.url}/v3/kv/compaction", json={"revision": revision}
+            )
+
+    async def _call(self, method: str, name: str, body: Any) -> dict[str, Any]:
+        async with httpx.AsyncClient() as client:
+            url = f"{self.url}/standin/{name}"
+            response = await client.request(method, url, json=body)
+        return response.raise_for_status().json()
+
+
+@contextlib.asynccontextmanager
+async def run_platform() -> AsyncIterator[PlatformProcess]:
+    """Runs a stand-in at a port of the kernel's choice."""
+    process = await trio.lowlevel.open_process(
+        [sys.executable, "-m", "tests.standins.platform"],
+        cwd=_ROOT,
+        stdout=subprocess.PIPE,
+    )
+    try:
+        assert process.stdout is not None
+        line = b""
+        while not line.endswith(b"\n"):
+            data = await process.stdout.receive_some(100)
+            if not data:
+                raise RuntimeError("the platform's stand-in did not start")
+            line += data
+        yield PlatformProcess(line.split()[-1].decode())
+    finally:
+        process.terminate()
+        with trio.CancelScope(shield=True):
+            await process.wait()
--- /dev/null
+++ b/tests/test_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform client, against the stand-in as a process."""
