--- /dev/null
+++ b/tests/test_peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the streams between hosts."""
