Spread contracts, ticket keys and drains between hosts

Two hosts of each failure domain hold the watch on the platform. Stores move forward only, ordered by revision and then body.

--- /dev/null
+++ b/persimmonhinge/contracts/control.py
@@ -0,0 +1,153 @@
+"""The control part of a host: follows contracts, ticket keys and drains."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+import trio
+
+from persimmonhinge import errors
+from persimmonhinge.contracts import drains as drain_stores
+from persimmonhinge.contracts import hosts
+from persimmonhinge.contracts import partners as partner_choice
+from persimmonhinge.contracts import records as record_sets
+from persimmonhinge.contracts import report
+from persimmonhinge.contracts import spread as spreads
+from persimmonhinge.contracts import store as contract_stores
+from persimmonhinge.contracts import watcher as watchers
+from persimmonhinge.keys import store as key_stores
+from persimmonhinge.membership import placement as placements
+from persimmonhinge.membership import view as views
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.peers import network as networks
+from persimmonhinge.peers.messages import control
+from persimmonhinge.platform import port
+from persimmonhinge.settings import entry
+
+logger = logging.getLogger(__name__)
+
+# A host that starts waits so long for a peer before it turns to the platform.
+_FIRST_EXCHANGE_S = 2.0
+# A role of watcher that comes or goes counts after it has held for so long.
+_GAIN_S = 0.5
+_LOSS_S = 3.0
+
+
+class Control:
+    """Keeps the stores of a host up to date.
+
+    Two hosts in each failure domain hold the watch at the platform. All
+    others learn from peers, as do these when the platform is out.
+    """
+
+    def __init__(
+        self,
+        settings: entry.EntrySettings,
+        view: views.View,
+        placement: placements.Placement,
+        contracts: contract_stores.ContractStore,
+        keys: key_stores.KeyStore,
+        drains: drain_stores.DrainStore,
+        network: networks.PeerNetwork,
+        platform: port.Platform,
+        counts: host_counts.Counts,
+        randomness: random.Random | None = None,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._platform = platform
+        self._counts = counts
+        draws = randomness or random.Random()
+        self._records = record_sets.Records(contracts, keys, drains, counts)
+        self._partners = partner_choice.Partners(view, placement, draws)
+        self._spread = spreads.Spread(
+            self._records, self._partners, network, counts, draws
+        )
+        self._watcher = watchers.Watcher(
+            settings.platform,
+            platform,
+            self._records,
+            self._publish,
+            self._spread.set_ready,
+            counts,
+            draws,
+        )
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Follows the platform and the peers until it is cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._spread.run)
+            nursery.start_soon(self._run_watcher)
+            task_status.started()
+
+    def ready(self) -> bool:
+        """Tells whether this host has synchronized.
+
+        True once it has read the platform, or has exchanged records with a
+        host that is ready.
+        """
+        return self._spread.ready()
+
+    def report(self) -> report.ControlReport:
+        """Returns how this host stands, for the operators; no secrets."""
+        return report.make_report(self._records, self._watcher, self.ready())
+
+    async def announce_leaving(self) -> None:
+        """Tells the platform's host list that this host leaves."""
+        try:
+            await hosts.announce_leaving(
+                self._platform,
+                self._settings.platform.prefix,
+                self._view.self_member,
+            )
+        except (errors.PlatformError, errors.ConflictError) as error:
+            logger.warning("Host list does not show the stop: %s", error)
+
+    def _publish(self, news: control.Knowledge) -> None:
+        self._spread.publish(news, source="platform")
+
+    async def _run_watcher(self) -> None:
+        await self._wait_for_first_exchange()
+        while True:
+            await self._wait_for_role(wanted=True, settle_s=_GAIN_S)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watcher.run)
+                await self._wait_for_role(wanted=False, settle_s=_LOSS_S)
+                nursery.cancel_scope.cancel()
+
+    async def _wait_for_first_exchange(self) -> None:
+        """Gives peers a little time to tell what they know.
+
+        Guards against a host that knows nothing yet: it would believe to be
+        alone and read the platform as all others that start with it, and
+        would make new ticket keys at a platform that has lost its keys.
+        """
+        if not self._settings.seeds:
+            return
+        with trio.move_on_after(_FIRST_EXCHANGE_S):
+            await self._spread.wait_exchanged()
+
+    async def _wait_for_role(self, *, wanted: bool, settle_s: float) -> None:
+        """Waits until this host has held or lost the watch for some time.
+
+        A former watcher goes on for a while, until its successor has begun.
+        """
+        while True:
+            version = self._view.changed.version
+            if self._partners.is_watcher() is not wanted:
+                await self._view.changed.wait_beyond(version)
+                continue
+            with trio.move_on_after(settle_s) as scope:
+                await self._wait_while_role(wanted)
+            if scope.cancelled_caught:
+                return
+
+    async def _wait_while_role(self, wanted: bool) -> None:
+        while True:
+            version = self._view.changed.version
+            if self._partners.is_watcher() is not wanted:
+                return
+            await self._view.changed.wait_beyond(version)
--- a/persimmonhinge/contracts/store.py
+++ b/persimmonhinge/contracts/store.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
-import logging
+import time
+
+import pydantic
 
 from persimmonhinge import changes
+from persimmonhinge import config
+from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.contracts import quarantine as quarantines
 from persimmonhinge.peers.messages import control
 
-logger = logging.getLogger(__name__)
+_STEP = "read contract"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,10 +39,12 @@
         changed: Announced at each record that is taken in.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self.changed = changes.ChangeSignal()
         self._records: dict[ids.ServiceName, control.ContractRecord] = {}
         self._entries: dict[ids.ServiceName, ContractEntry] = {}
+        self._owners: dict[contracts.Address, ids.ServiceName] = {}
+        self._quarantine = quarantines.Quarantine(clock)
 
     def offer(self, record: control.ContractRecord) -> bool:
         """Takes in a record if it is newer than what is known.
@@ -44,26 +52,26 @@
         Guards against reverting: a peer that was cut off, or a platform
         restored from a copy, offers an old revision after a new one was in
         force. Revisions of one key only grow, so older ones are refused.
+        Of two bodies at one revision, which only a restored platform can
+        give, the greater one counts, so that all hosts agree.
 
         Returns:
             True if it was taken in.
 
         Raises:
-            pydantic.ValidationError: Its body is not a contract; the former
-                one stays in force.
+            ContractError: Its body is not a contract of this service; the
+                former one stays in force.
         """
         known = self._records.get(record.service)
-        if known is not None and known.revision >= record.revision:
+        if known is not None and known.version >= record.version:
             return False
-        entry = None
-        if record.body:
-            contract = contracts.Contract.model_validate_json(record.body)
-            entry = ContractEntry(contract, record.revision)
+        entry = _read(record)
         self._records[record.service] = record
         if entry is None:
             self._entries.pop(record.service, None)
         else:
             self._entries[record.service] = entry
+        self._assign_addresses()
         self.changed.announce()
         return True
 
@@ -75,6 +83,12 @@
         """Returns all contracts in force."""
         return list(self._entries.values())
 
+    def get_record(
+        self, service: ids.ServiceName
+    ) -> control.ContractRecord | None:
+        """Returns the record of a service, None if it was never known."""
+        return self._records.get(service)
+
     def records(self) -> list[control.ContractRecord]:
         """Returns all records, tombstones included."""
         return list(self._records.values())
@@ -82,3 +96,54 @@
     def revisions(self) -> dict[str, int]:
         """Returns the revision of each service, tombstones included."""
         return {r.service: r.revision for r in self._records.values()}
+
+    def owner_of(self, address: contracts.Address) -> ids.ServiceName | None:
+        """Returns the service that an upstream address belongs to.
+
+        Of several contracts that name the address, the one with the highest
+        revision counts.
+        """
+        return self._owners.get(address)
+
+    def may_give_work(
+        self, service: ids.ServiceName, address: contracts.Address
+    ) -> bool:
+        """Tells whether work of a service may go to an upstream address.
+
+        It may not if the address belongs to another service, or if it left
+        another one less than `quarantine.IN_FORCE_LIMIT_S` ago.
+        """
+        if self._owners.get(address) != service:
+            return False
+        return not self._quarantine.holds(address, service)
+
+    def _assign_addresses(self) -> None:
+        owners: dict[contracts.Address, ids.ServiceName] = {}
+        for entry in sorted(self._entries.values(), key=_sort_key):
+            service = ids.ServiceName(entry.contract.service)
+            for upstream in entry.contract.upstreams:
+                owners[upstream.address] = service
+        self._quarantine.update(self._owners, owners)
+        self._owners = owners
+
+
+def _sort_key(entry: ContractEntry) -> tuple[int, str]:
+    return (entry.revision, entry.contract.service)
+
+
+def _read(record: control.ContractRecord) -> ContractEntry | None:
+    if not record.body:
+        return None
+    try:
+        contract = contracts.Contract.model_validate_json(record.body)
+    except pydantic.ValidationError as error:
+        raise errors.ContractError(
+            config.describe(error), step=_STEP, peer=record.service
+        ) from error
+    if contract.service != record.service:
+        raise errors.ContractError(
+            f"is of service {contract.service!r}",
+            step=_STEP,
+            peer=record.service,
+        )
+    return ContractEntry(contract, record.revision)
--- a/persimmonhinge/errors.py
+++ b/persimmonhinge/errors.py
@@ -29,6 +29,10 @@
     """A contract can't be read or holds a value that is not allowed."""
 
 
+class KeyRingError(PersimmonhingeError):
+    """A ring of ticket keys can't be read, or a step of it is not allowed."""
+
+
 class MalformedDatagramError(PersimmonhingeError):
     """A datagram is not a CoAP message."""
 
@@ -69,5 +73,9 @@
     """The platform gave no answer; a write may have taken effect."""
 
 
+class PlatformWentBackError(PlatformError):
+    """The platform shows an earlier state than one that was in force."""
+
+
 class ConflictError(PersimmonhingeError):
     """Another operator changed the same contract first."""
--- a/persimmonhinge/keys/store.py
+++ b/persimmonhinge/keys/store.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+import time
+
+import pydantic
+
 from persimmonhinge import changes
+from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.keys import ring as rings
 from persimmonhinge.peers.messages import control
@@ -17,10 +23,12 @@
         record: The record it came from.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self.changed = changes.ChangeSignal()
         self.ring = rings.KeyRing()
         self.record = control.KeyRecord(ids.Revision(0), b"")
+        self._clock = clock
+        self._taken_at = clock()
 
     def offer(self, record: control.KeyRecord) -> bool:
         """Takes in a record if it is newer.
@@ -32,11 +40,31 @@
             True if it was taken in.
 
         Raises:
-            pydantic.ValidationError: Its body is not a ring.
+            KeyRingError: Its body is not a ring; the former one stays.
         """
-        if record.revision <= self.record.revision:
+        if record.version <= self.record.version:
             return False
-        self.ring = rings.KeyRing.model_validate_json(record.body)
+        self.ring = read_ring(record.body)
         self.record = record
+        self._taken_at = self._clock()
         self.changed.announce()
         return True
+
+    def age_s(self) -> float:
+        """Returns for how long this host has held the ring, seconds."""
+        return self._clock() - self._taken_at
+
+
+def read_ring(body: bytes) -> rings.KeyRing:
+    """Reads a ring from JSON.
+
+    Raises:
+        KeyRingError: It is not a ring. The text says nothing of its content.
+    """
+    try:
+        return rings.KeyRing.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        count = error.error_count()
+    # Raised here and not in the handler: pydantic's error quotes its input,
+    # and as context of this one it would carry secrets into logs.
+    raise errors.KeyRingError(f"has {count} faults", step="read ticket keys")
--- a/persimmonhinge/membership/placement.py
+++ b/persimmonhinge/membership/placement.py
@@ -48,6 +48,22 @@
             return None
         return self._best(upstream, domain)
 
+    def rank_hosts(self, key: str, domain: str) -> list[members.Member]:
+        """Ranks the hosts of a domain that take roles, best first.
+
+        Args:
+            key: Name of the role that is placed.
+            domain: The failure domain; unknown ones have no hosts.
+        """
+        self._refresh()
+        hosts = self._by_domain.get(domain, [])
+        return sorted(hosts, key=lambda m: _score(key, m.host), reverse=True)
+
+    def domains(self) -> list[str]:
+        """Returns the failure domains with hosts that take roles, in order."""
+        self._refresh()
+        return sorted(self._by_domain)
+
     def _best(self, key: str, domain: str) -> members.Member:
         hosts = self._by_domain[domain]
         return max(hosts, key=lambda m: _score(key, m.host))
--- /dev/null
+++ b/tests/test_contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of contracts and how they spread."""
--- /dev/null
+++ b/tests/test_keys/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ticket keys."""
