Serve requests at their home, once where that is asked

A home takes callers' datagrams, tells copies from new requests, and has work run by the keeper that the chooser picks. Idempotent work is tried again within the retry budget of its service. Other work needs a ticket whose keepers alone may run it; its row is kept until the ticket is forgotten, 100 s after it last begins work, so that each repetition that RFC 7252 allows (93 s) finds it.

Refusals are final also where nothing has room to remember them: a full table closes all tickets issued so far with one number.

Not there yet: blocks both ways.

--- /dev/null
+++ b/persimmonhinge/flows/dispatcher.py
@@ -0,0 +1,217 @@
+"""Has orders run by keepers, and tries again where that is safe."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+import trio
+
+from persimmonhinge import errors
+from persimmonhinge import ids
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.contracts import store as stores
+from persimmonhinge.flows import attempt as attempts
+from persimmonhinge.flows import order as orders
+from persimmonhinge.flows import port
+from persimmonhinge.flows import recovery as recoveries
+from persimmonhinge.flows import retries
+from persimmonhinge.flows import tickets
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.peers import network as networks
+from persimmonhinge.peers.messages import work
+
+logger = logging.getLogger(__name__)
+
+# The keeper ends the work at the deadline and says what became of it; the
+# answer needs a moment to get here.
+_ANSWER_MARGIN_S = 1.0
+# Hosts differ in contract or membership for this long, as a rule.
+_CONVERGE_S = 0.05
+_MOST_CONVERGE_S = 0.4
+_RETRY_AFTER_S = 1
+
+Outcome = work.Outcome
+Source = attempts.AttemptSource
+_REQUEST = contracts.CallKind.REQUEST
+_NOWHERE = work.Dispatched(
+    Outcome.NOT_RUN, retry_after_s=_RETRY_AFTER_S, reason="no upstream is free"
+)
+_LATE = work.Dispatched(
+    Outcome.NOT_RUN, retry_after_s=_RETRY_AFTER_S, reason="deadline passed"
+)
+
+
+class Dispatcher:
+    """Runs orders at the keepers that the chooser picks."""
+
+    def __init__(
+        self,
+        contract_store: stores.ContractStore,
+        chooser: port.Chooser,
+        network: networks.PeerNetwork,
+        mint: tickets.TicketMint,
+        recovery: recoveries.Recovery,
+        counts: host_counts.Counts,
+    ) -> None:
+        self._contracts = contract_store
+        self._chooser = chooser
+        self._network = network
+        self._mint = mint
+        self._recovery = recovery
+        self._counts = counts
+        self._budget = retries.RetryBudget()
+
+    async def run(self, order: orders.Order) -> work.Dispatched:
+        """Has an order run.
+
+        Idempotent work may be tried again whatever happened. Work with a
+        ticket is tried again only where the attempt surely did not run.
+
+        Returns:
+            ANSWERED, NOT_RUN or UNKNOWN.
+        """
+        exclude: set[ids.UpstreamId] = set()
+        among: frozenset[ids.HostRef] | None = None
+        if order.ticket is not None:
+            among = frozenset(order.ticket.keepers)
+        last = _NOWHERE
+        converge_s = _CONVERGE_S
+        self._earn(order)
+        while True:
+            if trio.current_time() >= order.deadline:
+                return _LATE if last.outcome is Outcome.NOT_RUN else last
+            choice = self._choose(order, frozenset(exclude), among)
+            if choice is None:
+                return last
+            attempt = await self._attempt(order, choice)
+            if self._is_final(order, attempt):
+                return await self._settle(order, choice, attempt)
+            if attempt.source is Source.UNREACHABLE:
+                if among is not None:
+                    among -= {choice.keeper_ref}
+                exclude.add(ids.UpstreamId(choice.upstream.id))
+                continue
+            if attempt.dispatched.outcome in _ELSEWHERE:
+                # Nothing ran, so it costs the upstreams nothing; the hosts
+                # agree in a moment, whereas asking at once is in vain.
+                await trio.sleep(converge_s * random.uniform(0.5, 1.5))
+                converge_s = min(2 * converge_s, _MOST_CONVERGE_S)
+                continue
+            last = attempt.dispatched
+            exclude.add(ids.UpstreamId(choice.upstream.id))
+            if not self._budget.spend(order.service):
+                self._counts.add("home_retries_denied_total")
+                return last
+            self._counts.add("home_retries_total")
+
+    def _earn(self, order: orders.Order) -> None:
+        entry = self._contracts.get(order.service)
+        if entry is not None:
+            ratio = entry.contract.limits.retry_budget
+            self._budget.earn(order.service, ratio)
+
+    def _choose(
+        self,
+        order: orders.Order,
+        exclude: frozenset[ids.UpstreamId],
+        among: frozenset[ids.HostRef] | None,
+    ) -> port.Choice | None:
+        entry = self._contracts.get(order.service)
+        if entry is None:
+            return None
+        return self._chooser.choose(
+            entry, _REQUEST, exclude=exclude, among=among
+        )
+
+    def _is_final(self, order: orders.Order, attempt: attempts.Attempt) -> bool:
+        outcome = attempt.dispatched.outcome
+        if outcome is Outcome.ANSWERED:
+            return True
+        return outcome is Outcome.UNKNOWN and order.ticket is not None
+
+    async def _settle(
+        self,
+        order: orders.Order,
+        choice: port.Choice,
+        attempt: attempts.Attempt,
+    ) -> work.Dispatched:
+        """Returns the final outcome of an attempt.
+
+        Guards against an outcome that is unknown only because a link broke:
+        the keeper may still be there and know.
+        """
+        ticket, key = order.ticket, order.key
+        if attempt.source is not Source.LINK or ticket is None or key is None:
+            return attempt.dispatched
+        return await self._recovery.ask_keeper(
+            order.service, ticket, key, choice.keeper_ref
+        )
+
+    async def _attempt(
+        self, order: orders.Order, choice: port.Choice
+    ) -> attempts.Attempt:
+        entry = self._contracts.get(order.service)
+        if entry is None:
+            return attempts.Attempt(_NOWHERE, Source.KEEPER)
+        upstream = ids.UpstreamId(choice.upstream.id)
+        message = self._write_dispatch(order, entry, upstream)
+        timeout_s = order.deadline - trio.current_time() + _ANSWER_MARGIN_S
+        self._chooser.begin(order.service, upstream, _REQUEST)
+        try:
+            answer = await self._network.call(choice.keeper, message, timeout_s)
+        except errors.PeerUnreachableError:
+            return _fail(Outcome.NOT_RUN, Source.UNREACHABLE)
+        except errors.PeerError:
+            return _fail(Outcome.UNKNOWN, Source.LINK)
+        finally:
+            self._chooser.end(order.service, upstream, _REQUEST)
+        if not isinstance(answer, work.Dispatched):
+            return _fail(Outcome.UNKNOWN, Source.LINK)
+        self._counts.add("home_dispatched_total", outcome=answer.outcome.value)
+        return attempts.Attempt(answer, Source.KEEPER)
+
+    def _write_dispatch(
+        self,
+        order: orders.Order,
+        entry: stores.ContractEntry,
+        upstream: ids.UpstreamId,
+    ) -> work.Dispatch:
+        call_class = order.call_class
+        left_s = order.deadline - trio.current_time()
+        plain = work.Dispatch(
+            order.service,
+            entry.revision,
+            upstream,
+            ids.CallClassName(call_class.name),
+            order.request,
+            max(1, int(left_s * 1000)),
+        )
+        if order.ticket is None or order.key is None:
+            return plain
+        return work.Dispatch(
+            plain.service,
+            plain.revision,
+            plain.upstream,
+            plain.call_class,
+            plain.request,
+            plain.deadline_ms,
+            idempotent=False,
+            ticket=order.key.ticket,
+            token=order.key.token,
+            digest=order.key.digest,
+            home=order.key.home,
+            home_uptime_ms=self._mint.uptime_ms(),
+            ticket_expiry_ms=order.ticket.expiry_ms,
+        )
+
+
+_ELSEWHERE = (Outcome.NOT_KEEPER, Outcome.STALE)
+
+
+def _fail(outcome: Outcome, source: Source) -> attempts.Attempt:
+    reason = "keeper can't be reached"
+    dispatched = work.Dispatched(
+        outcome, retry_after_s=_RETRY_AFTER_S, reason=reason
+    )
+    return attempts.Attempt(dispatched, source)
--- /dev/null
+++ b/persimmonhinge/flows/home_port.py
@@ -0,0 +1,32 @@
+"""What a home needs of the part that carries feeds."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from persimmonhinge.coap import codec
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.contracts import store as stores
+from persimmonhinge.flows import port
+
+
+class FeedDesk(Protocol):
+    """Opens and closes the feeds of callers."""
+
+    def open(
+        self,
+        flow: port.Flow,
+        message: codec.Message,
+        entry: stores.ContractEntry,
+        call_class: contracts.CallClass,
+    ) -> None:
+        """Takes a GET with Observe 0, each copy of it; answers it itself."""
+
+    def close(self, flow: port.Flow, message: codec.Message) -> bool:
+        """Takes a GET with Observe 1; False if there is no such feed."""
+
+    def acknowledge(self, flow: port.Flow, message_id: int) -> bool:
+        """Takes an ACK; False if it is for none of its notifications."""
+
+    def reset(self, flow: port.Flow, message_id: int) -> bool:
+        """Takes an RST; False if it is for none of its notifications."""
--- /dev/null
+++ b/persimmonhinge/flows/request.py
@@ -0,0 +1,84 @@
+"""Reads what a caller's request asks for."""
+
+from __future__ import annotations
+
+from aiocoap.numbers import codes
+from aiocoap.numbers import optionnumbers
+from aiocoap.numbers import types
+
+from persimmonhinge.coap import codec
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.flows import digests
+
+_Number = optionnumbers.OptionNumber
+
+MAX_DEADLINE_S = 3600.0
+OBSERVE_OPEN = 0
+OBSERVE_CLOSE = 1
+
+_METHODS = {
+    codes.Code.GET: contracts.Method.GET,
+    codes.Code.POST: contracts.Method.POST,
+    codes.Code.PUT: contracts.Method.PUT,
+    codes.Code.DELETE: contracts.Method.DELETE,
+    codes.Code.FETCH: contracts.Method.FETCH,
+    codes.Code.PATCH: contracts.Method.PATCH,
+    codes.Code.iPATCH: contracts.Method.IPATCH,
+}
+_PROXY_OPTIONS = frozenset({_Number.PROXY_URI, _Number.PROXY_SCHEME})
+# Critical options that this system or the upstream deals with.
+_KNOWN_CRITICAL = frozenset(
+    {
+        _Number.IF_MATCH,
+        _Number.URI_HOST,
+        _Number.IF_NONE_MATCH,
+        _Number.URI_PORT,
+        _Number.URI_PATH,
+        _Number.URI_QUERY,
+        _Number.ACCEPT,
+        _Number.BLOCK2,
+        _Number.BLOCK1,
+    }
+)
+
+
+def get_method(message: codec.Message) -> contracts.Method | None:
+    """Returns the method, None for a code that is none we know."""
+    return _METHODS.get(message.code)
+
+
+def get_path(message: codec.Message) -> str:
+    """Returns the path, `/` first."""
+    return "/" + "/".join(message.opt.uri_path)
+
+
+def get_deadline_s(
+    message: codec.Message, call_class: contracts.CallClass
+) -> float:
+    """Returns how long the caller still waits, seconds."""
+    deadline_ms = codec.read_deadline_ms(message)
+    if deadline_ms is None:
+        return call_class.deadline_s
+    return min(deadline_ms / 1000, MAX_DEADLINE_S)
+
+
+def find_fault(message: codec.Message) -> codes.Code | None:
+    """Returns the error code for options that can't be honoured, or None."""
+    for option in message.opt.option_list():
+        if option.number in _PROXY_OPTIONS:
+            return codes.Code.PROXYING_NOT_SUPPORTED
+        if option.number.is_critical() and option.number not in _KNOWN_CRITICAL:
+            return codes.Code.BAD_OPTION
+    return None
+
+
+def write_for_upstream(message: codec.Message) -> bytes:
+    """Returns the request without what was meant for this hop."""
+    request = codec.Message(code=message.code, payload=message.payload)
+    for option in message.opt.option_list():
+        if option.number not in digests.HOP_OPTIONS:
+            request.opt.add_option(option)
+    request.mtype = types.NON
+    request.mid = 0
+    request.token = b""
+    return codec.encode(request)
--- /dev/null
+++ b/persimmonhinge/flows/row.py
@@ -0,0 +1,72 @@
+"""One non-idempotent request as its home remembers it."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.flows import port
+from persimmonhinge.peers.messages import work
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowKey:
+    """What makes two requests the same one.
+
+    Attributes:
+        home: The incarnation that minted the ticket.
+        ticket: Number of the ticket.
+        token: The caller's token.
+        digest: Hash of the request.
+    """
+
+    home: ids.HostRef
+    ticket: ids.TicketId
+    token: bytes
+    digest: bytes
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Row:
+    """A request that has begun.
+
+    Attributes:
+        key: What it is known by.
+        flow: Whose it is.
+        result: What became of it; None while it runs.
+        done: Set once the result is there.
+        waiting: Exchanges that wait for it.
+        scope: Cancels the work once nobody waits.
+    """
+
+    key: RowKey
+    flow: port.Flow
+    result: work.Dispatched | None = None
+    done: trio.Event = dataclasses.field(default_factory=trio.Event)
+    waiting: int = 0
+    scope: trio.CancelScope = dataclasses.field(
+        default_factory=trio.CancelScope
+    )
+
+    def finish(self, result: work.Dispatched) -> None:
+        """Sets the result, once."""
+        if self.result is None:
+            self.result = result
+            self.done.set()
+
+    async def wait(self) -> work.Dispatched:
+        """Returns the result once it is there.
+
+        The last one that is cancelled while it waits cancels the work.
+        """
+        self.waiting += 1
+        try:
+            await self.done.wait()
+        finally:
+            self.waiting -= 1
+            if self.waiting == 0 and self.result is None:
+                self.scope.cancel()
+        assert self.result is not None
+        return self.result
--- /dev/null
+++ b/persimmonhinge/flows/table.py
@@ -0,0 +1,81 @@
+"""The requests that a home has begun under its own tickets."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+
+from persimmonhinge.flows import port
+from persimmonhinge.flows import row as rows
+
+# Octets of answers that are kept over all rows.
+MAX_KEPT_OCTETS = 64 * 1024 * 1024
+
+
+class RequestTable:
+    """Rows by key, each kept until its ticket is forgotten.
+
+    Guards against a second run: a copy or retry of a request finds the row
+    of the first and waits for, or gets, the same result. No row is dropped
+    before its ticket expires; when the table is full, new work is refused
+    instead.
+    """
+
+    def __init__(self, most_rows: int) -> None:
+        self._most_rows = most_rows
+        self._rows: dict[rows.RowKey, rows.Row] = {}
+        self._expiries: list[tuple[int, int, rows.RowKey]] = []
+        self._numbers = itertools.count()
+        self._kept_octets = 0
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def find(self, key: rows.RowKey) -> rows.Row | None:
+        """Returns the row of a request that has begun, else None."""
+        return self._rows.get(key)
+
+    def begin(
+        self, key: rows.RowKey, flow: port.Flow, expiry_ms: int
+    ) -> rows.Row | None:
+        """Adds a row.
+
+        Args:
+            key: A key without a row.
+            flow: Whose request it is.
+            expiry_ms: Uptime of this host at which it may be forgotten.
+
+        Returns:
+            None if the table is full.
+        """
+        assert key not in self._rows
+        if self.is_full():
+            return None
+        row = rows.Row(key, flow)
+        self._rows[key] = row
+        entry = (expiry_ms, next(self._numbers), key)
+        heapq.heappush(self._expiries, entry)
+        return row
+
+    def is_full(self) -> bool:
+        """Tells whether there is no room for another row."""
+        if len(self._rows) >= self._most_rows:
+            return True
+        return self._kept_octets >= MAX_KEPT_OCTETS
+
+    def count_kept(self, row: rows.Row) -> None:
+        """Counts the answer of a row that has finished."""
+        if row.result is not None:
+            self._kept_octets += len(row.result.answer)
+
+    def expire(self, uptime_ms: int) -> None:
+        """Forgets the rows whose tickets have expired and that finished."""
+        while self._expiries and self._expiries[0][0] <= uptime_ms:
+            _, _, key = heapq.heappop(self._expiries)
+            row = self._rows[key]
+            if row.result is None:
+                retry = (uptime_ms + 1000, next(self._numbers), key)
+                heapq.heappush(self._expiries, retry)
+                continue
+            self._kept_octets -= len(row.result.answer)
+            del self._rows[key]
--- /dev/null
+++ b/persimmonhinge/flows/tickets.py
@@ -0,0 +1,257 @@
+"""Tickets: what lets a flow run non-idempotent work, and where."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import hmac
+import itertools
+import struct
+
+import trio
+import xxhash
+
+from persimmonhinge import errors
+from persimmonhinge import ids
+from persimmonhinge.flows import port
+from persimmonhinge.keys import ring as rings
+from persimmonhinge.keys import store as key_stores
+from persimmonhinge.membership import view as views
+from persimmonhinge.settings import entry as settings_entry
+
+# RFC 9175 section 2.2.1: Echo holds 1 to 40 octets.
+TICKET_OCTETS = 40
+MAX_KEEPERS = 2
+# A ticket begins new work for its life and is remembered for this much
+# longer: RFC 7252 section 4.8.2 lets a caller repeat a confirmable request
+# for 93 s (MAX_TRANSMIT_WAIT), and each repetition must find the row.
+REMEMBER_MS = 100_000
+
+_VERSION = 1
+# Version, key id, service, home, ticket id, expiry, two keepers.
+_BODY = struct.Struct("!BBII5s5sII")
+_MAC_OCTETS = TICKET_OCTETS - _BODY.size
+_EXPIRY_OCTETS = 5
+_ID_OCTETS = 5
+_HOME_OFFSET = 6
+_ID_OFFSET = 10
+_NO_REF = 0
+
+
+class TicketFault(enum.Enum):
+    """Why a ticket is refused.
+
+    MALFORMED: Not a ticket of this system at all.
+    OTHER_SERVICE: Of another service.
+    UNKNOWN_KEY: Its key is retired, or this host doesn't know it yet.
+    FORGED: Its code does not fit: forged, or of another caller.
+    """
+
+    MALFORMED = "malformed"
+    OTHER_SERVICE = "other-service"
+    UNKNOWN_KEY = "unknown-key"
+    FORGED = "forged"
+
+
+class RefusedTicketError(errors.TicketError):
+    """A ticket is refused.
+
+    Attributes:
+        fault: Why.
+    """
+
+    def __init__(self, fault: TicketFault, flow: port.Flow) -> None:
+        host, caller_port = flow.caller
+        super().__init__(
+            fault.value, step="read ticket", peer=f"{host}:{caller_port}"
+        )
+        self.fault = fault
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """What a ticket says.
+
+    Attributes:
+        home: The incarnation that minted it.
+        ticket_id: Its number, unique within that incarnation.
+        expiry_ms: Uptime of that incarnation at which it is forgotten.
+        keepers: Incarnations through which its work may run.
+    """
+
+    home: ids.HostRef
+    ticket_id: ids.TicketId
+    expiry_ms: int
+    keepers: tuple[ids.HostRef, ...]
+
+
+class TicketMint:
+    """Mints and reads tickets.
+
+    Layout, in network order: version (1 octet), key id (1), hash of the
+    service (4), home incarnation (4), ticket id (5), expiry in milliseconds
+    of the home's uptime (5), two keeper incarnations (4 each, 0 for none),
+    and 12 octets of an HMAC-SHA256 over these, the service and the caller's
+    address. 96 bits can't be guessed online, and 40 octets are all that
+    Echo takes.
+    """
+
+    def __init__(
+        self,
+        settings: settings_entry.EntrySettings,
+        key_store: key_stores.KeyStore,
+        view: views.View,
+    ) -> None:
+        self._keys = key_store
+        self._view = view
+        self._life_ms = int(settings.flows.ticket_life_s * 1000)
+        self._numbers = itertools.count(1)
+        self._started: float | None = None
+        self._own_refs: set[ids.HostRef] = set()
+        self._closed_until_ms = -1
+        self._keys_version = -1
+        self._secrets: dict[int, bytes] = {}
+
+    def uptime_ms(self) -> int:
+        """Returns the age of this process, milliseconds, monotonic."""
+        now = trio.current_time()
+        if self._started is None:
+            self._started = now
+        return int((now - self._started) * 1000)
+
+    def mint(self, flow: port.Flow, keepers: tuple[ids.HostRef, ...]) -> bytes:
+        """Makes a ticket for a flow.
+
+        Args:
+            flow: Whose it is.
+            keepers: Where its work may run; the first two count.
+
+        Raises:
+            TicketError: No key may mint, for the ring has not come yet.
+        """
+        key = self._keys.ring.current()
+        if key is None:
+            raise errors.TicketError("no current key", step="mint ticket")
+        home = self._view.self_member.ref
+        self._own_refs.add(home)
+        issued_ms = max(self.uptime_ms(), self._closed_until_ms + 1)
+        expiry_ms = issued_ms + self._life_ms + REMEMBER_MS
+        body = _BODY.pack(
+            _VERSION,
+            key.key_id,
+            _hash_service(flow.service),
+            home,
+            next(self._numbers).to_bytes(_ID_OCTETS, "big"),
+            expiry_ms.to_bytes(_EXPIRY_OCTETS, "big"),
+            *_fill(keepers),
+        )
+        return body + _compute_mac(self._get_secret(key.key_id), body, flow)
+
+    def read(self, octets: bytes, flow: port.Flow) -> Ticket:
+        """Reads a ticket that came with a request of a flow.
+
+        The expiry is not looked at: only the home that minted it knows its
+        own uptime; see `begins`.
+
+        Raises:
+            RefusedTicketError: It is not a ticket of this flow, or its key
+                is not accepted here.
+        """
+        if len(octets) != TICKET_OCTETS or octets[0] != _VERSION:
+            raise RefusedTicketError(TicketFault.MALFORMED, flow)
+        body = octets[: _BODY.size]
+        fields = _BODY.unpack(body)
+        _, key_id, service, home, ticket_id, expiry, first, second = fields
+        if service != _hash_service(flow.service):
+            raise RefusedTicketError(TicketFault.OTHER_SERVICE, flow)
+        secret = self._get_secret(key_id)
+        if secret is None:
+            raise RefusedTicketError(TicketFault.UNKNOWN_KEY, flow)
+        expected = _compute_mac(secret, body, flow)
+        if not hmac.compare_digest(expected, octets[_BODY.size :]):
+            raise RefusedTicketError(TicketFault.FORGED, flow)
+        keepers = tuple(
+            ids.HostRef(ref) for ref in (first, second) if ref != _NO_REF
+        )
+        return Ticket(
+            ids.HostRef(home),
+            ids.TicketId(ticket_id),
+            int.from_bytes(expiry, "big"),
+            keepers,
+        )
+
+    def read_route(self, octets: bytes, flow: port.Flow) -> ids.HostRef | None:
+        """Returns the home to route a packet to, None to go by the hash.
+
+        A ticket under a key that this host doesn't know is routed by what
+        it claims: its home may have learned a new key first, and can check.
+        """
+        try:
+            return self.read(octets, flow).home
+        except RefusedTicketError as error:
+            if error.fault is TicketFault.UNKNOWN_KEY:
+                return peek_home(octets)
+            return None
+
+    def is_own(self, home: ids.HostRef) -> bool:
+        """Tells whether this process minted tickets under a ref."""
+        return home in self._own_refs or home == self._view.self_member.ref
+
+    def is_current(self, home: ids.HostRef) -> bool:
+        """Tells whether a ref is the one that this host goes by now."""
+        return home == self._view.self_member.ref
+
+    def begins(self, ticket: Ticket) -> bool:
+        """Tells whether one of this host's tickets may begin new work."""
+        issued_ms = ticket.expiry_ms - REMEMBER_MS - self._life_ms
+        if issued_ms <= self._closed_until_ms:
+            return False
+        return self.uptime_ms() < ticket.expiry_ms - REMEMBER_MS
+
+    def close_issued(self) -> None:
+        """Lets no ticket issued so far begin new work any more.
+
+        Guards against a refusal that is forgotten: when the request table
+        is full, a request is refused as not run, and a copy of its datagram
+        that comes late would run once there is room. One number remembers
+        all such refusals; a ticket minted after it serves again.
+        """
+        self._closed_until_ms = max(self.uptime_ms(), self._closed_until_ms + 1)
+
+    def _get_secret(self, key_id: int) -> bytes | None:
+        if self._keys_version != self._keys.changed.version:
+            self._keys_version = self._keys.changed.version
+            self._secrets = _read_secrets(self._keys.ring)
+        return self._secrets.get(key_id)
+
+
+def peek_home(octets: bytes) -> ids.HostRef | None:
+    """Returns the home that a ticket claims, unchecked."""
+    if len(octets) != TICKET_OCTETS or octets[0] != _VERSION:
+        return None
+    end = _HOME_OFFSET + 4
+    return ids.HostRef(int.from_bytes(octets[_HOME_OFFSET:end], "big"))
+
+
+def peek_id(octets: bytes) -> ids.TicketId:
+    """Returns the number that a ticket claims, unchecked."""
+    return ids.TicketId(octets[_ID_OFFSET : _ID_OFFSET + _ID_OCTETS])
+
+
+def _read_secrets(ring: rings.KeyRing) -> dict[int, bytes]:
+    return {key.key_id: key.read_secret() for key in ring.keys}
+
+
+def _hash_service(service: ids.ServiceName) -> int:
+    return xxhash.xxh32_intdigest(service.encode())
+
+
+def _fill(keepers: tuple[ids.HostRef, ...]) -> list[int]:
+    refs = [int(ref) for ref in keepers[:MAX_KEEPERS]]
+    return refs + [_NO_REF] * (MAX_KEEPERS - len(refs))
+
+
+def _compute_mac(secret: bytes | None, body: bytes, flow: port.Flow) -> bytes:
+    host, caller_port = flow.caller
+    place = f"{flow.service}\n{host}\n{caller_port}".encode()
+    return hmac.digest(secret or b"", body + place, "sha256")[:_MAC_OCTETS]
--- /dev/null
+++ b/tests/test_flows/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the home of flows."""
--- /dev/null
+++ b/tests/test_flows/home_fakes.py
@@ -0,0 +1,310 @@
+"""A home with small fakes around it."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import itertools
+import json
+from typing import Any
+
+from aiocoap.numbers import codes
+from aiocoap.numbers import types
+import trio
+
+from persimmonhinge import errors
+from persimmonhinge import ids
+from persimmonhinge.coap import codec
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.contracts import store as stores
+from persimmonhinge.flows import home as homes
+from persimmonhinge.flows import port
+from persimmonhinge.flows import replies
+from persimmonhinge.keys import store as key_stores
+from persimmonhinge.membership import member as members
+from persimmonhinge.membership import placement as placements
+from persimmonhinge.membership import view as views
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.peers.messages import base
+from persimmonhinge.peers.messages import control
+from persimmonhinge.peers.messages import work
+from persimmonhinge.settings import entry as settings_entry
+
+SERVICE = ids.ServiceName("floor-trading")
+FLOW = port.Flow(SERVICE, ("127.0.0.1", 4001))
+OTHER_FLOW = port.Flow(SERVICE, ("127.0.0.1", 4002))
+ME = ids.HostId("entry-1")
+KEEPERS = (ids.HostId("entry-2"), ids.HostId("entry-3"))
+
+Keep = Callable[[base.Message], Awaitable[base.Message]]
+
+
+def make_settings(**flows: Any) -> settings_entry.EntrySettings:
+    return settings_entry.EntrySettings.model_validate(
+        {
+            "host": ME,
+            "domain": "north",
+            "peers": {"port": 0, "heartbeat_port": 0},
+            "platform": {"endpoints": ["http://127.0.0.1:1"]},
+            "flows": flows,
+        }
+    )
+
+
+def make_member(host: ids.HostId, incarnation: int = 1) -> members.Member:
+    return members.Member(
+        host,
+        ids.DomainId("north"),
+        "127.0.0.1",
+        1,
+        2,
+        ids.Incarnation(incarnation),
+    )
+
+
+def make_contract() -> contracts.Contract:
+    upstreams = [
+        {
+            "id": f"target-{number}",
+            "address": f"127.0.0.1:{7000 + number}",
+            "domain": "north",
+            "slots": 2,
+        }
+        for number in (1, 2)
+    ]
+    classes = [
+        {"name": "prices", "method": "GET", "path": "/prices", "kind": "feed"},
+        {"name": "lots", "method": "GET", "path": "/lots*"},
+        {"name": "put", "method": "PUT", "path": "/lots*"},
+        {"name": "reserve", "method": "POST", "path": "/reserve"},
+    ]
+    return contracts.Contract.model_validate(
+        {
+            "service": SERVICE,
+            "address": "127.0.0.1:5683",
+            "upstreams": upstreams,
+            "call_classes": classes,
+            "limits": {"body_octets": 4096},
+        }
+    )
+
+
+def make_key_record(revision: int = 1, **states: str) -> control.KeyRecord:
+    """Returns a ring; `key_7="current"` is a key with id 7."""
+    keys = [
+        {
+            "key_id": int(name.removeprefix("key_")),
+            "secret": base64.b64encode(name.encode() * 8).decode(),
+            "state": state,
+        }
+        for name, state in (states or {"key_1": "current"}).items()
+    ]
+    body = json.dumps({"keys": keys}).encode()
+    return control.KeyRecord(ids.Revision(revision), body)
+
+
+def make_request(
+    code: codes.Code,
+    path: str,
+    *,
+    token: bytes = b"\x01",
+    mid: int = 1,
+    mtype: types.Type = types.NON,
+    payload: bytes = b"",
+    echo: bytes | None = None,
+) -> codec.Message:
+    message = codec.Message(code=code, payload=payload)
+    message.mtype, message.mid, message.token = mtype, mid, token
+    message.opt.uri_path = tuple(path.strip("/").split("/"))
+    if echo is not None:
+        message.opt.echo = echo
+    # As a caller would send it: through the octets.
+    return codec.decode(codec.encode(message))
+
+
+def make_answer(payload: bytes, code: codes.Code = codes.Code.CHANGED) -> bytes:
+    answer = codec.Message(code=code, payload=payload)
+    answer.mtype, answer.mid, answer.token = types.NON, 0, b""
+    return codec.encode(answer)
+
+
+def answered(payload: bytes) -> work.Dispatched:
+    return work.Dispatched(work.Outcome.ANSWERED, make_answer(payload))
+
+
+class FakeAnswers:
+    """Keeps what is sent to callers."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[port.Flow, codec.Message]] = []
+        self._ids = itertools.count(1000)
+
+    def send(self, flow: port.Flow, message: codec.Message) -> None:
+        """Keeps a message as a caller reads it."""
+        self.sent.append((flow, codec.decode(codec.encode(message))))
+
+    def next_message_id(self, flow: port.Flow) -> int:
+        """Returns a new message id."""
+        return next(self._ids)
+
+
+class FakeNetwork:
+    """Hands calls to a function for each host and keeps them."""
+
+    def __init__(self) -> None:
+        self.keep: dict[ids.HostId, Keep] = {}
+        self.calls: list[tuple[ids.HostId, base.Message]] = []
+
+    async def call(
+        self, host: ids.HostId, message: base.Message, timeout_s: float
+    ) -> base.Message:
+        """Makes a call."""
+        self.calls.append((host, message))
+        if host not in self.keep:
+            raise errors.PeerUnreachableError("gone", step="call", peer=host)
+        with trio.move_on_after(timeout_s):
+            return await self.keep[host](message)
+        raise errors.PeerCallTimeoutError("late", step="call", peer=host)
+
+    def dispatches(self) -> list[work.Dispatch]:
+        """Returns the dispatches among the calls."""
+        return [m for _, m in self.calls if isinstance(m, work.Dispatch)]
+
+
+class FakeChooser:
+    """Takes the first upstream that is left; each has its own keeper."""
+
+    def __init__(self, view: views.View) -> None:
+        self._view = view
+
+    def choose(
+        self,
+        entry: stores.ContractEntry,
+        kind: contracts.CallKind,
+        *,
+        exclude: frozenset[ids.UpstreamId] = frozenset(),
+        among: frozenset[ids.HostRef] | None = None,
+    ) -> port.Choice | None:
+        """Returns the first choice that is left."""
+        for host, upstream in zip(
+            KEEPERS, entry.contract.upstreams, strict=True
+        ):
+            member = self._view.get(host)
+            if member is None or not member.takes_roles:
+                continue
+            if among is not None and member.ref not in among:
+                continue
+            if ids.UpstreamId(upstream.id) not in exclude:
+                return port.Choice(upstream, host, member.ref)
+        return None
+
+    def pick_keepers(
+        self, entry: stores.ContractEntry, count: int
+    ) -> tuple[ids.HostRef, ...]:
+        """Returns all keepers."""
+        found = [self._view.get(host) for host in KEEPERS]
+        return tuple(m.ref for m in found if m and m.takes_roles)
+
+    def begin(self, *args: object) -> None:
+        """Counts nothing."""
+
+    def end(self, *args: object) -> None:
+        """Counts nothing."""
+
+
+class FakeFeeds:
+    """Keeps the names of its calls."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+
+    def open(self, *args: object) -> None:
+        """Keeps the call."""
+        self.calls.append("open")
+
+    def close(self, flow: port.Flow, message: codec.Message) -> bool:
+        """Keeps the call."""
+        self.calls.append("close")
+        return True
+
+    def acknowledge(self, flow: port.Flow, message_id: int) -> bool:
+        """Keeps the call."""
+        self.calls.append("acknowledge")
+        return True
+
+    def reset(self, flow: port.Flow, message_id: int) -> bool:
+        """Keeps the call."""
+        self.calls.append("reset")
+        return True
+
+
+class HomeWorld:
+    """A home, its fakes, and a caller's hand."""
+
+    def __init__(self, **flows: Any) -> None:
+        self.view = views.View(make_member(ME))
+        for host in KEEPERS:
+            self.view.put(make_member(host))
+        self.contracts = stores.ContractStore()
+        body = make_contract().model_dump_json().encode()
+        self.contracts.offer(
+            control.ContractRecord(SERVICE, ids.Revision(1), body)
+        )
+        self.keys = key_stores.KeyStore()
+        self.keys.offer(make_key_record())
+        self.network = FakeNetwork()
+        self.answers = FakeAnswers()
+        self.feeds = FakeFeeds()
+        self.counts = host_counts.Counts()
+        self.home = homes.Home(
+            make_settings(**flows),
+            self.view,
+            placements.Placement(self.view),
+            self.contracts,
+            self.keys,
+            self.network,  # type: ignore[arg-type]
+            self.answers,
+            FakeChooser(self.view),
+            self.feeds,
+            self.counts,
+        )
+        self._mids = itertools.count(1)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Runs the home."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.home.run)
+            yield
+            nursery.cancel_scope.cancel()
+
+    def keep_all(self, keep: Keep) -> None:
+        """Lets all keepers answer calls in this way."""
+        for host in KEEPERS:
+            self.network.keep[host] = keep
+
+    async def ask(
+        self,
+        code: codes.Code,
+        path: str,
+        *,
+        flow: port.Flow = FLOW,
+        **request: Any,
+    ) -> codec.Message:
+        """Sends a request and returns its answer."""
+        request.setdefault("mid", next(self._mids))
+        before = len(self.answers.sent)
+        self.home.handle(flow, make_request(code, path, **request))
+        while len(self.answers.sent) == before:
+            await trio.sleep(0.001)
+        return self.answers.sent[before][1]
+
+    async def get_ticket(self, flow: port.Flow = FLOW) -> bytes:
+        """Returns a fresh ticket as a caller gets it."""
+        reply = await self.ask(codes.Code.POST, "/reserve", flow=flow)
+        assert reply.code == replies.Code.UNAUTHORIZED
+        echo: bytes = reply.opt.echo
+        return echo
--- /dev/null
+++ b/tests/test_flows/test_flows_home.py
@@ -0,0 +1,251 @@
+"""Tests of a home's message layer and of the requests it hands on."""
+
+from __future__ import annotations
+
+from aiocoap.numbers import codes
+from aiocoap.numbers import types
+import trio
+
+from persimmonhinge.coap import codec
+from persimmonhinge.peers.messages import base
+from persimmonhinge.peers.messages import work
+from tests.support import trios
+from tests.test_flows import home_fakes
+
+Code = codes.Code
+
+
+async def _answer(message: base.Message) -> base.Message:
+    return home_fakes.answered(b"done")
+
+
+@trios.clock_test
+async def test_get_is_answered_by_an_upstream() -> None:
+    world = home_fakes.HomeWorld()
+    world.keep_all(_answer)
+    async with world.running():
+        reply = await world.ask(Code.GET, "/lots/7", token=b"tok")
+    assert (reply.code, reply.payload) == (Code.CHANGED, b"done")
+    assert (reply.token, reply.mtype) == (b"tok", types.NON)
+
+
+@trios.clock_test
+async def test_post_without_ticket_is_asked_for_one_and_not_run() -> None:
+    world = home_fakes.HomeWorld()
+    world.keep_all(_answer)
+    async with world.running():
+        reply = await world.ask(Code.POST, "/reserve")
+        assert reply.code == Code.UNAUTHORIZED
+        assert len(reply.opt.echo) == 40
+        assert not world.network.calls
+
+
+@trios.clock_test
+async def test_post_with_ticket_runs_and_renews_it() -> None:
+    world = home_fakes.HomeWorld()
+    world.keep_all(_answer)
+    async with world.running():
+        echo = await world.get_ticket()
+        reply = await world.ask(Code.POST, "/reserve", echo=echo)
+    assert reply.payload == b"done"
+    assert reply.opt.echo not in (None, echo)
+
+
+@trios.clock_test
+async def test_copy_of_a_datagram_gets_the_same_answer() -> None:
+    world = home_fakes.HomeWorld()
+    world.keep_all(_answer)
+    async with world.running():
+        first = await world.ask(Code.GET, "/lots", mid=9)
+        second = await world.ask(Code.GET, "/lots", mid=9)
+    assert codec.encode(first) == codec.encode(second)
+    assert len(world.network.dispatches()) == 1
+
+
+@trios.clock_test
+async def test_reused_port_and_message_id_is_not_a_copy() -> None:
+    """A new caller gets the answer to an old caller's request.
+
+    A caller ends, another gets its port at once and happens to begin with
+    the same message id. Taken for a copy, its request would be answered
+    with what the first one asked for.
+    """
+    world = home_fakes.HomeWorld()
+    world.keep_all(_answer)
+    async with world.running():
+        await world.ask(Code.GET, "/lots/1", mid=9, token=b"a")
+        reply = await world.ask(Code.GET, "/lots/2", mid=9, token=b"b")
+    assert reply.token == b"b"
+    assert len(world.network.dispatches()) == 2
+
+
+@trios.clock_test
+async def test_quick_answer_rides_on_the_ack() -> None:
+    world = home_fakes.HomeWorld()
+    world.keep_all(_answer)
+    async with world.running():
+        reply = await world.ask(Code.GET, "/lots", mid=5, mtype=types.CON)
+    assert (reply.mtype, reply.mid) == (types.ACK, 5)
+
+
+@trios.clock_test
+async def test_slow_answer_is_separate_and_repeated_until_acknowledged() -> (
+    None
+):
+    world = home_fakes.HomeWorld()
+
+    async def answer_late(message: base.Message) -> base.Message:
+        await trio.sleep(1)
+        return home_fakes.answered(b"late")
+
+    world.keep_all(answer_late)
+    async with world.running():
+        ack = await world.ask(Code.GET, "/lots", mid=5, mtype=types.CON)
+        assert (ack.code, ack.mtype, ack.mid) == (Code.EMPTY, types.ACK, 5)
+        await trio.sleep(5)
+        copies = [m for _, m in world.answers.sent[1:]]
+        assert len(copies) == 2
+        assert {m.mid for m in copies} == {copies[0].mid}
+        assert copies[0].mtype is types.CON
+        assert world.home.in_progress() == 1
+        _send_empty(world, types.ACK, copies[0].mid)
+        await trio.sleep(100)
+        assert len(world.answers.sent) == 3
+        assert world.home.in_progress() == 0
+
+
+@trios.clock_test
+async def test_unconfirmed_answer_is_given_up() -> None:
+    world = home_fakes.HomeWorld()
+
+    async def answer_late(message: base.Message) -> base.Message:
+        await trio.sleep(1)
+        return home_fakes.answered(b"late")
+
+    world.keep_all(answer_late)
+    async with world.running():
+        await world.ask(Code.GET, "/lots", mtype=types.CON)
+        await trio.sleep(200)
+        # One empty ACK, the answer, and four repetitions.
+        assert len(world.answers.sent) == 6
+        assert world.home.in_progress() == 0
+
+
+@trios.clock_test
+async def test_reset_of_the_empty_ack_cancels_the_work() -> None:
+    world = home_fakes.HomeWorld()
+    cancelled = []
+
+    async def hang(message: base.Message) -> base.Message:
+        try:
+            await trio.sleep_forever()
+        finally:
+            cancelled.append(message)
+        raise AssertionError
+
+    world.keep_all(hang)
+    async with world.running():
+        await world.ask(Code.GET, "/lots", mid=5, mtype=types.CON)
+        _send_empty(world, types.RST, 5)
+        await trio.sleep(0.1)
+        assert len(cancelled) == 1
+        assert world.home.in_progress() == 0
+
+
+@trios.clock_test
+async def test_ping_is_answered_by_reset() -> None:
+    world = home_fakes.HomeWorld()
+    async with world.running():
+        _send_empty(world, types.CON, 77)
+    assert world.answers.sent[0][1].mtype is types.RST
+    assert world.answers.sent[0][1].mid == 77
+
+
+@trios.clock_test
+async def test_unknown_critical_option_is_refused() -> None:
+    world = home_fakes.HomeWorld()
+    message = home_fakes.make_request(Code.GET, "/lots", mtype=types.CON)
+    message.opt.oscore = b"x"
+    async with world.running():
+        world.home.handle(home_fakes.FLOW, message)
+    assert world.answers.sent[0][1].code == Code.BAD_OPTION
+
+
+@trios.clock_test
+async def test_feed_messages_go_to_the_feeds() -> None:
+    world = home_fakes.HomeWorld()
+    message = home_fakes.make_request(Code.GET, "/prices")
+    message.opt.observe = 0
+    async with world.running():
+        world.home.handle(home_fakes.FLOW, message)
+        _send_empty(world, types.ACK, 1)
+        _send_empty(world, types.RST, 1)
+    assert world.feeds.calls == ["open", "acknowledge", "reset"]
+
+
+@trios.clock_test
+async def test_observe_on_a_plain_class_is_a_plain_request() -> None:
+    world = home_fakes.HomeWorld()
+    world.keep_all(_answer)
+    message = home_fakes.make_request(Code.GET, "/lots")
+    message.opt.observe = 0
+    async with world.running():
+        world.home.handle(home_fakes.FLOW, message)
+        await trio.sleep(0.01)
+    assert world.answers.sent[0][1].payload == b"done"
+    assert world.answers.sent[0][1].opt.observe is None
+
+
+@trios.clock_test
+async def test_unknown_path_is_not_found() -> None:
+    world = home_fakes.HomeWorld()
+    async with world.running():
+        reply = await world.ask(Code.GET, "/elsewhere")
+    assert reply.code == Code.NOT_FOUND
+
+
+@trios.clock_test
+async def test_stale_keeper_is_asked_again_without_cost() -> None:
+    world = home_fakes.HomeWorld()
+    outcomes = [work.Outcome.STALE] * 20 + [work.Outcome.NOT_KEEPER]
+
+    async def agree_late(message: base.Message) -> base.Message:
+        if outcomes:
+            return work.Dispatched(outcomes.pop())
+        return home_fakes.answered(b"done")
+
+    world.keep_all(agree_late)
+    async with world.running():
+        reply = await world.ask(Code.GET, "/lots")
+    assert reply.payload == b"done"
+    assert world.counts.sum("home_retries_total") == 0
+
+
+@trios.clock_test
+async def test_failing_service_gets_no_retry_storm() -> None:
+    """A service that fails gets each request several times over.
+
+    Each home retries what failed elsewhere; with all upstreams failing that
+    doubles the load, which keeps them failing. The budget of the contract
+    bounds it.
+    """
+    world = home_fakes.HomeWorld()
+
+    async def refuse(message: base.Message) -> base.Message:
+        return work.Dispatched(work.Outcome.NOT_RUN, retry_after_s=3)
+
+    world.keep_all(refuse)
+    async with world.running():
+        for _ in range(400):
+            reply = await world.ask(Code.GET, "/lots")
+            assert reply.code == Code.SERVICE_UNAVAILABLE
+            assert reply.opt.max_age == 3
+    assert len(world.network.dispatches()) <= 400 * 1.1 + 10
+
+
+def _send_empty(
+    world: home_fakes.HomeWorld, kind: types.Type, mid: int
+) -> None:
+    message = codec.Message(code=Code.EMPTY)
+    message.mtype, message.mid, message.token = kind, mid, b""
+    world.home.handle(home_fakes.FLOW, codec.decode(codec.encode(message)))
