Add membership by heartbeats with suspicion and gossip

Hosts probe one member an interval over UDP, ask others to probe as well, let suspected members refute by a version counter, and exchange state by digests. Settings gain forget_s, how long a dead host is remembered.

--- /dev/null
+++ b/persimmonhinge/membership/channel.py
@@ -0,0 +1,77 @@
+"""Sends and receives heartbeat datagrams, counted and authenticated."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import logging
+
+from persimmonhinge import ids
+from persimmonhinge.membership import codec as codecs
+from persimmonhinge.membership import roster as rosters
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.peers import network
+from persimmonhinge.peers.messages import base
+
+logger = logging.getLogger(__name__)
+
+
+class Channel:
+    """A datagram port that speaks in letters."""
+
+    def __init__(
+        self,
+        datagrams: network.Datagrams,
+        codec: codecs.DatagramCodec,
+        roster: rosters.Roster,
+        counts: host_counts.Counts,
+    ) -> None:
+        """Takes over a datagram port."""
+        self._datagrams = datagrams
+        self._codec = codec
+        self._roster = roster
+        self._counts = counts
+
+    async def send(
+        self,
+        message: base.Message,
+        address: tuple[str, int],
+        *,
+        about: ids.HostId | None = None,
+    ) -> None:
+        """Sends a message with the own record and some news.
+
+        A datagram that the kernel refuses (no route, full buffer) counts as
+        lost: the protocol is made for losses.
+
+        Args:
+            message: The message.
+            address: Where to.
+            about: The host that is there, if known.
+        """
+        rumors = self._roster.gossip.take(about=about)
+        sender = self._roster.identity.record
+        data = self._codec.encode(codecs.Letter(sender, rumors, message))
+        try:
+            await self._datagrams.send(data, address)
+        except OSError as error:
+            self._counts.add("heartbeat_send_failures_total")
+            logger.debug("Heartbeat to %s failed: %s.", address, error)
+            return
+        self._counts.add("heartbeat_datagrams_sent_total")
+        self._counts.add("heartbeat_octets_sent_total", len(data))
+
+    async def receive(
+        self,
+    ) -> AsyncIterator[tuple[codecs.Letter, tuple[str, int]]]:
+        """Yields the letters that arrive; refused ones are counted."""
+        async for data, source in self._datagrams:
+            self._counts.add("heartbeat_datagrams_received_total")
+            self._counts.add("heartbeat_octets_received_total", len(data))
+            try:
+                letter = self._codec.decode(data)
+            except codecs.RefusedDatagramError as error:
+                self._counts.add(
+                    "heartbeat_datagrams_refused_total", cause=error.cause.value
+                )
+                continue
+            yield letter, source
--- /dev/null
+++ b/persimmonhinge/membership/codec.py
@@ -0,0 +1,138 @@
+"""Heartbeat datagrams: msgpack with an HMAC in front."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import hashlib
+import hmac
+
+import msgspec
+
+from persimmonhinge import errors
+from persimmonhinge.membership import messages as _messages  # Registers kinds.
+from persimmonhinge.membership import record as records
+from persimmonhinge.peers.messages import base
+
+MAX_DATAGRAM_OCTETS = 1400
+_PLAIN = b"\x01"
+_SIGNED = b"\x02"
+_TAG_OCTETS = 16
+
+assert _messages is not None
+
+
+class RefusalCause(enum.Enum):
+    """Why a datagram was dropped.
+
+    TOO_LONG: It is longer than any that a host sends.
+    UNSIGNED: It has no HMAC although this host has a secret.
+    BAD_SIGNATURE: Its HMAC is of another secret, or it was changed.
+    MALFORMED: It is not a message.
+    """
+
+    TOO_LONG = "too-long"
+    UNSIGNED = "unsigned"
+    BAD_SIGNATURE = "bad-signature"
+    MALFORMED = "malformed"
+
+
+class RefusedDatagramError(errors.PeerProtocolError):
+    """A datagram is not to be taken in.
+
+    Attributes:
+        cause: Why.
+    """
+
+    def __init__(self, cause: RefusalCause) -> None:
+        super().__init__(f"datagram is {cause.value}", step="read heartbeat")
+        self.cause = cause
+
+
+class _Envelope(msgspec.Struct, array_like=True, frozen=True):
+    kind: str
+    sender: records.Record
+    rumors: tuple[records.Record, ...]
+    body: msgspec.Raw
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Letter:
+    """One datagram, read.
+
+    Attributes:
+        sender: Own record of the host that sent it.
+        rumors: Records of other hosts, passed on with it.
+        message: The message; None if its kind is of a newer version.
+    """
+
+    sender: records.Record
+    rumors: tuple[records.Record, ...]
+    message: base.Message | None
+
+
+class DatagramCodec:
+    """Writes and reads datagrams under the deployment's secret."""
+
+    def __init__(self, secret: bytes | None) -> None:
+        """Takes the secret; None for open heartbeats."""
+        self._secret = secret
+        self._encoder = msgspec.msgpack.Encoder()
+        self._envelopes = msgspec.msgpack.Decoder(_Envelope)
+
+    def encode(self, letter: Letter) -> bytes:
+        """Returns a datagram; its message is not None."""
+        assert letter.message is not None
+        envelope = _Envelope(
+            base.get_kind(letter.message),
+            letter.sender,
+            letter.rumors,
+            msgspec.Raw(self._encoder.encode(letter.message)),
+        )
+        payload = self._encoder.encode(envelope)
+        if self._secret is None:
+            return _PLAIN + payload
+        return _SIGNED + self._sign(payload) + payload
+
+    def decode(self, data: bytes) -> Letter:
+        """Returns what a datagram holds.
+
+        Raises:
+            RefusedDatagramError: It is not to be taken in.
+        """
+        if len(data) > MAX_DATAGRAM_OCTETS:
+            raise RefusedDatagramError(RefusalCause.TOO_LONG)
+        payload = self._open(data)
+        try:
+            envelope = self._envelopes.decode(payload)
+            message_type = base.find_type(envelope.kind)
+            message = None
+            if message_type is not None:
+                message = msgspec.msgpack.decode(
+                    envelope.body, type=message_type
+                )
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise RefusedDatagramError(RefusalCause.MALFORMED) from error
+        return Letter(envelope.sender, envelope.rumors, message)
+
+    def measure(self, record: records.Record) -> int:
+        """Returns the octets that a record takes in a datagram."""
+        return len(self._encoder.encode(record))
+
+    def _open(self, data: bytes) -> bytes:
+        if self._secret is None:
+            if data[:1] != _PLAIN:
+                raise RefusedDatagramError(RefusalCause.MALFORMED)
+            return data[1:]
+        if data[:1] != _SIGNED:
+            raise RefusedDatagramError(RefusalCause.UNSIGNED)
+        tag = data[1 : 1 + _TAG_OCTETS]
+        payload = data[1 + _TAG_OCTETS :]
+        if not hmac.compare_digest(tag, self._sign(payload)):
+            raise RefusedDatagramError(RefusalCause.BAD_SIGNATURE)
+        return payload
+
+    def _sign(self, payload: bytes) -> bytes:
+        assert self._secret is not None
+        digest = hmac.digest(self._secret, payload, hashlib.sha256)
+        return digest[:_TAG_OCTETS]
--- /dev/null
+++ b/persimmonhinge/membership/contacts.py
@@ -0,0 +1,122 @@
+"""Addresses at which hosts may be: seeds, the platform's list, the dead."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import random
+
+from persimmonhinge import ids
+from persimmonhinge.membership import member as members
+from persimmonhinge.membership import roster as rosters
+from persimmonhinge.settings import entry as settings_entry
+
+PlatformHosts = Callable[[], Iterable[settings_entry.SeedHost]]
+
+_MAX_AT_ONCE = 3
+_MAX_WAIT_S = 10.0
+_REFRESH_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contact:
+    """Where a host may be.
+
+    Attributes:
+        host: Its supposed name.
+        address: IP address and UDP port of its heartbeats.
+    """
+
+    host: ids.HostId
+    address: tuple[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Retry:
+    due: float
+    wait_s: float
+
+
+class Contacts:
+    """Tells whom to try now and then, with back-off.
+
+    None of the sources proves anything: the platform's list lags behind, and
+    a seed may be gone. An address is only pinged; the host that answers, if
+    any, says itself who it is. Dead members are tried as well, because a
+    host that was cut off looks dead and nothing else would find it again.
+    """
+
+    def __init__(
+        self,
+        settings: settings_entry.EntrySettings,
+        roster: rosters.Roster,
+        platform_hosts: PlatformHosts,
+        now: Callable[[], float],
+        randomness: random.Random,
+    ) -> None:
+        """Makes the part.
+
+        Args:
+            settings: Seeds and the first wait.
+            roster: Who lives and who is dead.
+            platform_hosts: Returns the platform's list of hosts.
+            now: Returns the monotonic time, seconds.
+            randomness: Source of jitter.
+        """
+        self._seeds = settings.seeds
+        self._first_wait_s = settings.peers.heartbeat_interval_s
+        self._roster = roster
+        self._platform_hosts = platform_hosts
+        self._now = now
+        self._randomness = randomness
+        self._retries: dict[Contact, _Retry] = {}
+        self._refresh_due = 0.0
+
+    def take_due(self) -> list[Contact]:
+        """Returns a few contacts to ping now."""
+        now = self._now()
+        if now >= self._refresh_due:
+            self._refresh_due = now + _REFRESH_S
+            self._refresh()
+        due = [c for c, retry in self._retries.items() if retry.due <= now]
+        count = min(_MAX_AT_ONCE, len(due))
+        chosen = self._randomness.sample(due, count)
+        for contact in chosen:
+            self._put_off(self._retries[contact])
+        return chosen
+
+    def hurry(self) -> None:
+        """Tries all soon: one that was dead is back, so may be others."""
+        for retry in self._retries.values():
+            retry.wait_s = self._first_wait_s
+            retry.due = min(retry.due, self._now() + self._first_wait_s)
+
+    def _put_off(self, retry: _Retry) -> None:
+        jitter = self._randomness.uniform(0.5, 1.5)
+        retry.due = self._now() + retry.wait_s * jitter
+        retry.wait_s = min(_MAX_WAIT_S, retry.wait_s * 2)
+
+    def _refresh(self) -> None:
+        wanted = self._find_contacts()
+        for contact in [c for c in self._retries if c not in wanted]:
+            del self._retries[contact]
+        for contact in wanted:
+            if contact not in self._retries:
+                self._retries[contact] = _Retry(self._now(), self._first_wait_s)
+
+    def _find_contacts(self) -> set[Contact]:
+        found = {_contact_of_member(m) for m in self._roster.dead()}
+        for hint in (*self._seeds, *self._platform_hosts()):
+            contact = _contact_of_hint(hint)
+            if not self._roster.lives(contact.host):
+                found.add(contact)
+        return found
+
+
+def _contact_of_member(member: members.Member) -> Contact:
+    return Contact(member.host, (member.address, member.heartbeat_port))
+
+
+def _contact_of_hint(hint: settings_entry.SeedHost) -> Contact:
+    return Contact(ids.HostId(hint.host), (hint.address, hint.heartbeat_port))
--- /dev/null
+++ b/persimmonhinge/membership/doubts.py
@@ -0,0 +1,102 @@
+"""Suspicions: a time to refute, then a last try, then death."""
+
+from __future__ import annotations
+
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.membership import pauses as pause_watches
+from persimmonhinge.membership import probes as probing
+from persimmonhinge.membership import record as records
+from persimmonhinge.membership import roster as rosters
+
+# Last tries a second; keeps a cut of many hosts within the control budget.
+_TRIES_PER_S = 40.0
+
+
+class Doubts:
+    """One task for each host that may be dead.
+
+    Each host draws its own conclusion: it waits the suspicion time and then
+    tries to reach the member itself, with help. Hearsay of a death skips
+    the wait, since the one who spread it has waited, but not the try.
+    """
+
+    def __init__(
+        self,
+        suspicion_s: float,
+        timeout_s: float,
+        roster: rosters.Roster,
+        probes: probing.Probes,
+        pauses: pause_watches.PauseWatch,
+        nursery: trio.Nursery,
+    ) -> None:
+        """Makes the part.
+
+        Args:
+            suspicion_s: Time to refute, the last try included, seconds.
+            timeout_s: Limit of a probe, seconds.
+            roster: What is believed of hosts.
+            probes: Asks members for signs of life.
+            pauses: Tells whether this process ran meanwhile.
+            nursery: Where the tasks run.
+        """
+        self._wait_s = max(0.0, suspicion_s - timeout_s)
+        self._roster = roster
+        self._probes = probes
+        self._pauses = pauses
+        self._nursery = nursery
+        self._news: dict[ids.HostId, trio.Event] = {}
+        self._next_try = 0.0
+
+    def begin(self, host: ids.HostId) -> None:
+        """Doubts a host, unless it is doubted already."""
+        if host not in self._news:
+            self._news[host] = trio.Event()
+            self._nursery.start_soon(self._settle, host)
+
+    def take_news(self, host: ids.HostId) -> None:
+        """Tells the task of a host of news; begins one if they are doubts."""
+        if host in self._news:
+            self._news[host].set()
+        elif self._roster.is_doubted(host):
+            self.begin(host)
+
+    async def _settle(self, host: ids.HostId) -> None:
+        try:
+            while not await self._try_to_settle(host):
+                if not self._roster.is_doubted(host):
+                    return
+        finally:
+            del self._news[host]
+
+    async def _try_to_settle(self, host: ids.HostId) -> bool:
+        """Waits, tries and concludes; False if something came in between."""
+        record = self._roster.get(host)
+        if record is None:
+            return True
+        pauses = self._pauses.check()
+        if record.claim is not records.Claim.DEAD:
+            await self._wait(host)
+        await self._wait_for_turn()
+        present = self._roster.get(host)
+        if present is None or present.life != record.life:
+            return False
+        if self._pauses.check() != pauses:
+            return False
+        outcome = await self._probes.probe(host)
+        if outcome is not probing.ProbeOutcome.SILENT:
+            return False
+        self._roster.declare_dead(host, record.life)
+        return True
+
+    async def _wait(self, host: ids.HostId) -> None:
+        """Waits the suspicion time, or until there is news of the host."""
+        self._news[host] = trio.Event()
+        with trio.move_on_after(self._wait_s):
+            await self._news[host].wait()
+
+    async def _wait_for_turn(self) -> None:
+        now = trio.current_time()
+        self._next_try = max(now, self._next_try + 1 / _TRIES_PER_S)
+        await trio.sleep_until(self._next_try)
--- /dev/null
+++ b/persimmonhinge/membership/exchange.py
@@ -0,0 +1,129 @@
+"""Compares the state with another host and sends what differs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import random
+
+import trio
+
+from persimmonhinge.membership import budgets
+from persimmonhinge.membership import channel as channels
+from persimmonhinge.membership import member as members
+from persimmonhinge.membership import messages
+from persimmonhinge.membership import record as records
+from persimmonhinge.membership import roster as rosters
+
+_CHUNK_OCTETS = 700
+_OCTETS_PER_S = 4_000.0
+# Enough to give a joining host the state of 610 members at once.
+_BURST_OCTETS = 48_000.0
+
+
+class Exchange:
+    """Repairs what gossip missed, and tells a joining host the whole state.
+
+    Two hosts compare digests of 64 buckets; only buckets that differ are
+    sent, in datagrams that each make sense alone. A lost one is made up for
+    by the next exchange, which follows soon until nothing differs.
+    """
+
+    def __init__(
+        self,
+        quick_s: float,
+        calm_s: float,
+        channel: channels.Channel,
+        roster: rosters.Roster,
+        measure: Callable[[records.Record], int],
+        randomness: random.Random,
+    ) -> None:
+        """Makes the part.
+
+        Args:
+            quick_s: Time between exchanges while something differs, seconds.
+            calm_s: Time between them otherwise, seconds.
+            channel: Where datagrams go out.
+            roster: What is known.
+            measure: Returns the octets that a record takes.
+            randomness: Source of choices.
+        """
+        self._quick_s = quick_s
+        self._calm_s = calm_s
+        self._channel = channel
+        self._roster = roster
+        self._measure = measure
+        self._randomness = randomness
+        self._budget = budgets.OctetBudget(
+            _OCTETS_PER_S, _BURST_OCTETS, trio.current_time
+        )
+        self._due = trio.current_time()
+
+    async def begin_if_due(self) -> None:
+        """Begins an exchange with a random member when it is time."""
+        if trio.current_time() < self._due:
+            return
+        for partner in self._roster.pick(1, self._randomness):
+            await self.begin(partner)
+
+    async def begin(self, partner: members.Member) -> None:
+        """Begins an exchange with a member."""
+        self._due = trio.current_time() + self._quick_s
+        digest = messages.Digest(self._roster.table.digests())
+        address = (partner.address, partner.heartbeat_port)
+        await self._channel.send(digest, address, about=partner.host)
+
+    async def answer(
+        self, digest: messages.Digest, address: tuple[str, int]
+    ) -> None:
+        """Answers the digests of another host with what differs."""
+        differing = self._roster.table.compare(digest.buckets)
+        if not differing:
+            await self._channel.send(messages.State(equal=True), address)
+            return
+        wanted = bytes(differing)
+        await self._send_state(differing, address, wanted=wanted)
+
+    async def take(
+        self, state: messages.State, address: tuple[str, int]
+    ) -> None:
+        """Takes in records and sends those that are asked back for."""
+        for record in state.records:
+            self._roster.hear(record)
+        if state.equal:
+            self._roster.identity.settled = True
+            calm_s = self._calm_s * self._randomness.uniform(0.5, 1.5)
+            self._due = trio.current_time() + calm_s
+        if state.wanted:
+            await self._send_state(state.wanted, address, wanted=b"")
+
+    async def _send_state(
+        self, buckets: Iterable[int], address: tuple[str, int], *, wanted: bytes
+    ) -> None:
+        known = self._roster.table.select(buckets)
+        # Another part each time, should the budget not suffice for all.
+        self._randomness.shuffle(known)
+        for chunk in self._split(known):
+            octets = sum(self._measure(record) for record in chunk)
+            if not self._budget.take(octets):
+                break
+            state = messages.State(tuple(chunk), wanted)
+            await self._channel.send(state, address)
+            wanted = b""
+
+    def _split(
+        self, known: list[records.Record]
+    ) -> Iterator[list[records.Record]]:
+        """Yields lists that fit a datagram; an empty one for no records."""
+        chunk: list[records.Record] = []
+        octets = 0
+        for record in known:
+            size = self._measure(record)
+            if octets + size > _CHUNK_OCTETS:
+                yield chunk
+                chunk = []
+                octets = 0
+            chunk.append(record)
+            octets += size
+        yield chunk
--- /dev/null
+++ b/persimmonhinge/membership/gossip.py
@@ -0,0 +1,92 @@
+"""News that ride on heartbeats, in bounded size and number."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import heapq
+import math
+
+from persimmonhinge import ids
+from persimmonhinge.membership import record as records
+from persimmonhinge.membership import table as tables
+
+_SPREAD_FACTOR = 3
+
+
+class Gossip:
+    """Chooses which news a datagram carries.
+
+    Each change of a record rides on about three times log2 of the number of
+    hosts datagrams: enough to reach all hosts with high probability, and
+    what it misses the exchange of state brings. The least told goes first.
+    """
+
+    def __init__(
+        self,
+        table: tables.Table,
+        measure: Callable[[records.Record], int],
+        max_octets: int,
+    ) -> None:
+        """Makes an empty queue.
+
+        Args:
+            table: Where the records stand.
+            measure: Returns the octets that a record takes.
+            max_octets: Octets of news in one datagram at most.
+        """
+        self._table = table
+        self._measure = measure
+        self._max_octets = max_octets
+        self._queue: list[tuple[int, int, ids.HostId]] = []
+        self._current: dict[ids.HostId, int] = {}
+        self._number = 0
+
+    def __len__(self) -> int:
+        return len(self._current)
+
+    def add(self, host: ids.HostId) -> None:
+        """Queues the record of a host; an earlier one of it is dropped."""
+        self._push(0, host)
+
+    def take(self, *, about: ids.HostId | None) -> tuple[records.Record, ...]:
+        """Returns the news for one datagram.
+
+        Args:
+            about: The host that it goes to. What is believed of that host
+                comes first unless it is that it lives, so that it can refute.
+        """
+        chosen: list[records.Record] = []
+        room = self._max_octets
+        if about is not None:
+            record = self._table.get(about)
+            if record is not None and record.claim is not records.Claim.ALIVE:
+                chosen.append(record)
+                room -= self._measure(record)
+        told: list[tuple[int, ids.HostId]] = []
+        while self._queue and room > 0:
+            times, number, host = heapq.heappop(self._queue)
+            if self._current.get(host) != number:
+                continue  # A newer entry of this host is queued.
+            record = self._table.get(host)
+            if record is None:
+                del self._current[host]
+                continue
+            told.append((times + 1, host))
+            if host != about:
+                room -= self._measure(record)
+                chosen.append(record)
+        self._requeue(told)
+        return tuple(chosen)
+
+    def _requeue(self, told: list[tuple[int, ids.HostId]]) -> None:
+        most = _SPREAD_FACTOR * math.ceil(math.log2(len(self._table) + 1))
+        for times, host in told:
+            if times < most:
+                self._push(times, host)
+            else:
+                del self._current[host]
+
+    def _push(self, times: int, host: ids.HostId) -> None:
+        self._number += 1
+        self._current[host] = self._number
+        heapq.heappush(self._queue, (times, self._number, host))
--- /dev/null
+++ b/persimmonhinge/membership/probes.py
@@ -0,0 +1,181 @@
+"""Asks members for a sign of life, directly and through others."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import random
+
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.membership import channel as channels
+from persimmonhinge.membership import member as members
+from persimmonhinge.membership import messages
+from persimmonhinge.membership import pauses as pause_watches
+from persimmonhinge.membership import record as records
+from persimmonhinge.membership import roster as rosters
+
+ATTEMPTS = 3
+_HELPERS = 3
+_CANDIDATES = 12
+_MAX_RELAYS = 256
+
+
+class ProbeOutcome(enum.Enum):
+    """What a probe found.
+
+    ANSWERED: The member gave a sign of life.
+    SILENT: No sign came in time, on any way.
+    VOID: This process did not run meanwhile, so silence says nothing.
+    """
+
+    ANSWERED = "answered"
+    SILENT = "silent"
+    VOID = "void"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Wait:
+    host: ids.HostId
+    answered: trio.Event
+    record: records.Record | None = None
+
+
+class Probes:
+    """Pings and the waits for their answers.
+
+    A probe that gets no answer at once is repeated, and three members of
+    different domains are asked to ping as well. So a member counts as silent
+    only if all datagrams of three attempts were lost on all ways: with 10%
+    loss on each datagram that is less than 1e-4 of the probes, and a member
+    that one host can't reach, or not hear, is still found through others.
+    """
+
+    def __init__(
+        self,
+        timeout_s: float,
+        channel: channels.Channel,
+        roster: rosters.Roster,
+        pauses: pause_watches.PauseWatch,
+        randomness: random.Random,
+    ) -> None:
+        """Makes the part.
+
+        Args:
+            timeout_s: Limit of a probe, all attempts together, seconds.
+            channel: Where pings go out.
+            roster: Whom to ask for help.
+            pauses: Tells whether this process ran meanwhile.
+            randomness: Source of choices.
+        """
+        self._timeout_s = timeout_s
+        self._channel = channel
+        self._roster = roster
+        self._pauses = pauses
+        self._randomness = randomness
+        self._sequence = randomness.getrandbits(32)
+        self._waits: dict[int, _Wait] = {}
+        self._relays = 0
+
+    async def probe(self, host: ids.HostId) -> ProbeOutcome:
+        """Asks a member for a sign of life."""
+        target = self._roster.get(host)
+        if target is None:
+            return ProbeOutcome.VOID
+        pauses = self._pauses.check()
+        sequence, wait = self._open(host)
+        try:
+            for attempt in range(ATTEMPTS):
+                await self._ask(sequence, target, helped=attempt > 0)
+                with trio.move_on_after(self._timeout_s / ATTEMPTS):
+                    await wait.answered.wait()
+                    return ProbeOutcome.ANSWERED
+        finally:
+            del self._waits[sequence]
+        if self._pauses.check() != pauses:
+            return ProbeOutcome.VOID
+        return ProbeOutcome.SILENT
+
+    async def greet(
+        self, address: tuple[str, int], host: ids.HostId | None
+    ) -> None:
+        """Pings an address at which a host may be; no answer is awaited."""
+        message = messages.Ping(self._next_sequence())
+        await self._channel.send(message, address, about=host)
+
+    async def relay(
+        self, request: messages.PingRequest, address: tuple[str, int]
+    ) -> None:
+        """Pings for another host and passes the answer on."""
+        if self._relays >= _MAX_RELAYS:
+            return
+        self._relays += 1
+        sequence, wait = self._open(request.target.host)
+        try:
+            await self._channel.send(
+                messages.Ping(sequence),
+                request.target.heartbeat_address,
+                about=request.target.host,
+            )
+            with trio.move_on_after(self._timeout_s):
+                await wait.answered.wait()
+        finally:
+            del self._waits[sequence]
+            self._relays -= 1
+        if wait.record is not None:
+            answer = messages.Ack(request.sequence, wait.record)
+            await self._channel.send(answer, address)
+
+    def take_answer(self, answer: messages.Ack, sender: records.Record) -> None:
+        """Wakes whoever waits for this answer."""
+        wait = self._waits.get(answer.sequence)
+        record = answer.subject or sender
+        if wait is None or wait.host != record.host:
+            return
+        wait.record = record
+        wait.answered.set()
+
+    async def _ask(
+        self, sequence: int, target: records.Record, *, helped: bool
+    ) -> None:
+        target = self._roster.get(target.host) or target
+        await self._channel.send(
+            messages.Ping(sequence), target.heartbeat_address, about=target.host
+        )
+        if not helped:
+            return
+        request = messages.PingRequest(sequence, target)
+        for helper in self._choose_helpers(target.host):
+            await self._channel.send(
+                request,
+                (helper.address, helper.heartbeat_port),
+                about=helper.host,
+            )
+
+    def _choose_helpers(self, target: ids.HostId) -> list[members.Member]:
+        """Chooses members, of as many domains as there are.
+
+        A one-way cut between two domains is passed only by a third one, so
+        three helpers of one domain would be worth no more than one.
+        """
+        candidates = self._roster.pick(_CANDIDATES, self._randomness)
+        candidates = [c for c in candidates if c.host != target]
+        chosen: dict[ids.DomainId, members.Member] = {}
+        spare = []
+        for candidate in candidates:
+            if candidate.domain in chosen:
+                spare.append(candidate)
+            else:
+                chosen[candidate.domain] = candidate
+        return [*chosen.values(), *spare][:_HELPERS]
+
+    def _open(self, host: ids.HostId) -> tuple[int, _Wait]:
+        sequence = self._next_sequence()
+        wait = _Wait(host, trio.Event())
+        self._waits[sequence] = wait
+        return sequence, wait
+
+    def _next_sequence(self) -> int:
+        self._sequence = (self._sequence + 1) % 2**32
+        return self._sequence
--- /dev/null
+++ b/persimmonhinge/membership/ring.py
@@ -0,0 +1,40 @@
+"""The order in which members are probed."""
+
+from __future__ import annotations
+
+import random
+
+from persimmonhinge import ids
+from persimmonhinge.membership import roster as rosters
+
+
+class ProbeRing:
+    """Goes through all members in random order, then through a new one.
+
+    Each member is probed once in each round, so the time until a given host
+    notices is bounded, which it is not with independent random choices.
+    """
+
+    def __init__(
+        self, roster: rosters.Roster, randomness: random.Random
+    ) -> None:
+        """Makes a ring over the members of a roster."""
+        self._roster = roster
+        self._randomness = randomness
+        self._left: list[ids.HostId] = []
+
+    def next(self) -> ids.HostId | None:
+        """Returns the next member that is not dead; None if there is none."""
+        for _ in range(2):
+            while self._left:
+                host = self._left.pop()
+                if self._roster.lives(host):
+                    return host
+            self._left = [member.host for member in self._roster.live()]
+            self._randomness.shuffle(self._left)
+        return None
+
+    def add(self, host: ids.HostId) -> None:
+        """Puts a new member at a random place of the present round."""
+        place = self._randomness.randint(0, len(self._left))
+        self._left.insert(place, host)
--- /dev/null
+++ b/persimmonhinge/membership/table.py
@@ -0,0 +1,141 @@
+"""The newest record of each host, with digests to compare tables by."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import struct
+
+import msgspec
+import xxhash
+
+from persimmonhinge import ids
+from persimmonhinge.membership import record as records
+
+BUCKETS = 64
+_DIGESTS = struct.Struct(f">{BUCKETS}I")
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    record: records.Record
+    digest: int
+    died_at: float | None
+
+
+class Table:
+    """Records of all hosts, this one included.
+
+    Records fall into a fixed number of buckets by host name. Each bucket
+    has a digest, the exclusive or of those of its records, kept up to date
+    at each change; so comparing two tables costs the same at any size.
+    """
+
+    def __init__(self, forget_s: float, now: Callable[[], float]) -> None:
+        """Makes an empty table.
+
+        Args:
+            forget_s: How long the dead are remembered, seconds.
+            now: Returns the monotonic time, seconds.
+        """
+        self._forget_s = forget_s
+        self._now = now
+        self._entries: dict[ids.HostId, _Entry] = {}
+        self._digests = [0] * BUCKETS
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def get(self, host: ids.HostId) -> records.Record | None:
+        """Returns the record of a host as it is to be told now."""
+        entry = self._entries.get(host)
+        return None if entry is None else self._tell(entry)
+
+    def all(self) -> list[records.Record]:
+        """Returns all records as they are to be told now."""
+        return [self._tell(entry) for entry in self._entries.values()]
+
+    def offer(self, record: records.Record) -> bool:
+        """Takes in a record if it holds against the known one.
+
+        A death that others have forgotten, or are about to, is not taken in
+        from those that remember it a moment longer.
+
+        Returns:
+            True if it is news; an older age of a known death is none.
+        """
+        if record.age_s >= self._forget_s:
+            return False
+        known = self.get(record.host)
+        if known is None:
+            self._set(record)
+            return True
+        if records.merge(known, record) is known:
+            return False
+        self._set(record)
+        return record.order != known.order
+
+    def remove(self, host: ids.HostId) -> None:
+        """Removes the record of a host."""
+        entry = self._entries.pop(host, None)
+        if entry is not None:
+            self._digests[find_bucket(host)] ^= entry.digest
+
+    def find_forgotten(self) -> list[ids.HostId]:
+        """Returns the hosts that died so long ago that they may go."""
+        limit = self._now() - self._forget_s
+        return [
+            host
+            for host, entry in self._entries.items()
+            if entry.died_at is not None and entry.died_at <= limit
+        ]
+
+    def digests(self) -> bytes:
+        """Returns the digests of all buckets."""
+        return _DIGESTS.pack(*self._digests)
+
+    def compare(self, digests: bytes) -> list[int]:
+        """Returns the numbers of the buckets that differ.
+
+        A digest of another length is of another version: all differ then.
+        """
+        if len(digests) != _DIGESTS.size:
+            return list(range(BUCKETS))
+        theirs = _DIGESTS.unpack(digests)
+        return [
+            number
+            for number in range(BUCKETS)
+            if theirs[number] != self._digests[number]
+        ]
+
+    def select(self, buckets: Iterable[int]) -> list[records.Record]:
+        """Returns the records of some buckets."""
+        wanted = frozenset(buckets)
+        return [
+            self._tell(entry)
+            for host, entry in self._entries.items()
+            if find_bucket(host) in wanted
+        ]
+
+    def _set(self, record: records.Record) -> None:
+        self.remove(record.host)
+        died_at = None
+        if record.claim is records.Claim.DEAD:
+            died_at = self._now() - record.age_s
+        digest = xxhash.xxh32_intdigest(
+            msgspec.msgpack.encode((record.host, record.order))
+        )
+        self._entries[record.host] = _Entry(record, digest, died_at)
+        self._digests[find_bucket(record.host)] ^= digest
+
+    def _tell(self, entry: _Entry) -> records.Record:
+        if entry.died_at is None:
+            return entry.record
+        age_s = int(self._now() - entry.died_at)
+        return msgspec.structs.replace(entry.record, age_s=age_s)
+
+
+def find_bucket(host: ids.HostId) -> int:
+    """Returns the number of the bucket of a host."""
+    return xxhash.xxh32_intdigest(host.encode()) % BUCKETS
--- a/persimmonhinge/settings/entry.py
+++ b/persimmonhinge/settings/entry.py
@@ -55,6 +55,8 @@
         tls: Credential; None leaves streams open, for tests only.
         heartbeat_interval_s: Time between heartbeats, seconds.
         suspicion_s: Time in which a suspected host can refute, seconds.
+        forget_s: How long a dead host is remembered, seconds; longer than
+            any process is paused and then runs on.
         connect_timeout_s: Limit for opening a link, seconds.
         retry_interval_s: First wait after a failed link, seconds; it doubles
             to ten times this.
@@ -68,6 +70,7 @@
     tls: TlsSettings | None = None
     heartbeat_interval_s: float = pydantic.Field(default=0.3, gt=0, le=60)
     suspicion_s: float = pydantic.Field(default=1.2, gt=0, le=600)
+    forget_s: float = pydantic.Field(default=3600.0, gt=0, le=604_800)
     connect_timeout_s: float = pydantic.Field(default=1.0, gt=0, le=60)
     retry_interval_s: float = pydantic.Field(default=0.2, gt=0, le=60)
     queue_messages: int = pydantic.Field(default=10_000, ge=1)
--- /dev/null
+++ b/tests/test_membership/hosts.py
@@ -0,0 +1,212 @@
+"""Hosts that run membership, on a network in memory or on loopback."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+import random
+from typing import Any
+
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.membership import member as members
+from persimmonhinge.membership import service
+from persimmonhinge.membership import view as views
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.settings import entry as settings_entry
+from tests.test_membership import lossy_network
+
+DOMAINS = ("dom-a", "dom-b", "dom-c")
+_PORT = 7000
+
+
+@dataclasses.dataclass
+class Host:
+    """One running host.
+
+    Attributes:
+        name: Its name.
+        settings: Its settings.
+        view: What it believes.
+        counts: Its counters.
+        membership: The part under test.
+        scope: Cancels it.
+    """
+
+    name: ids.HostId
+    settings: settings_entry.EntrySettings
+    view: views.View
+    counts: host_counts.Counts
+    membership: service.Membership
+    scope: trio.CancelScope = dataclasses.field(
+        default_factory=trio.CancelScope
+    )
+
+    def states(self) -> dict[str, str]:
+        """Returns what it believes of each host."""
+        return {m.host: m.state.value for m in self.view.all()}
+
+    async def run(
+        self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Runs the host until its scope is cancelled."""
+        with self.scope:
+            await self.membership.run(task_status=task_status)
+
+
+def make_settings(
+    name: str,
+    number: int,
+    seeds: list[dict[str, Any]],
+    **peers: Any,
+) -> settings_entry.EntrySettings:
+    """Returns settings of a host; hosts go round over the domains."""
+    defaults = {
+        "address": f"10.0.0.{number + 1}",
+        "port": _PORT,
+        "heartbeat_port": _PORT,
+    }
+    return settings_entry.EntrySettings.model_validate(
+        {
+            "host": name,
+            "domain": DOMAINS[number % len(DOMAINS)],
+            "peers": defaults | peers,
+            "seeds": seeds,
+            "platform": {"endpoints": ["http://127.0.0.1:1"]},
+        }
+    )
+
+
+def make_seed(number: int, name: str = "", **fields: Any) -> dict[str, Any]:
+    """Returns the seed entry of a host by its number."""
+    defaults = {
+        "host": name or f"host-{number}",
+        "domain": DOMAINS[number % len(DOMAINS)],
+        "address": f"10.0.0.{number + 1}",
+        "port": _PORT,
+        "heartbeat_port": _PORT,
+    }
+    return defaults | fields
+
+
+def make_host(
+    settings: settings_entry.EntrySettings,
+    incarnation: int,
+    randomness: random.Random,
+    **options: Any,
+) -> Host:
+    """Returns a host that does not run yet."""
+    me = members.Member(
+        host=ids.HostId(settings.host),
+        domain=ids.DomainId(settings.domain),
+        address=settings.peers.address,
+        peer_port=settings.peers.port,
+        heartbeat_port=settings.peers.heartbeat_port,
+        incarnation=ids.Incarnation(incarnation),
+    )
+    view = views.View(me)
+    counts = host_counts.Counts()
+    membership = service.Membership(
+        settings, view, counts, randomness=randomness, **options
+    )
+    return Host(ids.HostId(settings.host), settings, view, counts, membership)
+
+
+class Fleet:
+    """Hosts on a network in memory; all that is random hangs on one seed.
+
+    Attributes:
+        network: The network.
+        hosts: Running hosts by number.
+    """
+
+    def __init__(
+        self, nursery: trio.Nursery, seed: int, loss: float = 0.0, **peers: Any
+    ) -> None:
+        self.network = lossy_network.LossyNetwork(random.Random(seed), loss)
+        self.hosts: dict[int, Host] = {}
+        self._nursery = nursery
+        self._seed = seed
+        self._peers = peers
+        self._starts = 0
+
+    async def start(self, count: int) -> None:
+        """Starts the network and hosts 0 to `count` - 1."""
+        await self._nursery.start(self.network.run)
+        for number in range(count):
+            await self.start_host(number)
+
+    async def start_host(
+        self, number: int, name: str = "", **options: Any
+    ) -> Host:
+        """Starts a host; its seeds are hosts 0 and 1."""
+        self._starts += 1
+        settings = make_settings(
+            name or f"host-{number}",
+            number,
+            [make_seed(0), make_seed(1)],
+            **self._peers,
+        )
+        port = self.network.open((settings.peers.address, _PORT))
+        host = make_host(
+            settings,
+            1000 + self._starts,
+            random.Random(self._seed * 1000 + self._starts),
+            datagrams=port,
+            **options,
+        )
+        self.hosts[number] = host
+        await self._nursery.start(host.run)
+        return host
+
+    def kill(self, number: int) -> None:
+        """Ends a host without a word."""
+        host = self.hosts.pop(number)
+        self.network.close((host.settings.peers.address, _PORT))
+        host.scope.cancel()
+
+    def cut(self, is_cut: Callable[[int, int], bool]) -> None:
+        """Cuts datagrams between hosts, told by their numbers."""
+
+        def blocks(
+            source: lossy_network.Address, target: lossy_network.Address
+        ) -> bool:
+            return is_cut(_get_number(source), _get_number(target))
+
+        self.network.blocks = blocks
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self.network.blocks = lambda a, b: False
+
+    def agrees(self, **states: str) -> bool:
+        """Tells whether all running hosts believe the same.
+
+        Args:
+            **states: State by name (`host_1`) where it isn't alive.
+        """
+        wanted = {host.name: "alive" for host in self.hosts.values()}
+        for name, state in states.items():
+            wanted[ids.HostId(name.replace("_", "-"))] = state
+        return all(host.states() == wanted for host in self.hosts.values())
+
+    async def wait_until(
+        self, condition: Callable[[], bool], limit_s: float
+    ) -> float:
+        """Waits until a condition holds and returns how long it took.
+
+        Raises:
+            AssertionError: It did not hold within the limit.
+        """
+        start = trio.current_time()
+        while not condition():
+            if trio.current_time() - start > limit_s:
+                believed = {n: h.states() for n, h in self.hosts.items()}
+                raise AssertionError(f"still not so: {believed}")
+            await trio.sleep(0.05)
+        return trio.current_time() - start
+
+
+def _get_number(address: lossy_network.Address) -> int:
+    return int(address[0].rsplit(".", 1)[1]) - 1
--- /dev/null
+++ b/tests/test_membership/lossy_network.py
@@ -0,0 +1,100 @@
+"""A datagram network in memory that loses, delays and cuts, by a seed."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import math
+import random
+
+import trio
+
+Address = tuple[str, int]
+
+_DELAY_S = 0.001
+_JITTER_S = 0.002
+_DUPLICATE_RATE = 0.02
+
+
+class LossyNetwork:
+    """Carries datagrams between ports, late, twice or not at all.
+
+    Attributes:
+        loss: Part of the datagrams that is lost, 0 to 1.
+        blocks: Tells whether datagrams from one address to another are cut.
+        sent: Number of datagrams that were sent.
+        sent_octets: Their octets.
+    """
+
+    def __init__(self, randomness: random.Random, loss: float = 0.0) -> None:
+        self.loss = loss
+        self.blocks: Callable[[Address, Address], bool] = lambda a, b: False
+        self.sent = 0
+        self.sent_octets = 0
+        self._randomness = randomness
+        self._ports: dict[Address, LossyPort] = {}
+        self._nursery: trio.Nursery | None = None
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Carries datagrams until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    def open(self, address: Address) -> LossyPort:
+        """Opens a port; one that had the address gets nothing any more."""
+        port = LossyPort(self, address)
+        self._ports[address] = port
+        return port
+
+    def close(self, address: Address) -> None:
+        """Closes the port at an address, as when its process died."""
+        self._ports.pop(address, None)
+
+    def carry(self, data: bytes, source: Address, target: Address) -> None:
+        """Takes a datagram."""
+        self.sent += 1
+        self.sent_octets += len(data)
+        if source not in self._ports or self.blocks(source, target):
+            return
+        copies = 1 + (self._randomness.random() < _DUPLICATE_RATE)
+        for _ in range(copies):
+            if self._randomness.random() >= self.loss:
+                assert self._nursery is not None
+                self._nursery.start_soon(self._deliver, data, source, target)
+
+    async def _deliver(
+        self, data: bytes, source: Address, target: Address
+    ) -> None:
+        delay_s = _DELAY_S + self._randomness.random() * _JITTER_S
+        await trio.sleep(delay_s)
+        if target in self._ports:
+            self._ports[target].push(data, source)
+
+
+class LossyPort:
+    """One port of the network, as `Datagrams`."""
+
+    def __init__(self, network: LossyNetwork, address: Address) -> None:
+        self._network = network
+        self._address = address
+        self._send, self._receive = trio.open_memory_channel[
+            tuple[bytes, Address]
+        ](math.inf)
+
+    async def send(self, data: bytes, address: Address) -> None:
+        """Sends one datagram."""
+        await trio.lowlevel.checkpoint()
+        self._network.carry(data, self._address, address)
+
+    def push(self, data: bytes, source: Address) -> None:
+        """Delivers one datagram."""
+        self._send.send_nowait((data, source))
+
+    async def __aiter__(self) -> AsyncIterator[tuple[bytes, Address]]:
+        """Yields the datagrams that arrive."""
+        async for item in self._receive:
+            yield item
