Let hosts show each other the credential of the deployment

Without it anyone who reaches the port of a host can dispatch requests past the contract. Links run under TLS 1.3 with both sides checked against the deployment's authority, and a certificate must carry the host name that its owner gives in its hello: a stolen key of one host does not serve another. A refusal is a PeerCredentialError, logged and counted at both sides; a call fails with PeerUnreachableError, since nothing was delivered.

--- a/persimmonhinge/peers/handshake.py
+++ b/persimmonhinge/peers/handshake.py
@@ -67,9 +67,17 @@
         cause = link_messages.RefusalCause.WRONG_HOST.value
         fault = link_messages.Refusal(cause, text)
     if fault is not None:
-        raise errors.PeerProtocolError(
-            f"{fault.cause}: {fault.text}", step="check hello", peer=host
-        )
+        raise make_error(fault, step="check hello", peer=host)
+
+
+def make_error(
+    refusal: link_messages.Refusal, *, step: str, peer: str
+) -> errors.PeerError:
+    """Returns the error that a refusal of a link stands for."""
+    kind: type[errors.PeerError] = errors.PeerProtocolError
+    if refusal.cause == link_messages.RefusalCause.CREDENTIAL.value:
+        kind = errors.PeerCredentialError
+    return kind(f"{refusal.cause}: {refusal.text}", step=step, peer=peer)
 
 
 async def send_message(
@@ -86,6 +94,7 @@
 
     Raises:
         PeerProtocolError: It sent something else, or refused the link.
+        PeerCredentialError: It refused the credential.
         PeerLinkLostError: It closed the link.
     """
     reader.most_octets = frames.MAX_HELLO_OCTETS
@@ -93,11 +102,7 @@
     reader.most_octets = frames.MAX_FRAME_OCTETS
     if frame.kind is frames.FrameKind.REFUSE:
         refusal = frames.read_body(frame, link_messages.Refusal, reader.peer)
-        raise errors.PeerProtocolError(
-            f"refused: {refusal.cause}: {refusal.text}",
-            step="open link",
-            peer=reader.peer,
-        )
+        raise make_error(refusal, step="open link", peer=reader.peer)
     if frame.kind is not frames.FrameKind.HELLO:
         raise errors.PeerProtocolError(
             "first frame is no hello", step="read hello", peer=reader.peer
--- a/persimmonhinge/peers/link.py
+++ b/persimmonhinge/peers/link.py
@@ -231,7 +231,7 @@
             await handshake.send_message(stream, kind, mine)
             hello = await handshake.receive_hello(stream, reader)
         except trio.BrokenResourceError as error:
-            raise self._make_unreachable("say hello", str(error)) from error
+            raise transports.explain_break(error, self.host) from error
         handshake.check_answer(hello, context.view, self.host)
         return dialed.DialedConnection(
             stream,
--- a/persimmonhinge/peers/server.py
+++ b/persimmonhinge/peers/server.py
@@ -7,7 +7,6 @@
 import trio
 
 from persimmonhinge import errors
-from persimmonhinge import ids
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as metrics
 from persimmonhinge.peers import accepted
@@ -97,7 +96,7 @@
         self, stream: trio.abc.Stream, nursery: trio.Nursery
     ) -> accepted.AcceptedConnection | None:
         secured = await self._transport.accept(stream)
-        reader = frames.FrameReader(_describe(stream))
+        reader = frames.FrameReader(transports.describe(stream))
         hello = await handshake.receive_hello(secured, reader)
         reader.peer = hello.host
         refusal = self._find_fault(secured, hello)
@@ -105,10 +104,8 @@
             kind = frames.FrameKind.REFUSE
             await handshake.send_message(secured, kind, refusal)
             await secured.aclose()
-            raise errors.PeerProtocolError(
-                f"{refusal.cause}: {refusal.text}",
-                step="check hello",
-                peer=hello.host,
+            raise handshake.make_error(
+                refusal, step="check hello", peer=hello.host
             )
         answer = handshake.make_hello(self._view, hello.host)
         await handshake.send_message(secured, frames.FrameKind.HELLO, answer)
@@ -125,15 +122,9 @@
     def _find_fault(
         self, stream: trio.abc.Stream, hello: link_messages.Hello
     ) -> link_messages.Refusal | None:
-        self._transport.check_name(stream, ids.HostId(hello.host))
+        try:
+            self._transport.check_name(stream, hello.host)
+        except errors.PeerCredentialError as error:
+            cause = link_messages.RefusalCause.CREDENTIAL
+            return link_messages.Refusal(cause.value, str(error))
         return handshake.find_fault(hello, self._view)
-
-
-def _describe(stream: trio.abc.Stream) -> str:
-    if not isinstance(stream, trio.SocketStream):
-        return "stranger"
-    try:
-        host, port = stream.socket.getpeername()[:2]
-    except OSError:
-        return "stranger"
-    return f"{host}:{port}"
--- a/persimmonhinge/peers/streams.py
+++ b/persimmonhinge/peers/streams.py
@@ -14,6 +14,7 @@
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as metrics
 from persimmonhinge.peers import accepted
+from persimmonhinge.peers import credentials
 from persimmonhinge.peers import handlers as handler_tables
 from persimmonhinge.peers import link as links
 from persimmonhinge.peers import local
@@ -52,7 +53,9 @@
         self._settings = settings.peers
         self._view = view
         self._counts = counts
-        self._transport = transport or transports.TcpTransport()
+        self._transport = transport or credentials.make_transport(
+            settings.peers
+        )
         self._handlers = handler_tables.HandlerTable(counts)
         self._server = servers.Server(
             settings.peers, view, counts, self._transport, self._handlers
@@ -88,6 +91,15 @@
         if self._nursery is not None:
             self._nursery.cancel_scope.cancel()
 
+    def reload_credential(self) -> None:
+        """Reads the files of the credential again, for links yet to open.
+
+        Raises:
+            SettingsError: They can't be used; the former ones stay in use.
+        """
+        if isinstance(self._transport, credentials.TlsTransport):
+            self._transport.reload()
+
     def handle(
         self, message_type: type[M], handler: network.Handler[M]
     ) -> None:
--- a/persimmonhinge/peers/transport.py
+++ b/persimmonhinge/peers/transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from typing import Protocol
 
 import trio
@@ -64,3 +65,34 @@
         raise errors.PeerUnreachableError(
             str(error), step="dial", peer=member.host
         ) from error
+
+
+def explain_break(
+    error: trio.BrokenResourceError, host: ids.HostId
+) -> errors.PeerError:
+    """Returns why a stream broke before its hello was answered.
+
+    Under TLS 1.3 the dialing side is ready before the other side looked at
+    its certificate; a refusal shows at the first read. trio closes then
+    without the alert that would name the cause.
+    """
+    cause = error.__cause__
+    if isinstance(cause, ssl.SSLEOFError):
+        text = "closed before hello, as a host does that refuses a certificate"
+        return errors.PeerCredentialError(text, step="say hello", peer=host)
+    if isinstance(cause, ssl.SSLError):
+        text = f"refused by the other side: {cause}"
+        return errors.PeerCredentialError(text, step="say hello", peer=host)
+    text = str(cause or error)
+    return errors.PeerUnreachableError(text, step="say hello", peer=host)
+
+
+def describe(stream: trio.abc.Stream) -> str:
+    """Returns the address at the other end of a stream, for logs."""
+    if not isinstance(stream, trio.SocketStream):
+        return "stranger"
+    try:
+        host, port = stream.socket.getpeername()[:2]
+    except OSError:
+        return "stranger"
+    return f"{host}:{port}"
--- a/tests/test_peers/pairs.py
+++ b/tests/test_peers/pairs.py
@@ -27,11 +27,13 @@
     """One host of a test.
 
     Attributes:
+        settings: Its settings.
         network: Its streams.
         view: The hosts that it knows.
         counts: Its counters.
     """
 
+    settings: settings_entry.EntrySettings
     network: streams.StreamNetwork
     view: views.View
     counts: metrics.Counts
@@ -87,7 +89,7 @@
     counts = metrics.Counts()
     settings = make_settings(host, **peers)
     network = streams.StreamNetwork(settings, view, counts, transport)
-    return Host(network, view, counts)
+    return Host(settings, network, view, counts)
 
 
 @contextlib.asynccontextmanager
