Carry feeds at the home: open, pass on, move and hand over

A feed's upstream or home can change while the caller keeps its one registration: the new side is opened first and compared, by digests of the answers sent, with what the caller has had. FeedAdopt gains a flag so that a living home can hand over in two steps: prepare, then commit with what was sent meanwhile. One step was ruled out: events sent while the new home opens would be repeated or lost.

Tested with fakes on a mock clock: opening, both forms of the first reply, and a move for each cause of FeedEnd. Home moves are not yet tested.

--- /dev/null
+++ b/persimmonhinge/flows/feeds/adoption.py
@@ -0,0 +1,159 @@
+"""Takes in feeds that other hosts hand over."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import functools
+
+import trio
+
+from persimmonhinge import errors
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.flows.feeds import caller_side
+from persimmonhinge.flows.feeds import digests
+from persimmonhinge.flows.feeds import event as events
+from persimmonhinge.flows.feeds import feed as feeds
+from persimmonhinge.flows.feeds import limits
+from persimmonhinge.flows.feeds import outline
+from persimmonhinge.flows.feeds import surroundings
+from persimmonhinge.peers.messages import feeds as messages
+
+
+class Adoption:
+    """The new home's part of a hand-over."""
+
+    def __init__(
+        self,
+        around: surroundings.Surroundings,
+        callers: caller_side.CallerSide,
+        adopt: Callable[[feeds.Feed], None],
+        forget: Callable[[feeds.Feed], None],
+    ) -> None:
+        self._around = around
+        self._callers = callers
+        self._adopt = adopt
+        self._forget = forget
+
+    async def take(self, message: messages.FeedAdopt) -> feeds.Feed | None:
+        """Takes in a feed, or what the former home says of one.
+
+        Two hosts may hand over the same feed, or one may do so twice: the
+        feed that is there is kept.
+
+        Returns:
+            The feed once an upstream serves it; None if it is not taken.
+        """
+        opened = message.feed
+        flow = outline.read_flow(opened)
+        feed = self._around.table.get(flow, opened.token)
+        if feed is None:
+            feed = self._make(message)
+        if feed is None or not await self._is_served(feed):
+            return None
+        # Above all that the former home has sent, so that the caller does
+        # not take the next answer for an old one (RFC 7641, 3.4).
+        floor = opened.last_sequence + limits.ADOPT_MARGIN
+        feed.sequence = max(feed.sequence, floor)
+        if not message.prepares and feed.outbox is not None:
+            self._go_live(feed, digests.join(opened.recent))
+        return feed
+
+    def _make(self, message: messages.FeedAdopt) -> feeds.Feed | None:
+        opened = message.feed
+        call_class = self._classify(opened)
+        most = self._around.settings.flows.most_flows
+        if call_class is None or len(self._around.table) >= most:
+            return None
+        now = trio.current_time()
+        interval_s = self._around.settings.flows.feed_confirm_s
+        feed = feeds.Feed(
+            outline.read_flow(opened),
+            opened.token,
+            opened.request,
+            call_class,
+            opened.last_sequence + limits.ADOPT_MARGIN,
+            now,
+            recent=digests.join(opened.recent),
+            opened=trio.Event(),
+            confirm_at=now + self._around.random.uniform(0, interval_s),
+        )
+        if message.prepares:
+            self._callers.hold(feed)
+            self._expect_commit(feed)
+        self._adopt(feed)
+        return feed
+
+    def _classify(
+        self, opened: messages.FeedOpen
+    ) -> contracts.CallClass | None:
+        entry = self._around.contracts.get(opened.service)
+        if entry is None:
+            return None
+        try:
+            request = events.read_answer(opened.request, "")
+        except errors.MalformedDatagramError:
+            return None
+        path = "/" + "/".join(request.opt.uri_path)
+        return entry.contract.classify(
+            contracts.Method.GET, path, observes=True
+        )
+
+    async def _is_served(self, feed: feeds.Feed) -> bool:
+        """Waits until an upstream serves a feed; drops it if none does."""
+        if feed.opened is not None and feed.source is None:
+            with trio.move_on_after(limits.FIRST_EVENT_S):
+                await feed.opened.wait()
+        if feed.closed:
+            return False
+        if feed.opened is not None and not feed.opened.is_set():
+            # The sender keeps the feed and asks again.
+            self._forget(feed)
+            return False
+        feed.opened = None
+        return True
+
+    def _expect_commit(self, feed: feeds.Feed) -> None:
+        """Goes on without the former home if that says no more.
+
+        Guards against a former home that dies between its two messages: no
+        one else may know of the feed, and the caller would wait for good.
+        """
+        expire = functools.partial(self._expire, feed, feed.outbox)
+        self._around.timers.call_after(limits.PREPARED_S, expire)
+
+    def _expire(
+        self, feed: feeds.Feed, outbox: list[events.Event] | None
+    ) -> None:
+        if feed.closed or feed.outbox is not outbox:
+            return
+        self._around.counts.add("feeds_adopted_uncommitted_total")
+        self._callers.release(feed)
+
+    def _go_live(self, feed: feeds.Feed, sent: bytes) -> None:
+        """Sends what the former home has not; `sent` are its digests."""
+        outbox = feed.outbox or []
+        rest = outbox[_count_known(outbox, sent) :]
+        if feed.source is not None:
+            feed.source.position = None if rest else _locate(feed, sent)
+        feed.recent = sent
+        for event in rest:
+            feed.recent = digests.append(feed.recent, event.digest)
+        feed.outbox = rest
+        self._callers.release(feed)
+
+
+def _count_known(outbox: list[events.Event], sent: bytes) -> int:
+    """Returns how many events up to the newest one that was sent."""
+    for place in range(len(outbox), 0, -1):
+        if digests.find(sent, outbox[place - 1].digest) >= 0:
+            return place
+    return 0
+
+
+def _locate(feed: feeds.Feed, sent: bytes) -> int | None:
+    """Returns where the upstream stands among what was sent.
+
+    None if it is level, else the place of its newest event.
+    """
+    found = digests.find(sent, digests.last(feed.recent))
+    return None if found == digests.count(sent) - 1 else found
--- /dev/null
+++ b/persimmonhinge/flows/feeds/event.py
@@ -0,0 +1,51 @@
+"""One notification on its way from an upstream to a caller."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from persimmonhinge import errors
+from persimmonhinge.coap import codec
+from persimmonhinge.flows.feeds import digests
+from persimmonhinge.peers.messages import feeds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """A notification, read.
+
+    Attributes:
+        sequence: Number that the keeper gave it.
+        answer: CoAP message with code, options and whole body.
+        digest: Digest of the answer.
+    """
+
+    sequence: int
+    answer: bytes
+    digest: bytes
+
+
+def read_event(message: feeds.FeedEvent, peer: str) -> Event:
+    """Reads a notification.
+
+    Raises:
+        MalformedDatagramError: Its answer is not a CoAP message.
+    """
+    answer = read_answer(message.answer, peer)
+    return Event(message.sequence, message.answer, digests.compute(answer))
+
+
+def read_answer(data: bytes, peer: str) -> codec.Message:
+    """Reads an answer with its whole body, which no datagram need hold.
+
+    Raises:
+        MalformedDatagramError: It is not a CoAP message.
+    """
+    try:
+        return codec.Message.decode(data)
+    except Exception as error:
+        # aiocoap raises errors of many kinds for malformed octets. One bad
+        # answer of a newer or faulty peer must not end the task.
+        raise errors.MalformedDatagramError(
+            repr(error), step="read answer of a feed", peer=peer
+        ) from error
--- /dev/null
+++ b/persimmonhinge/flows/feeds/feed.py
@@ -0,0 +1,81 @@
+"""One feed of a caller: a row of the home's table."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+import trio
+
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.flows import port
+from persimmonhinge.flows.feeds import event as events
+from persimmonhinge.flows.feeds import exchange as exchanges
+from persimmonhinge.flows.feeds import source as sources
+
+
+class Reply(enum.Enum):
+    """What the caller's request still waits for.
+
+    OWED: Its answer.
+    SEPARATE: Its answer, in a message of its own: the request itself has
+        been acknowledged (RFC 7252, 5.2.2).
+    DONE: Nothing.
+    """
+
+    OWED = "owed"
+    SEPARATE = "separate"
+    DONE = "done"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Feed:
+    """A feed.
+
+    Attributes:
+        flow: The caller and the service.
+        token: The caller's token.
+        request: The request as keepers get it.
+        call_class: Its class in the contract.
+        sequence: Observe number of the newest answer sent; more than 24 bits.
+        lost_at: Since when no upstream serves it, trio's time.
+        reply: What the newest request still waits for.
+        request_id: Message id of the newest request.
+        confirmable: True if the newest request was confirmable.
+        recent: Digests of the newest answers; see `digests`.
+        current: The newest answer; empty before the first.
+        sent_at: When that was sent, trio's time.
+        reported: `sequence` as the keeper knows it.
+        source: The upstream that serves it.
+        candidate: The upstream that it moves to.
+        searching: True while a task looks for an upstream.
+        outbox: Answers held back while its home moves; None to send at once.
+        opened: Set when it is first served, while someone waits for that.
+        confirm_at: When the next notification is confirmable, trio's time.
+        message_id: Message id of the newest notification.
+        exchange: The confirmable message that waits for the caller.
+        closed: True once it has left the table.
+    """
+
+    flow: port.Flow
+    token: bytes
+    request: bytes
+    call_class: contracts.CallClass
+    sequence: int
+    lost_at: float
+    reply: Reply = Reply.DONE
+    request_id: int = -1
+    confirmable: bool = False
+    recent: bytes = b""
+    current: bytes = b""
+    sent_at: float = 0.0
+    reported: int = 0
+    source: sources.Source | None = None
+    candidate: sources.Source | None = None
+    searching: bool = False
+    outbox: list[events.Event] | None = None
+    opened: trio.Event | None = None
+    confirm_at: float = 0.0
+    message_id: int = -1
+    exchange: exchanges.Exchange | None = None
+    closed: bool = False
--- /dev/null
+++ b/persimmonhinge/flows/feeds/limits.py
@@ -0,0 +1,69 @@
+"""Constants of feeds, each with its unit and its reason."""
+
+from __future__ import annotations
+
+# RFC 7252, 4.8: retransmission of confirmable messages.
+ACK_TIMEOUT_S = 2.0
+ACK_RANDOM_FACTOR = 1.5
+MAX_RETRANSMIT = 4
+
+# An answer within this time travels in the acknowledgement of its request.
+PIGGYBACK_S = 0.3
+
+# RFC 7641, 4.4: an observe number has 24 bits.
+SEQUENCE_MASK = 0xFFFFFF
+
+# A new feed starts at a number taken from the wall clock in this unit, as
+# RFC 7641, 4.4 proposes: a caller that registers again after its former home
+# and keeper both died would else take the new numbers for old ones.
+SEQUENCES_PER_S = 8
+
+# A keeper learns what the caller was sent in steps of `ACK_EVENTS` or of
+# `ACK_INTERVAL_S`; a home that adopts a feed goes on above all that the
+# former one can have sent in between.
+ADOPT_MARGIN = 256
+ACK_EVENTS = 8
+ACK_INTERVAL_S = 1.0
+# Ceiling of acknowledgements by time (about 150 octets each), so that this
+# part of the control traffic stays flat as feeds grow.
+ACKS_PER_INTERVAL = 100
+
+# Digests of answers that a home remembers for each feed.
+RECENT_ANSWERS = 16
+
+# Longest time to wait for the first event of an upstream.
+FIRST_EVENT_S = 3.0
+# Longest time to hold back a new upstream that is ahead of the old one.
+SEAM_S = 0.5
+SEAM_EVENTS = 64
+
+# Wait between two rounds over all upstreams: doubles from first to last.
+RETRY_FIRST_S = 0.1
+RETRY_LAST_S = 2.0
+# Moves at a time of feeds whose present upstream still serves them.
+MOVES_AT_A_TIME = 64
+
+# A caller that is refused comes back after this time at least, and at most
+# twice as long, so that callers spread.
+REFUSED_RETRY_S = 2
+
+# A changed view must have been quiet for so long before homes move, but a
+# view that never comes to rest is followed after `SETTLE_LIMIT_S`.
+SETTLE_S = 1.0
+SETTLE_LIMIT_S = 5.0
+HANDOVERS_AT_A_TIME = 128
+HANDOVER_RETRY_S = 2.0
+# The former home goes on sending for so long after its successor has had
+# its first event, so that the two are level at the seam.
+OVERLAP_S = 0.1
+# Limit of one message of a hand-over.
+ADOPT_CALL_S = 4.0
+# A successor that was prepared and hears no more goes on by itself: the
+# former home died in between. Longer than a slow second message takes.
+PREPARED_S = 5.0
+# Part of the limit of a planned stop after which callers are sent away.
+LEAVE_PART = 0.8
+
+# Largest body in one datagram; the rest is fetched in blocks (RFC 7959).
+BLOCK_OCTETS = 1024
+BLOCK_SIZE_EXPONENT = 6
--- /dev/null
+++ b/persimmonhinge/flows/feeds/outline.py
@@ -0,0 +1,60 @@
+"""What keepers and adopting homes are told of a feed."""
+
+from __future__ import annotations
+
+import aiocoap
+from aiocoap.numbers import optionnumbers
+
+from persimmonhinge import ids
+from persimmonhinge.coap import codec
+from persimmonhinge.coap import options
+from persimmonhinge.flows import port
+from persimmonhinge.flows.feeds import digests
+from persimmonhinge.flows.feeds import feed as feeds
+from persimmonhinge.peers.messages import feeds as messages
+
+_Option = optionnumbers.OptionNumber
+# Options between the caller and its home alone. The ticket in Echo above all
+# must not reach an upstream.
+_OWN_OPTIONS = (
+    _Option.OBSERVE,
+    _Option.ECHO,
+    _Option.BLOCK1,
+    _Option.BLOCK2,
+    _Option.REQUEST_TAG,
+    options.DEADLINE,
+)
+
+
+def make_request(message: codec.Message) -> bytes:
+    """Returns a caller's request as keepers get it.
+
+    Two registrations for the same state give the same octets.
+    """
+    request = message.copy(mtype=aiocoap.NON, mid=0, token=b"")
+    for number in _OWN_OPTIONS:
+        request.opt.delete_option(number)
+    return codec.encode(request)
+
+
+def make_open(
+    feed: feeds.Feed, upstream: ids.UpstreamId, revision: ids.Revision
+) -> messages.FeedOpen:
+    """Returns a feed as it stands now."""
+    return messages.FeedOpen(
+        feed.flow.service,
+        revision,
+        upstream,
+        feed.request,
+        feed.flow.caller[0],
+        feed.flow.caller[1],
+        feed.token,
+        feed.sequence,
+        digests.split(feed.recent),
+    )
+
+
+def read_flow(opened: messages.FeedOpen) -> port.Flow:
+    """Returns the flow of a feed that another host describes."""
+    caller = (opened.caller_host, opened.caller_port)
+    return port.Flow(opened.service, caller)
--- /dev/null
+++ b/persimmonhinge/flows/feeds/refusal.py
@@ -0,0 +1,66 @@
+"""What a caller is told when no upstream takes its feed."""
+
+from __future__ import annotations
+
+import random
+
+import aiocoap
+
+from persimmonhinge import errors
+from persimmonhinge import ids
+from persimmonhinge.coap import codec
+from persimmonhinge.flows.feeds import event as events
+from persimmonhinge.flows.feeds import limits
+from persimmonhinge.flows.feeds import search as searches
+from persimmonhinge.flows.feeds import source as sources
+from persimmonhinge.peers.messages import feeds as messages
+
+_SUCCESS_CLASS = 2
+_CLIENT_ERROR_CLASS = 4
+_CLASS_SHIFT = 5
+
+
+def note(search: searches.Search, source: sources.Source) -> None:
+    """Notes an upstream that did not take the feed."""
+    search.tried.add(ids.UpstreamId(source.upstream.id))
+    end = source.end
+    if end is None or end.cause is not messages.FeedEndCause.REFUSED:
+        search.unreachable = True
+        return
+    search.answer = end.answer or search.answer
+    search.retry_after_s = max(search.retry_after_s, end.retry_after_s)
+
+
+def is_final(answer: bytes) -> bool:
+    """Tells whether a refusal would be the same at every upstream.
+
+    So is an error of the request itself, but for 4.29, and a plain answer
+    of a resource that can't be observed (RFC 7641, 4.1).
+    """
+    if not answer:
+        return False
+    try:
+        code = events.read_answer(answer, "").code
+    except errors.MalformedDatagramError:
+        return False
+    if code is aiocoap.TOO_MANY_REQUESTS:
+        return False
+    return int(code) >> _CLASS_SHIFT in (_SUCCESS_CLASS, _CLIENT_ERROR_CLASS)
+
+
+def make_answer(
+    answer: bytes, retry_after_s: int, randomness: random.Random
+) -> codec.Message:
+    """Returns the last message of a feed.
+
+    Args:
+        answer: What the upstreams answered, passed on if it is final.
+        retry_after_s: When the upstreams say to come back.
+        randomness: Spreads the callers that are sent away together.
+    """
+    if is_final(answer):
+        return events.read_answer(answer, "")
+    wait_s = max(limits.REFUSED_RETRY_S, retry_after_s)
+    message = codec.Message(code=aiocoap.SERVICE_UNAVAILABLE)
+    message.opt.max_age = randomness.randint(wait_s, 2 * wait_s)
+    return message
--- /dev/null
+++ b/persimmonhinge/flows/feeds/reports.py
@@ -0,0 +1,61 @@
+"""Tells keepers what callers were sent, for the case that this home dies."""
+
+from __future__ import annotations
+
+import trio
+
+from persimmonhinge import errors
+from persimmonhinge.flows.feeds import digests
+from persimmonhinge.flows.feeds import feed as feeds
+from persimmonhinge.flows.feeds import limits
+from persimmonhinge.peers.messages import feeds as messages
+
+_PUSH_LIMIT_S = 0.5
+
+
+class Reports:
+    """Sends `FeedAck` messages, by count and by time."""
+
+    def __init__(self) -> None:
+        self._due: dict[feeds.Feed, None] = {}
+
+    async def report_by_count(self, feed: feeds.Feed) -> None:
+        """Reports after each `ACK_EVENTS` events; else notes the feed."""
+        if feed.sequence == feed.reported:
+            return
+        if feed.sequence - feed.reported < limits.ACK_EVENTS:
+            self._due[feed] = None
+            return
+        await self._push(feed)
+
+    async def run(self) -> None:
+        """Reports what `report_by_count` leaves, the oldest first.
+
+        Feeds with many events are reported by count, which takes a small
+        part of their own traffic. This loop is for slow feeds, and its
+        ceiling keeps it flat as feeds grow.
+        """
+        while True:
+            await trio.sleep(limits.ACK_INTERVAL_S)
+            due = list(self._due)[: limits.ACKS_PER_INTERVAL]
+            for feed in due:
+                self._due.pop(feed, None)
+                await self._push_within_limit(feed)
+
+    async def _push_within_limit(self, feed: feeds.Feed) -> None:
+        # A link that is stuck must not hold up the reports of all others.
+        with trio.move_on_after(_PUSH_LIMIT_S):
+            try:
+                await self._push(feed)
+            except errors.PeerLinkLostError:
+                # The task that reads this stream sees it too and acts.
+                pass
+
+    async def _push(self, feed: feeds.Feed) -> None:
+        self._due.pop(feed, None)
+        source = feed.source
+        if feed.closed or source is None or source.stream is None:
+            return
+        recent = digests.split(feed.recent)
+        feed.reported = feed.sequence
+        await source.stream.push(messages.FeedAck(feed.sequence, recent))
--- /dev/null
+++ b/persimmonhinge/flows/feeds/seam.py
@@ -0,0 +1,151 @@
+"""The change from one upstream to another, without gap or repeat."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import functools
+
+import trio
+
+from persimmonhinge.flows.feeds import caller_side
+from persimmonhinge.flows.feeds import digests
+from persimmonhinge.flows.feeds import event as events
+from persimmonhinge.flows.feeds import feed as feeds
+from persimmonhinge.flows.feeds import limits
+from persimmonhinge.flows.feeds import source as sources
+from persimmonhinge.flows.feeds import surroundings
+from persimmonhinge.peers.messages import feeds as messages
+
+_DEFAULT_MAX_AGE_S = 60
+
+
+class Seam:
+    """Decides which events of which upstream a caller gets.
+
+    The former upstream serves until the new one has shown where it stands.
+    A new one that is level or behind is taken at once, and what the caller
+    has had already is dropped until it has caught up. A new one that is
+    ahead waits, for a short time, until the former one comes level: its
+    first event would leave a gap.
+    """
+
+    def __init__(
+        self,
+        around: surroundings.Surroundings,
+        callers: caller_side.CallerSide,
+        taken: Callable[[feeds.Feed], None],
+    ) -> None:
+        self._around = around
+        self._callers = callers
+        self._taken = taken
+
+    def take(self, source: sources.Source, event: events.Event) -> None:
+        """Takes an event of the present, the next or a former upstream."""
+        feed = source.feed
+        if feed.source is source:
+            self._pass_on(source, event)
+            self._compare(feed, event)
+        elif feed.candidate is source:
+            self._take_from_candidate(source, event)
+        # Else a late event of a former upstream: it would step back.
+
+    def lose(self, source: sources.Source) -> None:
+        """Notes that an upstream serves its feed no more."""
+        feed = source.feed
+        if feed.candidate is source:
+            feed.candidate = None
+        if feed.source is not source:
+            return
+        feed.source = None
+        feed.lost_at = trio.current_time()
+        if feed.candidate is not None and feed.candidate.held:
+            self._finish(feed.candidate)
+
+    def _take_from_candidate(
+        self, source: sources.Source, event: events.Event
+    ) -> None:
+        feed = source.feed
+        if source.held is None and not self._must_wait(feed, event):
+            self._switch(source)
+            self._pass_on(source, event)
+            return
+        if source.held is None:
+            source.held = []
+            finish = functools.partial(self._finish, source)
+            self._around.timers.call_after(limits.SEAM_S, finish)
+        source.held.append(event)
+        if len(source.held) >= limits.SEAM_EVENTS:
+            self._finish(source)
+
+    def _must_wait(self, feed: feeds.Feed, event: events.Event) -> bool:
+        """Tells whether a candidate is ahead of an upstream that serves."""
+        former = feed.source
+        if former is None or former.cause is messages.FeedEndCause.SILENT:
+            return False
+        return digests.find(feed.recent, event.digest) < 0
+
+    def _compare(self, feed: feeds.Feed, event: events.Event) -> None:
+        """Changes over if the former upstream has come level."""
+        source = feed.candidate
+        if source is None or not source.held:
+            return
+        for place, held in enumerate(source.held):
+            if held.digest == event.digest:
+                del source.held[: place + 1]
+                self._finish(source)
+                return
+
+    def _finish(self, source: sources.Source) -> None:
+        """Changes over to a candidate that waited."""
+        feed = source.feed
+        if feed.candidate is not source or source.held is None:
+            return
+        held = source.held
+        source.held = None
+        self._switch(source)
+        source.position = None
+        for event in held:
+            self._pass_on(source, event)
+
+    def _switch(self, source: sources.Source) -> None:
+        feed = source.feed
+        former = feed.source
+        feed.candidate = None
+        feed.source = source
+        feed.searching = False
+        source.taken = True
+        source.position = -1 if feed.recent else None
+        if former is not None:
+            former.scope.cancel()
+            self._around.counts.add("feeds_moved_total")
+        self._taken(feed)
+
+    def _pass_on(self, source: sources.Source, event: events.Event) -> None:
+        if not self._is_known(source, event):
+            self._callers.send(source.feed, event)
+
+    def _is_known(self, source: sources.Source, event: events.Event) -> bool:
+        """Tells whether the caller has had the state of an event."""
+        recent = source.feed.recent
+        if source.position is None:
+            return self._is_fresh_repeat(source.feed, event)
+        # The upstream publishes in order, so each event that the caller has
+        # had stands behind the one before it.
+        found = digests.find(recent, event.digest, source.position + 1)
+        is_level = found < 0 or found == digests.count(recent) - 1
+        source.position = None if is_level else found
+        return found >= 0
+
+    def _is_fresh_repeat(self, feed: feeds.Feed, event: events.Event) -> bool:
+        """Tells whether an event repeats the newest one and adds nothing.
+
+        Only the newest one counts: a price that goes up and down again is
+        news although it was sent before. A repeat is passed on once the
+        caller's copy is about to become stale (RFC 7641, 1.3).
+        """
+        if event.digest != digests.last(feed.recent):
+            return False
+        max_age = caller_side.read_current(feed).opt.max_age
+        if max_age is None:
+            max_age = _DEFAULT_MAX_AGE_S
+        return trio.current_time() < feed.sent_at + max_age / 2
--- /dev/null
+++ b/persimmonhinge/flows/feeds/search.py
@@ -0,0 +1,53 @@
+"""The search of one feed for an upstream that takes it."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.flows.feeds import limits
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Search:
+    """What one task knows while it looks for an upstream.
+
+    Attributes:
+        tried: Upstreams that are passed over in this round.
+        once: True to give up after the first round, as for a rebalance.
+        first: True while the caller has had no answer on this feed.
+        unreachable: True if a keeper or upstream gave no answer in this
+            round, so that another round may end otherwise.
+        answer: What an upstream answered when it refused.
+        retry_after_s: When refusing upstreams say to come back.
+        delay_s: Wait before the next round.
+        permit: What was acquired for the attempt that runs.
+    """
+
+    tried: set[ids.UpstreamId]
+    once: bool = False
+    first: bool = False
+    unreachable: bool = False
+    answer: bytes = b""
+    retry_after_s: int = 0
+    delay_s: float = limits.RETRY_FIRST_S
+    permit: trio.Semaphore | None = None
+
+    def begin_round(self) -> None:
+        """Lets all upstreams be tried again."""
+        self.tried.clear()
+        self.unreachable = False
+        self.delay_s = min(self.delay_s * 2, limits.RETRY_LAST_S)
+
+    async def acquire(self, permits: trio.Semaphore) -> None:
+        """Waits for a permit to make an attempt."""
+        await permits.acquire()
+        self.permit = permits
+
+    def release(self) -> None:
+        """Gives the permit back, if there is one."""
+        if self.permit is not None:
+            self.permit.release()
+            self.permit = None
--- /dev/null
+++ b/persimmonhinge/flows/feeds/service.py
@@ -0,0 +1,271 @@
+"""Feeds of callers, as the home and the application use them."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.coap import codec
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.contracts import store
+from persimmonhinge.flows import port
+from persimmonhinge.flows.feeds import caller_side
+from persimmonhinge.flows.feeds import feed as feed_rows
+from persimmonhinge.flows.feeds import handover
+from persimmonhinge.flows.feeds import limits
+from persimmonhinge.flows.feeds import outline
+from persimmonhinge.flows.feeds import refusal
+from persimmonhinge.flows.feeds import reports
+from persimmonhinge.flows.feeds import surroundings
+from persimmonhinge.flows.feeds import upstream_side
+from persimmonhinge.flows.feeds import watches
+from persimmonhinge.membership import placement as placements
+from persimmonhinge.membership import view as views
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.peers import network as networks
+from persimmonhinge.peers.messages import feeds as messages
+from persimmonhinge.settings import entry as settings_entry
+
+logger = logging.getLogger(__name__)
+
+
+class Feeds:
+    """All feeds that this host is home of; see docs/design/flows.md."""
+
+    def __init__(
+        self,
+        settings: settings_entry.EntrySettings,
+        view: views.View,
+        placement: placements.Placement,
+        contract_store: store.ContractStore,
+        network: networks.PeerNetwork,
+        answers: port.Answers,
+        chooser: port.Chooser,
+        counts: host_counts.Counts,
+        randomness: random.Random | None = None,
+    ) -> None:
+        self._around = surroundings.Surroundings(
+            settings,
+            view,
+            placement,
+            contract_store,
+            network,
+            answers,
+            chooser,
+            counts,
+            randomness or random.Random(),
+        )
+        self._callers = caller_side.CallerSide(self._around, self._forget)
+        self._reports = reports.Reports()
+        self._upstreams: upstream_side.UpstreamSide
+        self._handover = handover.Handover(
+            self._around, self._callers, self._adopt, self._forget, self._end
+        )
+        counts.watch("feeds_open", self.count)
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Carries feeds until it is cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._upstreams = upstream_side.UpstreamSide(
+                self._around, nursery, self._callers, self._reports, self._end
+            )
+            watch = watches.Watches(
+                self._around, self._upstreams, self.close_all_of
+            )
+            nursery.start_soon(self._around.timers.run)
+            nursery.start_soon(self._reports.run)
+            nursery.start_soon(watch.watch_contracts)
+            nursery.start_soon(watch.watch_keepers)
+            nursery.start_soon(self._handover.run)
+            self._around.network.handle(messages.FeedAdopt, self._handover.take)
+            task_status.started()
+
+    def open(
+        self,
+        flow: port.Flow,
+        message: codec.Message,
+        entry: store.ContractEntry,
+        call_class: contracts.CallClass,
+    ) -> None:
+        """Takes a caller's GET with Observe 0.
+
+        The same token again is a registration of the same feed (RFC 7641,
+        3.3.1); it is answered with the newest state.
+        """
+        request = outline.make_request(message)
+        feed = self._around.table.get(flow, message.token)
+        if feed is not None and feed.request_id == message.mid:
+            self._callers.repeat_reply(feed)
+        elif feed is not None and feed.request == request:
+            self._renew(feed, message, call_class)
+        else:
+            self._replace(feed, flow, message, request, call_class)
+
+    def close(self, flow: port.Flow, message: codec.Message) -> bool:
+        """Takes a caller's GET with Observe 1; the home answers it.
+
+        Returns:
+            False if there is no such feed.
+        """
+        feed = self._around.table.get(flow, message.token)
+        if feed is None:
+            return False
+        self._around.counts.add("feeds_closed_total", cause="deregistered")
+        self._forget(feed)
+        return True
+
+    def acknowledge(self, flow: port.Flow, message_id: int) -> bool:
+        """Takes an empty acknowledgement; False if no feed waits for it."""
+        return self._callers.confirmations.acknowledge(flow, message_id)
+
+    def reset(self, flow: port.Flow, message_id: int) -> bool:
+        """Takes a reset: the caller does not want the feed.
+
+        Returns:
+            False if no feed has sent this message lately.
+        """
+        feed = self._callers.confirmations.find(flow, message_id)
+        for candidate in self._around.table.of_flow(flow):
+            if candidate.message_id == message_id:
+                feed = candidate
+        if feed is None:
+            return False
+        self._around.counts.add("feeds_closed_total", cause="reset")
+        self._forget(feed)
+        return True
+
+    def read_state(
+        self, flow: port.Flow, message: codec.Message
+    ) -> codec.Message | None:
+        """Returns the newest answer of an open feed, with its whole body.
+
+        For a caller that fetches the later blocks of a notification by a
+        GET of the same resource (RFC 7959, 2.6).
+
+        Returns:
+            None if the flow has no feed of this resource with an answer.
+        """
+        request = outline.make_request(message)
+        for feed in self._around.table.of_flow(flow):
+            if feed.request == request and feed.current:
+                return caller_side.read_current(feed)
+        return None
+
+    def close_all_of(self, service: ids.ServiceName) -> None:
+        """Ends all feeds of a service whose contract was deleted."""
+        for feed in self._around.table:
+            if feed.flow.service == service:
+                self._end(feed, b"", 0)
+
+    async def move(
+        self, service: ids.ServiceName, upstream: ids.UpstreamId, count: int
+    ) -> int:
+        """Moves feeds from an upstream for a better balance.
+
+        A feed stays where it is if no other upstream takes it now.
+
+        Returns:
+            Number of feeds that begin to move, at most `count`.
+        """
+        begun = 0
+        for feed in watches.pick(iter(self._around.table), service, upstream):
+            if begun >= count:
+                break
+            begun += self._upstreams.move(feed, once=True)
+        await trio.lowlevel.checkpoint()
+        return begun
+
+    async def leave(self) -> None:
+        """Hands all feeds over to their new homes, within the stop limit."""
+        await self._handover.leave()
+
+    def count(self) -> int:
+        """Returns the number of feeds in the table."""
+        return len(self._around.table)
+
+    def _renew(
+        self,
+        feed: feed_rows.Feed,
+        message: codec.Message,
+        call_class: contracts.CallClass,
+    ) -> None:
+        feed.call_class = call_class
+        self._callers.take_request(feed, message)
+        if feed.current and feed.outbox is None:
+            self._callers.send_current(feed)
+
+    def _replace(
+        self,
+        former: feed_rows.Feed | None,
+        flow: port.Flow,
+        message: codec.Message,
+        request: bytes,
+        call_class: contracts.CallClass,
+    ) -> None:
+        sequence = start_sequence()
+        if former is not None:
+            # The token was given to another resource; the numbers go on.
+            sequence = max(sequence, former.sequence)
+            self._forget(former)
+        feed = feed_rows.Feed(
+            flow,
+            message.token,
+            request,
+            call_class,
+            sequence,
+            trio.current_time(),
+            reported=sequence,
+        )
+        self._callers.take_request(feed, message)
+        if self.count() >= self._around.settings.flows.most_flows:
+            self._around.counts.add("feeds_refused_total", cause="table-full")
+            self._send_last(feed, b"", 0)
+            return
+        self._around.table.add(feed)
+        self._around.counts.add("feeds_opened_total")
+        self._upstreams.open(feed)
+        self._handover.note(feed)
+
+    def _adopt(self, feed: feed_rows.Feed) -> None:
+        """Opens a feed that another host hands over."""
+        self._around.table.add(feed)
+        self._around.counts.add("feeds_adopted_total")
+        self._upstreams.open(feed)
+
+    def _forget(self, feed: feed_rows.Feed) -> None:
+        """Closes a feed without a word to its caller."""
+        feed.closed = True
+        self._around.table.remove(feed)
+        self._callers.confirmations.end(feed)
+        for source in (feed.source, feed.candidate):
+            if source is not None:
+                source.scope.cancel()
+
+    def _end(
+        self, feed: feed_rows.Feed, answer: bytes, retry_after_s: int
+    ) -> None:
+        """Closes a feed and tells its caller so."""
+        if feed.closed:
+            return
+        self._forget(feed)
+        self._around.counts.add("feeds_closed_total", cause="no-upstream")
+        self._send_last(feed, answer, retry_after_s)
+
+    def _send_last(
+        self, feed: feed_rows.Feed, answer: bytes, retry_after_s: int
+    ) -> None:
+        randomness = self._around.random
+        message = refusal.make_answer(answer, retry_after_s, randomness)
+        self._callers.send_final(feed, message)
+
+
+def start_sequence() -> int:
+    """Returns the observe number that a new feed goes on from."""
+    unit = int(time.time() * limits.SEQUENCES_PER_S)
+    return unit & limits.SEQUENCE_MASK
--- /dev/null
+++ b/persimmonhinge/flows/feeds/source.py
@@ -0,0 +1,51 @@
+"""One stream of a feed from the keeper of its upstream."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.flows.feeds import event as events
+from persimmonhinge.peers import network
+from persimmonhinge.peers.messages import feeds as messages
+
+if TYPE_CHECKING:
+    from persimmonhinge.flows.feeds import feed as feeds
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Source:
+    """A feed at one upstream; a feed has two while it moves.
+
+    Attributes:
+        feed: The feed.
+        upstream: The upstream.
+        keeper: Host that keeps it.
+        keeper_ref: The incarnation of that host.
+        scope: Ends the stream when it is cancelled.
+        stream: The open stream.
+        started: True once its first event has come.
+        taken: True once the feed has used it.
+        cause: Why its keeper wants the feed to move, if it does.
+        end: How its keeper ended it, if it did.
+        position: While it repeats what the caller was sent by the former
+            upstream: place of its newest event among the recent answers.
+        held: Events that wait for the former upstream to come level.
+    """
+
+    feed: feeds.Feed
+    upstream: contracts.Upstream
+    keeper: ids.HostId
+    keeper_ref: ids.HostRef
+    scope: trio.CancelScope
+    stream: network.PeerStream | None = None
+    started: bool = False
+    taken: bool = False
+    cause: messages.FeedEndCause | None = None
+    end: messages.FeedEnd | None = None
+    position: int | None = None
+    held: list[events.Event] | None = None
--- /dev/null
+++ b/persimmonhinge/flows/feeds/upstream_side.py
@@ -0,0 +1,275 @@
+"""The side of feeds that faces keepers: opening, reading and moving."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import logging
+import math
+
+import trio
+
+from persimmonhinge import errors
+from persimmonhinge import ids
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.flows import port
+from persimmonhinge.flows.feeds import caller_side
+from persimmonhinge.flows.feeds import event as events
+from persimmonhinge.flows.feeds import feed as feeds
+from persimmonhinge.flows.feeds import limits
+from persimmonhinge.flows.feeds import outline
+from persimmonhinge.flows.feeds import refusal
+from persimmonhinge.flows.feeds import reports
+from persimmonhinge.flows.feeds import seam as seams
+from persimmonhinge.flows.feeds import search as searches
+from persimmonhinge.flows.feeds import source as sources
+from persimmonhinge.flows.feeds import surroundings
+from persimmonhinge.peers.messages import base
+from persimmonhinge.peers.messages import feeds as messages
+
+logger = logging.getLogger(__name__)
+
+# Causes after which the old stream goes on until the feed has moved.
+_MOVE_CAUSES = (
+    messages.FeedEndCause.DRAINING,
+    messages.FeedEndCause.MOVED,
+    messages.FeedEndCause.SILENT,
+)
+
+End = Callable[[feeds.Feed, bytes, int], None]
+
+
+class UpstreamSide:
+    """Keeps each feed open at an upstream.
+
+    One task carries a feed: it looks for an upstream, reads its events, and
+    looks for another when it is lost. A move from an upstream that still
+    serves is made by a second task; the first one ends when the feed has
+    changed over.
+    """
+
+    def __init__(
+        self,
+        around: surroundings.Surroundings,
+        nursery: trio.Nursery,
+        callers: caller_side.CallerSide,
+        reporter: reports.Reports,
+        end: End,
+    ) -> None:
+        self._around = around
+        self._nursery = nursery
+        self._reports = reporter
+        self._end = end
+        self._seam = seams.Seam(around, callers, self._note_taken)
+        self._permits = trio.Semaphore(limits.MOVES_AT_A_TIME)
+
+    def open(self, feed: feeds.Feed) -> None:
+        """Looks for the first upstream of a feed."""
+        first = feed.reply is not feeds.Reply.DONE
+        self._start(feed, searches.Search(set(), first=first))
+
+    def move(self, feed: feeds.Feed, *, once: bool = False) -> bool:
+        """Moves a feed from an upstream that still serves it.
+
+        Args:
+            feed: The feed.
+            once: True to keep the upstream if no other takes the feed now.
+
+        Returns:
+            False if it moves already or no upstream serves it.
+        """
+        if feed.searching or feed.source is None or feed.closed:
+            return False
+        tried = {ids.UpstreamId(feed.source.upstream.id)}
+        self._start(feed, searches.Search(tried, once=once))
+        return True
+
+    def must_move(self, source: sources.Source) -> bool:
+        """Tells whether the upstream of a stream is to be left."""
+        if source.cause is not None:
+            return True
+        entry = self._around.contracts.get(source.feed.flow.service)
+        if entry is None:
+            return True
+        upstream_id = ids.UpstreamId(source.upstream.id)
+        upstream = entry.contract.get_upstream(upstream_id)
+        if upstream is None or upstream.address != source.upstream.address:
+            return True
+        return upstream.state is not contracts.UpstreamState.ACTIVE
+
+    def _start(self, feed: feeds.Feed, search: searches.Search) -> None:
+        feed.searching = True
+        self._nursery.start_soon(self._carry, feed, search)
+
+    async def _carry(self, feed: feeds.Feed, search: searches.Search) -> None:
+        while not feed.closed:
+            choice = self._choose(feed, search)
+            if choice is None:
+                if not await self._wait_for_round(feed, search):
+                    return
+                continue
+            source = self._make_source(feed, choice)
+            await self._read(source, search)
+            if not source.taken:
+                if not self._goes_on(feed, search, source):
+                    return
+                continue
+            if feed.source is not None or feed.searching:
+                return
+            # The upstream that served is gone and no one looks for another.
+            feed.searching = True
+            search = searches.Search({ids.UpstreamId(source.upstream.id)})
+            self._around.counts.add("feeds_lost_upstream_total")
+
+    def _choose(
+        self, feed: feeds.Feed, search: searches.Search
+    ) -> port.Choice | None:
+        entry = self._around.contracts.get(feed.flow.service)
+        if entry is None:
+            return None
+        return self._around.chooser.choose(
+            entry, contracts.CallKind.FEED, exclude=frozenset(search.tried)
+        )
+
+    def _make_source(
+        self, feed: feeds.Feed, choice: port.Choice
+    ) -> sources.Source:
+        return sources.Source(
+            feed,
+            choice.upstream,
+            choice.keeper,
+            choice.keeper_ref,
+            trio.CancelScope(),
+        )
+
+    def _goes_on(
+        self,
+        feed: feeds.Feed,
+        search: searches.Search,
+        source: sources.Source,
+    ) -> bool:
+        """Notes a failed attempt; False if the caller has its answer."""
+        refusal.note(search, source)
+        if not search.first or not refusal.is_final(search.answer):
+            return True
+        self._finish(feed, search)
+        return False
+
+    async def _wait_for_round(
+        self, feed: feeds.Feed, search: searches.Search
+    ) -> bool:
+        """Waits until all upstreams may be tried again.
+
+        Returns:
+            False if the search is over.
+        """
+        if feed.source is not None:
+            if search.once or not self.must_move(feed.source):
+                feed.searching = False
+                return False
+        elif search.first and not search.unreachable:
+            # All refuse: a final answer is never held back.
+            self._finish(feed, search)
+            return False
+        delay_s = search.delay_s * self._around.random.uniform(0.5, 1.0)
+        if feed.source is None and not self._is_in_time(feed, delay_s):
+            self._finish(feed, search)
+            return False
+        await trio.sleep(delay_s)
+        search.begin_round()
+        return True
+
+    def _is_in_time(self, feed: feeds.Feed, delay_s: float) -> bool:
+        if self._around.contracts.get(feed.flow.service) is None:
+            return False
+        deadline = feed.lost_at + feed.call_class.deadline_s
+        return trio.current_time() + delay_s < deadline
+
+    def _finish(self, feed: feeds.Feed, search: searches.Search) -> None:
+        answer = b"" if search.unreachable else search.answer
+        self._end(feed, answer, search.retry_after_s)
+
+    async def _read(
+        self, source: sources.Source, search: searches.Search
+    ) -> None:
+        """Opens one stream and reads it to its end."""
+        service = source.feed.flow.service
+        upstream = ids.UpstreamId(source.upstream.id)
+        kind = contracts.CallKind.FEED
+        if source.feed.source is not None:
+            # Moves that no caller waits for go on a few at a time.
+            await search.acquire(self._permits)
+        self._around.chooser.begin(service, upstream, kind)
+        try:
+            with source.scope:
+                await self._read_stream(source, search)
+        except errors.PeerError as error:
+            logger.debug("A feed's stream ended: %s.", error)
+        finally:
+            search.release()
+            self._around.chooser.end(service, upstream, kind)
+            source.stream = None
+            self._seam.lose(source)
+
+    async def _read_stream(
+        self, source: sources.Source, search: searches.Search
+    ) -> None:
+        feed = source.feed
+        feed.candidate = source
+        now = trio.current_time()
+        source.scope.deadline = now + limits.FIRST_EVENT_S
+        entry = self._around.contracts.get(feed.flow.service)
+        if entry is None:
+            return
+        opening = outline.make_open(
+            feed, ids.UpstreamId(source.upstream.id), entry.revision
+        )
+        timeout_s = self._around.settings.peers.connect_timeout_s
+        network = self._around.network
+        async with network.open(source.keeper, opening, timeout_s) as stream:
+            source.stream = stream
+            while not source.feed.closed:
+                message = await stream.receive()
+                if self._take(source, message):
+                    return
+                search.release()
+                if feed.source is source:
+                    await self._reports.report_by_count(feed)
+
+    def _take(self, source: sources.Source, message: base.Message) -> bool:
+        """Takes a message of a keeper; True if it was the last."""
+        if isinstance(message, messages.FeedEvent):
+            self._take_event(source, message)
+            return False
+        if isinstance(message, messages.FeedEnd):
+            return self._take_end(source, message)
+        return False
+
+    def _take_event(
+        self, source: sources.Source, message: messages.FeedEvent
+    ) -> None:
+        try:
+            event = events.read_event(message, source.keeper)
+        except errors.MalformedDatagramError as error:
+            logger.warning("Event passed over: %s.", error)
+            self._around.counts.add("feed_events_malformed_total")
+            return
+        source.started = True
+        source.scope.deadline = math.inf
+        self._seam.take(source, event)
+
+    def _take_end(self, source: sources.Source, end: messages.FeedEnd) -> bool:
+        self._around.counts.add("feed_ends_total", cause=end.cause.value)
+        if end.cause not in _MOVE_CAUSES or not source.started:
+            source.end = end
+            return True
+        source.cause = end.cause
+        if source.feed.source is source:
+            self.move(source.feed)
+        return False
+
+    def _note_taken(self, feed: feeds.Feed) -> None:
+        if feed.opened is not None:
+            feed.opened.set()
+        # Its keeper may have asked for a move while it was a candidate.
+        if feed.source is not None and self.must_move(feed.source):
+            self.move(feed)
--- a/persimmonhinge/peers/messages/feeds.py
+++ b/persimmonhinge/peers/messages/feeds.py
@@ -95,11 +95,17 @@
     home died. The new home opens the feed as if the caller had asked, with
     the numbers going on from `last_sequence`. Answered by `Adopted`.
 
+    A home that lives sends it twice. The first one `prepares`: the new home
+    opens the feed and holds back what it would send. The second one tells
+    what the caller was sent meanwhile; from then on the new home sends.
+
     Attributes:
         feed: What the former home had asked the keeper for.
+        prepares: True if the sender still serves the caller.
     """
 
     feed: FeedOpen
+    prepares: bool = False
 
 
 @base.message_kind("adopted")
--- /dev/null
+++ b/tests/test_flows/test_flows_feeds.py
@@ -0,0 +1,89 @@
+"""Tests of feeds towards a caller: opening, events, closing."""
+
+from __future__ import annotations
+
+import aiocoap
+import trio
+
+from persimmonhinge.peers.messages import feeds as messages
+from tests.support import trios
+from tests.test_flows import feeds_fakes
+
+_QUICK_S = 0.05
+
+
+@trios.clock_test
+async def test_feeds_open_pass_events_and_close() -> None:
+    async with feeds_fakes.run_world() as world:
+        home = world.home()
+        home.register()
+        await trio.sleep(_QUICK_S)
+        for tick in (1, 2, 3):
+            world.publish(tick)
+            await trio.sleep(_QUICK_S)
+        assert world.caller.ticks == [0, 1, 2, 3]
+        assert home.feeds.close(
+            feeds_fakes.FLOW, world.caller.make_get(observe=1)
+        )
+        await trio.sleep(_QUICK_S)
+        world.publish(4)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.ticks == [0, 1, 2, 3]
+        assert home.feeds.count() == world.count_streams() == 0
+        assert home.chooser.open == 0
+
+
+@trios.clock_test
+async def test_feeds_answer_a_quick_confirmable_request_in_its_ack() -> None:
+    async with feeds_fakes.run_world() as world:
+        request = world.caller.make_get(mtype=aiocoap.CON)
+        world.home().register(request)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.last().mtype is aiocoap.ACK
+        assert world.caller.last().mid == request.mid
+        world.home().register(request)
+        assert len(world.caller.messages) == 2
+        assert world.caller.last().mid == request.mid
+        assert world.caller.last().payload == b'{"tick": 0}'
+
+
+@trios.clock_test
+async def test_feeds_answer_a_slow_confirmable_request_apart() -> None:
+    async with feeds_fakes.run_world() as world:
+        for upstream in world.upstreams.values():
+            upstream.mute = True
+        request = world.caller.make_get(mtype=aiocoap.CON)
+        world.home().register(request)
+        await trio.sleep(1)
+        acknowledgement = world.caller.last()
+        assert acknowledgement.code is aiocoap.EMPTY
+        assert acknowledgement.mid == request.mid
+        world.publish(1)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.last().mtype is aiocoap.CON
+        assert world.caller.last().payload == b'{"tick": 1}'
+
+
+@trios.clock_test
+async def test_feeds_move_when_the_keeper_ends_them() -> None:
+    """An upstream drains; its keeper says so, and its events go on.
+
+    The caller would see a gap or a repeat if the feed were closed first, or
+    if the first state of the new upstream were passed on unseen.
+    """
+    for cause in messages.FeedEndCause:
+        if cause is messages.FeedEndCause.REFUSED:
+            continue
+        async with feeds_fakes.run_world() as world:
+            world.home().register()
+            await trio.sleep(_QUICK_S)
+            world.publish(1)
+            await trio.sleep(_QUICK_S)
+            (old,) = [u for u in world.upstreams.values() if u.open_streams()]
+            old.tell(cause)
+            await trio.sleep(_QUICK_S)
+            world.publish(2)
+            await trio.sleep(_QUICK_S)
+            assert world.caller.ticks == [0, 1, 2]
+            assert not old.open_streams()
+            assert world.count_streams() == 1
