Split membership into parts that are assembled in one place

service.py had grown to hold assembly, receiving and the public calls; parts.py and receiver.py take the first two. check() probes a member at once, for links that broke.

--- a/persimmonhinge/membership/contacts.py
+++ b/persimmonhinge/membership/contacts.py
@@ -7,6 +7,8 @@
 import dataclasses
 import random
 
+import trio
+
 from persimmonhinge import ids
 from persimmonhinge.membership import member as members
 from persimmonhinge.membership import roster as rosters
@@ -52,7 +54,6 @@
         settings: settings_entry.EntrySettings,
         roster: rosters.Roster,
         platform_hosts: PlatformHosts,
-        now: Callable[[], float],
         randomness: random.Random,
     ) -> None:
         """Makes the part.
@@ -61,21 +62,19 @@
             settings: Seeds and the first wait.
             roster: Who lives and who is dead.
             platform_hosts: Returns the platform's list of hosts.
-            now: Returns the monotonic time, seconds.
             randomness: Source of jitter.
         """
         self._seeds = settings.seeds
         self._first_wait_s = settings.peers.heartbeat_interval_s
         self._roster = roster
         self._platform_hosts = platform_hosts
-        self._now = now
         self._randomness = randomness
         self._retries: dict[Contact, _Retry] = {}
         self._refresh_due = 0.0
 
     def take_due(self) -> list[Contact]:
         """Returns a few contacts to ping now."""
-        now = self._now()
+        now = trio.current_time()
         if now >= self._refresh_due:
             self._refresh_due = now + _REFRESH_S
             self._refresh()
@@ -90,11 +89,11 @@
         """Tries all soon: one that was dead is back, so may be others."""
         for retry in self._retries.values():
             retry.wait_s = self._first_wait_s
-            retry.due = min(retry.due, self._now() + self._first_wait_s)
+            retry.due = min(retry.due, trio.current_time() + self._first_wait_s)
 
     def _put_off(self, retry: _Retry) -> None:
         jitter = self._randomness.uniform(0.5, 1.5)
-        retry.due = self._now() + retry.wait_s * jitter
+        retry.due = trio.current_time() + retry.wait_s * jitter
         retry.wait_s = min(_MAX_WAIT_S, retry.wait_s * 2)
 
     def _refresh(self) -> None:
@@ -103,7 +102,9 @@
             del self._retries[contact]
         for contact in wanted:
             if contact not in self._retries:
-                self._retries[contact] = _Retry(self._now(), self._first_wait_s)
+                self._retries[contact] = _Retry(
+                    trio.current_time(), self._first_wait_s
+                )
 
     def _find_contacts(self) -> set[Contact]:
         found = {_contact_of_member(m) for m in self._roster.dead()}
--- a/persimmonhinge/membership/doubts.py
+++ b/persimmonhinge/membership/doubts.py
@@ -9,6 +9,7 @@
 from persimmonhinge.membership import probes as probing
 from persimmonhinge.membership import record as records
 from persimmonhinge.membership import roster as rosters
+from persimmonhinge.settings import entry as settings_entry
 
 # Last tries a second; keeps a cut of many hosts within the control budget.
 _TRIES_PER_S = 40.0
@@ -24,8 +25,7 @@
 
     def __init__(
         self,
-        suspicion_s: float,
-        timeout_s: float,
+        peers: settings_entry.PeerSettings,
         roster: rosters.Roster,
         probes: probing.Probes,
         pauses: pause_watches.PauseWatch,
@@ -34,20 +34,22 @@
         """Makes the part.
 
         Args:
-            suspicion_s: Time to refute, the last try included, seconds.
-            timeout_s: Limit of a probe, seconds.
+            peers: Settings of heartbeats; the suspicion time includes the
+                last try.
             roster: What is believed of hosts.
             probes: Asks members for signs of life.
             pauses: Tells whether this process ran meanwhile.
             nursery: Where the tasks run.
         """
-        self._wait_s = max(0.0, suspicion_s - timeout_s)
+        wait_s = peers.suspicion_s - peers.heartbeat_interval_s
+        self._wait_s = max(0.0, wait_s)
         self._roster = roster
         self._probes = probes
         self._pauses = pauses
         self._nursery = nursery
         self._news: dict[ids.HostId, trio.Event] = {}
         self._next_try = 0.0
+        roster.add_listener(self._take_news)
 
     def begin(self, host: ids.HostId) -> None:
         """Doubts a host, unless it is doubted already."""
@@ -55,7 +57,7 @@
             self._news[host] = trio.Event()
             self._nursery.start_soon(self._settle, host)
 
-    def take_news(self, host: ids.HostId) -> None:
+    def _take_news(self, host: ids.HostId, appeared: bool) -> None:
         """Tells the task of a host of news; begins one if they are doubts."""
         if host in self._news:
             self._news[host].set()
--- a/persimmonhinge/membership/exchange.py
+++ b/persimmonhinge/membership/exchange.py
@@ -11,11 +11,14 @@
 
 from persimmonhinge.membership import budgets
 from persimmonhinge.membership import channel as channels
-from persimmonhinge.membership import member as members
 from persimmonhinge.membership import messages
 from persimmonhinge.membership import record as records
 from persimmonhinge.membership import roster as rosters
+from persimmonhinge.settings import entry as settings_entry
 
+# Time between exchanges while something differs, and otherwise.
+_QUICK_INTERVALS = 2
+_CALM_INTERVALS = 16
 _CHUNK_OCTETS = 700
 _OCTETS_PER_S = 4_000.0
 # Enough to give a joining host the state of 610 members at once.
@@ -32,8 +35,7 @@
 
     def __init__(
         self,
-        quick_s: float,
-        calm_s: float,
+        peers: settings_entry.PeerSettings,
         channel: channels.Channel,
         roster: rosters.Roster,
         measure: Callable[[records.Record], int],
@@ -42,15 +44,14 @@
         """Makes the part.
 
         Args:
-            quick_s: Time between exchanges while something differs, seconds.
-            calm_s: Time between them otherwise, seconds.
+            peers: Settings of heartbeats.
             channel: Where datagrams go out.
             roster: What is known.
             measure: Returns the octets that a record takes.
             randomness: Source of choices.
         """
-        self._quick_s = quick_s
-        self._calm_s = calm_s
+        self._quick_s = _QUICK_INTERVALS * peers.heartbeat_interval_s
+        self._calm_s = _CALM_INTERVALS * peers.heartbeat_interval_s
         self._channel = channel
         self._roster = roster
         self._measure = measure
@@ -64,15 +65,18 @@
         """Begins an exchange with a random member when it is time."""
         if trio.current_time() < self._due:
             return
-        for partner in self._roster.pick(1, self._randomness):
-            await self.begin(partner)
+        for member in self._roster.pick(1, self._randomness):
+            partner = self._roster.get(member.host)
+            if partner is not None:
+                await self.begin(partner)
 
-    async def begin(self, partner: members.Member) -> None:
+    async def begin(self, partner: records.Record) -> None:
         """Begins an exchange with a member."""
         self._due = trio.current_time() + self._quick_s
         digest = messages.Digest(self._roster.table.digests())
-        address = (partner.address, partner.heartbeat_port)
-        await self._channel.send(digest, address, about=partner.host)
+        await self._channel.send(
+            digest, partner.heartbeat_address, about=partner.host
+        )
 
     async def answer(
         self, digest: messages.Digest, address: tuple[str, int]
--- a/persimmonhinge/membership/gossip.py
+++ b/persimmonhinge/membership/gossip.py
@@ -11,6 +11,7 @@
 from persimmonhinge.membership import table as tables
 
 _SPREAD_FACTOR = 3
+MAX_OCTETS = 450
 
 
 class Gossip:
@@ -25,7 +26,7 @@
         self,
         table: tables.Table,
         measure: Callable[[records.Record], int],
-        max_octets: int,
+        max_octets: int = MAX_OCTETS,
     ) -> None:
         """Makes an empty queue.
 
--- a/persimmonhinge/membership/pauses.py
+++ b/persimmonhinge/membership/pauses.py
@@ -7,6 +7,8 @@
 
 logger = logging.getLogger(__name__)
 
+_PAUSE_INTERVALS = 2
+
 
 class PauseWatch:
     """Measures gaps between its checks, which are due at each heartbeat.
@@ -23,15 +25,15 @@
         count: Number of gaps so far.
     """
 
-    def __init__(self, limit_s: float, now: Callable[[], float]) -> None:
+    def __init__(self, interval_s: float, now: Callable[[], float]) -> None:
         """Begins to watch.
 
         Args:
-            limit_s: Gaps that are longer count as pauses, seconds.
+            interval_s: Time between checks when all is well, seconds.
             now: Returns the monotonic time, seconds.
         """
         self.count = 0
-        self._limit_s = limit_s
+        self._limit_s = _PAUSE_INTERVALS * interval_s
         self._now = now
         self._last = now()
         self._longest_s = 0.0
--- a/persimmonhinge/membership/probes.py
+++ b/persimmonhinge/membership/probes.py
@@ -15,6 +15,7 @@
 from persimmonhinge.membership import pauses as pause_watches
 from persimmonhinge.membership import record as records
 from persimmonhinge.membership import roster as rosters
+from persimmonhinge.settings import entry as settings_entry
 
 ATTEMPTS = 3
 _HELPERS = 3
@@ -54,7 +55,7 @@
 
     def __init__(
         self,
-        timeout_s: float,
+        peers: settings_entry.PeerSettings,
         channel: channels.Channel,
         roster: rosters.Roster,
         pauses: pause_watches.PauseWatch,
@@ -63,13 +64,14 @@
         """Makes the part.
 
         Args:
-            timeout_s: Limit of a probe, all attempts together, seconds.
+            peers: Settings of heartbeats; all attempts of a probe together
+                take one interval at most.
             channel: Where pings go out.
             roster: Whom to ask for help.
             pauses: Tells whether this process ran meanwhile.
             randomness: Source of choices.
         """
-        self._timeout_s = timeout_s
+        self._timeout_s = peers.heartbeat_interval_s
         self._channel = channel
         self._roster = roster
         self._pauses = pauses
@@ -104,6 +106,16 @@
         message = messages.Ping(self._next_sequence())
         await self._channel.send(message, address, about=host)
 
+    async def answer(
+        self,
+        ping: messages.Ping,
+        address: tuple[str, int],
+        sender: records.Record,
+    ) -> None:
+        """Gives a sign of life."""
+        ack = messages.Ack(ping.sequence)
+        await self._channel.send(ack, address, about=sender.host)
+
     async def relay(
         self, request: messages.PingRequest, address: tuple[str, int]
     ) -> None:
@@ -127,10 +139,10 @@
             answer = messages.Ack(request.sequence, wait.record)
             await self._channel.send(answer, address)
 
-    def take_answer(self, answer: messages.Ack, sender: records.Record) -> None:
-        """Wakes whoever waits for this answer."""
-        wait = self._waits.get(answer.sequence)
-        record = answer.subject or sender
+    def take_ack(self, ack: messages.Ack, sender: records.Record) -> None:
+        """Wakes whoever waits for this sign of life."""
+        wait = self._waits.get(ack.sequence)
+        record = ack.subject or sender
         if wait is None or wait.host != record.host:
             return
         wait.record = record
--- a/persimmonhinge/membership/ring.py
+++ b/persimmonhinge/membership/ring.py
@@ -22,6 +22,7 @@
         self._roster = roster
         self._randomness = randomness
         self._left: list[ids.HostId] = []
+        roster.add_listener(self._take_news)
 
     def next(self) -> ids.HostId | None:
         """Returns the next member that is not dead; None if there is none."""
@@ -34,7 +35,9 @@
             self._randomness.shuffle(self._left)
         return None
 
-    def add(self, host: ids.HostId) -> None:
+    def _take_news(self, host: ids.HostId, appeared: bool) -> None:
         """Puts a new member at a random place of the present round."""
+        if not appeared:
+            return
         place = self._randomness.randint(0, len(self._left))
         self._left.insert(place, host)
--- a/persimmonhinge/membership/roster.py
+++ b/persimmonhinge/membership/roster.py
@@ -21,6 +21,10 @@
 
 _Claim = records.Claim
 
+# Called at each news of a host, and told whether it was unknown or dead
+# before and lives now.
+NewsListener = Callable[[ids.HostId, bool], None]
+
 
 class Roster:
     """The one place where records turn into members.
@@ -44,7 +48,6 @@
         table: tables.Table,
         gossip: gossips.Gossip,
         counts: host_counts.Counts,
-        on_news: Callable[[ids.HostId, bool], None],
     ) -> None:
         """Makes a roster with this host alone.
 
@@ -54,18 +57,20 @@
             table: An empty table.
             gossip: News to pass on.
             counts: Counters of this host.
-            on_news: Called at each news of a host, with whether the host
-                was unknown or dead and lives.
         """
         self.identity = identity
         self.table = table
         self.gossip = gossip
         self._view = view
         self._counts = counts
-        self._on_news = on_news
+        self._listeners: list[NewsListener] = []
         self._hearsay: dict[ids.HostId, tuple[int, int]] = {}
         self.show_self()
 
+    def add_listener(self, listener: NewsListener) -> None:
+        """Has a function called at each news of another host."""
+        self._listeners.append(listener)
+
     def show_self(self) -> None:
         """Shows this host as its own record says."""
         record = self.identity.record
@@ -122,7 +127,8 @@
         appeared = record.claim is not _Claim.DEAD and (
             known is None or known.claim is _Claim.DEAD
         )
-        self._on_news(record.host, appeared)
+        for listener in self._listeners:
+            listener(record.host, appeared)
         return appeared
 
     def is_doubted(self, host: ids.HostId) -> bool:
@@ -161,8 +167,10 @@
             logger.info("Host %s, dead for long, is forgotten.", host)
             self._drop(host)
 
-    def clear(self) -> None:
-        """Forgets all other hosts."""
+    def start_anew(self) -> None:
+        """Forgets all other hosts and becomes a new incarnation."""
+        self.identity.take_incarnation(self.identity.record.incarnation)
+        self.show_self()
         for member in tuple(self._view.all()):
             if member.host != self._view.me:
                 self._drop(member.host)
--- a/persimmonhinge/membership/service.py
+++ b/persimmonhinge/membership/service.py
@@ -5,28 +5,21 @@
 import dataclasses
 import logging
 import math
-import pathlib
 import random
-import time
 
 import trio
 
-from persimmonhinge import errors
 from persimmonhinge import ids
-from persimmonhinge.membership import channel as channels
 from persimmonhinge.membership import codec as codecs
 from persimmonhinge.membership import contacts as contact_lists
-from persimmonhinge.membership import doubts as doubting
-from persimmonhinge.membership import exchange as exchanges
-from persimmonhinge.membership import gossip as gossips
 from persimmonhinge.membership import identity as identities
+from persimmonhinge.membership import member as members
 from persimmonhinge.membership import messages
-from persimmonhinge.membership import pauses as pause_watches
+from persimmonhinge.membership import parts as membership_parts
 from persimmonhinge.membership import probes as probing
+from persimmonhinge.membership import receiver as receivers
 from persimmonhinge.membership import record as records
-from persimmonhinge.membership import ring as rings
-from persimmonhinge.membership import roster as rosters
-from persimmonhinge.membership import table as tables
+from persimmonhinge.membership import secret as secrets
 from persimmonhinge.membership import udp
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as host_counts
@@ -35,21 +28,14 @@
 
 logger = logging.getLogger(__name__)
 
-_GOSSIP_OCTETS = 450
-_EXCHANGE_INTERVAL_S = 5.0
-# Gaps in running that are longer than so many intervals void all evidence.
-_PAUSE_INTERVALS = 2
-_SPREAD_TO = 8
+# Members that are told of a planned stop by this host itself.
+_TOLD_DIRECTLY = 8
 
 
 def _no_hosts() -> tuple[settings_entry.SeedHost, ...]:
     return ()
 
 
-def _read_wall_ms() -> int:
-    return time.time_ns() // 1_000_000
-
-
 class Membership:
     """Keeps the view of this host by heartbeats with its peers.
 
@@ -77,22 +63,32 @@
             platform_hosts: Returns the hosts of the platform's list.
             datagrams: A bound port; None binds one by the settings.
             randomness: Source of choices; None for one of its own.
+
+        Raises:
+            SettingsError: The secret can't be read.
         """
-        self._settings = settings
-        self._view = view
-        self._counts = counts
-        self._platform_hosts = platform_hosts
+        self._around = membership_parts.Surroundings(
+            settings=settings,
+            view=view,
+            counts=counts,
+            platform_hosts=platform_hosts,
+            randomness=randomness or random.Random(),
+        )
         self._datagrams = datagrams
-        self._randomness = randomness or random.Random()
-        self._codec = codecs.DatagramCodec(read_secret(settings.peers))
+        self._codec = codecs.DatagramCodec(secrets.read_secret(settings.peers))
         self._hooks: list[identities.IncarnationHook] = []
         self._interval_s = settings.peers.heartbeat_interval_s
+        self._started = trio.Event()
+        self._parts: membership_parts.Parts | None = None
+        self._nursery: trio.Nursery | None = None
+        counts.watch("members_alive", lambda: len(view.role_takers()))
+        counts.watch("members_known", lambda: len(tuple(view.all())))
 
     def on_new_incarnation(self, hook: identities.IncarnationHook) -> None:
         """Has a function called when this host becomes a new incarnation.
 
-        It is called before the view announces the change, with the former
-        and the new self, and must not wait.
+        It is called with the former and the new self, before the view
+        changes, and must not wait. To be set before `run`.
         """
         self._hooks.append(hook)
 
@@ -105,26 +101,20 @@
             OSError: The port can't be had.
             NameTakenError: Another process started later under this name.
         """
-        datagrams = self._datagrams
-        bound = None
-        if datagrams is None:
-            bound = await self._bind()
-            datagrams = bound
+        if self._datagrams is not None:
+            await self._run_on(self._datagrams, task_status)
+            return
+        bound = await self._bind()
         try:
-            async with trio.open_nursery() as nursery:
-                self._make_parts(datagrams, nursery)
-                nursery.start_soon(self._receive, nursery)
-                nursery.start_soon(self._beat, nursery)
-                task_status.started(self._view.self_member.heartbeat_port)
+            await self._run_on(bound, task_status)
         finally:
-            await self._say_farewell()
-            if bound is not None:
-                bound.close()
+            bound.close()
 
     async def leave(self) -> None:
         """Tells the peers that this host stops; returns once it has spread.
 
-        The host goes on answering heartbeats until `run` is cancelled.
+        The host goes on answering heartbeats until `run` is cancelled; it
+        then says farewell, so that peers need not find out.
         """
         await self._say(records.Claim.LEAVING)
 
@@ -132,197 +122,107 @@
         """Takes `leave` back."""
         await self._say(records.Claim.ALIVE)
 
+    def check(self, host: ids.HostId) -> None:
+        """Probes a member at once, as when a link to it broke."""
+        if self._nursery is not None:
+            self._nursery.start_soon(self._probe, host)
+
     async def _bind(self) -> udp.UdpDatagrams:
-        peers = self._settings.peers
+        view = self._around.view
+        peers = self._around.settings.peers
         bound = await udp.bind(peers.address, peers.heartbeat_port)
-        me = self._view.self_member
-        self._view.put(dataclasses.replace(me, heartbeat_port=bound.port))
+        me = dataclasses.replace(view.self_member, heartbeat_port=bound.port)
+        view.put(me)
         return bound
 
-    def _make_parts(
-        self, datagrams: network.Datagrams, nursery: trio.Nursery
+    async def _run_on(
+        self, datagrams: network.Datagrams, task_status: trio.TaskStatus[int]
     ) -> None:
-        now = trio.current_time
-        peers = self._settings.peers
-        randomness = self._randomness
-        self._pauses = pause_watches.PauseWatch(
-            _PAUSE_INTERVALS * self._interval_s, now
-        )
-        identity = identities.Identity(
-            self._view.self_member,
-            self._pauses,
-            peers.suspicion_s,
-            _read_wall_ms,
-        )
-        for hook in self._hooks:
-            identity.add_hook(hook)
-        table = tables.Table(peers.forget_s, now)
-        measure = self._codec.measure
-        self._roster = rosters.Roster(
-            self._view,
-            identity,
-            table,
-            gossips.Gossip(table, measure, _GOSSIP_OCTETS),
-            self._counts,
-            self._take_news,
-        )
-        self._channel = channels.Channel(
-            datagrams, self._codec, self._roster, self._counts
-        )
-        self._probes = probing.Probes(
-            self._interval_s,
-            self._channel,
-            self._roster,
-            self._pauses,
-            randomness,
-        )
-        self._doubts = doubting.Doubts(
-            peers.suspicion_s,
-            self._interval_s,
-            self._roster,
-            self._probes,
-            self._pauses,
-            nursery,
-        )
-        self._exchange = exchanges.Exchange(
-            2 * self._interval_s,
-            _EXCHANGE_INTERVAL_S,
-            self._channel,
-            self._roster,
-            measure,
-            randomness,
-        )
-        self._ring = rings.ProbeRing(self._roster, randomness)
-        self._contacts = contact_lists.Contacts(
-            self._settings,
-            self._roster,
-            self._platform_hosts,
-            now,
-            randomness,
-        )
-
-    def _take_news(self, host: ids.HostId, appeared: bool) -> None:
-        self._doubts.take_news(host)
-        if appeared:
-            self._ring.add(host)
-
-    async def _beat(self, nursery: trio.Nursery) -> None:
+        async with trio.open_nursery() as nursery:
+            parts = membership_parts.make_parts(
+                self._around, self._codec, datagrams, nursery
+            )
+            for hook in self._hooks:
+                parts.roster.identity.add_hook(hook)
+            self._parts = parts
+            self._nursery = nursery
+            receiver = receivers.Receiver(parts, self._around.counts, nursery)
+            nursery.start_soon(receiver.run)
+            nursery.start_soon(self._beat, parts)
+            self._started.set()
+            task_status.started(self._around.view.self_member.heartbeat_port)
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._nursery = None
+                await self._say_farewell(parts)
+
+    async def _beat(self, parts: membership_parts.Parts) -> None:
         while True:
-            self._check_pause()
-            host = self._ring.next()
+            self._start_anew_after_long_pause(parts)
+            host = parts.ring.next()
             if host is not None:
-                nursery.start_soon(self._probe, host)
-            for contact in self._contacts.take_due():
-                await self._probes.greet(contact.address, contact.host)
-            await self._exchange.begin_if_due()
-            self._roster.forget()
+                self.check(host)
+            for contact in parts.contacts.take_due():
+                await parts.probes.greet(contact.address, contact.host)
+            await parts.exchange.begin_if_due()
+            parts.roster.forget()
             await trio.sleep(self._interval_s)
 
-    def _check_pause(self) -> None:
+    def _start_anew_after_long_pause(
+        self, parts: membership_parts.Parts
+    ) -> None:
         """Drops what this host knew if it was away for too long.
 
-        Guards against reviving the dead: a process that was paused until
-        its peers have forgotten a death would tell them of a living host.
+        Guards against reviving the dead: a process that was paused until its
+        peers had forgotten a death would tell them of a living host. Peers
+        remember for twice as long, so one that was paused for less is told.
         """
-        self._pauses.check()
-        if self._pauses.longest_s > self._settings.peers.forget_s / 2:
-            logger.warning("Paused for too long; starting anew.")
-            self._roster.clear()
-            incarnation = self._roster.identity.record.incarnation
-            self._roster.identity.take_incarnation(incarnation)
-            self._roster.show_self()
+        parts.pauses.check()
+        forget_s = self._around.settings.peers.forget_s
+        if parts.pauses.longest_s > forget_s / 2:
+            logger.warning("Paused for too long; forgets all members.")
+            parts.roster.start_anew()
 
     async def _probe(self, host: ids.HostId) -> None:
-        record = self._roster.get(host)
+        parts = await self._get_parts()
+        record = parts.roster.get(host)
         if record is None:
             return
-        outcome = await self._probes.probe(host)
+        outcome = await parts.probes.probe(host)
         if outcome is probing.ProbeOutcome.SILENT:
-            self._roster.suspect(host, record.life)
-            self._doubts.begin(host)
-
-    async def _receive(self, nursery: trio.Nursery) -> None:
-        async for letter, source in self._channel.receive():
-            self._check_pause()
-            appeared = self._roster.hear(letter.sender, first_hand=True)
-            for rumor in letter.rumors:
-                self._roster.hear(rumor)
-            if appeared:
-                await self._welcome(letter.sender)
-            await self._handle(letter, source, nursery)
-
-    async def _welcome(self, sender: records.Record) -> None:
-        """Meets a host that is new here, or back: compares state at once."""
-        self._contacts.hurry()
-        member = self._view.get(sender.host)
-        if member is not None:
-            await self._exchange.begin(member)
-
-    async def _handle(
-        self,
-        letter: codecs.Letter,
-        source: tuple[str, int],
-        nursery: trio.Nursery,
-    ) -> None:
-        message = letter.message
-        if isinstance(message, messages.Ping):
-            await self._channel.send(
-                messages.Ack(message.sequence), source, about=letter.sender.host
-            )
-        elif isinstance(message, messages.Ack):
-            if message.subject is not None:
-                self._roster.hear(message.subject)
-            self._probes.take_answer(message, letter.sender)
-        elif isinstance(message, messages.PingRequest):
-            self._roster.hear(message.target)
-            nursery.start_soon(self._probes.relay, message, source)
-        elif isinstance(message, messages.Digest):
-            await self._exchange.answer(message, source)
-        elif isinstance(message, messages.State):
-            await self._exchange.take(message, source)
-        elif message is None:
-            self._counts.add("heartbeat_unknown_kinds_total")
+            parts.roster.suspect(host, record.life)
+            parts.doubts.begin(host)
+
+    async def _get_parts(self) -> membership_parts.Parts:
+        await self._started.wait()
+        assert self._parts is not None
+        return self._parts
 
     async def _say(self, claim: records.Claim) -> None:
-        if self._roster.identity.record.claim is claim:
+        parts = await self._get_parts()
+        if parts.roster.identity.record.claim is claim:
             return
-        self._roster.say(claim)
-        told = self._roster.pick(_SPREAD_TO, self._randomness)
+        parts.roster.say(claim)
+        told = self._choose_told(parts)
         async with trio.open_nursery() as nursery:
             for member in told:
-                nursery.start_soon(self._probes.probe, member.host)
-        if len(self._roster.live()) > len(told):
-            rounds = math.ceil(math.log2(len(self._roster.table)))
+                nursery.start_soon(parts.probes.probe, member.host)
+        others = len(parts.roster.live())
+        if others > len(told):
+            rounds = math.ceil(math.log2(others))
             await trio.sleep(rounds * self._interval_s)
 
-    async def _say_farewell(self) -> None:
-        """Spares the peers the time to find out that this host stopped."""
-        if self._roster.identity.record.claim is not records.Claim.LEAVING:
+    async def _say_farewell(self, parts: membership_parts.Parts) -> None:
+        if parts.roster.identity.record.claim is not records.Claim.LEAVING:
             return
-        self._roster.say(records.Claim.DEAD)
+        parts.roster.say(records.Claim.DEAD)
         with trio.CancelScope(shield=True):
-            for member in self._roster.pick(_SPREAD_TO, self._randomness):
+            for member in self._choose_told(parts):
                 address = (member.address, member.heartbeat_port)
-                await self._channel.send(messages.Farewell(), address)
-
+                await parts.channel.send(messages.Farewell(), address)
 
-def read_secret(peers: settings_entry.PeerSettings) -> bytes | None:
-    """Returns the secret of the heartbeats, None if they are open.
-
-    Raises:
-        SettingsError: The file can't be read or is empty.
-    """
-    path = peers.heartbeat_secret_file
-    if path is None:
-        return None
-    try:
-        secret = pathlib.Path(path).read_bytes().strip()
-    except OSError as error:
-        raise errors.SettingsError(
-            str(error), step="read heartbeat secret", peer=path
-        ) from error
-    if not secret:
-        raise errors.SettingsError(
-            "the file is empty", step="read heartbeat secret", peer=path
-        )
-    return secret
+    def _choose_told(
+        self, parts: membership_parts.Parts
+    ) -> list[members.Member]:
+        return parts.roster.pick(_TOLD_DIRECTLY, self._around.randomness)
