Wire an entry host together

Cause: the parts of a host exist one by one; nothing starts them.

Conclusion: the application starts them in the order in which they need each other and stops them in the order of a planned stop. It has not run yet.

--- /dev/null
+++ b/persimmonhinge/application.py
@@ -0,0 +1,247 @@
+"""The entry program: makes the parts of a host and runs them together."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import random
+import time
+
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.contracts import control as controls
+from persimmonhinge.contracts import drains as drain_stores
+from persimmonhinge.contracts import store as contract_stores
+from persimmonhinge.flows import chooser as choosers
+from persimmonhinge.flows import front as fronts
+from persimmonhinge.flows import home as homes
+from persimmonhinge.flows import router as routers
+from persimmonhinge.flows import tickets
+from persimmonhinge.flows.feeds import service as feed_parts
+from persimmonhinge.keys import store as key_stores
+from persimmonhinge.membership import member as members
+from persimmonhinge.membership import placement as placements
+from persimmonhinge.membership import service as memberships
+from persimmonhinge.membership import view as views
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.metrics import page
+from persimmonhinge.peers import streams
+from persimmonhinge.platform import client as platform_client
+from persimmonhinge.settings import entry as settings_entry
+from persimmonhinge.status import document
+from persimmonhinge.status import page as status_pages
+from persimmonhinge.upstreams import keeper as keepers
+
+logger = logging.getLogger(__name__)
+
+# A planned stop ends once no datagram has come for so long.
+_QUIET_S = 1.0
+_QUIET_CHECK_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """All parts of a host, in the order in which they are started."""
+
+    counts: host_counts.Counts
+    view: views.View
+    placement: placements.Placement
+    contracts: contract_stores.ContractStore
+    keys: key_stores.KeyStore
+    drains: drain_stores.DrainStore
+    network: streams.StreamNetwork
+    membership: memberships.Membership
+    control: controls.Control
+    chooser: choosers.UpstreamChooser
+    keepers: keepers.Keepers
+    feeds: feed_parts.Feeds
+    home: homes.Home
+    front: fronts.Front
+    router: routers.Router
+    pages: page.PageServer
+
+
+class EntryApplication:
+    """One entry host, from start to planned stop.
+
+    Attributes:
+        parts: The parts of the host.
+    """
+
+    def __init__(self, settings: settings_entry.EntrySettings) -> None:
+        self._settings = settings
+        self._stopping = trio.Event()
+        self.parts = make_parts(settings)
+
+    def stop(self) -> None:
+        """Begins a planned stop; a second call changes nothing."""
+        self._stopping.set()
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Runs the host until a planned stop has ended."""
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            task_status.started()
+            await self._stopping.wait()
+            await self._leave()
+            nursery.cancel_scope.cancel()
+        logger.info("Stopped.")
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        parts = self.parts
+        await nursery.start(parts.network.run)
+        await nursery.start(parts.membership.run)
+        await nursery.start(parts.control.run)
+        await nursery.start(parts.keepers.run)
+        await nursery.start(parts.feeds.run)
+        await nursery.start(parts.home.run)
+        nursery.start_soon(parts.chooser.run)
+        nursery.start_soon(parts.front.run, parts.router.receive)
+        await nursery.start(parts.pages.run)
+        nursery.start_soon(self._follow_drains)
+        logger.info("Started in domain %s.", self._settings.domain)
+
+    async def _leave(self) -> None:
+        logger.info("Planned stop begins.")
+        with trio.move_on_after(self._settings.stop_limit_s) as scope:
+            # Peers learn of it first, so that no new role comes here while
+            # the present ones are handed over.
+            await self.parts.membership.leave()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.parts.control.announce_leaving)
+                nursery.start_soon(self.parts.keepers.leave)
+                nursery.start_soon(self.parts.feeds.leave)
+                nursery.start_soon(self.parts.home.leave)
+            await self._wait_until_quiet()
+        if scope.cancelled_caught:
+            logger.warning(
+                "Planned stop reached its limit with %d requests left.",
+                self.parts.home.in_progress(),
+            )
+
+    async def _wait_until_quiet(self) -> None:
+        """Relays until the fabric has stopped sending packets here."""
+        name = "datagrams_received_total"
+        seen = self.parts.counts.sum(name)
+        quiet_since = trio.current_time()
+        while trio.current_time() - quiet_since < _QUIET_S:
+            await trio.sleep(_QUIET_CHECK_S)
+            now = self.parts.counts.sum(name)
+            if now != seen:
+                seen = now
+                quiet_since = trio.current_time()
+
+    async def _follow_drains(self) -> None:
+        """Leaves and returns as the operators ask."""
+        drained = False
+        while True:
+            version = self.parts.drains.changed.version
+            wanted = self.parts.drains.is_drained(self.parts.view.me)
+            if wanted and not drained:
+                logger.info("Operators drain this host.")
+                await self.parts.membership.leave()
+            if drained and not wanted:
+                logger.info("Operators take this host back.")
+                await self.parts.membership.rejoin()
+            drained = wanted
+            await self.parts.drains.changed.wait_beyond(version)
+
+
+def make_parts(settings: settings_entry.EntrySettings) -> Parts:
+    """Makes the parts of a host, not yet started."""
+    counts = host_counts.Counts()
+    randomness = random.Random()
+    view = views.View(make_self_member(settings))
+    placement = placements.Placement(view)
+    contracts = contract_stores.ContractStore()
+    keys = key_stores.KeyStore()
+    drains = drain_stores.DrainStore()
+    network = streams.StreamNetwork(settings, view, counts)
+    platform = platform_client.EtcdPlatform(settings.platform)
+    membership = memberships.Membership(settings, view, counts)
+    control = controls.Control(
+        settings,
+        view,
+        placement,
+        contracts,
+        keys,
+        drains,
+        network,
+        platform,
+        counts,
+    )
+    chooser = choosers.UpstreamChooser(
+        view, placement, contracts, network, randomness
+    )
+    keeper_part = keepers.Keepers(
+        settings, view, placement, contracts, network, counts
+    )
+    front = fronts.Front(settings, contracts, counts, randomness)
+    feeds = feed_parts.Feeds(
+        settings, view, placement, contracts, network, front, chooser, counts
+    )
+    home = homes.Home(
+        settings,
+        view,
+        placement,
+        contracts,
+        keys,
+        network,
+        front,
+        chooser,
+        feeds,
+        counts,
+    )
+    mint = tickets.TicketMint(settings, keys, view)
+    router = routers.Router(view, placement, mint, network, home, counts)
+    pages = page.PageServer(settings.metrics)
+    parts = Parts(
+        counts,
+        view,
+        placement,
+        contracts,
+        keys,
+        drains,
+        network,
+        membership,
+        control,
+        chooser,
+        keeper_part,
+        feeds,
+        home,
+        front,
+        router,
+        pages,
+    )
+    enter_pages(parts)
+    return parts
+
+
+def enter_pages(parts: Parts) -> None:
+    """Enters the status pages of a host."""
+    status = document.StatusDocument(
+        parts.view,
+        parts.placement,
+        parts.contracts,
+        parts.keys,
+        parts.chooser,
+        parts.counts,
+    )
+    status_pages.StatusPages(
+        parts.pages, status, parts.counts, parts.control.ready
+    )
+
+
+def make_self_member(settings: settings_entry.EntrySettings) -> members.Member:
+    """Returns this host as a member, with a new incarnation."""
+    return members.Member(
+        host=ids.HostId(settings.host),
+        domain=ids.DomainId(settings.domain),
+        address=settings.peers.address,
+        peer_port=settings.peers.port,
+        heartbeat_port=settings.peers.heartbeat_port,
+        incarnation=ids.Incarnation(time.time_ns() // 1_000_000),
+    )
--- /dev/null
+++ b/persimmonhinge/flows/router.py
@@ -0,0 +1,107 @@
+"""Finds the home of each datagram and hands or relays it there."""
+
+from __future__ import annotations
+
+import logging
+from typing import Protocol
+
+from persimmonhinge import errors
+from persimmonhinge import ids
+from persimmonhinge.coap import codec
+from persimmonhinge.flows import port
+from persimmonhinge.flows import tickets
+from persimmonhinge.membership import placement as placements
+from persimmonhinge.membership import view as views
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.peers import network as networks
+from persimmonhinge.peers.messages import relay
+
+logger = logging.getLogger(__name__)
+
+
+class Receiver(Protocol):
+    """The home, as the router sees it."""
+
+    def handle(self, flow: port.Flow, message: codec.Message) -> None:
+        """Takes a datagram whose home is this host."""
+
+
+class Router:
+    """Routes datagrams by their ticket, else by rendezvous hash."""
+
+    def __init__(
+        self,
+        view: views.View,
+        placement: placements.Placement,
+        mint: tickets.TicketMint,
+        network: networks.PeerNetwork,
+        home: Receiver,
+        counts: host_counts.Counts,
+    ) -> None:
+        self._view = view
+        self._placement = placement
+        self._mint = mint
+        self._network = network
+        self._home = home
+        self._counts = counts
+        network.handle(relay.Relay, self._take_relayed)
+
+    def receive(self, flow: port.Flow, data: bytes) -> None:
+        """Takes a datagram from the fabric."""
+        self._counts.add("datagrams_received_total")
+        message = self._decode(flow, data)
+        if message is None:
+            return
+        for host in self._list_homes(flow, message):
+            if host == self._view.me:
+                self._home.handle(flow, message)
+                return
+            if self._network.send(host, self._wrap(flow, data)):
+                self._counts.add("datagrams_relayed_total")
+                return
+            # That home can't be reached (dead, or cut off from here): the
+            # next in rank serves. Two homes for one flow are safe, since
+            # work that may run once is bound to its ticket.
+            self._counts.add("homes_passed_over_total")
+        self._home.handle(flow, message)
+
+    async def _take_relayed(
+        self, caller: networks.Caller, message: relay.Relay
+    ) -> None:
+        flow = port.Flow(
+            message.service, (message.caller_host, message.caller_port)
+        )
+        self._counts.add("datagrams_taken_from_peers_total")
+        decoded = self._decode(flow, message.data)
+        if decoded is not None:
+            # Never relayed again: with uneven views it could go in circles.
+            self._home.handle(flow, decoded)
+
+    def _decode(self, flow: port.Flow, data: bytes) -> codec.Message | None:
+        try:
+            return codec.decode(data, f"{flow.caller[0]}:{flow.caller[1]}")
+        except errors.MalformedDatagramError:
+            self._counts.add("datagrams_refused_total", cause="malformed")
+            return None
+
+    def _list_homes(
+        self, flow: port.Flow, message: codec.Message
+    ) -> list[ids.HostId]:
+        minted_by = self._find_mint(flow, message)
+        if minted_by is not None:
+            return [minted_by]
+        ranked = self._placement.rank_homes(flow.service, flow.caller)
+        return [member.host for member in ranked]
+
+    def _find_mint(
+        self, flow: port.Flow, message: codec.Message
+    ) -> ids.HostId | None:
+        echo = message.opt.echo
+        if echo is None:
+            return None
+        ref = self._mint.read_route(echo, flow)
+        member = self._view.find_ref(ref) if ref is not None else None
+        return member.host if member else None
+
+    def _wrap(self, flow: port.Flow, data: bytes) -> relay.Relay:
+        return relay.Relay(flow.service, *flow.caller, data)
