--- /dev/null
+++ b/persimmonhinge/policies/order.py
@@ -0,0 +1,134 @@
+"""In which order a keeper serves its queue: what the policies share."""
+
+from __future__ import annotations
+
+import abc
+import bisect
+from collections.abc import Iterator
+import dataclasses
+from typing import Any
+from typing import Protocol
+
+from persimmonhinge import ids
+from persimmonhinge import registry
+
+
+class Waiting(Protocol):
+    """Work that waits for a slot, as the policies see it.
+
+    Attributes:
+        call_class: Name of its call class.
+        priority: 0 goes first.
+        deadline: Time of its deadline, seconds.
+        sequence: Number of its arrival.
+        share: Part of the slots that is kept for its class.
+        cost_s: How long it will hold a slot, as far as is known, seconds.
+    """
+
+    @property
+    def call_class(self) -> ids.CallClassName: ...  # noqa: D102
+
+    @property
+    def priority(self) -> int: ...  # noqa: D102
+
+    @property
+    def deadline(self) -> float: ...  # noqa: D102
+
+    @property
+    def sequence(self) -> int: ...  # noqa: D102
+
+    @property
+    def share(self) -> float: ...  # noqa: D102
+
+    @property
+    def cost_s(self) -> float: ...  # noqa: D102
+
+
+SortKey = tuple[float, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class _Place:
+    key: SortKey
+    waiting: Any = dataclasses.field(compare=False)
+
+
+class Order(abc.ABC):
+    """A queue in the order of a policy.
+
+    Each call class has a sorted list of its own, so that a policy can look
+    at the first of each class; there are few classes and the lists are
+    short, because a contract limits its queue.
+    """
+
+    def __init__(self) -> None:
+        self._by_class: dict[ids.CallClassName, list[_Place]] = {}
+
+    def __len__(self) -> int:
+        return sum(len(places) for places in self._by_class.values())
+
+    def __iter__(self) -> Iterator[Waiting]:
+        for places in self._by_class.values():
+            for place in places:
+                yield place.waiting
+
+    @abc.abstractmethod
+    def sort_key(self, waiting: Waiting) -> SortKey:
+        """Returns what decides between two; the lesser goes first.
+
+        It is unique: it ends with the number of arrival.
+        """
+
+    def push(self, waiting: Waiting) -> None:
+        """Adds work."""
+        places = self._by_class.setdefault(waiting.call_class, [])
+        bisect.insort(places, _Place(self.sort_key(waiting), waiting))
+
+    def pop(self) -> Waiting:
+        """Removes and returns the work that goes next.
+
+        Raises:
+            IndexError: Nothing waits.
+        """
+        heads = [places[0] for places in self._by_class.values()]
+        if not heads:
+            raise IndexError("nothing waits")
+        chosen = self.choose([head.waiting for head in heads])
+        self.discard(chosen)
+        return chosen
+
+    def choose(self, heads: list[Waiting]) -> Waiting:
+        """Returns the one to go next of the first of each class."""
+        return min(heads, key=self.sort_key)
+
+    def discard(self, waiting: Waiting) -> None:
+        """Removes work; what does not wait here is passed over."""
+        places = self._by_class.get(waiting.call_class, [])
+        place = _Place(self.sort_key(waiting), waiting)
+        index = bisect.bisect_left(places, place)
+        if index == len(places) or places[index].waiting is not waiting:
+            return
+        del places[index]
+        if not places:
+            del self._by_class[waiting.call_class]
+
+    def list_ahead(self, waiting: Waiting) -> list[Waiting]:
+        """Returns the work that would go before new work."""
+        place = _Place(self.sort_key(waiting), waiting)
+        ahead: list[Waiting] = []
+        for places in self._by_class.values():
+            index = bisect.bisect_left(places, place)
+            ahead += [p.waiting for p in places[:index]]
+        return ahead
+
+    def count(self, call_class: ids.CallClassName) -> int:
+        """Returns how much work of a class waits."""
+        return len(self._by_class.get(call_class, ()))
+
+    def list_last(self) -> list[Waiting]:
+        """Returns the last of each class, the last of all first."""
+        tails = [places[-1] for places in self._by_class.values()]
+        return [place.waiting for place in sorted(tails, reverse=True)]
+
+
+orders: registry.Registry[type[Order]] = registry.Registry("order policy")
--- /dev/null
+++ b/persimmonhinge/upstreams/endpoint.py
@@ -0,0 +1,219 @@
+"""The CoAP message layer towards one upstream, on one socket."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import logging
+import random
+import secrets
+from typing import Protocol
+
+import aiocoap
+import trio
+
+from persimmonhinge import errors
+from persimmonhinge.coap import codec
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.upstreams import arrival
+from persimmonhinge.upstreams import listener as listeners
+from persimmonhinge.upstreams import message_ids
+
+logger = logging.getLogger(__name__)
+
+_TOKEN_OCTETS = 8
+_FINISHED_TOKENS = 4096
+
+
+class Sender(Protocol):
+    """What sent a message and waits for its acknowledgement."""
+
+    token: bytes
+
+    def acknowledge(self) -> None:
+        """Takes in an acknowledgement."""
+
+    def reset(self) -> None:
+        """Takes in a reset."""
+
+    def refuse(self) -> None:
+        """Takes in that ICMP refused the message."""
+
+
+class Endpoint:
+    """Matches what comes from an upstream to what was sent to it.
+
+    Answers are matched by token alone. Tokens are random, so that a late or
+    crossed answer, or one of a program that used the port before, meets no
+    other request.
+
+    Attributes:
+        heard_at: When the last datagram came.
+    """
+
+    def __init__(
+        self,
+        socket: arrival.UpstreamSocket,
+        peer: str,
+        may_send: Callable[[], bool],
+        counts: host_counts.Counts,
+        randomness: random.Random,
+    ) -> None:
+        self.heard_at = trio.current_time()
+        self.peer = peer
+        self._socket = socket
+        self._may_send = may_send
+        self._counts = counts
+        self._ids = message_ids.MessageIds(
+            randomness.getrandbits(16), trio.current_time
+        )
+        self._listeners: dict[bytes, listeners.Listener] = {}
+        self._senders: dict[int, Sender] = {}
+        self._finished: dict[bytes, None] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """True if nothing waits on any of its tokens."""
+        return not self._listeners
+
+    @property
+    def is_exhausted(self) -> bool:
+        """True if it has no message id left for the time being."""
+        return self._ids.is_exhausted()
+
+    async def run(self) -> None:
+        """Takes in datagrams until the endpoint is closed."""
+        while True:
+            try:
+                arrivals = await self._socket.receive()
+            except trio.ClosedResourceError:
+                return
+            for arrived in arrivals:
+                self._take_in(arrived)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._socket.close()
+
+    def send(self, message: codec.Message) -> bool:
+        """Sends a message; its type, id and token are set.
+
+        Guards against a packet for one service that reaches another: an
+        address may move to another service while a request to it is still
+        sent again. Each datagram asks anew whether the address is still
+        that of the service.
+
+        Returns:
+            False if it may not be sent.
+        """
+        if not self._may_send():
+            self._counts.add("upstream_datagrams_withheld_total")
+            return False
+        self._socket.send(codec.encode(message))
+        return True
+
+    def next_message_id(self) -> int:
+        """Returns a message id that was not used lately."""
+        return self._ids.next()
+
+    def make_token(self) -> bytes:
+        """Returns a token that was never used."""
+        return secrets.token_bytes(_TOKEN_OCTETS)
+
+    @contextlib.contextmanager
+    def listen(
+        self, token: bytes, listener: listeners.Listener
+    ) -> Iterator[None]:
+        """Gives a listener the answers on a token while inside."""
+        self._listeners[token] = listener
+        try:
+            yield
+        finally:
+            del self._listeners[token]
+            self._remember_finished(token)
+
+    @contextlib.contextmanager
+    def await_acknowledgement(
+        self, message_id: int, sender: Sender
+    ) -> Iterator[None]:
+        """Gives a sender the acknowledgement of its message while inside."""
+        self._senders[message_id] = sender
+        try:
+            yield
+        finally:
+            if self._senders.get(message_id) is sender:
+                del self._senders[message_id]
+
+    def _take_in(self, arrived: arrival.Arrival) -> None:
+        if arrived.refused:
+            self._take_in_refusal(arrived.data)
+            return
+        try:
+            message = codec.decode(arrived.data, self.peer)
+        except errors.MalformedDatagramError as error:
+            self._counts.add("upstream_datagrams_malformed_total")
+            logger.debug("Malformed datagram: %s.", error)
+            return
+        self.heard_at = trio.current_time()
+        if message.mtype in (aiocoap.ACK, aiocoap.RST):
+            self._take_in_reply(message)
+        else:
+            self._take_in_message(message)
+
+    def _take_in_refusal(self, data: bytes) -> None:
+        # Routers may quote too little to tell which datagram it was.
+        if len(data) < 4:
+            return
+        sender = self._senders.get(int.from_bytes(data[2:4], "big"))
+        if sender is not None:
+            self._counts.add("upstream_datagrams_refused_total")
+            sender.refuse()
+
+    def _take_in_reply(self, message: codec.Message) -> None:
+        sender = self._senders.get(message.mid)
+        if sender is None:
+            self._counts.add("upstream_replies_unmatched_total")
+            return
+        if message.mtype is aiocoap.RST:
+            sender.reset()
+            return
+        if message.code == aiocoap.EMPTY:
+            sender.acknowledge()
+            return
+        if message.token != sender.token:
+            self._counts.add("upstream_replies_unmatched_total")
+            return
+        sender.acknowledge()
+        listener = self._listeners.get(message.token)
+        if listener is not None:
+            listener.receive(message)
+
+    def _take_in_message(self, message: codec.Message) -> None:
+        accepted = False
+        if message.code.is_response():
+            accepted = self._offer(message)
+        if message.mtype is aiocoap.CON or not accepted:
+            kind = aiocoap.ACK if accepted else aiocoap.RST
+            self._send_empty(kind, message.mid)
+
+    def _offer(self, message: codec.Message) -> bool:
+        listener = self._listeners.get(message.token)
+        if listener is not None:
+            return listener.receive(message)
+        if message.token in self._finished:
+            # The acknowledgement was lost, so the answer came once more.
+            return True
+        self._counts.add("upstream_answers_unmatched_total")
+        return False
+
+    def _send_empty(self, kind: aiocoap.Type, message_id: int) -> None:
+        message = codec.Message(code=aiocoap.EMPTY)
+        message.mtype = kind
+        message.mid = message_id
+        self.send(message)
+
+    def _remember_finished(self, token: bytes) -> None:
+        self._finished[token] = None
+        if len(self._finished) > _FINISHED_TOKENS:
+            del self._finished[next(iter(self._finished))]
--- /dev/null
+++ b/persimmonhinge/upstreams/endpoints.py
@@ -0,0 +1,88 @@
+"""The sockets towards one upstream: one in use, and those it replaced."""
+
+from __future__ import annotations
+
+import logging
+
+from persimmonhinge import ids
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.upstreams import context as contexts
+from persimmonhinge.upstreams import endpoint as endpoint_parts
+
+logger = logging.getLogger(__name__)
+
+
+class Endpoints:
+    """Opens a new socket when the present one is of no use for new work.
+
+    A socket is replaced when its message ids have come round, and when
+    nothing comes back on it any more: what tracks flows on the way may have
+    lost this one while a new one works. What still waits on the former
+    socket stays there.
+    """
+
+    def __init__(
+        self,
+        context: contexts.KeeperContext,
+        service: ids.ServiceName,
+        address: contracts.Address,
+    ) -> None:
+        self._context = context
+        self._service = service
+        self._address = address
+        self._current: endpoint_parts.Endpoint | None = None
+        self._former: list[endpoint_parts.Endpoint] = []
+
+    def get(self) -> endpoint_parts.Endpoint:
+        """Returns the socket for new work."""
+        current = self._current
+        if current is not None and not current.is_exhausted:
+            return current
+        if current is not None:
+            self._retire(current)
+        self._current = self._open()
+        return self._current
+
+    def report_silence(
+        self, endpoint: endpoint_parts.Endpoint, since: float
+    ) -> None:
+        """Takes in that a request got no sign; replaces a dead socket."""
+        if endpoint is self._current and endpoint.heard_at < since:
+            logger.info("Nothing comes from %s; new socket.", self._address)
+            self._context.counts.add("upstream_sockets_replaced_total")
+            self._retire(endpoint)
+            self._current = None
+
+    def close_idle(self) -> None:
+        """Closes former sockets on which nothing waits any more."""
+        for endpoint in [e for e in self._former if e.is_idle]:
+            self._former.remove(endpoint)
+            endpoint.close()
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        if self._current is not None:
+            self._former.append(self._current)
+            self._current = None
+        for endpoint in self._former:
+            endpoint.close()
+        self._former.clear()
+
+    def _open(self) -> endpoint_parts.Endpoint:
+        endpoint = endpoint_parts.Endpoint(
+            self._context.open_socket(self._address),
+            str(self._address),
+            self._may_send,
+            self._context.counts,
+            self._context.randomness,
+        )
+        self._context.nursery.start_soon(endpoint.run)
+        return endpoint
+
+    def _retire(self, endpoint: endpoint_parts.Endpoint) -> None:
+        self._former.append(endpoint)
+        self.close_idle()
+
+    def _may_send(self) -> bool:
+        owner = self._context.contracts.owner_of(self._address)
+        return owner in (None, self._service)
--- /dev/null
+++ b/persimmonhinge/upstreams/exchange.py
@@ -0,0 +1,190 @@
+"""One confirmable request and the answer to it."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import enum
+import random
+
+import aiocoap
+import trio
+
+from persimmonhinge.coap import codec
+from persimmonhinge.upstreams import endpoint as endpoints
+from persimmonhinge.upstreams import transmission as transmissions
+
+
+class ExchangeEnd(enum.Enum):
+    """How an exchange ended.
+
+    ANSWERED: The upstream answered.
+    REFUSED: The only transmission was reset or refused by ICMP; it surely
+        was not taken in.
+    UNSENT: Nothing was sent.
+    SILENT: Whether it was taken in can't be told.
+    """
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    UNSENT = "unsent"
+    SILENT = "silent"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExchangeResult:
+    """The end of an exchange.
+
+    Attributes:
+        end: How it ended.
+        answer: The answer; None unless the end is ANSWERED.
+    """
+
+    end: ExchangeEnd
+    answer: codec.Message | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitLimits:
+    """How long an exchange may last.
+
+    Attributes:
+        silence_s: Limit without any sign of the upstream, seconds; an
+            acknowledgement is a sign and starts it once more.
+        until: Time up to which an acknowledged request is waited for even
+            if it takes longer.
+    """
+
+    silence_s: float
+    until: float = 0.0
+
+
+class Exchange:
+    """Sends a request until it is acknowledged and waits for its answer.
+
+    Attributes:
+        token: The token of the request.
+    """
+
+    def __init__(
+        self,
+        endpoint: endpoints.Endpoint,
+        request: codec.Message,
+        timers: transmissions.Transmission,
+        randomness: random.Random,
+        token: bytes | None = None,
+    ) -> None:
+        """Makes an exchange.
+
+        Args:
+            endpoint: Where it takes place.
+            request: The request; type, message id and token are set here.
+            timers: Timers of retransmission.
+            randomness: Draws the first wait.
+            token: Token on which someone else listens, who then hands the
+                answers on to `receive`; None for a new one.
+        """
+        self.token = token or endpoint.make_token()
+        self._listens = token is None
+        self._endpoint = endpoint
+        self._timers = timers
+        self._randomness = randomness
+        self._request = request
+        self._sign = trio.Event()
+        self._done = trio.Event()
+        self._transmitted = 0
+        self._acknowledged_at: float | None = None
+        self._refused = False
+        self._abandoned = False
+        self._answer: codec.Message | None = None
+
+    def abandon(self) -> None:
+        """Stops sending; an answer that still comes is reset.
+
+        The exchange goes on until the answer or its limit, because the
+        upstream may be working on the request.
+        """
+        self._abandoned = True
+
+    def receive(self, answer: codec.Message) -> bool:
+        """Takes the answer; see `listener.Listener`."""
+        if self._answer is None:
+            self._answer = answer
+        self._sign.set()
+        self._done.set()
+        return not self._abandoned
+
+    def acknowledge(self) -> None:
+        """Takes in an acknowledgement."""
+        if self._acknowledged_at is None:
+            self._acknowledged_at = trio.current_time()
+        self._sign.set()
+
+    def reset(self) -> None:
+        """Takes in that the upstream reset the request."""
+        self._end_refused()
+
+    def refuse(self) -> None:
+        """Takes in that ICMP refused a transmission."""
+        self._end_refused()
+
+    async def run(self, limits: WaitLimits) -> ExchangeResult:
+        """Runs the exchange to its end."""
+        message = self._request
+        message.mtype = aiocoap.CON
+        message.mid = self._endpoint.next_message_id()
+        message.token = self.token
+        with contextlib.ExitStack() as stack:
+            if self._listens:
+                stack.enter_context(self._endpoint.listen(self.token, self))
+            stack.enter_context(
+                self._endpoint.await_acknowledgement(message.mid, self)
+            )
+            with trio.move_on_after(limits.silence_s):
+                await self._transmit(message)
+            await self._wait_answer(limits)
+        return self._make_result()
+
+    async def _transmit(self, message: codec.Message) -> None:
+        timeout_s = self._randomness.uniform(
+            self._timers.ack_timeout_s,
+            self._timers.ack_timeout_s * self._timers.ack_random_factor,
+        )
+        for _ in range(self._timers.max_retransmit + 1):
+            if self._abandoned:
+                break
+            if not self._endpoint.send(message):
+                break
+            self._transmitted += 1
+            with trio.move_on_after(timeout_s):
+                await self._sign.wait()
+                return
+            timeout_s *= 2
+        if self._transmitted:
+            await self._sign.wait()
+
+    async def _wait_answer(self, limits: WaitLimits) -> None:
+        if self._acknowledged_at is None:
+            return
+        until = max(self._acknowledged_at + limits.silence_s, limits.until)
+        with trio.move_on_at(until):
+            await self._done.wait()
+
+    def _end_refused(self) -> None:
+        # Guards against taking a request for refused that did run: the
+        # first transmission may have been taken in, and a later one met
+        # the restarted program. It shows as a reset or an ICMP error after
+        # a retransmission or an acknowledgement. Only the refusal of the
+        # one and only transmission tells that nothing was taken in.
+        self._refused = self._transmitted == 1 and self._acknowledged_at is None
+        self._sign.set()
+        self._done.set()
+
+    def _make_result(self) -> ExchangeResult:
+        if self._answer is not None:
+            return ExchangeResult(ExchangeEnd.ANSWERED, self._answer)
+        if self._transmitted == 0:
+            return ExchangeResult(ExchangeEnd.UNSENT)
+        if self._refused:
+            return ExchangeResult(ExchangeEnd.REFUSED)
+        return ExchangeResult(ExchangeEnd.SILENT)
--- /dev/null
+++ b/persimmonhinge/upstreams/keeper.py
@@ -0,0 +1,163 @@
+"""The keeper of upstreams: all of its parts, and the messages they serve."""
+
+from __future__ import annotations
+
+import functools
+import logging
+import random
+
+import msgspec
+import trio
+
+from persimmonhinge import changes
+from persimmonhinge import ids
+from persimmonhinge.contracts import store as stores
+from persimmonhinge.membership import placement as placements
+from persimmonhinge.membership import view as views
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.peers import network as networks
+from persimmonhinge.peers.messages import work
+from persimmonhinge.settings import entry as settings_entry
+from persimmonhinge.upstreams import arrival
+from persimmonhinge.upstreams import context as contexts
+from persimmonhinge.upstreams import dispatching as dispatching_parts
+from persimmonhinge.upstreams import executed as executed_tables
+from persimmonhinge.upstreams import recovering as recovering_parts
+from persimmonhinge.upstreams import roles as role_parts
+from persimmonhinge.upstreams import transmission as transmissions
+from persimmonhinge.upstreams import udp
+from persimmonhinge.upstreams import upstreams as upstream_sets
+from persimmonhinge.upstreams import uptimes as home_uptimes
+
+logger = logging.getLogger(__name__)
+
+# Views and contracts change in bursts; one look at all upstreams serves
+# the whole burst.
+_BURST_S = 0.05
+_FORGET_INTERVAL_S = 1.0
+_QUEUE_CHECK_S = 0.05
+
+
+class Keepers:
+    """Runs requests and feeds at the upstreams that this host keeps."""
+
+    def __init__(
+        self,
+        settings: settings_entry.EntrySettings,
+        view: views.View,
+        placement: placements.Placement,
+        contracts: stores.ContractStore,
+        network: networks.PeerNetwork,
+        counts: host_counts.Counts,
+        open_socket: arrival.SocketOpener | None = None,
+        timers: transmissions.Transmission | None = None,
+    ) -> None:
+        """Makes the keeper of a host.
+
+        Args:
+            settings: Settings of the host.
+            view: Its view of the members.
+            placement: Where roles are placed.
+            contracts: The contracts that it knows.
+            network: Calls to other hosts.
+            counts: Its counters.
+            open_socket: Opens a socket towards an upstream; UDP if None.
+            timers: Timers of retransmission; those of RFC 7252 if None.
+        """
+        self._view = view
+        self._contracts = contracts
+        self._network = network
+        self._counts = counts
+        self._open_socket = open_socket or functools.partial(
+            udp.UdpSocket, settings.upstream_address, counts=counts
+        )
+        self._timers = timers or transmissions.Transmission()
+        self._roles = role_parts.Roles(view, placement, contracts)
+        self._executed = executed_tables.ExecutedTable(
+            home_uptimes.Uptimes(trio.current_time)
+        )
+        self._upstreams: upstream_sets.KeptUpstreams | None = None
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serves homes until it is cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._upstreams = self._make_upstreams(nursery)
+            self._register(self._upstreams)
+            self._upstreams.refresh()
+            nursery.start_soon(self._follow_changes, self._view.changed)
+            nursery.start_soon(self._follow_changes, self._contracts.changed)
+            nursery.start_soon(self._sweep)
+            task_status.started()
+
+    async def leave(self) -> None:
+        """Hands over what this host keeps and ends what runs.
+
+        To be called once this host's own view says that it leaves.
+        """
+
+    def loads(self) -> list[work.UpstreamLoad]:
+        """Returns the state of all upstreams kept, as `service/upstream`."""
+        if self._upstreams is None:
+            return []
+        return [
+            _name_fully(kept.target.key, kept.read_load())
+            for kept in self._upstreams.list_kept()
+        ]
+
+    def _make_upstreams(
+        self, nursery: trio.Nursery
+    ) -> upstream_sets.KeptUpstreams:
+        me = self._view.self_member
+        context = contexts.KeeperContext(
+            self._contracts,
+            self._counts,
+            random.Random(f"{me.host}/{me.incarnation}"),
+            self._open_socket,
+            self._timers,
+            nursery,
+        )
+        return upstream_sets.KeptUpstreams(context, self._roles)
+
+    def _register(self, upstreams: upstream_sets.KeptUpstreams) -> None:
+        dispatching = dispatching_parts.Dispatching(
+            self._roles, upstreams, self._executed, self._counts
+        )
+        recovering = recovering_parts.Recovering(
+            self._view, self._executed, self._counts
+        )
+        self._network.handle(work.Dispatch, dispatching.handle)
+        self._network.handle(work.Recover, recovering.handle)
+        self._network.handle(work.LoadQuery, self._report_loads)
+
+    async def _report_loads(
+        self, caller: networks.Caller, query: work.LoadQuery
+    ) -> work.LoadReport:
+        return work.LoadReport(tuple(self.loads()))
+
+    async def _follow_changes(self, changed: changes.ChangeSignal) -> None:
+        version = changed.version
+        while True:
+            version = await changed.wait_beyond(version)
+            assert self._upstreams is not None
+            self._upstreams.refresh()
+            await trio.sleep(_BURST_S)
+
+    async def _sweep(self) -> None:
+        """Does what only time brings about."""
+        assert self._upstreams is not None
+        forget_at = trio.current_time()
+        while True:
+            await trio.sleep(_QUEUE_CHECK_S)
+            for kept in self._upstreams.list_all():
+                kept.slots.fill()
+            if trio.current_time() >= forget_at:
+                self._executed.forget_all_expired()
+                forget_at = trio.current_time() + _FORGET_INTERVAL_S
+
+
+def _name_fully(
+    key: ids.UpstreamId, load: work.UpstreamLoad
+) -> work.UpstreamLoad:
+    return msgspec.structs.replace(load, upstream=key)
--- /dev/null
+++ b/persimmonhinge/upstreams/message_ids.py
@@ -0,0 +1,44 @@
+"""Message ids of one socket."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from persimmonhinge.upstreams import transmission
+
+_IDS = 1 << 16
+_CHUNK = 1 << 8
+
+
+class MessageIds:
+    """Counts message ids up and knows when they would come round too soon.
+
+    Guards against a request that an upstream takes for the retransmission
+    of an older one: it would be answered with the older answer and not run.
+    RFC 7252 section 4.4 forbids to reuse an id within the lifetime of an
+    exchange. Times are kept for each chunk of 256 ids, not for each id.
+    """
+
+    def __init__(self, first: int, clock: Callable[[], float]) -> None:
+        self._next = first % _IDS
+        self._clock = clock
+        self._left_at: dict[int, float] = {}
+
+    def next(self) -> int:
+        """Returns the next id."""
+        message_id = self._next
+        self._next = (message_id + 1) % _IDS
+        if self._next % _CHUNK == 0:
+            self._left_at[message_id // _CHUNK] = self._clock()
+        return message_id
+
+    def is_exhausted(self) -> bool:
+        """Tells whether the next id was used within its lifetime.
+
+        The chunk that is begun was left for the last time when its last id
+        was used, so its time is a bound for all of its ids.
+        """
+        left_at = self._left_at.get(self._next // _CHUNK)
+        if left_at is None or self._next % _CHUNK != 0:
+            return False
+        return self._clock() - left_at < transmission.EXCHANGE_LIFETIME_S
--- /dev/null
+++ b/persimmonhinge/upstreams/roles.py
@@ -0,0 +1,82 @@
+"""Which upstreams this host keeps, and what their contracts say."""
+
+from __future__ import annotations
+
+from persimmonhinge import ids
+from persimmonhinge.contracts import store as stores
+from persimmonhinge.membership import member as members
+from persimmonhinge.membership import placement as placements
+from persimmonhinge.membership import view as views
+from persimmonhinge.upstreams import target as targets
+
+
+class Roles:
+    """Answers from this host's own view and its newest contracts.
+
+    The keeper of each upstream is worked out once for each change of the
+    view, not for each request.
+    """
+
+    def __init__(
+        self,
+        view: views.View,
+        placement: placements.Placement,
+        contracts: stores.ContractStore,
+    ) -> None:
+        self._view = view
+        self._placement = placement
+        self._contracts = contracts
+        self._version = -1
+        self._keepers: dict[
+            tuple[ids.UpstreamId, str], members.Member | None
+        ] = {}
+
+    def find_target(
+        self,
+        service: ids.ServiceName,
+        revision: ids.Revision,
+        upstream: ids.UpstreamId,
+    ) -> targets.Target | None:
+        """Returns an upstream that a home has routed to.
+
+        Guards against a packet for one service that reaches another: hosts
+        may hold different revisions, and an address may have moved between
+        services. Only the newest contract of this host says where an
+        upstream is, and its address must belong to just this service.
+
+        Returns:
+            None if the home's contract is newer, or the upstream is not one
+            of the service.
+        """
+        entry = self._contracts.get(service)
+        if entry is None or entry.revision < revision:
+            return None
+        found = entry.contract.get_upstream(upstream)
+        if found is None:
+            return None
+        if not self._contracts.may_give_work(service, found.address):
+            return None
+        return targets.Target(entry, found)
+
+    def find_keeper(self, target: targets.Target) -> members.Member | None:
+        """Returns the host that keeps an upstream."""
+        if self._version != self._view.changed.version:
+            self._version = self._view.changed.version
+            self._keepers.clear()
+        place = (target.key, target.upstream.domain)
+        if place not in self._keepers:
+            self._keepers[place] = self._placement.find_keeper(*place)
+        return self._keepers[place]
+
+    def keeps(self, target: targets.Target) -> bool:
+        """Tells whether this host keeps an upstream."""
+        keeper = self.find_keeper(target)
+        return keeper is not None and keeper.host == self._view.me
+
+    def list_targets(self) -> list[targets.Target]:
+        """Returns all upstreams of all contracts."""
+        return [
+            targets.Target(entry, upstream)
+            for entry in self._contracts.entries()
+            for upstream in entry.contract.upstreams
+        ]
--- /dev/null
+++ b/persimmonhinge/upstreams/slots.py
@@ -0,0 +1,233 @@
+"""The slots of one upstream and the queue in front of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import functools
+import math
+import random
+
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.peers.messages import work
+from persimmonhinge.policies import admission as admissions
+from persimmonhinge.policies import order as orders
+from persimmonhinge.upstreams import costs as run_costs
+from persimmonhinge.upstreams import job as jobs
+from persimmonhinge.upstreams import slow_start as slow_starts
+from persimmonhinge.upstreams import target as targets
+
+# What must be left for a class when others are guaranteed a share.
+_LEAST_PART = 0.1
+
+
+class Slots:
+    """Gives jobs to an upstream, never more at a time than it has slots.
+
+    Attributes:
+        running: Jobs at the upstream, cancelled ones included.
+        costs: How long jobs run.
+    """
+
+    def __init__(
+        self,
+        target: targets.Target,
+        slow_start: slow_starts.SlowStart,
+        start: Callable[[jobs.Job], None],
+        randomness: random.Random,
+    ) -> None:
+        """Makes the slots of an upstream.
+
+        Args:
+            target: The upstream.
+            slow_start: Withholds slots of a cold upstream.
+            start: Starts a job at the upstream.
+            randomness: Spreads the returns of refused callers.
+        """
+        self.running: set[jobs.Job] = set()
+        self.costs = run_costs.Costs()
+        self._target = target
+        self._slow_start = slow_start
+        self._start = start
+        self._randomness = randomness
+        self._queue = _make_order(target)
+        self._handed_busy: dict[ids.HostRef, tuple[int, float]] = {}
+
+    @property
+    def queued(self) -> int:
+        """Jobs that wait."""
+        return len(self._queue)
+
+    @property
+    def busy(self) -> int:
+        """Requests at the upstream, those of a former keeper included."""
+        now = trio.current_time()
+        handed = sum(
+            count
+            for count, expires_at in self._handed_busy.values()
+            if expires_at > now
+        )
+        return len(self.running) + handed
+
+    def count_usable(self) -> int:
+        """Returns the slots that may be used now, at least 1."""
+        return self._slow_start.count_slots(
+            self._target.upstream.slots,
+            self._target.limits.slow_start_s,
+            trio.current_time(),
+        )
+
+    def update(self, target: targets.Target) -> None:
+        """Takes in a new contract."""
+        former = self._target.entry.contract.policies.order
+        self._target = target
+        if target.entry.contract.policies.order != former:
+            waiting = list(self._queue)
+            self._queue = _make_order(target)
+            for job in waiting:
+                self._queue.push(job)
+        self.fill()
+
+    def submit(self, job: jobs.Job) -> None:
+        """Takes a job in, or finishes it at once as not run."""
+        job.cost_s = self.costs.estimate(job.call_class)
+        pressure = self._measure(job)
+        if not self._admit(job, pressure):
+            retry_s = admissions.spread_retry_s(pressure, self._randomness)
+            job.finish(_refuse("overloaded", retry_s))
+            return
+        job.withdraw = functools.partial(self._withdraw, job)
+        self._queue.push(job)
+        self.fill()
+
+    def refuse_all(self, outcome: work.Dispatched) -> None:
+        """Finishes all jobs that wait with one outcome."""
+        for job in list(self._queue):
+            assert isinstance(job, jobs.Job)
+            self._queue.discard(job)
+            job.finish(outcome)
+
+    def release(self, job: jobs.Job) -> None:
+        """Takes in that a job has left the upstream."""
+        self.running.discard(job)
+        self.fill()
+
+    def hand_busy(
+        self, former: ids.HostRef, count: int, expires_at: float
+    ) -> None:
+        """Sets how many requests of a former keeper still run.
+
+        Guards against more requests at the upstream than it has slots when
+        the role of keeper moves: the former keeper's requests still run
+        there. They count until it says that they ended, or until
+        `expires_at` in case it can't say so any more.
+        """
+        if count <= 0:
+            self._handed_busy.pop(former, None)
+        else:
+            self._handed_busy[former] = (count, expires_at)
+        self.fill()
+
+    def fill(self) -> None:
+        """Starts jobs while slots are free."""
+        while len(self._queue) and self.busy < self.count_usable():
+            job = self._queue.pop()
+            assert isinstance(job, jobs.Job)
+            if job.deadline <= trio.current_time():
+                job.finish(_refuse("deadline passed in the queue", 0))
+                continue
+            job.state = jobs.JobState.RUNNING
+            self.running.add(job)
+            self._start(job)
+
+    def find_next_change(self) -> float | None:
+        """Returns when a slot comes free by time alone, None if none does."""
+        now = trio.current_time()
+        times = [at for _, at in self._handed_busy.values() if at > now]
+        warmer_at = self._slow_start.find_next_change(
+            self._target.upstream.slots, self._target.limits.slow_start_s, now
+        )
+        if warmer_at is not None:
+            times.append(warmer_at)
+        return min(times, default=None)
+
+    def _withdraw(self, job: jobs.Job) -> bool:
+        if job.state is not jobs.JobState.WAITING:
+            return False
+        self._queue.discard(job)
+        job.finish(_refuse("dropped from the queue", 0))
+        return True
+
+    def _admit(self, job: jobs.Job, pressure: admissions.Pressure) -> bool:
+        policies = self._target.entry.contract.policies
+        policy = admissions.admissions.get(policies.admission)()
+        if not policy.admits(pressure):
+            return False
+        if pressure.free_slots > 0 and not len(self._queue):
+            return True
+        if len(self._queue) < self._target.limits.queue:
+            return True
+        return self._make_room(job, pressure)
+
+    def _make_room(self, job: jobs.Job, pressure: admissions.Pressure) -> bool:
+        """Gives the place of less urgent work to a job, if there is any.
+
+        A class with a share keeps that part of the places, so that it
+        always has something waiting to which its slots can go.
+        """
+        for last in self._queue.list_last():
+            assert isinstance(last, jobs.Job)
+            if self._queue.sort_key(last) < self._queue.sort_key(job):
+                return False
+            kept = math.ceil(last.share * self._target.limits.queue)
+            if self._queue.count(last.call_class) <= kept:
+                continue
+            self._queue.discard(last)
+            retry_s = admissions.spread_retry_s(pressure, self._randomness)
+            last.finish(_refuse("gave way to more urgent work", retry_s))
+            return True
+        return False
+
+    def _measure(self, job: jobs.Job) -> admissions.Pressure:
+        usable = self.count_usable()
+        busy = self.busy
+        running_s = sum(running.cost_s for running in self.running) / 2
+        return admissions.Pressure(
+            slots=usable,
+            free_slots=max(0, usable - busy),
+            left_s=job.deadline - trio.current_time(),
+            cost_s=job.cost_s,
+            running_s=running_s,
+            ahead_s=self._measure_ahead(job),
+            queued_s=sum(waiting.cost_s for waiting in self._queue),
+        )
+
+    def _measure_ahead(self, job: jobs.Job) -> float:
+        ahead = self._queue.list_ahead(job)
+        ahead_s = sum(waiting.cost_s for waiting in ahead)
+        shares = {
+            waiting.call_class: waiting.share
+            for waiting in self._queue
+            if waiting.call_class != job.call_class
+            and waiting.priority > job.priority
+        }
+        ahead_s /= max(_LEAST_PART, 1 - sum(shares.values()))
+        if job.share <= 0:
+            return ahead_s
+        own_s = sum(
+            waiting.cost_s
+            for waiting in ahead
+            if waiting.call_class == job.call_class
+        )
+        return min(ahead_s, (own_s + job.cost_s) / job.share)
+
+
+def _make_order(target: targets.Target) -> orders.Order:
+    return orders.orders.get(target.entry.contract.policies.order)()
+
+
+def _refuse(reason: str, retry_after_s: int) -> work.Dispatched:
+    return work.Dispatched(
+        work.Outcome.NOT_RUN, retry_after_s=retry_after_s, reason=reason
+    )
--- /dev/null
+++ b/persimmonhinge/upstreams/transfer.py
@@ -0,0 +1,261 @@
+"""A whole request and its whole answer, in blocks where they are large."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import random
+
+import aiocoap
+from aiocoap import optiontypes
+import trio
+
+from persimmonhinge.coap import codec
+from persimmonhinge.upstreams import endpoint as endpoints
+from persimmonhinge.upstreams import exchange as exchanges
+from persimmonhinge.upstreams import transmission as transmissions
+
+# Block size is 2 ** (exponent + 4) octets, RFC 7959 section 2.2.
+_LARGEST_EXPONENT = 6
+_MOST_ANSWER_OCTETS = 4_194_304
+_MOST_DOWNLOADS = 3
+# Max-Age of RFC 7252 section 5.10.5, if an answer has none.
+_DEFAULT_MAX_AGE_S = 60
+_SHED_CODES = (aiocoap.SERVICE_UNAVAILABLE, aiocoap.TOO_MANY_REQUESTS)
+
+BlockOption = optiontypes.BlockOption.BlockwiseTuple
+
+
+class TransferEnd(enum.Enum):
+    """How a transfer ended.
+
+    ANSWERED: The whole answer is there.
+    SHED: The upstream refused the request; it did not run.
+    NOT_RUN: The request did not reach the upstream as a whole.
+    UNKNOWN: It may have run.
+    """
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransferResult:
+    """The end of a transfer.
+
+    Attributes:
+        end: How it ended.
+        answer: The whole answer for ANSWERED, the refusal for SHED.
+        reason: Why it did not end with an answer, for people.
+    """
+
+    end: TransferEnd
+    answer: codec.Message | None = None
+    reason: str = ""
+
+    @property
+    def retry_after_s(self) -> int:
+        """Max-Age of the refusal, seconds; 0 without one."""
+        if self.end is not TransferEnd.SHED or self.answer is None:
+            return 0
+        max_age = self.answer.opt.max_age
+        return _DEFAULT_MAX_AGE_S if max_age is None else int(max_age)
+
+
+class Transfer:
+    """Runs one request at an upstream.
+
+    A body that fits no datagram goes up in blocks, tied together by a
+    Request-Tag (RFC 9175), because several uploads to one resource may be
+    under way from the same socket. A large answer comes down in blocks of
+    one ETag.
+    """
+
+    def __init__(
+        self,
+        endpoint: endpoints.Endpoint,
+        request: codec.Message,
+        deadline: float,
+        silence_s: float,
+        timers: transmissions.Transmission,
+        randomness: random.Random,
+    ) -> None:
+        """Makes a transfer.
+
+        Args:
+            endpoint: Where it takes place.
+            request: Code, options and whole body.
+            deadline: Time of the caller's deadline.
+            silence_s: Limit without a sign of the upstream, seconds.
+            timers: Timers of retransmission.
+            randomness: Draws the waits.
+        """
+        self._endpoint = endpoint
+        self._request = request
+        self._deadline = deadline
+        self._limits = exchanges.WaitLimits(silence_s, deadline)
+        self._timers = timers
+        self._randomness = randomness
+        self._exchange: exchanges.Exchange | None = None
+        self._abandoned = False
+        # The body was sent to its end, so that the upstream may run it.
+        self._may_run = False
+
+    def abandon(self) -> None:
+        """Stops as soon as the present exchange has ended."""
+        self._abandoned = True
+        if self._exchange is not None:
+            self._exchange.abandon()
+
+    async def run(self) -> TransferResult:
+        """Runs the transfer to its end."""
+        result = await self._upload()
+        if result.end is not exchanges.ExchangeEnd.ANSWERED:
+            return self._end_without_answer(result.end)
+        answer = result.answer
+        assert answer is not None
+        if answer.code in _SHED_CODES:
+            return TransferResult(
+                TransferEnd.SHED, answer, "shed by the upstream"
+            )
+        if answer.code == aiocoap.CONTINUE:
+            return TransferResult(
+                TransferEnd.UNKNOWN, reason="asked for more than there is"
+            )
+        return await self._download(answer)
+
+    async def fetch_rest(self, first: codec.Message) -> codec.Message | None:
+        """Returns a whole answer of which the first block is there.
+
+        Returns:
+            None if it can't be had.
+        """
+        result = await self._download(first)
+        return result.answer
+
+    async def _upload(self) -> exchanges.ExchangeResult:
+        body = self._request.payload
+        if len(body) <= _block_octets(_LARGEST_EXPONENT):
+            self._may_run = True
+            return await self._exchange_once(self._request.copy())
+        tag = self._endpoint.make_token()
+        exponent = _LARGEST_EXPONENT
+        offset = 0
+        while True:
+            block = self._make_block(tag, offset, exponent)
+            self._may_run = not block.opt.block1.more
+            result = await self._exchange_once(block)
+            answer = result.answer
+            if answer is None or answer.code != aiocoap.CONTINUE:
+                return result
+            if self._may_run or self._abandoned:
+                return result
+            offset += len(block.payload)
+            if answer.opt.block1 is not None:
+                exponent = min(exponent, answer.opt.block1.size_exponent)
+
+    def _make_block(
+        self, tag: bytes, offset: int, exponent: int
+    ) -> codec.Message:
+        body = self._request.payload
+        octets = _block_octets(exponent)
+        block = self._request.copy(payload=body[offset : offset + octets])
+        more = offset + octets < len(body)
+        block.opt.block1 = BlockOption(offset // octets, more, exponent)
+        block.opt.request_tag = [tag]
+        if offset == 0:
+            block.opt.size1 = len(body)
+        return block
+
+    async def _download(self, first: codec.Message) -> TransferResult:
+        for _ in range(_MOST_DOWNLOADS):
+            block2 = first.opt.block2
+            if block2 is None or not block2.more:
+                return self._end_whole(first, first.payload)
+            body, problem = await self._fetch_blocks(first)
+            if body is not None:
+                return self._end_whole(first, body)
+            if problem != "changed" or self._abandoned:
+                break
+            # The resource changed between two blocks. Only a request that
+            # is safe to repeat is begun anew.
+            if self._request.code != aiocoap.GET:
+                break
+            again = await self._exchange_once(self._request.copy())
+            if again.answer is None:
+                break
+            first = again.answer
+        return TransferResult(
+            TransferEnd.UNKNOWN, reason=f"answer is incomplete: {problem}"
+        )
+
+    async def _fetch_blocks(
+        self, first: codec.Message
+    ) -> tuple[bytes | None, str]:
+        body = first.payload
+        exponent = first.opt.block2.size_exponent
+        more = True
+        while more:
+            if len(body) > _MOST_ANSWER_OCTETS:
+                return None, "too large"
+            number = len(body) // _block_octets(exponent)
+            result = await self._exchange_once(
+                self._make_block_request(number, exponent)
+            )
+            answer = result.answer
+            if answer is None:
+                return None, "no answer"
+            block2 = answer.opt.block2
+            if answer.opt.etag != first.opt.etag or block2 is None:
+                return None, "changed"
+            if answer.code != first.code or block2.block_number != number:
+                return None, "changed"
+            body += answer.payload
+            more = block2.more
+        return body, ""
+
+    def _make_block_request(self, number: int, exponent: int) -> codec.Message:
+        request = self._request.copy(payload=b"")
+        request.opt.block2 = BlockOption(number, False, exponent)
+        return request
+
+    async def _exchange_once(
+        self, request: codec.Message
+    ) -> exchanges.ExchangeResult:
+        if self._abandoned:
+            return exchanges.ExchangeResult(exchanges.ExchangeEnd.UNSENT)
+        left_s = max(0.0, self._deadline - trio.current_time())
+        codec.write_deadline_ms(request, int(left_s * 1000))
+        self._exchange = exchanges.Exchange(
+            self._endpoint, request, self._timers, self._randomness
+        )
+        return await self._exchange.run(self._limits)
+
+    def _end_without_answer(self, end: exchanges.ExchangeEnd) -> TransferResult:
+        if end is exchanges.ExchangeEnd.UNSENT:
+            return TransferResult(TransferEnd.NOT_RUN, reason="not sent")
+        if end is exchanges.ExchangeEnd.REFUSED:
+            return TransferResult(
+                TransferEnd.NOT_RUN, reason="refused by the upstream's host"
+            )
+        if not self._may_run:
+            # An upstream runs a body in blocks only when it is whole.
+            return TransferResult(
+                TransferEnd.NOT_RUN, reason="upload was cut off"
+            )
+        return TransferResult(
+            TransferEnd.UNKNOWN, reason="no sign of the upstream"
+        )
+
+    def _end_whole(self, first: codec.Message, body: bytes) -> TransferResult:
+        answer = first.copy(payload=body)
+        del answer.opt.block1
+        del answer.opt.block2
+        del answer.opt.observe
+        return TransferResult(TransferEnd.ANSWERED, answer)
+
+
+def _block_octets(exponent: int) -> int:
+    return 1 << (min(exponent, _LARGEST_EXPONENT) + 4)
--- /dev/null
+++ b/persimmonhinge/upstreams/udp.py
@@ -0,0 +1,123 @@
+"""The UDP socket towards one upstream."""
+
+from __future__ import annotations
+
+import errno
+import socket
+import sys
+
+import trio
+
+from persimmonhinge.coap import codec
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.upstreams import arrival
+
+# From linux/in.h and linux/in6.h; the socket module lacks them.
+_IP_RECVERR = 11
+_IPV6_RECVERR = 25
+_ANCILLARY_OCTETS = 512
+_BATCH = 64
+
+
+class UdpSocket:
+    """A UDP socket that takes datagrams of one address only.
+
+    It is not connected: the kernel would drop datagrams of other sources
+    uncounted. ICMP errors come by the error queue instead, together with
+    the datagram of ours that they are about.
+    """
+
+    def __init__(
+        self,
+        local_address: str,
+        remote: contracts.Address,
+        counts: host_counts.Counts,
+    ) -> None:
+        self._remote = remote.as_pair()
+        self._counts = counts
+        self._socket = _open(local_address)
+
+    def send(self, data: bytes) -> None:
+        """Sends one datagram, or drops it when the buffer is full."""
+        try:
+            self._socket.sendto(data, self._remote)
+        except ConnectionRefusedError:
+            # The error is about an earlier datagram and kept this one from
+            # leaving; reporting it has cleared it. The error queue still
+            # holds it for `receive`.
+            self._send_again(data)
+        except OSError:
+            self._counts.add("upstream_datagrams_unsent_total")
+
+    async def receive(self) -> list[arrival.Arrival]:
+        """Waits for datagrams and returns those that are there.
+
+        Raises:
+            trio.ClosedResourceError: The socket was closed.
+        """
+        await trio.lowlevel.wait_readable(self._socket)
+        arrivals = self._read_refusals()
+        while len(arrivals) < _BATCH:
+            try:
+                data, source = self._socket.recvfrom(
+                    codec.MAX_DATAGRAM_OCTETS + 1
+                )
+            except BlockingIOError:
+                break
+            except OSError:
+                arrivals += self._read_refusals()
+                break
+            if source[:2] != self._remote:
+                self._counts.add("upstream_datagrams_foreign_total")
+                continue
+            arrivals.append(arrival.Arrival(data))
+        return arrivals
+
+    def close(self) -> None:
+        """Closes the socket."""
+        trio.lowlevel.notify_closing(self._socket)
+        self._socket.close()
+
+    def _send_again(self, data: bytes) -> None:
+        try:
+            self._socket.sendto(data, self._remote)
+        except OSError:
+            self._counts.add("upstream_datagrams_unsent_total")
+
+    def _read_refusals(self) -> list[arrival.Arrival]:
+        refusals: list[arrival.Arrival] = []
+        while len(refusals) < _BATCH:
+            try:
+                data, ancillary, _, _ = self._socket.recvmsg(
+                    codec.MAX_DATAGRAM_OCTETS,
+                    _ANCILLARY_OCTETS,
+                    socket.MSG_ERRQUEUE,
+                )
+            except OSError:
+                break
+            if _says_port_closed(ancillary):
+                refusals.append(arrival.Arrival(data, refused=True))
+        return refusals
+
+
+def _says_port_closed(ancillary: list[tuple[int, int, bytes]]) -> bool:
+    # Of struct sock_extended_err, the first field is the error's number.
+    # Others, such as an unreachable network, may pass: they are no refusal.
+    for _, _, data in ancillary:
+        if int.from_bytes(data[:4], sys.byteorder) == errno.ECONNREFUSED:
+            return True
+    return False
+
+
+def _open(local_address: str) -> socket.socket:
+    is_ipv6 = ":" in local_address
+    family = socket.AF_INET6 if is_ipv6 else socket.AF_INET
+    opened = socket.socket(family, socket.SOCK_DGRAM)
+    opened.setblocking(False)
+    if is_ipv6:
+        opened.setsockopt(socket.IPPROTO_IPV6, _IPV6_RECVERR, 1)
+    else:
+        opened.setsockopt(socket.IPPROTO_IP, _IP_RECVERR, 1)
+    opened.bind((local_address, 0))
+    return opened
--- /dev/null
+++ b/tests/test_upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the keeper of upstreams."""
--- /dev/null
+++ b/tests/test_upstreams/scene.py
@@ -0,0 +1,241 @@
+"""A keeper with a contract, and requests to ask it with."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import json
+import pathlib
+import tempfile
+from typing import Any
+
+import aiocoap
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.coap import codec
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.contracts import store as stores
+from persimmonhinge.membership import member as members
+from persimmonhinge.membership import placement as placements
+from persimmonhinge.membership import view as views
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.peers.messages import control
+from persimmonhinge.peers.messages import work
+from persimmonhinge.settings import entry as settings_entry
+from persimmonhinge.upstreams import keeper as keepers
+from persimmonhinge.upstreams import transmission as transmissions
+from tests.standins import upstream
+from tests.standins import upstream_settings
+from tests.test_upstreams import fake_network
+
+SERVICE = ids.ServiceName("floor-trading")
+HOME = ids.HostRef(77)
+FAST = transmissions.Transmission(ack_timeout_s=0.2)
+
+
+def make_member(host: str, domain: str = "east") -> members.Member:
+    """Returns a live member."""
+    return members.Member(
+        ids.HostId(host),
+        ids.DomainId(domain),
+        "127.0.0.1",
+        1,
+        1,
+        ids.Incarnation(1),
+    )
+
+
+def make_contract(
+    ports: dict[str, int], service: str = SERVICE, **changes: Any
+) -> contracts.Contract:
+    """Returns a contract over upstreams at ports of this machine."""
+    limits = changes.pop("limits", {})
+    upstream_changes = changes.pop("upstream", {})
+    document = {
+        "service": service,
+        "address": "127.0.0.1:5683",
+        "upstreams": [
+            {
+                "id": name,
+                "address": f"127.0.0.1:{port}",
+                "domain": "east",
+                "slots": 2,
+                **upstream_changes,
+            }
+            for name, port in ports.items()
+        ],
+        "call_classes": [
+            {
+                "name": "reservations",
+                "method": "POST",
+                "path": "/lots/*",
+                "priority": 0,
+            },
+            {
+                "name": "manifests",
+                "method": "POST",
+                "path": "/manifests",
+                "priority": 5,
+                "share": 0.2,
+                "idempotent": True,
+            },
+            {"name": "reads", "method": "GET", "path": "/*"},
+        ],
+        "limits": {"upstream_timeout_s": 2.0, **limits},
+        **changes,
+    }
+    return contracts.Contract.model_validate(document)
+
+
+def make_record(
+    contract: contracts.Contract, revision: int
+) -> control.ContractRecord:
+    """Returns a contract as hosts pass it on."""
+    return control.ContractRecord(
+        ids.ServiceName(contract.service),
+        ids.Revision(revision),
+        contract.model_dump_json().encode(),
+    )
+
+
+def make_request(
+    path: str, body: bytes = b"", code: aiocoap.Code = aiocoap.POST
+) -> bytes:
+    """Returns a request as a home sends it on."""
+    message = codec.Message(code=code, payload=body)
+    message.mtype = aiocoap.NON
+    message.mid = 0
+    message.opt.uri_path = path.strip("/").split("/")
+    return codec.encode(message)
+
+
+def make_dispatch(
+    upstream_id: str = "u1", number: int = 1, **changes: Any
+) -> work.Dispatch:
+    """Returns a reservation; each number is another one."""
+    key = f"key-{number}"
+    body = json.dumps({"key": key}).encode()
+    members_ = {
+        "service": SERVICE,
+        "revision": ids.Revision(1),
+        "upstream": ids.UpstreamId(upstream_id),
+        "call_class": ids.CallClassName("reservations"),
+        "request": make_request("/lots/berries", body),
+        "deadline_ms": 5_000,
+        "idempotent": False,
+        "ticket": ids.TicketId(b"ticket"),
+        "token": b"token",
+        "digest": key.encode(),
+        "home": HOME,
+        "home_uptime_ms": 1_000 + number,
+        "ticket_expiry_ms": 121_000,
+        **changes,
+    }
+    return work.Dispatch(**members_)
+
+
+def make_recover(dispatch: work.Dispatch, **changes: Any) -> work.Recover:
+    """Returns the question what became of a dispatch."""
+    members_ = {
+        "service": dispatch.service,
+        "ticket": dispatch.ticket,
+        "token": dispatch.token,
+        "digest": dispatch.digest,
+        "home": dispatch.home,
+        "ticket_expiry_ms": dispatch.ticket_expiry_ms,
+        **changes,
+    }
+    return work.Recover(**members_)
+
+
+@dataclasses.dataclass
+class Scene:
+    """A keeper that runs, and what it is made of."""
+
+    view: views.View
+    store: stores.ContractStore
+    network: fake_network.FakeNetwork
+    counts: host_counts.Counts
+    keepers: keepers.Keepers
+    nursery: trio.Nursery
+
+    async def ask(self, message: Any, home: str = "home") -> Any:
+        """Calls the keeper as a home does."""
+        return await self.network.ask(message, home)
+
+
+@contextlib.asynccontextmanager
+async def open_scene(**options: Any) -> AsyncIterator[Scene]:
+    """Runs a keeper on host `east-1` of domain `east`."""
+    view = views.View(make_member("east-1"))
+    store = stores.ContractStore(trio.current_time)
+    network = fake_network.FakeNetwork(ids.HostId("east-1"))
+    counts = host_counts.Counts()
+    options.setdefault("timers", FAST)
+    async with trio.open_nursery() as nursery:
+        part = keepers.Keepers(
+            _make_settings(),
+            view,
+            placements.Placement(view),
+            store,
+            network,
+            counts,
+            **options,
+        )
+        await nursery.start(part.run)
+        yield Scene(view, store, network, counts, part, nursery)
+        nursery.cancel_scope.cancel()
+
+
+@dataclasses.dataclass
+class StandIn:
+    """An upstream stand-in in this process."""
+
+    port: int
+    log: pathlib.Path
+
+    def read_log(self, kind: str = "run") -> list[dict[str, Any]]:
+        """Returns the log's lines of one kind."""
+        lines = self.log.read_text(encoding="utf-8").splitlines()
+        found = [json.loads(line) for line in lines]
+        return [line for line in found if line["kind"] == kind]
+
+
+@contextlib.asynccontextmanager
+async def open_standin(
+    name: str = "u1", **changes: Any
+) -> AsyncIterator[StandIn]:
+    """Runs an upstream stand-in."""
+    with tempfile.TemporaryDirectory() as folder:
+        log = pathlib.Path(folder, f"{name}.jsonl")
+        settings = upstream_settings.UpstreamSettings(
+            **{
+                "service": SERVICE,
+                "id": name,
+                "address": "127.0.0.1",
+                "port": 0,
+                "slots": 2,
+                "connections": 10,
+                "log": log,
+                "run_time_ms": 20.0,
+                "feed_interval_ms": 50,
+                **changes,
+            }
+        )
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(upstream.run, settings)
+            yield StandIn(address[1], log)
+            nursery.cancel_scope.cancel()
+
+
+def _make_settings() -> settings_entry.EntrySettings:
+    return settings_entry.EntrySettings.model_validate(
+        {
+            "host": "east-1",
+            "domain": "east",
+            "peers": {"port": 0, "heartbeat_port": 0},
+            "platform": {"endpoints": ["http://127.0.0.1:1"]},
+        }
+    )
--- /dev/null
+++ b/tests/test_upstreams/test_upstreams_keeper.py
@@ -0,0 +1,96 @@
+"""Tests of a keeper against upstream stand-ins."""
+
+from __future__ import annotations
+
+import json
+
+import aiocoap
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.coap import codec
+from persimmonhinge.peers.messages import work
+from tests.support import trios
+from tests.test_upstreams import scene
+
+Outcome = work.Outcome
+
+
+@trios.trio_test
+async def test_keeper_runs_a_reservation_and_reports_load() -> None:
+    async with scene.open_standin() as standin, scene.open_scene() as here:
+        contract = scene.make_contract({"u1": standin.port})
+        here.store.offer(scene.make_record(contract, 1))
+        result = await here.ask(scene.make_dispatch())
+        assert result.outcome is Outcome.ANSWERED, result
+        answer = codec.decode(result.answer, limit=codec.MAX_WHOLE_OCTETS)
+        assert json.loads(answer.payload)["key"] == "key-1"
+        assert result.load is not None
+        assert result.load.upstream == "u1"
+        [run] = standin.read_log()
+        assert run["uri_host"] == scene.SERVICE
+        report = await here.ask(work.LoadQuery())
+        assert [load.upstream for load in report.loads] == ["floor-trading/u1"]
+
+
+@trios.trio_test
+async def test_keeper_joins_copies_of_a_request() -> None:
+    """A home loses its link and hands the same reservation in once more.
+
+    Without the table the lot would be reserved twice and a buyer billed
+    twice.
+    """
+    results: list[work.Dispatched] = []
+    async with scene.open_standin() as standin, scene.open_scene() as here:
+        contract = scene.make_contract({"u1": standin.port})
+        here.store.offer(scene.make_record(contract, 1))
+
+        async def ask() -> None:
+            results.append(await here.ask(scene.make_dispatch()))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            nursery.start_soon(ask)
+        await ask()
+        assert len(standin.read_log()) == 1
+        assert {result.answer for result in results} == {results[0].answer}
+
+
+@trios.trio_test
+async def test_keeper_moves_large_bodies_in_blocks_both_ways() -> None:
+    async with scene.open_standin() as standin, scene.open_scene() as here:
+        contract = scene.make_contract({"u1": standin.port})
+        here.store.offer(scene.make_record(contract, 1))
+        upload = scene.make_dispatch(
+            call_class=ids.CallClassName("manifests"),
+            request=scene.make_request("/manifests", b"x" * 10_000),
+            idempotent=True,
+        )
+        result = await here.ask(upload)
+        answer = codec.decode(result.answer, limit=codec.MAX_WHOLE_OCTETS)
+        assert json.loads(answer.payload)["octets"] == 10_000
+        download = scene.make_dispatch(
+            call_class=ids.CallClassName("reads"),
+            request=scene.make_request("/large/5000", code=aiocoap.GET),
+            idempotent=True,
+        )
+        result = await here.ask(download)
+        answer = codec.decode(result.answer, limit=codec.MAX_WHOLE_OCTETS)
+        assert len(answer.payload) == 5_000
+        assert answer.opt.block2 is None
+
+
+@trios.trio_test
+async def test_keeper_refuses_what_is_not_its_own() -> None:
+    async with scene.open_scene() as here:
+        contract = scene.make_contract({"u1": 9})
+        here.store.offer(scene.make_record(contract, 3))
+        newer = scene.make_dispatch(revision=ids.Revision(4))
+        assert (await here.ask(newer)).outcome is Outcome.STALE
+        other = scene.make_dispatch("u2")
+        assert (await here.ask(other)).outcome is Outcome.STALE
+        for number in range(2, 40):
+            here.view.put(scene.make_member(f"east-{number}"))
+        result = await here.ask(scene.make_dispatch())
+        assert result.outcome is Outcome.NOT_KEEPER
+        assert result.keeper.startswith("east-")
