--- a/persimmonhinge/client/call.py
+++ b/persimmonhinge/client/call.py
@@ -29,12 +29,14 @@
         payload: The whole body.
         deadline_ms: What is told to the service, milliseconds; None for
             nothing.
+        host: Uri-Host; empty for none.
     """
 
     method: contracts.Method
     path: str
     payload: bytes = b""
     deadline_ms: int | None = None
+    host: str = ""
 
     @property
     def idempotent(self) -> bool:
@@ -50,6 +52,8 @@
         message = codec.Message(code=aiocoap.Code[self.method.name])
         message.mtype = aiocoap.CON
         message.token = token
+        if self.host:
+            message.opt.uri_host = self.host
         message.opt.uri_path = tuple(self.path.strip("/").split("/"))
         if ticket:
             message.opt.echo = ticket
--- a/persimmonhinge/client/feed.py
+++ b/persimmonhinge/client/feed.py
@@ -61,7 +61,7 @@
         self._tickets = holder
         self._settings = settings
         self._random = random_source
-        self._call = calls.Call(contracts.Method.GET, path)
+        self._call = calls.Call(contracts.Method.GET, path, host=settings.host)
         self._stack = contextlib.ExitStack()
         self._inbox: inboxes.Inbox
         self._order: orders.NotificationOrder
--- a/persimmonhinge/client/settings.py
+++ b/persimmonhinge/client/settings.py
@@ -22,7 +22,9 @@
         silent_s: Time past the last sign of a feed, or past its Max-Age,
             after which the feed is registered again, seconds.
         leave_s: Limit for deregistering a feed, seconds.
-        block_exponent: SZX of blocks by RFC 7959: 2^(4 + SZX) octets.
+        host: Uri-Host of requests; empty for none.
+        host: str = ""
+    block_exponent: SZX of blocks by RFC 7959: 2^(4 + SZX) octets.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -36,4 +38,5 @@
     ticket_use_s: float = pydantic.Field(default=60.0, gt=0, le=3600)
     silent_s: float = pydantic.Field(default=3.0, gt=0, le=3600)
     leave_s: float = pydantic.Field(default=1.0, ge=0, le=60)
+    host: str = ""
     block_exponent: int = pydantic.Field(default=6, ge=0, le=6)
--- a/persimmonhinge/cmd/load.py
+++ b/persimmonhinge/cmd/load.py
@@ -8,7 +8,6 @@
 from typing import Annotated
 
 import msgspec
-from rich import console as consoles
 import trio
 import typer
 
@@ -39,7 +38,7 @@
     ] = None,
     output: Annotated[
         pathlib.Path | None,
-        typer.Option(help="Where the report goes; standard output if none."),
+        typer.Option(help="File of the report; the tables go to stdout."),
     ] = None,
     check: Annotated[
         bool, typer.Option("--check", help="Check the settings and exit.")
@@ -93,7 +92,8 @@
 
 
 def _write(report: reports.Report, output: pathlib.Path | None) -> None:
-    tables.print_report(report, consoles.Console(stderr=True))
+    console = tables.make_console(stderr=output is None)
+    tables.print_report(report, console)
     data = msgspec.json.format(msgspec.json.encode(report))
     if output is None:
         typer.echo(data.decode())
--- a/persimmonhinge/load/balance.py
+++ b/persimmonhinge/load/balance.py
@@ -15,22 +15,22 @@
 
 def count_runs(
     executions: Iterable[execution_logs.Execution],
+    known: Mapping[ids.ServiceName, Iterable[ids.UpstreamId]],
 ) -> dict[ids.ServiceName, Counts]:
     """Counts runs by service and upstream.
 
-    An upstream that is named by a line of any kind counts, also if it ran
-    nothing.
+    Args:
+        executions: What the upstreams ran.
+        known: Upstreams that count also if they ran nothing.
     """
-    counts: dict[ids.ServiceName, Counts] = collections.defaultdict(dict)
+    counts: dict[ids.ServiceName, collections.Counter[ids.UpstreamId]]
+    counts = collections.defaultdict(collections.Counter)
+    for service, upstreams in known.items():
+        counts[service].update(dict.fromkeys(upstreams, 0))
     for execution in executions:
-        if not execution.upstream:
-            continue
-        runs = int(execution.kind == execution_logs.RUN)
-        of_service = counts[execution.service]
-        of_service[execution.upstream] = (
-            of_service.get(execution.upstream, 0) + runs
-        )
-    return dict(counts)
+        if execution.kind == execution_logs.RUN:
+            counts[execution.service][execution.upstream] += 1
+    return {service: dict(runs) for service, runs in counts.items()}
 
 
 def compute_imbalance(counts: Mapping[ids.UpstreamId, int]) -> float:
--- a/persimmonhinge/load/book.py
+++ b/persimmonhinge/load/book.py
@@ -4,6 +4,7 @@
 
 import collections
 
+from persimmonhinge import ids
 from persimmonhinge.client import answer as answers
 from persimmonhinge.load import feed_record
 from persimmonhinge.load import request_record
@@ -13,12 +14,15 @@
     """Collects the records of a run.
 
     Attributes:
+        upstreams: Upstreams by service, as far as the settings name them.
         sent: Requests whose time has come.
         requests: Requests that ended.
         feeds: All feeds.
     """
 
     def __init__(self) -> None:
+        self.upstreams: dict[ids.ServiceName, tuple[ids.UpstreamId, ...]]
+        self.upstreams = {}
         self.sent = 0
         self.requests: list[request_record.RequestRecord] = []
         self.feeds: list[feed_record.FeedRecord] = []
--- a/persimmonhinge/load/executions.py
+++ b/persimmonhinge/load/executions.py
@@ -23,13 +23,13 @@
     Attributes:
         kind: RUN for a request that ran, MISROUTED for one that was meant
             for another service; others are passed over.
-        key: Key in the body of the request.
+        key: Key in the body of the request, None if it has none.
         service: Service of the upstream.
         upstream: Id of the upstream.
     """
 
     kind: str
-    key: str = ""
+    key: str | None = None
     service: ids.ServiceName = ids.ServiceName("")
     upstream: ids.UpstreamId = ids.UpstreamId("")
 
--- a/persimmonhinge/load/feeds.py
+++ b/persimmonhinge/load/feeds.py
@@ -52,7 +52,7 @@
         async with (
             clients.open_client(
                 self._service.address.as_pair(),
-                settings=self._settings.client,
+                settings=self._service.make_client(self._settings.client),
                 random_source=source,
             ) as caller,
             caller.observe(self._load.path) as feed,
--- a/persimmonhinge/load/report.py
+++ b/persimmonhinge/load/report.py
@@ -143,7 +143,7 @@
             leaves lost, doubled and misrouted requests uncounted.
     """
     verdict = _judge(book, executions)
-    services = _report_services(executions or ())
+    services = _report_services(book, executions or ())
     opened = [feed for feed in book.feeds if feed.opened]
     return Report(
         summary=_sum_up(book, verdict, services),
@@ -238,9 +238,10 @@
 
 
 def _report_services(
+    book: books.Book,
     executions: Sequence[execution_logs.Execution],
 ) -> list[ServiceReport]:
-    counts = balance.count_runs(executions)
+    counts = balance.count_runs(executions, book.upstreams)
     return [
         ServiceReport(
             service=service,
--- a/persimmonhinge/load/run.py
+++ b/persimmonhinge/load/run.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from persimmonhinge import ids
 from persimmonhinge.load import book as books
 from persimmonhinge.load import feeds
 from persimmonhinge.load import requests
@@ -24,6 +25,10 @@
 
     def __init__(self, settings: load_settings.LoadSettings) -> None:
         self.book = books.Book()
+        for service in settings.services:
+            self.book.upstreams[ids.ServiceName(service.service)] = tuple(
+                ids.UpstreamId(upstream) for upstream in service.upstreams
+            )
         self._settings = settings
         self._stop = trio.Event()
 
--- a/persimmonhinge/load/tables.py
+++ b/persimmonhinge/load/tables.py
@@ -9,6 +9,18 @@
 from persimmonhinge.load import report as reports
 
 
+# Of output that goes to a file or a pipe, where no terminal sets it.
+_PLAIN_WIDTH = 120
+
+
+def make_console(*, stderr: bool) -> consoles.Console:
+    """Returns a console on which the tables are wide enough to read."""
+    console = consoles.Console(stderr=stderr)
+    if not console.is_terminal:
+        console.width = _PLAIN_WIDTH
+    return console
+
+
 def print_report(report: reports.Report, console: consoles.Console) -> None:
     """Prints the tables of a report."""
     console.print(_make_kind_table(report))
--- a/persimmonhinge/load/verdict.py
+++ b/persimmonhinge/load/verdict.py
@@ -54,10 +54,11 @@
     runs = collections.defaultdict(list)
     verdict = Verdict()
     for execution in executions:
+        key = execution.key or ""
         if execution.kind == execution_logs.RUN:
-            runs[execution.key].append(execution)
+            runs[key].append(execution)
         elif execution.kind == execution_logs.MISROUTED:
-            verdict.misrouted.append(execution.key)
+            verdict.misrouted.append(key)
     for record in records:
         _judge_request(verdict, record, runs.get(record.key, []))
     return verdict
--- a/persimmonhinge/settings/load.py
+++ b/persimmonhinge/settings/load.py
@@ -56,15 +56,28 @@
     Attributes:
         service: Its name.
         address: Where callers reach it.
+        upstreams: Ids of its upstreams, so that idle ones count for the
+            imbalance; others count once they ran something.
         feeds: Feeds that are held open.
         requests: Requests that are sent.
     """
 
     service: Name
     address: contracts.Address
+    upstreams: tuple[Name, ...] = ()
     feeds: tuple[FeedLoad, ...] = ()
     requests: tuple[RequestLoad, ...] = ()
 
+    def make_client(
+        self, settings: client_settings.ClientSettings
+    ) -> client_settings.ClientSettings:
+        """Returns settings of callers that name the service in Uri-Host.
+
+        An upstream can then tell a request that was meant for another
+        service, also one without a body.
+        """
+        return settings.model_copy(update={"host": self.service})
+
 
 class LoadSettings(entry.Part):
     """All settings of a run.
