--- a/persimmonhinge/load/tables.py
+++ b/persimmonhinge/load/tables.py
@@ -8,7 +8,6 @@
 
 from persimmonhinge.load import report as reports
 
-
 # Of output that goes to a file or a pipe, where no terminal sets it.
 _PLAIN_WIDTH = 120
 
