Take bodies in blocks, cut large answers, ask for successors' tables

A ticket that can't be checked is answered 4.01 only by the home that it names and only without a row, since 4.01 makes a caller send the request again: a changed address, an early retired key or a key not yet learned would otherwise run it twice. Where a keeper has left, the present keepers are asked whether they hold its table.

A ticket whose home lives but can't be reached gets no answer: the next copy goes by another host.

--- a/persimmonhinge/flows/dispatcher.py
+++ b/persimmonhinge/flows/dispatcher.py
@@ -37,9 +37,35 @@
 _NOWHERE = work.Dispatched(
     Outcome.NOT_RUN, retry_after_s=_RETRY_AFTER_S, reason="no upstream is free"
 )
-_LATE = work.Dispatched(
-    Outcome.NOT_RUN, retry_after_s=_RETRY_AFTER_S, reason="deadline passed"
-)
+_ELSEWHERE = (Outcome.NOT_KEEPER, Outcome.STALE)
+
+
+class _Course:
+    """How far an order has come over its attempts.
+
+    Attributes:
+        last: What is told if there is no further attempt.
+        exclude: Upstreams that are not tried again.
+        among: Keepers that may run it; None for all.
+    """
+
+    def __init__(self, order: orders.Order) -> None:
+        self.last = _NOWHERE
+        self.exclude: set[ids.UpstreamId] = set()
+        self.among: frozenset[ids.HostRef] | None = None
+        if order.ticket is not None:
+            self.among = frozenset(order.ticket.keepers)
+        self._pause_s = _CONVERGE_S
+
+    def pass_over(self, keeper: ids.HostRef) -> None:
+        """Leaves out a keeper that can't be reached."""
+        if self.among is not None:
+            self.among -= {keeper}
+
+    async def wait(self) -> None:
+        """Waits for the hosts to agree, longer each time."""
+        await trio.sleep(self._pause_s * random.uniform(0.5, 1.5))
+        self._pause_s = min(2 * self._pause_s, _MOST_CONVERGE_S)
 
 
 class Dispatcher:
@@ -71,39 +97,51 @@
         Returns:
             ANSWERED, NOT_RUN or UNKNOWN.
         """
-        exclude: set[ids.UpstreamId] = set()
-        among: frozenset[ids.HostRef] | None = None
-        if order.ticket is not None:
-            among = frozenset(order.ticket.keepers)
-        last = _NOWHERE
-        converge_s = _CONVERGE_S
+        course = _Course(order)
         self._earn(order)
         while True:
             if trio.current_time() >= order.deadline:
-                return _LATE if last.outcome is Outcome.NOT_RUN else last
-            choice = self._choose(order, frozenset(exclude), among)
+                return course.last
+            entry = self._contracts.get(order.service)
+            if entry is None or not _still_fits(order, entry):
+                return course.last
+            choice = self._chooser.choose(
+                entry,
+                _REQUEST,
+                exclude=frozenset(course.exclude),
+                among=course.among,
+            )
             if choice is None:
-                return last
-            attempt = await self._attempt(order, choice)
-            if self._is_final(order, attempt):
+                return course.last
+            attempt = await self._attempt(order, entry, choice)
+            if _is_final(order, attempt):
                 return await self._settle(order, choice, attempt)
-            if attempt.source is Source.UNREACHABLE:
-                if among is not None:
-                    among -= {choice.keeper_ref}
-                exclude.add(ids.UpstreamId(choice.upstream.id))
-                continue
-            if attempt.dispatched.outcome in _ELSEWHERE:
-                # Nothing ran, so it costs the upstreams nothing; the hosts
-                # agree in a moment, whereas asking at once is in vain.
-                await trio.sleep(converge_s * random.uniform(0.5, 1.5))
-                converge_s = min(2 * converge_s, _MOST_CONVERGE_S)
-                continue
-            last = attempt.dispatched
-            exclude.add(ids.UpstreamId(choice.upstream.id))
-            if not self._budget.spend(order.service):
-                self._counts.add("home_retries_denied_total")
-                return last
+            if not await self._may_retry(order, course, choice, attempt):
+                return course.last
+
+    async def _may_retry(
+        self,
+        order: orders.Order,
+        course: _Course,
+        choice: port.Choice,
+        attempt: attempts.Attempt,
+    ) -> bool:
+        """Prepares the next attempt; False if there may be none."""
+        if attempt.dispatched.outcome in _ELSEWHERE:
+            # Nothing ran, so it costs the upstreams nothing; the hosts
+            # agree in a moment, whereas asking at once is in vain.
+            await course.wait()
+            return True
+        course.last = attempt.dispatched
+        course.exclude.add(ids.UpstreamId(choice.upstream.id))
+        if attempt.source is Source.UNREACHABLE:
+            course.pass_over(choice.keeper_ref)
+            return True
+        if self._budget.spend(order.service):
             self._counts.add("home_retries_total")
+            return True
+        self._counts.add("home_retries_denied_total")
+        return False
 
     def _earn(self, order: orders.Order) -> None:
         entry = self._contracts.get(order.service)
@@ -111,25 +149,6 @@
             ratio = entry.contract.limits.retry_budget
             self._budget.earn(order.service, ratio)
 
-    def _choose(
-        self,
-        order: orders.Order,
-        exclude: frozenset[ids.UpstreamId],
-        among: frozenset[ids.HostRef] | None,
-    ) -> port.Choice | None:
-        entry = self._contracts.get(order.service)
-        if entry is None:
-            return None
-        return self._chooser.choose(
-            entry, _REQUEST, exclude=exclude, among=among
-        )
-
-    def _is_final(self, order: orders.Order, attempt: attempts.Attempt) -> bool:
-        outcome = attempt.dispatched.outcome
-        if outcome is Outcome.ANSWERED:
-            return True
-        return outcome is Outcome.UNKNOWN and order.ticket is not None
-
     async def _settle(
         self,
         order: orders.Order,
@@ -141,19 +160,16 @@
         Guards against an outcome that is unknown only because a link broke:
         the keeper may still be there and know.
         """
-        ticket, key = order.ticket, order.key
-        if attempt.source is not Source.LINK or ticket is None or key is None:
+        if attempt.source is not Source.LINK or order.ticket is None:
             return attempt.dispatched
-        return await self._recovery.ask_keeper(
-            order.service, ticket, key, choice.keeper_ref
-        )
+        return await self._recovery.ask_keeper(order, choice.keeper_ref)
 
     async def _attempt(
-        self, order: orders.Order, choice: port.Choice
+        self,
+        order: orders.Order,
+        entry: stores.ContractEntry,
+        choice: port.Choice,
     ) -> attempts.Attempt:
-        entry = self._contracts.get(order.service)
-        if entry is None:
-            return attempts.Attempt(_NOWHERE, Source.KEEPER)
         upstream = ids.UpstreamId(choice.upstream.id)
         message = self._write_dispatch(order, entry, upstream)
         timeout_s = order.deadline - trio.current_time() + _ANSWER_MARGIN_S
@@ -206,7 +222,26 @@
         )
 
 
-_ELSEWHERE = (Outcome.NOT_KEEPER, Outcome.STALE)
+def _still_fits(order: orders.Order, entry: stores.ContractEntry) -> bool:
+    """Tells whether an order may run under a newer contract.
+
+    Guards against idempotent work that the contract has since declared not
+    to be: it would run without a ticket. The caller comes back and is asked
+    for one.
+    """
+    call_class = entry.contract.classify(
+        order.method, order.path, observes=False
+    )
+    if call_class is None or order.ticket is not None:
+        return True
+    return not call_class.runs_at_most_once
+
+
+def _is_final(order: orders.Order, attempt: attempts.Attempt) -> bool:
+    outcome = attempt.dispatched.outcome
+    if outcome is Outcome.ANSWERED:
+        return True
+    return outcome is Outcome.UNKNOWN and order.ticket is not None
 
 
 def _fail(outcome: Outcome, source: Source) -> attempts.Attempt:
--- a/persimmonhinge/flows/exchange.py
+++ b/persimmonhinge/flows/exchange.py
@@ -9,6 +9,7 @@
 
 from persimmonhinge.coap import codec
 from persimmonhinge.flows import port
+from persimmonhinge.flows import shape as shapes
 
 ExchangeKey = tuple[port.Flow, int]
 
@@ -27,6 +28,7 @@
         acknowledged: Whether an empty ACK was sent.
         reply: The answer as it was sent; None before.
         scope: Cancels the work; None if nothing runs.
+        shape: What the request says about the form of its answer.
     """
 
     flow: port.Flow
@@ -38,6 +40,7 @@
     acknowledged: bool = False
     reply: codec.Message | None = None
     scope: trio.CancelScope | None = None
+    shape: shapes.Shape = shapes.PLAIN
 
     @property
     def key(self) -> ExchangeKey:
--- a/persimmonhinge/flows/home_port.py
+++ b/persimmonhinge/flows/home_port.py
@@ -30,3 +30,12 @@
 
     def reset(self, flow: port.Flow, message_id: int) -> bool:
         """Takes an RST; False if it is for none of its notifications."""
+
+    def read_state(
+        self, flow: port.Flow, message: codec.Message
+    ) -> codec.Message | None:
+        """Returns the newest answer of an open feed with its whole body.
+
+        For a later block of a large notification (RFC 7959 section 2.6).
+        None if the flow has no such feed.
+        """
--- a/persimmonhinge/flows/once.py
+++ b/persimmonhinge/flows/once.py
@@ -4,21 +4,22 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import logging
 
 import trio
 
-from persimmonhinge import errors
-from persimmonhinge import ids
 from persimmonhinge.coap import codec
 from persimmonhinge.contracts import store as stores
 from persimmonhinge.flows import dispatcher as dispatchers
 from persimmonhinge.flows import order as orders
+from persimmonhinge.flows import outcome
 from persimmonhinge.flows import port
 from persimmonhinge.flows import recovery as recoveries
 from persimmonhinge.flows import replies
 from persimmonhinge.flows import row as rows
 from persimmonhinge.flows import table as tables
+from persimmonhinge.flows import ticket_desk
 from persimmonhinge.flows import tickets
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as host_counts
@@ -33,13 +34,14 @@
 _UNASKED = work.Dispatched(work.Outcome.UNKNOWN, reason="its home died")
 
 
-class Silence:
-    """No answer: the caller's next copy finds a host that can answer."""
-
-
+# No host takes them for this service, so nothing ran under them.
+_FOREIGN_FAULTS = (
+    tickets.TicketFault.MALFORMED,
+    tickets.TicketFault.OTHER_SERVICE,
+)
 _RunRow = Callable[[rows.Row, orders.Order], Awaitable[None]]
 # A row to wait for, an answer at once, or none.
-Admission = rows.Row | codec.Message | Silence
+Admission = rows.Row | codec.Message | outcome.Silence
 
 
 class Once:
@@ -50,26 +52,25 @@
         settings: settings_entry.EntrySettings,
         view: views.View,
         mint: tickets.TicketMint,
+        desk: ticket_desk.TicketDesk,
         dispatcher: dispatchers.Dispatcher,
         recovery: recoveries.Recovery,
-        chooser: port.Chooser,
         counts: host_counts.Counts,
     ) -> None:
         self._settings = settings.flows
         self._view = view
         self._mint = mint
+        self._desk = desk
         self._dispatcher = dispatcher
         self._recovery = recovery
-        self._chooser = chooser
         self._counts = counts
         self._table = tables.RequestTable(settings.flows.most_flows)
         self._recovering: dict[rows.RowKey, rows.Row] = {}
         self._nursery: trio.Nursery | None = None
-        self._leaving = False
 
     def leave(self) -> None:
         """Mints no more tickets and begins nothing new."""
-        self._leaving = True
+        self._desk.leaving = True
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -83,7 +84,12 @@
                 self._table.expire(self._mint.uptime_ms())
 
     def admit(
-        self, order: orders.Order, entry: stores.ContractEntry, echo: bytes
+        self,
+        order: orders.Order,
+        entry: stores.ContractEntry,
+        echo: bytes,
+        *,
+        has_room: bool = True,
     ) -> Admission:
         """Decides on a request with the ticket that it came with.
 
@@ -91,9 +97,10 @@
             order: The request; its ticket is still missing.
             entry: The contract.
             echo: Its Echo option; empty without one.
+            has_room: False if the host can begin no more work.
         """
         if not echo:
-            return self._ask_for_ticket(order.flow, entry, "none")
+            return self._desk.ask(order.flow, entry, "none")
         try:
             ticket = self._mint.read(echo, order.flow)
         except tickets.RefusedTicketError as error:
@@ -105,41 +112,44 @@
             return row
         if not self._mint.is_current(ticket.home):
             return self._recover(order)
-        return self._begin(order, entry)
-
-    def renew(self, flow: port.Flow, entry: stores.ContractEntry) -> bytes:
-        """Returns a fresh ticket; empty if none can be minted."""
-        if self._leaving:
-            return b""
-        keepers = self._pick_keepers(entry)
-        if not keepers:
-            return b""
-        try:
-            return self._mint.mint(flow, keepers)
-        except errors.TicketError:
-            return b""
+        return self._begin(order, entry, has_room=has_room)
 
-    def _pick_keepers(
-        self, entry: stores.ContractEntry
-    ) -> tuple[ids.HostRef, ...]:
-        """Returns keepers for a ticket, other hosts than this one first.
+    def screen(
+        self, flow: port.Flow, entry: stores.ContractEntry, echo: bytes
+    ) -> codec.Message | outcome.Silence | None:
+        """Decides on a block of a body before it is kept.
 
-        Guards against one death that takes home and keeper at once: the
-        outcome of what ran there would be unknown.
-        """
-        picked = self._chooser.pick_keepers(entry, tickets.MAX_KEEPERS + 1)
-        me = self._view.self_member.ref
-        others = [ref for ref in picked if ref != me]
-        return tuple(others or picked)[: tickets.MAX_KEEPERS]
+        The last block decides whether the request runs. So a ticket that no
+        longer begins work is let pass: the body may be sent once more for a
+        request that has run.
 
-    def _ask_for_ticket(
-        self, flow: port.Flow, entry: stores.ContractEntry, cause: str
-    ) -> codec.Message:
-        self._counts.add("tickets_asked_for_total", cause=cause)
-        echo = self.renew(flow, entry)
+        Returns:
+            None if it may be kept.
+        """
         if not echo:
-            return replies.refuse(_RETRY_AFTER_S, "no ticket can be minted")
-        return replies.ask_for_ticket(echo, int(self._settings.ticket_life_s))
+            return self._desk.ask(flow, entry, "none")
+        try:
+            ticket = self._mint.read(echo, flow)
+        except tickets.RefusedTicketError as error:
+            if error.fault in _FOREIGN_FAULTS:
+                return self._desk.ask(flow, entry, error.fault.value)
+            return self._desk.report_unverified(flow, entry, error.fault)
+        return self._find_elsewhere(ticket)
+
+    def find_answer(
+        self, order: orders.Order, entry: stores.ContractEntry, echo: bytes
+    ) -> Admission:
+        """Finds the answer of a request that ran, for its later blocks.
+
+        The request itself is not at hand then, so nothing is ever begun;
+        the keepers are asked by ticket and token alone.
+        """
+        try:
+            ticket = self._mint.read(echo, order.flow)
+        except tickets.RefusedTicketError as error:
+            return self._desk.report_unverified(order.flow, entry, error.fault)
+        order = dataclasses.replace(order, ticket=ticket, digest=b"")
+        return self._recover(order)
 
     def _refuse_ticket(
         self,
@@ -156,32 +166,36 @@
         caller's address changed on the way, its key was retired early, or
         this host hasn't learned its key yet.
         """
+        if fault in _FOREIGN_FAULTS:
+            return self._desk.ask(order.flow, entry, fault.value)
         home = tickets.peek_home(echo)
-        if home is None or fault is tickets.TicketFault.OTHER_SERVICE:
-            return self._ask_for_ticket(order.flow, entry, fault.value)
-        ticket_id = tickets.peek_id(echo)
-        key = order.make_key(home, ticket_id)
-        if self._mint.is_own(home) and self._table.find(key) is None:
-            return self._ask_for_ticket(order.flow, entry, fault.value)
-        self._counts.add("tickets_unverified_total", cause=fault.value)
-        echo = self.renew(order.flow, entry)
-        return replies.report_unknown("ticket can't be checked", echo)
+        if home is not None and self._mint.is_own(home):
+            key = order.make_key(home, tickets.peek_id(echo))
+            if self._table.find(key) is None:
+                return self._desk.ask(order.flow, entry, fault.value)
+        return self._desk.report_unverified(order.flow, entry, fault)
 
     def _begin(
-        self, order: orders.Order, entry: stores.ContractEntry
+        self,
+        order: orders.Order,
+        entry: stores.ContractEntry,
+        *,
+        has_room: bool,
     ) -> Admission:
         assert order.ticket is not None
         assert order.key is not None
         if not self._mint.begins(order.ticket):
-            return self._ask_for_ticket(order.flow, entry, "expired")
-        if self._leaving:
+            return self._desk.ask(order.flow, entry, "expired")
+        if self._desk.leaving:
             # Never undone, so a late copy of it is refused as well.
             return replies.refuse(0, "host leaves")
-        row = self._table.begin(order.key, order.flow, order.ticket.expiry_ms)
+        row = None
+        if has_room:
+            row = self._table.begin(order.key, order.ticket.expiry_ms)
         if row is None:
             self._counts.add("home_refused_total", cause="table-full")
             self._mint.close_issued()
-            echo = self.renew(order.flow, entry)
+            echo = self._desk.renew(order.flow, entry)
             return replies.refuse(_RETRY_AFTER_S, "host is full", echo)
         self._start(self._run_row, row, order)
         return row
@@ -189,20 +203,30 @@
     def _recover(self, order: orders.Order) -> Admission:
         assert order.ticket is not None
         assert order.key is not None
-        home = order.ticket.home
-        if not self._mint.is_own(home) and self._view.find_ref(home):
-            # Its home lives but can't be reached from here. It alone knows;
-            # the caller's next copy gets there by another host, or finds
-            # it dead.
-            self._counts.add("home_elsewhere_total")
-            return Silence()
+        elsewhere = self._find_elsewhere(order.ticket)
+        if elsewhere is not None:
+            return elsewhere
         row = self._recovering.get(order.key)
         if row is None:
-            row = rows.Row(order.key, order.flow)
+            row = rows.Row(order.key)
             self._recovering[order.key] = row
             self._start(self._run_recovery, row, order)
         return row
 
+    def _find_elsewhere(self, ticket: tickets.Ticket) -> outcome.Silence | None:
+        """Returns silence for a ticket whose home lives.
+
+        It can't be reached from here, or the request would be there. It
+        alone knows what became of the request; the caller's next copy gets
+        there by another host, or finds it dead.
+        """
+        if self._mint.is_own(ticket.home):
+            return None
+        if self._view.find_ref(ticket.home) is None:
+            return None
+        self._counts.add("home_elsewhere_total")
+        return outcome.Silence()
+
     def _start(self, run: _RunRow, row: rows.Row, order: orders.Order) -> None:
         assert self._nursery is not None
         self._nursery.start_soon(run, row, order)
@@ -214,14 +238,21 @@
         self._table.count_kept(row)
 
     async def _run_recovery(self, row: rows.Row, order: orders.Order) -> None:
-        assert order.ticket is not None
         try:
             if self._settings.recovery:
-                row.finish(
-                    await self._recovery.ask_all(
-                        order.service, order.ticket, row.key
-                    )
-                )
+                result = await self._recovery.ask_all(order)
+                row.finish(_check_found(result, row.key))
             row.finish(_UNASKED)
         finally:
             del self._recovering[row.key]
+
+
+def _check_found(result: work.Dispatched, key: rows.RowKey) -> work.Dispatched:
+    """Returns what may be told to the caller.
+
+    Guards against "not run" for a request that ran: a plain CoAP caller
+    asks for later blocks under a new token, which no keeper knows.
+    """
+    if key.digest or result.outcome is not work.Outcome.NOT_RUN:
+        return result
+    return work.Dispatched(work.Outcome.UNKNOWN, reason="answer is gone")
--- a/persimmonhinge/flows/recovery.py
+++ b/persimmonhinge/flows/recovery.py
@@ -8,8 +8,9 @@
 
 from persimmonhinge import errors
 from persimmonhinge import ids
-from persimmonhinge.flows import row as rows
-from persimmonhinge.flows import tickets
+from persimmonhinge.contracts import store as stores
+from persimmonhinge.flows import order as orders
+from persimmonhinge.membership import placement as placements
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.peers import network as networks
@@ -17,10 +18,14 @@
 
 logger = logging.getLogger(__name__)
 
-ASK_TIMEOUT_S = 1.0
-_ATTEMPTS = 2
+# A keeper that still runs the request answers once it is done, so it is
+# waited for as long as the caller waits, and at least this long.
+LEAST_WAIT_S = 1.0
+_ATTEMPTS = 3
 _PAUSE_S = 0.2
 
+Outcome = work.Outcome
+
 
 class Recovery:
     """Asks the keepers that a ticket names.
@@ -32,84 +37,135 @@
     def __init__(
         self,
         view: views.View,
+        placement: placements.Placement,
+        contract_store: stores.ContractStore,
         network: networks.PeerNetwork,
         counts: host_counts.Counts,
     ) -> None:
         self._view = view
+        self._placement = placement
+        self._contracts = contract_store
         self._network = network
         self._counts = counts
 
-    async def ask_all(
-        self, service: ids.ServiceName, ticket: tickets.Ticket, key: rows.RowKey
-    ) -> work.Dispatched:
-        """Returns what the keepers of a ticket know of a request.
+    async def ask_all(self, order: orders.Order) -> work.Dispatched:
+        """Returns what the keepers of an order's ticket know of it.
 
         Returns:
             ANSWERED with the kept answer; NOT_RUN if all keepers say and
             promise so; UNKNOWN otherwise.
         """
+        assert order.ticket is not None
         found: list[work.Dispatched] = []
 
         async def ask(keeper: ids.HostRef) -> None:
-            found.append(await self.ask_keeper(service, ticket, key, keeper))
+            found.append(await self.ask_keeper(order, keeper))
 
         async with trio.open_nursery() as nursery:
-            for keeper in ticket.keepers:
+            for keeper in order.ticket.keepers:
                 nursery.start_soon(ask, keeper)
         result = _conclude(found)
         self._counts.add("home_recoveries_total", outcome=result.outcome.value)
         return result
 
     async def ask_keeper(
-        self,
-        service: ids.ServiceName,
-        ticket: tickets.Ticket,
-        key: rows.RowKey,
-        keeper: ids.HostRef,
+        self, order: orders.Order, keeper: ids.HostRef
+    ) -> work.Dispatched:
+        """Returns what one keeper knows of an order.
+
+        Where the keeper has left, the host that took over what it knew
+        answers for it. That is one of the present keepers of the service;
+        any other host answers NOT_KEEPER, which tells nothing.
+        """
+        message = _write_question(order, keeper)
+        member = self._view.find_ref(keeper)
+        if member is not None:
+            result = await self._ask(member.host, message, order.deadline)
+            if result.outcome is not Outcome.UNKNOWN:
+                return result
+        return await self._ask_successors(order, message)
+
+    async def _ask_successors(
+        self, order: orders.Order, message: work.Recover
+    ) -> work.Dispatched:
+        found: list[work.Dispatched] = []
+
+        async def ask(host: ids.HostId) -> None:
+            found.append(await self._ask(host, message, order.deadline))
+
+        async with trio.open_nursery() as nursery:
+            for host in self._list_keepers(order.service):
+                nursery.start_soon(ask, host)
+        for result in found:
+            if result.outcome is not Outcome.UNKNOWN:
+                return result
+        return _unknown("keeper is gone")
+
+    def _list_keepers(self, service: ids.ServiceName) -> set[ids.HostId]:
+        entry = self._contracts.get(service)
+        if entry is None:
+            return set()
+        found = set()
+        for upstream in entry.contract.upstreams:
+            key = ids.UpstreamId(f"{service}/{upstream.id}")
+            member = self._placement.find_keeper(key, upstream.domain)
+            if member is not None:
+                found.add(member.host)
+        return found
+
+    async def _ask(
+        self, host: ids.HostId, message: work.Recover, deadline: float
     ) -> work.Dispatched:
-        """Returns what one keeper knows of a request; UNKNOWN if it is gone."""
-        message = work.Recover(
-            service,
-            key.ticket,
-            key.token,
-            key.digest,
-            key.home,
-            ticket.expiry_ms,
-            keeper,
-        )
         for attempt in range(_ATTEMPTS):
             if attempt:
                 await trio.sleep(_PAUSE_S)
-            member = self._view.find_ref(keeper)
-            if member is None:
-                return _unknown("keeper is gone")
+            left_s = deadline - trio.current_time()
             try:
                 answer = await self._network.call(
-                    member.host, message, ASK_TIMEOUT_S
+                    host, message, max(left_s, LEAST_WAIT_S)
                 )
+            except errors.PeerCallTimeoutError:
+                break
             except errors.PeerError:
+                # A question may be asked twice; a new link may come up.
                 continue
             if isinstance(answer, work.Dispatched):
                 return _check(answer)
+            break
         return _unknown("keeper does not answer")
 
 
+def _write_question(order: orders.Order, keeper: ids.HostRef) -> work.Recover:
+    assert order.ticket is not None
+    assert order.key is not None
+    return work.Recover(
+        order.service,
+        order.key.ticket,
+        order.key.token,
+        order.key.digest,
+        order.key.home,
+        order.ticket.expiry_ms,
+        keeper,
+    )
+
+
 def _conclude(found: list[work.Dispatched]) -> work.Dispatched:
     for dispatched in found:
-        if dispatched.outcome is work.Outcome.ANSWERED:
+        if dispatched.outcome is Outcome.ANSWERED:
             return dispatched
-    not_run = work.Outcome.NOT_RUN
-    if found and all(d.outcome is not_run for d in found):
-        return work.Dispatched(not_run, reason="home died before it ran")
+    if found and all(d.outcome is Outcome.NOT_RUN for d in found):
+        return work.Dispatched(
+            Outcome.NOT_RUN, reason="its home died before it ran"
+        )
     return _unknown("its home died")
 
 
 def _check(answer: work.Dispatched) -> work.Dispatched:
-    """Takes NOT_KEEPER, from a later incarnation of the host, as unknown."""
-    if answer.outcome in (work.Outcome.ANSWERED, work.Outcome.NOT_RUN):
+    """Takes NOT_KEEPER, from another incarnation of the host, as unknown."""
+    if answer.outcome in (Outcome.ANSWERED, Outcome.NOT_RUN):
         return answer
     return _unknown(answer.reason or "keeper does not know")
 
 
 def _unknown(reason: str) -> work.Dispatched:
-    return work.Dispatched(work.Outcome.UNKNOWN, reason=reason)
+    return work.Dispatched(Outcome.UNKNOWN, reason=reason)
--- a/persimmonhinge/flows/row.py
+++ b/persimmonhinge/flows/row.py
@@ -7,7 +7,6 @@
 import trio
 
 from persimmonhinge import ids
-from persimmonhinge.flows import port
 from persimmonhinge.peers.messages import work
 
 
@@ -34,7 +33,6 @@
 
     Attributes:
         key: What it is known by.
-        flow: Whose it is.
         result: What became of it; None while it runs.
         done: Set once the result is there.
         waiting: Exchanges that wait for it.
@@ -42,7 +40,6 @@
     """
 
     key: RowKey
-    flow: port.Flow
     result: work.Dispatched | None = None
     done: trio.Event = dataclasses.field(default_factory=trio.Event)
     waiting: int = 0
--- a/persimmonhinge/flows/table.py
+++ b/persimmonhinge/flows/table.py
@@ -5,7 +5,6 @@
 import heapq
 import itertools
 
-from persimmonhinge.flows import port
 from persimmonhinge.flows import row as rows
 
 # Octets of answers that are kept over all rows.
@@ -35,14 +34,11 @@
         """Returns the row of a request that has begun, else None."""
         return self._rows.get(key)
 
-    def begin(
-        self, key: rows.RowKey, flow: port.Flow, expiry_ms: int
-    ) -> rows.Row | None:
+    def begin(self, key: rows.RowKey, expiry_ms: int) -> rows.Row | None:
         """Adds a row.
 
         Args:
             key: A key without a row.
-            flow: Whose request it is.
             expiry_ms: Uptime of this host at which it may be forgotten.
 
         Returns:
@@ -51,7 +47,7 @@
         assert key not in self._rows
         if self.is_full():
             return None
-        row = rows.Row(key, flow)
+        row = rows.Row(key)
         self._rows[key] = row
         entry = (expiry_ms, next(self._numbers), key)
         heapq.heappush(self._expiries, entry)
--- a/persimmonhinge/flows/tickets.py
+++ b/persimmonhinge/flows/tickets.py
@@ -27,6 +27,8 @@
 # for 93 s (MAX_TRANSMIT_WAIT), and each repetition must find the row.
 REMEMBER_MS = 100_000
 
+# Keepers take an hour for the longest time between mint and expiry.
+_MOST_LIFE_MS = 3_599_000 - REMEMBER_MS
 _VERSION = 1
 # Version, key id, service, home, ticket id, expiry, two keepers.
 _BODY = struct.Struct("!BBII5s5sII")
@@ -43,7 +45,8 @@
 
     MALFORMED: Not a ticket of this system at all.
     OTHER_SERVICE: Of another service.
-    UNKNOWN_KEY: Its key is retired, or this host doesn't know it yet.
+    UNKNOWN_KEY: Its key is retired, or this host doesn't know it yet; or a
+        host of a newer version minted it.
     FORGED: Its code does not fit: forged, or of another caller.
     """
 
@@ -104,7 +107,8 @@
     ) -> None:
         self._keys = key_store
         self._view = view
-        self._life_ms = int(settings.flows.ticket_life_s * 1000)
+        life_ms = int(settings.flows.ticket_life_s * 1000)
+        self._life_ms = min(life_ms, _MOST_LIFE_MS)
         self._numbers = itertools.count(1)
         self._started: float | None = None
         self._own_refs: set[ids.HostRef] = set()
@@ -157,8 +161,10 @@
             RefusedTicketError: It is not a ticket of this flow, or its key
                 is not accepted here.
         """
-        if len(octets) != TICKET_OCTETS or octets[0] != _VERSION:
+        if len(octets) != TICKET_OCTETS:
             raise RefusedTicketError(TicketFault.MALFORMED, flow)
+        if octets[0] != _VERSION:
+            raise RefusedTicketError(TicketFault.UNKNOWN_KEY, flow)
         body = octets[: _BODY.size]
         fields = _BODY.unpack(body)
         _, key_id, service, home, ticket_id, expiry, first, second = fields
--- a/tests/test_flows/home_fakes.py
+++ b/tests/test_flows/home_fakes.py
@@ -230,6 +230,12 @@
         self.calls.append("close")
         return True
 
+    def read_state(
+        self, flow: port.Flow, message: codec.Message
+    ) -> codec.Message | None:
+        """Returns a large answer."""
+        return codec.Message(code=codes.Code.CONTENT, payload=b"p" * 3000)
+
     def acknowledge(self, flow: port.Flow, message_id: int) -> bool:
         """Keeps the call."""
         self.calls.append("acknowledge")
