Judge absent keys by what was read before, and test the spread

A copy of the platform that had gone past the known revision could take a contract out of force: a record read from that copy itself was taken as proof that an absent contract had been deleted. Proof now comes only from records that this host had read up to the end of its former watch.

Ticket keys that hold no usable secret, two current keys or none are refused.

--- a/persimmonhinge/contracts/history.py
+++ b/persimmonhinge/contracts/history.py
@@ -21,10 +21,10 @@
     Guards against a platform that was restored from an older copy or
     replaced: it lacks contracts that were accepted after the copy was made,
     and following it would take them out of force. An absent key alone is
-    therefore no delete. It is one if the platform shows the delete itself,
-    or, when the events of that time are compacted, if the platform still
-    holds a record that is newer than the absent one, which proves that the
-    absent one once stood there.
+    therefore no delete. It is one if the platform shows the delete itself.
+    When the events of that time are compacted, it is one if this host has
+    read from the platform both the absent record and a newer one, and the
+    newer one still stands there: the copy was then made after both.
     """
 
     def __init__(self, records: record_sets.Records) -> None:
@@ -36,14 +36,16 @@
 
     def compare(
         self,
-        before: Named,
+        known: Named,
+        confirmed: Named,
         found: dict[str, record_sets.Record | None],
         revision: int,
     ) -> int:
         """Notes what the platform lacks of what was in force.
 
         Args:
-            before: Records in force before the platform was read.
+            known: Records in force before the platform was read.
+            confirmed: What this host itself read there the last time.
             found: What the platform holds, by name; None if unreadable.
             revision: Revision of the store at which it was read.
 
@@ -51,7 +53,7 @@
             Revision from which the watch has to begin to show the deletes.
         """
         self._read_revision = revision
-        known = {n: r for n, r in before.items() if r.revision <= revision}
+        known = {n: r for n, r in known.items() if r.revision <= revision}
         self._behind = {
             name: record.revision
             for name, record in known.items()
@@ -71,7 +73,10 @@
             return revision + 1
         if self._compacted:
             self._compacted = False
-            self._accept_deletes(absent, _find_anchor(known, found))
+            anchor = _find_anchor(confirmed, found)
+            self._accept_deletes(
+                [r for r in absent if r in confirmed.values()], anchor
+            )
             return revision + 1
         return 1 + min([revision, *self._absent.values()])
 
@@ -148,10 +153,10 @@
 
 
 def _find_anchor(
-    known: Named, found: dict[str, record_sets.Record | None]
+    confirmed: Named, found: dict[str, record_sets.Record | None]
 ) -> int:
-    """Returns the revision of the newest record that both sides hold."""
-    same = [r.revision for n, r in known.items() if found.get(n) == r]
+    """Returns the revision of the newest record that still stands."""
+    same = [r.revision for n, r in confirmed.items() if found.get(n) == r]
     return max(same, default=0)
 
 
--- a/persimmonhinge/contracts/watcher.py
+++ b/persimmonhinge/contracts/watcher.py
@@ -77,6 +77,10 @@
         self.state = PlatformState.IDLE
         self.revision = 0
         self.history = history.History(records)
+        # What was read since the last beginning, and what was read up to the
+        # end of the last time that a watch stood.
+        self._session: history.Named = {}
+        self._confirmed: history.Named = {}
 
     async def run(self) -> None:
         """Follows the platform until it is cancelled, through its outages."""
@@ -124,7 +128,7 @@
         Returns:
             Revision from which on the watch is to begin.
         """
-        before = history.name_all(self._records.all())
+        known = history.name_all(self._records.all())
         floor = max(self.revision, self._records.highest_revision())
         values: list[port.KeyValue] = []
         revisions: list[int] = []
@@ -133,9 +137,12 @@
             history.check_revision(state.revision, floor)
             revisions.append(state.revision)
             values += state.values
+        self._session = {}
         found = self._take_values(values)
         self.revision = min(revisions)
-        start = self.history.compare(before, found, self.revision)
+        start = self.history.compare(
+            known, self._confirmed, found, self.revision
+        )
         await self._create_ring(found)
         self._set_ready()
         return start
@@ -191,6 +198,7 @@
                 self._settings.prefix, start
             ) as batches:
                 self.state = PlatformState.FOLLOWING
+                self._confirmed = self._session
                 async for batch in batches:
                     start = max(start, self._take_batch(batch) + 1)
             raise errors.PlatformUnavailableError("ended", step="watch")
@@ -207,6 +215,7 @@
     def _take_event(self, event: port.WatchEvent) -> record_sets.Record | None:
         record = self._read_event(event)
         if record is not None:
+            self._session[record_sets.name_record(record)] = record
             news = record_sets.pack([record])
             self._publish(self._records.take_in(news, "platform"))
         return record
--- a/persimmonhinge/keys/ring.py
+++ b/persimmonhinge/keys/ring.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import base64
+import binascii
 import enum
+from typing import Self
 
 import pydantic
 
 MAX_KEY_ID = 255
 SECRET_OCTETS = 32
+LEAST_SECRET_OCTETS = 16
 
 
 class KeyState(enum.Enum):
@@ -33,15 +36,30 @@
         state: What it may do.
     """
 
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+    # Errors would otherwise quote the input, which is secret.
+    model_config = pydantic.ConfigDict(
+        extra="ignore", frozen=True, hide_input_in_errors=True
+    )
 
     key_id: int = pydantic.Field(ge=0, le=MAX_KEY_ID)
     secret: pydantic.SecretStr
     state: KeyState
 
+    @pydantic.model_validator(mode="after")
+    def _check(self) -> Self:
+        try:
+            octets = len(self.read_secret())
+        except binascii.Error:
+            octets = 0
+        if octets < LEAST_SECRET_OCTETS:
+            raise ValueError(
+                f"secret is to be base64 of {LEAST_SECRET_OCTETS} octets"
+            )
+        return self
+
     def read_secret(self) -> bytes:
         """Returns the octets of the secret."""
-        return base64.b64decode(self.secret.get_secret_value())
+        return base64.b64decode(self.secret.get_secret_value(), validate=True)
 
 
 class KeyRing(pydantic.BaseModel):
@@ -51,10 +69,21 @@
         keys: The keys.
     """
 
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra="ignore", frozen=True, hide_input_in_errors=True
+    )
 
     keys: tuple[TicketKey, ...] = ()
 
+    @pydantic.model_validator(mode="after")
+    def _check(self) -> Self:
+        if len({key.key_id for key in self.keys}) != len(self.keys):
+            raise ValueError("a key id stands twice")
+        current = [k for k in self.keys if k.state is KeyState.CURRENT]
+        if len(current) > 1:
+            raise ValueError("more than one key is current")
+        return self
+
     def current(self) -> TicketKey | None:
         """Returns the key that mints, None if there is none."""
         for key in self.keys:
--- a/persimmonhinge/keys/store.py
+++ b/persimmonhinge/keys/store.py
@@ -59,12 +59,17 @@
     """Reads a ring from JSON.
 
     Raises:
-        KeyRingError: It is not a ring. The text says nothing of its content.
+        KeyRingError: It is not a ring that can mint. The text says nothing
+            of its content.
     """
     try:
-        return rings.KeyRing.model_validate_json(body)
+        ring = rings.KeyRing.model_validate_json(body)
     except pydantic.ValidationError as error:
-        count = error.error_count()
-    # Raised here and not in the handler: pydantic's error quotes its input,
+        fault = f"has {error.error_count()} faults"
+    else:
+        if ring.current() is not None:
+            return ring
+        fault = "has no current key"
+    # Raised here and not in the handler: pydantic's error holds its input,
     # and as context of this one it would carry secrets into logs.
-    raise errors.KeyRingError(f"has {count} faults", step="read ticket keys")
+    raise errors.KeyRingError(fault, step="read ticket keys")
--- a/tests/test_contracts/fake_platform.py
+++ b/tests/test_contracts/fake_platform.py
@@ -20,7 +20,8 @@
         down: True while no call gets an answer.
         loses_answers: True while writes take effect but their answers don't
             arrive.
-        calls: Number of calls by kind.
+        calls: Number of calls by kind, failed ones included.
+        callers: Number of calls by client.
         unreachable: Names of the clients that can't reach it.
     """
 
@@ -28,6 +29,7 @@
         self.down = False
         self.loses_answers = False
         self.calls: collections.Counter[str] = collections.Counter()
+        self.callers: collections.Counter[str] = collections.Counter()
         self.unreachable: set[str] = set()
         self.revision = 1
         self.compacted = 0
@@ -162,6 +164,7 @@
 
     async def _begin(self, kind: str) -> None:
         self._platform.calls[kind] += 1
+        self._platform.callers[self._name] += 1
         await trio.sleep(0.002)
         self._check_up()
 
--- a/tests/test_contracts/fleet.py
+++ b/tests/test_contracts/fleet.py
@@ -37,6 +37,18 @@
     drains: drain_stores.DrainStore
     counts: host_counts.Counts
     control: controls.Control
+    scope: trio.CancelScope = dataclasses.field(
+        default_factory=trio.CancelScope
+    )
+
+    async def run(self) -> None:
+        """Runs the host until it is stopped."""
+        with self.scope:
+            await self.control.run()
+
+    def stop(self) -> None:
+        """Ends the host, as by a crash."""
+        self.scope.cancel()
 
 
 class Fleet:
@@ -58,10 +70,30 @@
         self._seed = seed
         self._members = [_make_member(number) for number in range(count)]
         for member in self._members:
-            self.hosts[member.host] = self.make_host(member)
+            self.hosts[member.host] = self._make_host(member)
 
-    def make_host(self, member: members.Member) -> FleetHost:
-        """Returns a host that is not yet running and knows nothing."""
+    async def start(self, settle_s: float = 5.0) -> None:
+        """Runs all hosts and gives them time to synchronize."""
+        for host in self.hosts.values():
+            self._nursery.start_soon(host.run)
+        await trio.sleep(settle_s)
+
+    async def restart(self, name: str) -> FleetHost:
+        """Replaces a host by a new one that knows nothing."""
+        self.hosts[name].stop()
+        self.hosts[name] = self._make_host(self.hosts[name].member)
+        self._nursery.start_soon(self.hosts[name].run)
+        return self.hosts[name]
+
+    def watchers(self) -> list[FleetHost]:
+        """Returns the hosts that hold the watch or try to."""
+        return [
+            host
+            for host in self.hosts.values()
+            if host.control.report().platform != "idle"
+        ]
+
+    def _make_host(self, member: members.Member) -> FleetHost:
         view = views.View(member)
         for other in self._members:
             view.put(other)
@@ -85,11 +117,6 @@
             member, view, contracts, key_store, drains, counts, control
         )
 
-    def start(self) -> None:
-        """Runs all hosts."""
-        for host in self.hosts.values():
-            self._nursery.start_soon(host.control.run)
-
     def names(self, domain: int) -> set[str]:
         """Returns the hosts of a domain."""
         return {
