--- a/persimmonhinge/platform/keys.py
+++ b/persimmonhinge/platform/keys.py
@@ -6,6 +6,8 @@
 
 CONTRACTS = "contracts/"
 AUDIT = "audit/"
+# Written with every change that operators make; see `contracts.audit_trail`.
+AUDIT_HEAD = "audit-head"
 TICKET_KEYS = "keys/tickets"
 HOST_DRAINS = "drains/"
 # The platform's own list of live and leaving hosts; it lags behind.
