Carry feeds at the keeper, and rescue those of a dead home

Cause: a feed whose home died stands still, because its caller sends nothing and only the keeper knows of it. The keeper keeps the observation, waits until membership says that the home is gone, and offers the feed to the next home; a home that only lost its link finds its feed with what came meanwhile.

A handler can now tell a caller that ended its call from a link that was lost (closed_by_caller), which decides between ending a feed and keeping it.

Silent feeds are found by registering again on the feed's own token; a check that brings nothing new is not passed on, so a quiet feed is left alone.

--- a/persimmonhinge/peers/calls.py
+++ b/persimmonhinge/peers/calls.py
@@ -11,6 +11,8 @@
 from persimmonhinge.peers.messages import base
 from persimmonhinge.peers.messages import link as link_messages
 
+# Cause of a call that the caller ended of its own accord.
+CLOSED_BY_CALLER = "the caller closed the call"
 # Messages of one call that may wait for a task which doesn't take them.
 MOST_WAITING_MESSAGES = 1024
 
@@ -37,6 +39,11 @@
         self._waiting: list[base.Message] = []
         self._changed: trio.Event | None = None
 
+    @property
+    def closed_by_caller(self) -> bool:
+        """True if the caller ended the call, False if the link was lost."""
+        return self._cause == CLOSED_BY_CALLER
+
     @abc.abstractmethod
     async def push(self, message: base.Message) -> None:
         """Sends one more message on this call.
--- a/persimmonhinge/peers/network.py
+++ b/persimmonhinge/peers/network.py
@@ -25,6 +25,10 @@
 
     host: ids.HostId
 
+    @property
+    def closed_by_caller(self) -> bool:
+        """True if the caller ended the call, False if the link was lost."""
+
     async def push(self, message: base.Message) -> None:
         """Sends one more message on the stream of this call.
 
--- a/persimmonhinge/policies/admission.py
+++ b/persimmonhinge/policies/admission.py
@@ -90,5 +90,10 @@
     told the same time would come back together and be refused again. The
     times are spread over as long as the queue takes to drain.
     """
-    base_s = max(1, math.ceil(pressure.drain_s))
+    return spread_s(math.ceil(pressure.drain_s), randomness)
+
+
+def spread_s(base_s: int, randomness: random.Random) -> int:
+    """Returns a time from a base to its double, seconds, at least 1."""
+    base_s = max(1, base_s)
     return base_s + randomness.randint(0, base_s)
--- a/persimmonhinge/upstreams/endpoint.py
+++ b/persimmonhinge/upstreams/endpoint.py
@@ -121,16 +121,16 @@
         """Returns a token that was never used."""
         return secrets.token_bytes(_TOKEN_OCTETS)
 
-    @contextlib.contextmanager
-    def listen(
-        self, token: bytes, listener: listeners.Listener
-    ) -> Iterator[None]:
-        """Gives a listener the answers on a token while inside."""
+    def listen(self, token: bytes, listener: listeners.Listener) -> None:
+        """Gives a listener the answers on a token, until `stop_listening`."""
         self._listeners[token] = listener
-        try:
-            yield
-        finally:
-            del self._listeners[token]
+
+    def stop_listening(self, token: bytes) -> None:
+        """Takes no more answers on a token.
+
+        Copies of the last one are still acknowledged.
+        """
+        if self._listeners.pop(token, None) is not None:
             self._remember_finished(token)
 
     @contextlib.contextmanager
--- a/persimmonhinge/upstreams/exchange.py
+++ b/persimmonhinge/upstreams/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
 import enum
 import random
@@ -134,15 +133,16 @@
         message.mtype = aiocoap.CON
         message.mid = self._endpoint.next_message_id()
         message.token = self.token
-        with contextlib.ExitStack() as stack:
+        if self._listens:
+            self._endpoint.listen(self.token, self)
+        try:
+            with self._endpoint.await_acknowledgement(message.mid, self):
+                with trio.move_on_after(limits.silence_s):
+                    await self._transmit(message)
+                await self._wait_answer(limits)
+        finally:
             if self._listens:
-                stack.enter_context(self._endpoint.listen(self.token, self))
-            stack.enter_context(
-                self._endpoint.await_acknowledgement(message.mid, self)
-            )
-            with trio.move_on_after(limits.silence_s):
-                await self._transmit(message)
-            await self._wait_answer(limits)
+                self._endpoint.stop_listening(self.token)
         return self._make_result()
 
     async def _transmit(self, message: codec.Message) -> None:
--- /dev/null
+++ b/persimmonhinge/upstreams/freshness.py
@@ -0,0 +1,36 @@
+"""Which notifications of a feed are newer than the ones before."""
+
+from __future__ import annotations
+
+# RFC 7641 section 3.4.
+_HALF_RANGE = 1 << 23
+_STALE_AFTER_S = 128.0
+
+
+class Freshness:
+    """Tells late notifications from fresh ones by observe number and time."""
+
+    def __init__(self) -> None:
+        self._number: int | None = None
+        self._at = 0.0
+
+    def admit(self, number: int, now: float) -> bool:
+        """Takes in the number of a notification.
+
+        Returns:
+            False if it is late or a copy: a newer one has come before.
+        """
+        if self._number is not None and not self._is_fresh(number, now):
+            return False
+        self._number = number
+        self._at = now
+        return True
+
+    def _is_fresh(self, number: int, now: float) -> bool:
+        assert self._number is not None
+        if now > self._at + _STALE_AFTER_S:
+            return True
+        former = self._number
+        if former < number:
+            return number - former < _HALF_RANGE
+        return former - number > _HALF_RANGE
--- a/persimmonhinge/upstreams/keeper.py
+++ b/persimmonhinge/upstreams/keeper.py
@@ -16,12 +16,15 @@
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.peers import network as networks
+from persimmonhinge.peers.messages import feeds
 from persimmonhinge.peers.messages import work
 from persimmonhinge.settings import entry as settings_entry
 from persimmonhinge.upstreams import arrival
 from persimmonhinge.upstreams import context as contexts
 from persimmonhinge.upstreams import dispatching as dispatching_parts
 from persimmonhinge.upstreams import executed as executed_tables
+from persimmonhinge.upstreams import feeding as feeding_parts
+from persimmonhinge.upstreams import orphans as orphan_parts
 from persimmonhinge.upstreams import recovering as recovering_parts
 from persimmonhinge.upstreams import roles as role_parts
 from persimmonhinge.upstreams import transmission as transmissions
@@ -65,6 +68,7 @@
             timers: Timers of retransmission; those of RFC 7252 if None.
         """
         self._view = view
+        self._placement = placement
         self._contracts = contracts
         self._network = network
         self._counts = counts
@@ -83,8 +87,9 @@
     ) -> None:
         """Serves homes until it is cancelled."""
         async with trio.open_nursery() as nursery:
-            self._upstreams = self._make_upstreams(nursery)
-            self._register(self._upstreams)
+            context = self._make_context(nursery)
+            self._upstreams = upstream_sets.KeptUpstreams(context, self._roles)
+            self._register(context, self._upstreams)
             self._upstreams.refresh()
             nursery.start_soon(self._follow_changes, self._view.changed)
             nursery.start_soon(self._follow_changes, self._contracts.changed)
@@ -106,11 +111,9 @@
             for kept in self._upstreams.list_kept()
         ]
 
-    def _make_upstreams(
-        self, nursery: trio.Nursery
-    ) -> upstream_sets.KeptUpstreams:
+    def _make_context(self, nursery: trio.Nursery) -> contexts.KeeperContext:
         me = self._view.self_member
-        context = contexts.KeeperContext(
+        return contexts.KeeperContext(
             self._contracts,
             self._counts,
             random.Random(f"{me.host}/{me.incarnation}"),
@@ -118,15 +121,25 @@
             self._timers,
             nursery,
         )
-        return upstream_sets.KeptUpstreams(context, self._roles)
 
-    def _register(self, upstreams: upstream_sets.KeptUpstreams) -> None:
+    def _register(
+        self,
+        context: contexts.KeeperContext,
+        upstreams: upstream_sets.KeptUpstreams,
+    ) -> None:
         dispatching = dispatching_parts.Dispatching(
             self._roles, upstreams, self._executed, self._counts
         )
         recovering = recovering_parts.Recovering(
             self._view, self._executed, self._counts
         )
+        orphans = orphan_parts.Orphans(
+            context, self._view, self._placement, self._network
+        )
+        feeding = feeding_parts.Feeding(
+            context, self._view, self._roles, upstreams, orphans
+        )
+        self._network.handle(feeds.FeedOpen, feeding.handle)
         self._network.handle(work.Dispatch, dispatching.handle)
         self._network.handle(work.Recover, recovering.handle)
         self._network.handle(work.LoadQuery, self._report_loads)
--- a/persimmonhinge/upstreams/kept.py
+++ b/persimmonhinge/upstreams/kept.py
@@ -3,33 +3,38 @@
 from __future__ import annotations
 
 import logging
+from typing import TYPE_CHECKING
 
 import aiocoap
 import trio
 
 from persimmonhinge import ids
 from persimmonhinge.coap import codec
+from persimmonhinge.peers.messages import feeds as messages
 from persimmonhinge.peers.messages import work
 from persimmonhinge.upstreams import context as contexts
 from persimmonhinge.upstreams import endpoint as endpoint_parts
 from persimmonhinge.upstreams import endpoints as endpoint_sets
 from persimmonhinge.upstreams import job as jobs
 from persimmonhinge.upstreams import requests
+from persimmonhinge.upstreams import shedding
 from persimmonhinge.upstreams import slots as slot_parts
 from persimmonhinge.upstreams import slow_start as slow_starts
 from persimmonhinge.upstreams import target as targets
 from persimmonhinge.upstreams import transfer as transfers
 from persimmonhinge.upstreams import trust as trusts
 
+if TYPE_CHECKING:
+    from persimmonhinge.upstreams import feed as feed_parts
+
 logger = logging.getLogger(__name__)
 
 _End = transfers.TransferEnd
 _Outcome = work.Outcome
 _Sign = trusts.Sign
-# What a draining upstream says in the diagnostic payload of its 5.03.
-_DRAIN_WORD = b"drain"
 _LEAST_DRAIN_S = 5.0
 _SERVER_ERROR_CLASS = 5
+_MOST_CHECKS = 32
 
 
 class KeptUpstream:
@@ -39,6 +44,8 @@
         target: The upstream and its contract.
         slots: Its slots and queue.
         feeds: Open feeds, those that are being cancelled included.
+        open_feeds: Feeds that a home holds open.
+        checks: Limits how many silent feeds are checked at a time.
     """
 
     def __init__(
@@ -49,6 +56,8 @@
     ) -> None:
         self.target = target
         self.feeds = 0
+        self.open_feeds: set[feed_parts.Feed] = set()
+        self.checks = trio.CapacityLimiter(_MOST_CHECKS)
         self.endpoints = endpoint_sets.Endpoints(
             context, target.service, target.upstream.address
         )
@@ -91,7 +100,7 @@
         if began_again:
             self._drains_until = 0.0
         if not self.accepting:
-            self.slots.refuse_all(_not_run("upstream drains"))
+            self._leave()
         self.slots.update(target)
 
     def submit(self, job: jobs.Job) -> None:
@@ -103,7 +112,7 @@
 
     def note_shed(self, answer: codec.Message) -> None:
         """Takes in that the upstream refused work or a feed with 5.03."""
-        if _DRAIN_WORD not in answer.payload.lower():
+        if not shedding.says_drain(answer):
             self._trust.note(_Sign.SHED, trio.current_time())
             return
         max_age = answer.opt.max_age
@@ -111,7 +120,21 @@
         if self.accepting:
             logger.info("Upstream %s says that it drains.", self.target.key)
         self._drains_until = trio.current_time() + drain_s
+        self._leave()
+
+    def note_feed_trouble(self) -> None:
+        """Takes in that a feed could not be opened for want of an answer."""
+        self._trust.note(_Sign.STALLED, trio.current_time())
+
+    def move_feeds(self, cause: messages.FeedEndCause) -> None:
+        """Has the homes asked to move all feeds."""
+        for feed in self.open_feeds:
+            feed.ask_to_move(cause)
+
+    def _leave(self) -> None:
+        """Gives the upstream up: nothing new, and its feeds are to move."""
         self.slots.refuse_all(_not_run("upstream drains"))
+        self.move_feeds(messages.FeedEndCause.DRAINING)
 
     def _start(self, job: jobs.Job) -> None:
         self._context.nursery.start_soon(self._run, job)
--- /dev/null
+++ b/persimmonhinge/upstreams/observation.py
@@ -0,0 +1,195 @@
+"""A feed at its upstream: CoAP observe, RFC 7641, as the client."""
+
+from __future__ import annotations
+
+import collections
+import enum
+
+import trio
+
+from persimmonhinge.coap import codec
+from persimmonhinge.upstreams import context as contexts
+from persimmonhinge.upstreams import endpoint as endpoints
+from persimmonhinge.upstreams import exchange as exchanges
+from persimmonhinge.upstreams import freshness
+from persimmonhinge.upstreams import transmission as transmissions
+
+_REGISTER = 0
+_DEREGISTER = 1
+# Notifications that may wait for a slow link to the home.
+_MOST_WAITING = 64
+
+
+class ObservationState(enum.Enum):
+    """Where an observation stands.
+
+    OPENING: The upstream has not answered yet.
+    OPEN: The upstream sends notifications.
+    ENDED: The upstream ended or refused it.
+    CANCELLED: This host ended it.
+    """
+
+    OPENING = "opening"
+    OPEN = "open"
+    ENDED = "ended"
+    CANCELLED = "cancelled"
+
+
+class Observation:
+    """Observes a resource on one token and keeps what comes.
+
+    Attributes:
+        state: Where it stands.
+        heard_at: When the upstream last gave a sign on its token.
+        last: The answer with which it ended, or the newest one.
+    """
+
+    def __init__(
+        self,
+        context: contexts.KeeperContext,
+        endpoint: endpoints.Endpoint,
+        request: codec.Message,
+    ) -> None:
+        self.state = ObservationState.OPENING
+        self.heard_at = trio.current_time()
+        self.last: codec.Message | None = None
+        self.endpoint = endpoint
+        self._context = context
+        self._request = request
+        self._token = endpoint.make_token()
+        self._freshness = freshness.Freshness()
+        self._waiting: collections.deque[codec.Message] = collections.deque()
+        self._news = trio.Event()
+        self._exchange: exchanges.Exchange | None = None
+        self._checking = False
+
+    async def open(self, silence_s: float) -> exchanges.ExchangeEnd:
+        """Registers at the upstream.
+
+        Args:
+            silence_s: Limit without a sign of the upstream, seconds.
+
+        Returns:
+            ANSWERED if it answered, whatever it said; `state` tells more.
+        """
+        self.endpoint.listen(self._token, self)
+        result = await self._exchange_once(
+            _REGISTER, silence_s, self._context.timers
+        )
+        if result.end is not exchanges.ExchangeEnd.ANSWERED:
+            self.state = ObservationState.ENDED
+        return result.end
+
+    async def check(self, silence_s: float) -> bool:
+        """Asks on the token of the feed whether the upstream still has it.
+
+        Registering again with the same token renews the feed and brings its
+        present state (RFC 7641 section 3.3.1). Asking on any other token
+        would prove nothing about this one.
+
+        Returns:
+            False if no answer came.
+        """
+        timers = self._context.timers.fit_into(silence_s)
+        self._checking = True
+        try:
+            result = await self._exchange_once(_REGISTER, silence_s, timers)
+        finally:
+            self._checking = False
+        return result.end is exchanges.ExchangeEnd.ANSWERED
+
+    async def cancel(self, silence_s: float) -> None:
+        """Deregisters at the upstream; stray notifications are reset."""
+        was_open = self.state in (
+            ObservationState.OPEN,
+            ObservationState.OPENING,
+        )
+        self.state = ObservationState.CANCELLED
+        if was_open:
+            await self._exchange_once(
+                _DEREGISTER, silence_s, self._context.timers
+            )
+        self.endpoint.stop_listening(self._token)
+
+    async def wait_news(self) -> None:
+        """Returns once there is something to take, or `wake` was called."""
+        if self._waiting or self.state is not ObservationState.OPEN:
+            await trio.lowlevel.checkpoint()
+            return
+        await self._news.wait()
+
+    def take(self) -> codec.Message | None:
+        """Returns the oldest notification that waits, None if none does."""
+        return self._waiting.popleft() if self._waiting else None
+
+    def wake(self) -> None:
+        """Makes `wait_news` return."""
+        self._news.set()
+        self._news = trio.Event()
+
+    def receive(self, answer: codec.Message) -> bool:
+        """Takes a notification; see `listener.Listener`."""
+        self.heard_at = trio.current_time()
+        observed = answer.opt.observe is not None
+        if self.state is ObservationState.CANCELLED:
+            if not observed:
+                self._pass_to_exchange(answer)
+            return not observed
+        if self.state is ObservationState.ENDED:
+            return False
+        self._pass_to_exchange(answer)
+        self._take_in(answer, observed)
+        return True
+
+    def _take_in(self, answer: codec.Message, observed: bool) -> None:
+        if not observed or not answer.code.is_successful():
+            # RFC 7641 sections 3.2 and 4.2: the upstream ended it.
+            self.state = ObservationState.ENDED
+            self.last = answer
+            self.wake()
+            return
+        if not self._freshness.admit(answer.opt.observe, self.heard_at):
+            self._context.counts.add("feed_events_late_total")
+            return
+        self.state = ObservationState.OPEN
+        if self._checking and self._is_repeat(answer):
+            return
+        self.last = answer
+        self._waiting.append(answer)
+        if len(self._waiting) > _MOST_WAITING:
+            self._waiting.popleft()
+            self._context.counts.add("feed_events_dropped_total")
+        self.wake()
+
+    def _is_repeat(self, answer: codec.Message) -> bool:
+        """Tells whether the answer to a check says nothing new."""
+        if self.last is None:
+            return False
+        return (
+            self.last.payload == answer.payload
+            and self.last.code == answer.code
+        )
+
+    def _pass_to_exchange(self, answer: codec.Message) -> None:
+        if self._exchange is not None:
+            self._exchange.receive(answer)
+
+    async def _exchange_once(
+        self,
+        observe: int,
+        silence_s: float,
+        timers: transmissions.Transmission,
+    ) -> exchanges.ExchangeResult:
+        request = self._request.copy()
+        request.opt.observe = observe
+        self._exchange = exchanges.Exchange(
+            self.endpoint,
+            request,
+            timers,
+            self._context.randomness,
+            self._token,
+        )
+        try:
+            return await self._exchange.run(exchanges.WaitLimits(silence_s))
+        finally:
+            self._exchange = None
--- /dev/null
+++ b/persimmonhinge/upstreams/orphans.py
@@ -0,0 +1,155 @@
+"""Feeds whose home is gone, until another home carries them on."""
+
+from __future__ import annotations
+
+import logging
+
+import trio
+
+from persimmonhinge import errors
+from persimmonhinge import ids
+from persimmonhinge.membership import member as members
+from persimmonhinge.membership import placement as placements
+from persimmonhinge.membership import view as views
+from persimmonhinge.peers import network as networks
+from persimmonhinge.peers.messages import feeds as messages
+from persimmonhinge.upstreams import context as contexts
+from persimmonhinge.upstreams import feed as feed_parts
+from persimmonhinge.upstreams import observation as observations
+
+logger = logging.getLogger(__name__)
+
+# Long enough for membership to find out that the home died, and for a new
+# home to look for an upstream.
+HOLD_S = 10.0
+_CALL_TIMEOUT_S = 4.0
+_PAUSE_S = 0.3
+_MOST_AT_A_TIME = 64
+
+
+class Orphans:
+    """Keeps feeds going whose link to the home was lost.
+
+    Guards against a feed that stands still after its home died: the caller
+    sends nothing by which another host would learn of it. Once membership
+    says that the home is gone, the feed is offered to the next home. As
+    long as it may still live, nothing is offered, because two homes would
+    then send to one caller; the home opens the feed anew by itself, and
+    gets what came meanwhile.
+    """
+
+    def __init__(
+        self,
+        context: contexts.KeeperContext,
+        view: views.View,
+        placement: placements.Placement,
+        network: networks.PeerNetwork,
+    ) -> None:
+        self._context = context
+        self._view = view
+        self._placement = placement
+        self._network = network
+        self._feeds: dict[tuple[object, ...], feed_parts.Feed] = {}
+        self._limiter = trio.CapacityLimiter(_MOST_AT_A_TIME)
+
+    def __len__(self) -> int:
+        return len(self._feeds)
+
+    def has(self, opened: messages.FeedOpen) -> bool:
+        """Tells whether a feed that a home opens is held here."""
+        return _make_key(opened) in self._feeds
+
+    def take(
+        self, opened: messages.FeedOpen
+    ) -> observations.Observation | None:
+        """Returns the observation of a feed that a home opens again."""
+        feed = self._feeds.pop(_make_key(opened), None)
+        if feed is None:
+            return None
+        if feed.observation.state is not observations.ObservationState.OPEN:
+            self._context.nursery.start_soon(feed.end)
+            return None
+        if feed.opened.request != opened.request:
+            self._context.nursery.start_soon(feed.end)
+            return None
+        self._context.counts.add("feeds_resumed_total")
+        return feed.observation
+
+    def hold(self, feed: feed_parts.Feed) -> None:
+        """Keeps a feed and looks for a new home."""
+        former = self._feeds.pop(_make_key(feed.opened), None)
+        if former is not None:
+            self._context.nursery.start_soon(former.end)
+        self._feeds[_make_key(feed.opened)] = feed
+        self._context.nursery.start_soon(self._find_home, feed)
+
+    async def _find_home(self, feed: feed_parts.Feed) -> None:
+        with trio.move_on_after(HOLD_S):
+            await self._wait_until_gone(feed)
+            while self._holds(feed):
+                if await self._offer(feed):
+                    break
+                await trio.sleep(_PAUSE_S)
+        if self._holds(feed):
+            del self._feeds[_make_key(feed.opened)]
+            await feed.end()
+
+    async def _wait_until_gone(self, feed: feed_parts.Feed) -> None:
+        while self._holds(feed) and not self._is_gone(feed.home):
+            await self._view.changed.wait_beyond(self._view.changed.version)
+
+    def _is_gone(self, home: members.Member | None) -> bool:
+        if home is None:
+            return True
+        now = self._view.get(home.host)
+        if now is None or now.incarnation != home.incarnation:
+            return True
+        # A host that leaves hands its feeds over before it closes links.
+        return now.state in (
+            members.MemberState.DEAD,
+            members.MemberState.LEAVING,
+        )
+
+    async def _offer(self, feed: feed_parts.Feed) -> bool:
+        async with self._limiter:
+            for member in self._list_homes(feed):
+                if not self._holds(feed):
+                    return True
+                if await self._offer_to(member.host, feed):
+                    return True
+        return False
+
+    def _list_homes(self, feed: feed_parts.Feed) -> list[members.Member]:
+        opened = feed.opened
+        caller = (opened.caller_host, opened.caller_port)
+        ranked = self._placement.rank_homes(opened.service, caller)
+        return [m for m in ranked if not _is_same(m, feed.home)]
+
+    async def _offer_to(self, host: ids.HostId, feed: feed_parts.Feed) -> bool:
+        offer = messages.FeedAdopt(feed.describe())
+        try:
+            answer = await self._network.call(host, offer, _CALL_TIMEOUT_S)
+        except errors.PeerError as error:
+            logger.debug("Feed was not taken: %s.", error)
+            return False
+        accepted = isinstance(answer, messages.Adopted) and answer.accepted
+        if accepted:
+            self._context.counts.add("feeds_rescued_total")
+        return accepted
+
+    def _holds(self, feed: feed_parts.Feed) -> bool:
+        return self._feeds.get(_make_key(feed.opened)) is feed
+
+
+def _make_key(opened: messages.FeedOpen) -> tuple[object, ...]:
+    return (
+        opened.service,
+        opened.upstream,
+        opened.caller_host,
+        opened.caller_port,
+        opened.token,
+    )
+
+
+def _is_same(member: members.Member, home: members.Member | None) -> bool:
+    return home is not None and member.ref == home.ref
--- a/persimmonhinge/upstreams/transfer.py
+++ b/persimmonhinge/upstreams/transfer.py
@@ -13,15 +13,13 @@
 from persimmonhinge.coap import codec
 from persimmonhinge.upstreams import endpoint as endpoints
 from persimmonhinge.upstreams import exchange as exchanges
+from persimmonhinge.upstreams import shedding
 from persimmonhinge.upstreams import transmission as transmissions
 
 # Block size is 2 ** (exponent + 4) octets, RFC 7959 section 2.2.
 _LARGEST_EXPONENT = 6
 _MOST_ANSWER_OCTETS = 4_194_304
 _MOST_DOWNLOADS = 3
-# Max-Age of RFC 7252 section 5.10.5, if an answer has none.
-_DEFAULT_MAX_AGE_S = 60
-_SHED_CODES = (aiocoap.SERVICE_UNAVAILABLE, aiocoap.TOO_MANY_REQUESTS)
 
 BlockOption = optiontypes.BlockOption.BlockwiseTuple
 
@@ -60,8 +58,7 @@
         """Max-Age of the refusal, seconds; 0 without one."""
         if self.end is not TransferEnd.SHED or self.answer is None:
             return 0
-        max_age = self.answer.opt.max_age
-        return _DEFAULT_MAX_AGE_S if max_age is None else int(max_age)
+        return shedding.read_retry_s(self.answer)
 
 
 class Transfer:
@@ -116,7 +113,7 @@
             return self._end_without_answer(result.end)
         answer = result.answer
         assert answer is not None
-        if answer.code in _SHED_CODES:
+        if shedding.is_shed(answer):
             return TransferResult(
                 TransferEnd.SHED, answer, "shed by the upstream"
             )
--- a/persimmonhinge/upstreams/upstreams.py
+++ b/persimmonhinge/upstreams/upstreams.py
@@ -6,6 +6,7 @@
 
 from persimmonhinge import ids
 from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.peers.messages import feeds
 from persimmonhinge.peers.messages import work
 from persimmonhinge.upstreams import context as contexts
 from persimmonhinge.upstreams import kept as kept_parts
@@ -93,9 +94,11 @@
         current = self._find_current(kept)
         if current is None:
             kept.slots.refuse_all(work.Dispatched(work.Outcome.STALE))
+            kept.move_feeds(feeds.FeedEndCause.DRAINING)
         elif not self._roles.keeps(current):
             keeper = self._roles.find_keeper(current)
             kept.slots.refuse_all(refuse_role(keeper.host if keeper else None))
+            kept.move_feeds(feeds.FeedEndCause.MOVED)
         else:
             return
         if kept.is_idle:
--- a/tests/test_upstreams/fake_network.py
+++ b/tests/test_upstreams/fake_network.py
@@ -28,9 +28,9 @@
         ](100)
 
     @property
-    def link_lost(self) -> bool:
-        """True if the link closed under the call."""
-        return self.lost
+    def closed_by_caller(self) -> bool:
+        """True unless the link was lost."""
+        return self.closed.is_set() and not self.lost
 
     async def push(self, message: base.Message) -> None:
         """Gives a message to the home."""
--- /dev/null
+++ b/tests/test_upstreams/fake_upstream.py
@@ -0,0 +1,150 @@
+"""An upstream in memory that does just what a test says."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import aiocoap
+import trio
+
+from persimmonhinge.coap import codec
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.upstreams import arrival
+
+Answer = Callable[["FakeSocket", codec.Message], None]
+
+
+class FakeSocket:
+    """A socket of the keeper; what it sends goes to the upstream at once."""
+
+    def __init__(
+        self, upstream: FakeUpstream, address: contracts.Address
+    ) -> None:
+        self.address = address
+        self._upstream = upstream
+        self._send, self._receive = trio.open_memory_channel[arrival.Arrival](
+            1000
+        )
+
+    def send(self, data: bytes) -> None:
+        """Gives a datagram to the upstream."""
+        self._upstream.take(self, codec.decode(data))
+
+    async def receive(self) -> list[arrival.Arrival]:
+        """Returns the next datagram of the upstream."""
+        try:
+            return [await self._receive.receive()]
+        except trio.EndOfChannel:
+            raise trio.ClosedResourceError from None
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._send.close()
+
+    def deliver(self, message: codec.Message) -> None:
+        """Gives a message of the upstream to the keeper."""
+        self._send.send_nowait(arrival.Arrival(codec.encode(message)))
+
+    def refuse(self, message: codec.Message) -> None:
+        """Tells the keeper that ICMP refused a datagram of its own."""
+        data = codec.encode(message)
+        self._send.send_nowait(arrival.Arrival(data, refused=True))
+
+
+class FakeUpstream:
+    """Records what the keeper sends and answers by a function.
+
+    Attributes:
+        received: All messages, copies included.
+        sockets: All sockets that the keeper opened.
+        answer: Called with each request.
+    """
+
+    def __init__(self, answer: Answer | None = None) -> None:
+        self.received: list[codec.Message] = []
+        self.sockets: list[FakeSocket] = []
+        self.answer: Answer = answer or reply
+        self._next_id = 0
+
+    def open(self, address: contracts.Address) -> FakeSocket:
+        """Opens a socket of the keeper."""
+        socket = FakeSocket(self, address)
+        self.sockets.append(socket)
+        return socket
+
+    def take(self, socket: FakeSocket, message: codec.Message) -> None:
+        """Takes in a message of the keeper."""
+        self.received.append(message)
+        if message.code.is_request():
+            self.answer(socket, message)
+
+    def requests(self) -> list[codec.Message]:
+        """Returns the requests, each once."""
+        by_id = {m.mid: m for m in self.received if m.code.is_request()}
+        return list(by_id.values())
+
+    def replies(self, kind: aiocoap.Type) -> list[codec.Message]:
+        """Returns the acknowledgements or resets of the keeper."""
+        return [m for m in self.received if m.mtype is kind]
+
+    def notify(
+        self,
+        registration: codec.Message,
+        number: int | None,
+        payload: bytes,
+        kind: aiocoap.Type = aiocoap.NON,
+        **options: object,
+    ) -> None:
+        """Sends a notification on the token of a registration."""
+        message = codec.Message(code=aiocoap.CONTENT, payload=payload)
+        message.opt.observe = number
+        for name, value in options.items():
+            setattr(message.opt, name, value)
+        message.mtype = kind
+        self._next_id += 1
+        message.mid = self._next_id
+        message.token = registration.token
+        self.sockets[-1].deliver(message)
+
+
+def reply(
+    socket: FakeSocket,
+    request: codec.Message,
+    code: aiocoap.Code = aiocoap.CONTENT,
+    payload: bytes = b"",
+    **options: object,
+) -> None:
+    """Answers a request in its acknowledgement."""
+    answer = codec.Message(code=code, payload=payload)
+    for name, value in options.items():
+        setattr(answer.opt, name, value)
+    answer.mtype = aiocoap.ACK
+    answer.mid = request.mid
+    answer.token = request.token
+    socket.deliver(answer)
+
+
+def send_empty(socket: FakeSocket, kind: aiocoap.Type, message_id: int) -> None:
+    """Sends an empty acknowledgement or a reset."""
+    message = codec.Message(code=aiocoap.EMPTY)
+    message.mtype = kind
+    message.mid = message_id
+    socket.deliver(message)
+
+
+def send_separate(
+    socket: FakeSocket,
+    request: codec.Message,
+    payload: bytes = b"",
+    code: aiocoap.Code = aiocoap.CHANGED,
+) -> None:
+    """Answers a request by a message of its own."""
+    answer = codec.Message(code=code, payload=payload)
+    answer.mtype = aiocoap.CON
+    answer.mid = request.mid ^ 0x5555
+    answer.token = request.token
+    socket.deliver(answer)
+
+
+def swallow(socket: FakeSocket, request: codec.Message) -> None:
+    """Gives no sign."""
--- a/tests/test_upstreams/scene.py
+++ b/tests/test_upstreams/scene.py
@@ -22,6 +22,7 @@
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.peers.messages import control
+from persimmonhinge.peers.messages import feeds
 from persimmonhinge.peers.messages import work
 from persimmonhinge.settings import entry as settings_entry
 from persimmonhinge.upstreams import keeper as keepers
@@ -150,6 +151,22 @@
     return work.Recover(**members_)
 
 
+def make_feed_open(upstream_id: str = "u1", **changes: Any) -> feeds.FeedOpen:
+    """Returns a feed as a home opens it."""
+    members_ = {
+        "service": SERVICE,
+        "revision": ids.Revision(1),
+        "upstream": ids.UpstreamId(upstream_id),
+        "request": make_request("/board", code=aiocoap.GET),
+        "caller_host": "127.0.0.9",
+        "caller_port": 4000,
+        "token": b"feed",
+        "last_sequence": 40,
+        **changes,
+    }
+    return feeds.FeedOpen(**members_)
+
+
 @dataclasses.dataclass
 class Scene:
     """A keeper that runs, and what it is made of."""
@@ -203,6 +220,24 @@
         return [line for line in found if line["kind"] == kind]
 
 
+async def tell_standin(
+    port: int, path: str, document: Any = None
+) -> dict[str, Any]:
+    """Sends a test's request to a stand-in and returns its JSON answer."""
+    message = codec.Message(
+        code=aiocoap.GET if path.endswith("stats") else aiocoap.POST
+    )
+    message.payload = b"" if document is None else json.dumps(document).encode()
+    message.mtype = aiocoap.CON
+    message.mid = 1
+    message.opt.uri_path = path.strip("/").split("/")
+    with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as s:
+        await s.sendto(codec.encode(message), ("127.0.0.1", port))
+        data, _ = await s.recvfrom(4096)
+    answer: dict[str, Any] = json.loads(codec.decode(data).payload or b"{}")
+    return answer
+
+
 @contextlib.asynccontextmanager
 async def open_standin(
     name: str = "u1", **changes: Any
--- /dev/null
+++ b/tests/test_upstreams/test_upstreams_feeds.py
@@ -0,0 +1,292 @@
+"""Tests of feeds between a home and its upstream."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+
+import aiocoap
+from aiocoap import optiontypes
+import trio
+
+from persimmonhinge.coap import codec
+from persimmonhinge.membership import member as members
+from persimmonhinge.peers.messages import feeds
+from tests.support import trios
+from tests.test_upstreams import fake_network
+from tests.test_upstreams import fake_upstream
+from tests.test_upstreams import scene
+
+_Cause = feeds.FeedEndCause
+_LIMITS = {"silent_feed_s": 10.0, "upstream_timeout_s": 5.0}
+
+
+class Board(fake_upstream.FakeUpstream):
+    """A board that publishes what a test tells it to.
+
+    Attributes:
+        registrations: Registrations by token, those renewed included.
+        silent: Tokens of which the board has lost track.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(self.serve)
+        self.state = b"0"
+        self.number = 0
+        self.registrations: dict[bytes, codec.Message] = {}
+        self.silent: set[bytes] = set()
+
+    def serve(
+        self, socket: fake_upstream.FakeSocket, request: codec.Message
+    ) -> None:
+        """Answers a registration, or its end."""
+        if request.token in self.silent:
+            return
+        if request.opt.observe == 1:
+            self.registrations.pop(request.token, None)
+            fake_upstream.reply(socket, request, payload=self.state)
+            return
+        self.registrations[request.token] = request
+        fake_upstream.reply(
+            socket, request, payload=self.state, observe=self.number
+        )
+
+    def publish(self, state: bytes, kind: aiocoap.Type = aiocoap.NON) -> None:
+        """Notifies all observers of a new state."""
+        self.number += 1
+        self.state = state
+        for token, registration in self.registrations.items():
+            if token not in self.silent:
+                self.notify(registration, self.number, state, kind)
+
+
+@contextlib.asynccontextmanager
+async def open_board(
+    **upstream: object,
+) -> AsyncIterator[tuple[scene.Scene, Board]]:
+    """Runs a keeper with one board as its upstream."""
+    board = Board()
+    async with scene.open_scene(open_socket=board.open) as here:
+        contract = scene.make_contract(
+            {"u1": 9}, upstream=upstream, limits=_LIMITS
+        )
+        here.store.offer(scene.make_record(contract, 1))
+        here.view.put(scene.make_member("west-1", "west"))
+        yield here, board
+
+
+async def receive_state(caller: fake_network.FakeCaller) -> bytes:
+    """Returns the state in the next event."""
+    event = await caller.from_keeper.receive()
+    assert isinstance(event, feeds.FeedEvent), event
+    payload: bytes = codec.decode(event.answer).payload
+    return payload
+
+
+async def receive_end(caller: fake_network.FakeCaller) -> feeds.FeedEnd:
+    """Returns the end that comes next."""
+    end = await caller.from_keeper.receive()
+    assert isinstance(end, feeds.FeedEnd), end
+    return end
+
+
+def assert_nothing_waits(caller: fake_network.FakeCaller) -> None:
+    """Checks that the keeper has sent nothing more."""
+    try:
+        message = caller.from_keeper.receive_nowait()
+    except trio.WouldBlock:
+        return
+    raise AssertionError(f"unexpected {message}")
+
+
+@trios.clock_test
+async def test_feed_passes_on_what_is_fresh_with_rising_numbers() -> None:
+    async with open_board() as (here, board):
+        async with here.network.open_call(scene.make_feed_open()) as caller:
+            first = await caller.from_keeper.receive()
+            assert isinstance(first, feeds.FeedEvent)
+            assert first.sequence == 41
+            [registration] = board.registrations.values()
+            board.notify(registration, 5, b"five")
+            board.notify(registration, 4, b"late")
+            board.notify(registration, 5, b"five")
+            board.notify(registration, 6, b"six", aiocoap.CON)
+            assert await receive_state(caller) == b"five"
+            assert await receive_state(caller) == b"six"
+            assert_nothing_waits(caller)
+            assert len(board.replies(aiocoap.ACK)) == 1
+        await trio.sleep(1)
+        assert not board.registrations
+        assert here.keepers.loads()[0].feeds == 0
+
+
+@trios.clock_test
+async def test_feeds_beyond_the_connections_are_refused() -> None:
+    async with open_board(connections=1) as (here, _):
+        async with here.network.open_call(scene.make_feed_open()) as one:
+            await receive_state(one)
+            other = scene.make_feed_open(token=b"other")
+            async with here.network.open_call(other) as two:
+                end = await receive_end(two)
+                assert end.cause is _Cause.REFUSED
+                assert end.retry_after_s > 0
+
+
+@trios.clock_test
+async def test_feed_goes_on_while_its_upstream_drains() -> None:
+    """Operators drain an upstream; its feeds have to move without a gap.
+
+    The home is told and opens the feed elsewhere first. Until it closes
+    this one, each change still comes.
+    """
+    async with open_board() as (here, board):
+        async with here.network.open_call(scene.make_feed_open()) as caller:
+            await receive_state(caller)
+            draining = scene.make_contract(
+                {"u1": 9}, upstream={"state": "draining"}
+            )
+            here.store.offer(scene.make_record(draining, 2))
+            end = await receive_end(caller)
+            assert end.cause is _Cause.DRAINING
+            assert end.load is not None
+            assert not end.load.accepting
+            board.publish(b"later")
+            assert await receive_state(caller) == b"later"
+            other = scene.make_feed_open(token=b"other")
+            async with here.network.open_call(other) as late:
+                assert (await receive_end(late)).cause is _Cause.REFUSED
+
+
+@trios.clock_test
+async def test_silent_feed_is_found_and_a_quiet_one_is_left_alone() -> None:
+    """A price board stands still although new feeds and calls work.
+
+    Something between the two ends has lost track of the open feed, so that
+    only a question on its own token shows it. A board on which nothing
+    changes looks the same until it is asked.
+    """
+    quiet_open = scene.make_feed_open(token=b"quiet")
+    async with open_board() as (here, board):
+        async with here.network.open_call(scene.make_feed_open()) as silent:
+            await receive_state(silent)
+            board.silent = set(board.registrations)
+            async with here.network.open_call(quiet_open) as quiet:
+                await receive_state(quiet)
+                began_at = trio.current_time()
+                end = await receive_end(silent)
+                assert end.cause is _Cause.SILENT
+                assert trio.current_time() - began_at < 16
+                await trio.sleep(40)
+                assert_nothing_waits(quiet)
+                assert_nothing_waits(silent)
+                board.publish(b"news")
+                assert await receive_state(quiet) == b"news"
+        assert here.counts.get("feeds_silent_total") == 1
+
+
+@trios.clock_test
+async def test_check_brings_what_a_feed_has_missed() -> None:
+    async with open_board() as (here, board):
+        async with here.network.open_call(scene.make_feed_open()) as caller:
+            await receive_state(caller)
+            board.number += 1
+            board.state = b"its notification was lost"
+            assert await receive_state(caller) == board.state
+
+
+@trios.clock_test
+async def test_feed_of_a_lost_link_goes_on_where_it_stopped() -> None:
+    """A link breaks, and the home opens its feed again a little later.
+
+    What the upstream sent in between would be missing on the caller's
+    board, had the keeper dropped the feed with the link.
+    """
+    opened = scene.make_feed_open()
+    async with open_board() as (here, board):
+        async with here.network.open_call(opened, "west-1") as caller:
+            await receive_state(caller)
+            caller.lost = True
+        await trio.sleep(1)
+        board.publish(b"one")
+        board.publish(b"two")
+        await trio.sleep(1)
+        async with here.network.open_call(opened, "west-1") as again:
+            assert await receive_state(again) == b"one"
+            assert await receive_state(again) == b"two"
+        assert not here.network.sent
+
+
+@trios.clock_test
+async def test_feed_of_a_dead_home_is_offered_to_the_next() -> None:
+    """A home dies; its caller sends nothing and waits for the next price.
+
+    The link breaks at once, membership finds the death later, and only the
+    keeper knows of the feed.
+    """
+    opened = scene.make_feed_open()
+    async with open_board() as (here, board):
+        here.network.replies[feeds.FeedAdopt] = feeds.Adopted(True)
+        async with here.network.open_call(opened, "west-1") as caller:
+            await receive_state(caller)
+            await caller.to_keeper.send(feeds.FeedAck(50, (b"digest",)))
+            await trio.sleep(0.1)
+            caller.lost = True
+        await trio.sleep(1)
+        assert not here.network.sent
+        home = here.view.get(scene.make_member("west-1").host)
+        assert home is not None
+        dead = members.MemberState.DEAD
+        here.view.put(dataclasses.replace(home, state=dead))
+        await trio.sleep(1)
+        [(host, offer)] = here.network.sent
+        assert host == "east-1"
+        assert isinstance(offer, feeds.FeedAdopt)
+        assert offer.feed.last_sequence == 50
+        assert offer.feed.recent == (b"digest",)
+        assert not board.registrations
+
+
+@trios.clock_test
+async def test_feed_whose_upstream_ends_it_is_lost() -> None:
+    async with open_board() as (here, board):
+        async with here.network.open_call(scene.make_feed_open()) as caller:
+            await receive_state(caller)
+            [registration] = board.registrations.values()
+            board.notify(registration, None, b"last")
+            assert await receive_state(caller) == b"last"
+            assert (await receive_end(caller)).cause is _Cause.LOST
+
+
+@trios.clock_test
+async def test_large_notification_is_completed() -> None:
+    body = bytes(range(256)) * 12
+    block = optiontypes.BlockOption.BlockwiseTuple
+
+    async with open_board() as (here, board):
+
+        def serve(
+            socket: fake_upstream.FakeSocket, request: codec.Message
+        ) -> None:
+            if request.opt.block2 is None:
+                board.serve(socket, request)
+                return
+            start = request.opt.block2.start
+            fake_upstream.reply(
+                socket,
+                request,
+                payload=body[start : start + 1024],
+                block2=block(start // 1024, start + 1024 < len(body), 6),
+                etag=b"tag",
+            )
+
+        board.answer = serve
+        async with here.network.open_call(scene.make_feed_open()) as caller:
+            await receive_state(caller)
+            [registration] = board.registrations.values()
+            options = {"block2": block(0, True, 6), "etag": b"tag"}
+            board.notify(registration, 7, body[:1024], aiocoap.NON, **options)
+            event = await caller.from_keeper.receive()
+            assert isinstance(event, feeds.FeedEvent)
+            whole = codec.decode(event.answer, limit=codec.MAX_WHOLE_OCTETS)
+            assert whole.payload == body
