Place each flow on the best of all hosts instead of the best domain

With a choice of the domain first, each domain has an equal part of the flows however many hosts it has: with 7 hosts in 3 domains the busiest had 1.18 times the mean, and a domain of one host beside one of three 1.67 times. Weights for domains even that out but move flows whose host did not change. The new test of evenness fails with the former placement.

--- a/persimmonhinge/membership/placement.py
+++ b/persimmonhinge/membership/placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import xxhash
 
 from persimmonhinge import ids
@@ -9,17 +11,37 @@
 from persimmonhinge.membership import view as views
 
 
+@dataclasses.dataclass(slots=True)
+class _Domain:
+    """Members of one domain, in order of name."""
+
+    names: list[bytes] = dataclasses.field(default_factory=list)
+    members: list[members.Member] = dataclasses.field(default_factory=list)
+
+    def find_best(self, key: int) -> tuple[int, members.Member]:
+        """Returns the highest score and who has it.
+
+        Equal scores go to the first name, on every host alike.
+        """
+        hash_name = xxhash.xxh3_64_intdigest
+        scores = [hash_name(name, key) for name in self.names]
+        best = max(scores)
+        return best, self.members[scores.index(best)]
+
+
 class Placement:
     """Places flows and upstreams on the members of a view.
 
-    The members that take roles are grouped by domain once for each change
-    of the view, not for each packet.
+    Each host has a score for each flow; the highest is the home. So each
+    host is home of an equal part, and a host that joins or dies moves no
+    flow but those that it gets or had. The members that take roles are
+    grouped once for each change of the view, not for each packet.
     """
 
     def __init__(self, view: views.View) -> None:
         self._view = view
         self._version = -1
-        self._by_domain: dict[str, list[members.Member]] = {}
+        self._domains: dict[str, _Domain] = {}
 
     def rank_homes(
         self, service: ids.ServiceName, caller: tuple[str, int]
@@ -29,9 +51,10 @@
         The first is the home. The others follow when it can't be reached.
         """
         self._refresh()
-        key = f"{service}\n{caller[0]}\n{caller[1]}"
-        domains = _rank(key, list(self._by_domain))
-        return [self._best(key, domain) for domain in domains]
+        key = _hash_key(f"{service}\n{caller[0]}\n{caller[1]}")
+        best = [domain.find_best(key) for domain in self._domains.values()]
+        best.sort(key=_get_score, reverse=True)
+        return [member for _, member in best]
 
     def find_keeper(
         self, upstream: ids.UpstreamId, domain: str
@@ -44,43 +67,28 @@
             domain: The failure domain of the upstream.
         """
         self._refresh()
-        if domain not in self._by_domain:
+        found = self._domains.get(domain)
+        if found is None:
             return None
-        return self._best(upstream, domain)
-
-    def rank_hosts(self, key: str, domain: str) -> list[members.Member]:
-        """Ranks the hosts of a domain that take roles, best first.
-
-        Args:
-            key: Name of the role that is placed.
-            domain: The failure domain; unknown ones have no hosts.
-        """
-        self._refresh()
-        hosts = self._by_domain.get(domain, [])
-        return sorted(hosts, key=lambda m: _score(key, m.host), reverse=True)
-
-    def domains(self) -> list[str]:
-        """Returns the failure domains with hosts that take roles, in order."""
-        self._refresh()
-        return sorted(self._by_domain)
-
-    def _best(self, key: str, domain: str) -> members.Member:
-        hosts = self._by_domain[domain]
-        return max(hosts, key=lambda m: _score(key, m.host))
+        _, keeper = found.find_best(_hash_key(upstream))
+        return keeper
 
     def _refresh(self) -> None:
         if self._version == self._view.changed.version:
             return
         self._version = self._view.changed.version
-        self._by_domain = {}
-        for member in self._view.role_takers():
-            self._by_domain.setdefault(member.domain, []).append(member)
+        self._domains = {}
+        takers = sorted(self._view.role_takers(), key=lambda m: m.host)
+        for member in takers:
+            domain = self._domains.setdefault(member.domain, _Domain())
+            domain.names.append(member.host.encode())
+            domain.members.append(member)
 
 
-def _rank(key: str, names: list[str]) -> list[str]:
-    return sorted(names, key=lambda name: _score(key, name), reverse=True)
+def _get_score(scored: tuple[int, members.Member]) -> tuple[int, ids.HostId]:
+    score, member = scored
+    return (score, member.host)
 
 
-def _score(key: str, name: str) -> tuple[int, str]:
-    # The name breaks ties in the same way on every host.
-    return (xxhash.xxh3_64_intdigest(f"{key}\n{name}".encode()), name)
+def _hash_key(key: str) -> int:
+    return xxhash.xxh3_64_intdigest(key.encode())
--- /dev/null
+++ b/tests/test_membership/test_membership_placement.py
@@ -0,0 +1,102 @@
+"""Placement: even, the same on every host, and moved by as little as can be."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+
+import hypothesis
+from hypothesis import strategies
+
+from persimmonhinge import ids
+from persimmonhinge.membership import member as members
+from persimmonhinge.membership import placement as placements
+from persimmonhinge.membership import view as views
+from tests.test_membership import hosts
+
+_REPEATABLE = hypothesis.settings(
+    deadline=None, derandomize=True, max_examples=30
+)
+_SERVICE = ids.ServiceName("floor-trading")
+_FLOWS = [(f"10.0.{i // 200}.{i % 200}", 40_000 + i % 7) for i in range(4000)]
+numbers_strategy = strategies.lists(
+    strategies.integers(0, 30), min_size=2, max_size=12, unique=True
+)
+
+
+def make_member(number: int) -> members.Member:
+    return members.Member(
+        host=ids.HostId(f"host-{number}"),
+        domain=ids.DomainId(hosts.DOMAINS[number % len(hosts.DOMAINS)]),
+        address="127.0.0.1",
+        peer_port=1,
+        heartbeat_port=1,
+        incarnation=ids.Incarnation(1),
+    )
+
+
+def make_placement(numbers: Iterable[int]) -> placements.Placement:
+    first, *others = numbers
+    view = views.View(make_member(first))
+    for number in others:
+        view.put(make_member(number))
+    return placements.Placement(view)
+
+
+def place(placement: placements.Placement) -> list[ids.HostId]:
+    return [placement.rank_homes(_SERVICE, flow)[0].host for flow in _FLOWS]
+
+
+def test_flows_are_spread_evenly_over_uneven_domains() -> None:
+    """Hosts of a small domain had half as many flows again as the others."""
+    for numbers in (range(6), range(7), range(24), (0, 1, 2, 3, 6)):
+        counts = collections.Counter(place(make_placement(numbers)))
+        mean = len(_FLOWS) / len(numbers)
+        assert len(counts) == len(numbers)
+        # Four standard deviations of a binomial distribution.
+        assert max(counts.values()) < mean + 4 * mean**0.5
+
+
+@_REPEATABLE
+@hypothesis.given(numbers_strategy)
+def test_every_host_places_alike(
+    numbers: list[int],
+) -> None:
+    shuffled = sorted(numbers, reverse=True)
+    one, other = make_placement(numbers), make_placement(shuffled)
+    for flow in _FLOWS[:50]:
+        assert one.rank_homes(_SERVICE, flow) == other.rank_homes(
+            _SERVICE, flow
+        )
+    for domain in hosts.DOMAINS:
+        upstream = ids.UpstreamId("floor-trading/u-1")
+        assert one.find_keeper(upstream, domain) == other.find_keeper(
+            upstream, domain
+        )
+
+
+@_REPEATABLE
+@hypothesis.given(numbers_strategy)
+def test_a_join_moves_only_what_the_new_host_gets(numbers: list[int]) -> None:
+    *before, joined = numbers
+    former = place(make_placement(before))
+    present = place(make_placement(numbers))
+    for old, new in zip(former, present, strict=True):
+        assert new in (old, f"host-{joined}")
+
+
+def test_homes_are_ranked_one_in_each_domain() -> None:
+    placement = make_placement(range(9))
+    for flow in _FLOWS[:100]:
+        ranked = placement.rank_homes(_SERVICE, flow)
+        assert sorted(member.domain for member in ranked) == [*hosts.DOMAINS]
+
+
+def test_the_keeper_stands_in_the_domain_of_the_upstream() -> None:
+    placement = make_placement(range(6))
+    for number in range(50):
+        upstream = ids.UpstreamId(f"floor-trading/u-{number}")
+        keeper = placement.find_keeper(upstream, "dom-b")
+        assert keeper is not None
+        assert keeper.domain == "dom-b"
+    assert placement.find_keeper(ids.UpstreamId("s/u"), "dom-x") is None
--- /dev/null
+++ b/tests/test_membership/test_membership_record.py
@@ -0,0 +1,114 @@
+"""The rule by which records of one host merge."""
+
+from __future__ import annotations
+
+import itertools
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from persimmonhinge import ids
+from persimmonhinge.membership import record as records
+from persimmonhinge.membership import table as tables
+
+_REPEATABLE = hypothesis.settings(deadline=None, derandomize=True)
+_FORGET_S = 100.0
+
+
+def make_record(host: str = "host-1", **fields: object) -> records.Record:
+    record = records.Record(
+        host=ids.HostId(host),
+        domain=ids.DomainId("dom-a"),
+        address=b"\x0a\x00\x00\x01",
+        peer_port=7000,
+        heartbeat_port=7001,
+        incarnation=ids.Incarnation(1),
+    )
+    return msgspec.structs.replace(record, **fields)
+
+
+record_strategy = strategies.builds(
+    make_record,
+    host=strategies.sampled_from(["host-1", "host-2", "host-3"]),
+    address=strategies.sampled_from([b"\x0a\x00\x00\x01", b"\x0a\x00\x00\x02"]),
+    incarnation=strategies.integers(1, 3).map(ids.Incarnation),
+    version=strategies.integers(0, 2),
+    claim=strategies.sampled_from(records.Claim),
+    age_s=strategies.integers(0, 2),
+)
+one_host = record_strategy.map(lambda r: msgspec.structs.replace(r, host="h"))
+
+
+@_REPEATABLE
+@hypothesis.given(one_host, one_host, one_host)
+def test_merge_is_a_maximum(
+    one: records.Record, two: records.Record, three: records.Record
+) -> None:
+    merge = records.merge
+    assert merge(one, one) == one
+    assert merge(one, two) == merge(two, one)
+    assert merge(merge(one, two), three) == merge(one, merge(two, three))
+
+
+@_REPEATABLE
+@hypothesis.given(one_host, one_host)
+def test_merge_never_goes_back(
+    one: records.Record, two: records.Record
+) -> None:
+    merged = records.merge(one, two)
+    assert merged.life == max(one.life, two.life)
+    if one.claim is records.Claim.DEAD and two.life <= one.life:
+        assert merged.claim is records.Claim.DEAD
+
+
+@_REPEATABLE
+@hypothesis.given(strategies.lists(record_strategy, max_size=8))
+def test_tables_that_heard_the_same_are_equal(
+    heard: list[records.Record],
+) -> None:
+    one = tables.Table(_FORGET_S, lambda: 50.0)
+    other = tables.Table(_FORGET_S, lambda: 50.0)
+    for record in heard:
+        one.offer(record)
+    for record in reversed([*heard, *heard]):
+        other.offer(record)
+    assert {r.host: r for r in one.all()} == {r.host: r for r in other.all()}
+    assert one.digests() == other.digests()
+    assert one.compare(other.digests()) == []
+
+
+@_REPEATABLE
+@hypothesis.given(record_strategy, record_strategy)
+def test_digests_tell_records_apart(
+    one: records.Record, two: records.Record
+) -> None:
+    tables_of = []
+    for record in (one, two):
+        table = tables.Table(_FORGET_S, lambda: 0.0)
+        table.offer(record)
+        tables_of.append(table)
+    same = (one.host, one.order) == (two.host, two.order)
+    assert (tables_of[0].digests() == tables_of[1].digests()) is same
+
+
+def test_a_death_that_is_passed_on_still_ends() -> None:
+    """The dead were remembered for ever, passed from host to host.
+
+    Two hosts tell each other of a death in turn, each just before it would
+    have forgotten it itself.
+    """
+    now = 0.0
+    pair = [tables.Table(_FORGET_S, lambda: now) for _ in range(2)]
+    pair[0].offer(make_record(claim=records.Claim.DEAD))
+    for teller, listener in itertools.islice(
+        itertools.cycle([(pair[0], pair[1]), (pair[1], pair[0])]), 10
+    ):
+        now += _FORGET_S / 4
+        for table in pair:
+            for host in table.find_forgotten():
+                table.remove(host)
+        for record in teller.all():
+            listener.offer(record)
+    assert not len(pair[0])
+    assert not len(pair[1])
