Hand a keeper's table and running requests over to its successors

Cause: a ticket names its keepers, and when one leaves only its table can tell what ran. The hand-over also carries how long each home has been up at least, because a successor that reckons less would call a forgotten request not run.

--- a/persimmonhinge/peers/messages/handover.py
+++ b/persimmonhinge/peers/messages/handover.py
@@ -29,6 +29,18 @@
     answer: bytes = b""
 
 
+class HomeUptime(base.Message, array_like=True, frozen=True):
+    """How long a home has been up at least, as the sender reckons.
+
+    Attributes:
+        home: Incarnation of the home.
+        uptime_ms: Lower bound of its uptime.
+    """
+
+    home: ids.HostRef
+    uptime_ms: int
+
+
 @base.message_kind("keeper-handover")
 class KeeperHandover(base.Message, array_like=True, frozen=True):
     """A part of what a keeper that leaves knows; answered by `HandoverTaken`.
@@ -41,6 +53,9 @@
         busy: Requests still running at each upstream, in order of
             `upstreams`; they count against the slots until they end.
         final: True in the last part.
+        homes: Uptimes of the homes, in the first and the last part. The
+            successor must take a ticket for expired no later than the
+            former keeper did, which has forgotten what it ran by then.
     """
 
     former: ids.HostRef
@@ -48,6 +63,7 @@
     executed: tuple[Executed, ...]
     busy: tuple[int, ...]
     final: bool
+    homes: tuple[HomeUptime, ...] = ()
 
 
 @base.message_kind("handover-taken")
--- a/persimmonhinge/upstreams/dispatching.py
+++ b/persimmonhinge/upstreams/dispatching.py
@@ -140,15 +140,30 @@
         Work that runs at most once is left alone while it runs: its answer
         is kept for a home that asks again.
         """
-        if job.listeners == 0:
-            if job.withdraw is not None and job.withdraw():
-                return job.outcome
-            if job.dispatch.idempotent and job.abandon is not None:
-                job.abandon()
+        if job.listeners == 0 and self._cancel(job):
+            return job.outcome
         return work.Dispatched(
             _Outcome.UNKNOWN, reason="still running at the deadline"
         )
 
+    def _cancel(self, job: jobs.Job) -> bool:
+        """Cancels a job as far as that is safe.
+
+        Returns:
+            True if it is done now: it did not run and will not.
+        """
+        if job.withdraw is not None and job.withdraw():
+            return True
+        transfer = job.transfer
+        if transfer is None:
+            return False
+        if transfer.may_run and not job.dispatch.idempotent:
+            return False
+        transfer.abandon()
+        if not transfer.may_run:
+            job.finish(_refuse("upload was cut off"))
+        return not transfer.may_run
+
 
 async def _cancel_when_gone(
     caller: networks.Caller, scope: trio.CancelScope
--- a/persimmonhinge/upstreams/endpoint.py
+++ b/persimmonhinge/upstreams/endpoint.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 import contextlib
 import logging
+import math
 import random
 import secrets
 from typing import Protocol
@@ -50,6 +51,7 @@
 
     Attributes:
         heard_at: When the last datagram came.
+        peer: Address of the upstream, for errors.
     """
 
     def __init__(
@@ -60,7 +62,7 @@
         counts: host_counts.Counts,
         randomness: random.Random,
     ) -> None:
-        self.heard_at = trio.current_time()
+        self.heard_at = -math.inf
         self.peer = peer
         self._socket = socket
         self._may_send = may_send
--- a/persimmonhinge/upstreams/job.py
+++ b/persimmonhinge/upstreams/job.py
@@ -11,6 +11,7 @@
 from persimmonhinge.coap import codec
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.peers.messages import work
+from persimmonhinge.upstreams import transfer as transfers
 
 
 class JobState(enum.Enum):
@@ -43,7 +44,7 @@
         listeners: Calls that wait for its outcome.
         withdraw: Takes it out of the queue and finishes it as not run;
             returns False if it does not wait any more.
-        abandon: Cancels it at the upstream; set while it runs.
+        transfer: Its run at the upstream; set while it runs.
         on_finish: Is told the outcome before all that wait.
     """
 
@@ -64,7 +65,7 @@
         self.state = JobState.WAITING
         self.listeners = 0
         self.withdraw: Callable[[], bool] | None = None
-        self.abandon: Callable[[], None] | None = None
+        self.transfer: transfers.Transfer | None = None
         self.on_finish: Callable[[work.Dispatched], None] | None = None
         self._done = trio.Event()
         self._outcome: work.Dispatched | None = None
--- a/persimmonhinge/upstreams/keeper.py
+++ b/persimmonhinge/upstreams/keeper.py
@@ -17,6 +17,7 @@
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.peers import network as networks
 from persimmonhinge.peers.messages import feeds
+from persimmonhinge.peers.messages import handover
 from persimmonhinge.peers.messages import work
 from persimmonhinge.settings import entry as settings_entry
 from persimmonhinge.upstreams import arrival
@@ -24,9 +25,12 @@
 from persimmonhinge.upstreams import dispatching as dispatching_parts
 from persimmonhinge.upstreams import executed as executed_tables
 from persimmonhinge.upstreams import feeding as feeding_parts
+from persimmonhinge.upstreams import handing as handing_parts
+from persimmonhinge.upstreams import inheritance as inheritances
 from persimmonhinge.upstreams import orphans as orphan_parts
 from persimmonhinge.upstreams import recovering as recovering_parts
 from persimmonhinge.upstreams import roles as role_parts
+from persimmonhinge.upstreams import taking as taking_parts
 from persimmonhinge.upstreams import transmission as transmissions
 from persimmonhinge.upstreams import udp
 from persimmonhinge.upstreams import upstreams as upstream_sets
@@ -80,7 +84,9 @@
         self._executed = executed_tables.ExecutedTable(
             home_uptimes.Uptimes(trio.current_time)
         )
+        self._inheritance = inheritances.Inheritance(trio.current_time)
         self._upstreams: upstream_sets.KeptUpstreams | None = None
+        self._handing: handing_parts.Handing | None = None
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -89,18 +95,22 @@
         async with trio.open_nursery() as nursery:
             context = self._make_context(nursery)
             self._upstreams = upstream_sets.KeptUpstreams(context, self._roles)
+            self._handing = self._make_handing(self._upstreams)
             self._register(context, self._upstreams)
             self._upstreams.refresh()
-            nursery.start_soon(self._follow_changes, self._view.changed)
-            nursery.start_soon(self._follow_changes, self._contracts.changed)
+            for changed in (self._view.changed, self._contracts.changed):
+                nursery.start_soon(self._follow_changes, changed, nursery)
             nursery.start_soon(self._sweep)
             task_status.started()
 
     async def leave(self) -> None:
-        """Hands over what this host keeps and ends what runs.
+        """Hands over what this host keeps and waits for what runs.
 
-        To be called once this host's own view says that it leaves.
+        To be called once this host's own view says that it leaves, so that
+        nothing new begins. It takes as long as what runs takes.
         """
+        if self._handing is not None:
+            await self._handing.leave()
 
     def loads(self) -> list[work.UpstreamLoad]:
         """Returns the state of all upstreams kept, as `service/upstream`."""
@@ -131,30 +141,61 @@
             self._roles, upstreams, self._executed, self._counts
         )
         recovering = recovering_parts.Recovering(
-            self._view, self._executed, self._counts
+            self._view, self._executed, self._inheritance, self._counts
         )
+        taking = taking_parts.Taking(
+            self._roles,
+            upstreams,
+            self._executed,
+            self._inheritance,
+            self._counts,
+        )
+        feeding = self._make_feeding(context, upstreams)
+        self._network.handle(work.Dispatch, dispatching.handle)
+        self._network.handle(work.Recover, recovering.handle)
+        self._network.handle(work.LoadQuery, self._report_loads)
+        self._network.handle(handover.KeeperHandover, taking.handle)
+        self._network.handle(feeds.FeedOpen, feeding.handle)
+
+    def _make_feeding(
+        self,
+        context: contexts.KeeperContext,
+        upstreams: upstream_sets.KeptUpstreams,
+    ) -> feeding_parts.Feeding:
         orphans = orphan_parts.Orphans(
             context, self._view, self._placement, self._network
         )
-        feeding = feeding_parts.Feeding(
+        return feeding_parts.Feeding(
             context, self._view, self._roles, upstreams, orphans
         )
-        self._network.handle(feeds.FeedOpen, feeding.handle)
-        self._network.handle(work.Dispatch, dispatching.handle)
-        self._network.handle(work.Recover, recovering.handle)
-        self._network.handle(work.LoadQuery, self._report_loads)
+
+    def _make_handing(
+        self, upstreams: upstream_sets.KeptUpstreams
+    ) -> handing_parts.Handing:
+        return handing_parts.Handing(
+            self._view,
+            self._roles,
+            upstreams,
+            self._executed,
+            self._inheritance,
+            self._network,
+        )
 
     async def _report_loads(
         self, caller: networks.Caller, query: work.LoadQuery
     ) -> work.LoadReport:
         return work.LoadReport(tuple(self.loads()))
 
-    async def _follow_changes(self, changed: changes.ChangeSignal) -> None:
+    async def _follow_changes(
+        self, changed: changes.ChangeSignal, nursery: trio.Nursery
+    ) -> None:
+        assert self._upstreams is not None
+        assert self._handing is not None
         version = changed.version
         while True:
             version = await changed.wait_beyond(version)
-            assert self._upstreams is not None
             self._upstreams.refresh()
+            self._handing.follow_moved(nursery)
             await trio.sleep(_BURST_S)
 
     async def _sweep(self) -> None:
@@ -167,6 +208,7 @@
                 kept.slots.fill()
             if trio.current_time() >= forget_at:
                 self._executed.forget_all_expired()
+                self._inheritance.forget_old()
                 forget_at = trio.current_time() + _FORGET_INTERVAL_S
 
 
--- a/persimmonhinge/upstreams/kept.py
+++ b/persimmonhinge/upstreams/kept.py
@@ -78,7 +78,7 @@
     @property
     def is_idle(self) -> bool:
         """True if nothing is left of it here."""
-        return not (self.slots.running or self.slots.queued or self.feeds)
+        return not (self.slots.busy or self.slots.queued or self.feeds)
 
     def read_load(self) -> work.UpstreamLoad:
         """Returns its state; the name is that of its contract."""
@@ -149,7 +149,7 @@
             self._context.timers,
             self._context.randomness,
         )
-        job.abandon = transfer.abandon
+        job.transfer = transfer
         began_at = trio.current_time()
         try:
             result = await transfer.run()
--- a/persimmonhinge/upstreams/recovering.py
+++ b/persimmonhinge/upstreams/recovering.py
@@ -8,26 +8,24 @@
 from persimmonhinge.peers import network as networks
 from persimmonhinge.peers.messages import work
 from persimmonhinge.upstreams import executed as executed_tables
+from persimmonhinge.upstreams import inheritance as inheritances
 
 _Outcome = work.Outcome
 
 
 class Recovering:
-    """Decides about each `Recover`.
-
-    Attributes:
-        inherited: Former keepers whose whole table was taken over.
-    """
+    """Decides about each `Recover`."""
 
     def __init__(
         self,
         view: views.View,
         executed: executed_tables.ExecutedTable,
+        inheritance: inheritances.Inheritance,
         counts: host_counts.Counts,
     ) -> None:
-        self.inherited: set[ids.HostRef] = set()
         self._view = view
         self._executed = executed
+        self._inheritance = inheritance
         self._counts = counts
 
     async def handle(
@@ -61,4 +59,4 @@
     def _answers_for(self, keeper: ids.HostRef) -> bool:
         if keeper in (ids.HostRef(0), self._view.self_member.ref):
             return True
-        return keeper in self.inherited
+        return self._inheritance.has(keeper)
--- a/persimmonhinge/upstreams/roles.py
+++ b/persimmonhinge/upstreams/roles.py
@@ -73,6 +73,14 @@
         keeper = self.find_keeper(target)
         return keeper is not None and keeper.host == self._view.me
 
+    def find_named(self, key: ids.UpstreamId) -> targets.Target | None:
+        """Returns an upstream by its name across services."""
+        service, _, upstream = key.partition("/")
+        revision = ids.Revision(0)
+        return self.find_target(
+            ids.ServiceName(service), revision, ids.UpstreamId(upstream)
+        )
+
     def list_targets(self) -> list[targets.Target]:
         """Returns all upstreams of all contracts."""
         return [
--- a/persimmonhinge/upstreams/transfer.py
+++ b/persimmonhinge/upstreams/transfer.py
@@ -68,6 +68,10 @@
     Request-Tag (RFC 9175), because several uploads to one resource may be
     under way from the same socket. A large answer comes down in blocks of
     one ETag.
+
+    Attributes:
+        may_run: True once the body was sent to its end; an upstream runs a
+            body in blocks only when it is whole.
     """
 
     def __init__(
@@ -97,11 +101,10 @@
         self._randomness = randomness
         self._exchange: exchanges.Exchange | None = None
         self._abandoned = False
-        # The body was sent to its end, so that the upstream may run it.
-        self._may_run = False
+        self.may_run = False
 
     def abandon(self) -> None:
-        """Stops as soon as the present exchange has ended."""
+        """Sends nothing more; the present exchange goes on to its end."""
         self._abandoned = True
         if self._exchange is not None:
             self._exchange.abandon()
@@ -135,19 +138,19 @@
     async def _upload(self) -> exchanges.ExchangeResult:
         body = self._request.payload
         if len(body) <= _block_octets(_LARGEST_EXPONENT):
-            self._may_run = True
+            self.may_run = True
             return await self._exchange_once(self._request.copy())
         tag = self._endpoint.make_token()
         exponent = _LARGEST_EXPONENT
         offset = 0
         while True:
             block = self._make_block(tag, offset, exponent)
-            self._may_run = not block.opt.block1.more
+            self.may_run = not block.opt.block1.more
             result = await self._exchange_once(block)
             answer = result.answer
             if answer is None or answer.code != aiocoap.CONTINUE:
                 return result
-            if self._may_run or self._abandoned:
+            if self.may_run or self._abandoned:
                 return result
             offset += len(block.payload)
             if answer.opt.block1 is not None:
@@ -237,8 +240,7 @@
             return TransferResult(
                 TransferEnd.NOT_RUN, reason="refused by the upstream's host"
             )
-        if not self._may_run:
-            # An upstream runs a body in blocks only when it is whole.
+        if not self.may_run:
             return TransferResult(
                 TransferEnd.NOT_RUN, reason="upload was cut off"
             )
--- a/persimmonhinge/upstreams/upstreams.py
+++ b/persimmonhinge/upstreams/upstreams.py
@@ -50,13 +50,6 @@
             kept.update(target)
         return kept
 
-    def find(self, key: ids.UpstreamId) -> kept_parts.KeptUpstream | None:
-        """Returns a kept upstream by its name, None if there is none."""
-        for (name, _), kept in self._kept.items():
-            if name == key:
-                return kept
-        return None
-
     def list_kept(self) -> list[kept_parts.KeptUpstream]:
         """Returns those of which this host is the keeper now."""
         return [k for k in self._kept.values() if self._is_kept(k)]
--- a/tests/test_upstreams/scene.py
+++ b/tests/test_upstreams/scene.py
@@ -117,6 +117,7 @@
 ) -> work.Dispatch:
     """Returns a reservation; each number is another one."""
     key = f"key-{number}"
+    uptime_ms = 1_000 + int(trio.current_time() * 1_000)
     body = json.dumps({"key": key}).encode()
     members_ = {
         "service": SERVICE,
@@ -130,8 +131,8 @@
         "token": b"token",
         "digest": key.encode(),
         "home": HOME,
-        "home_uptime_ms": 1_000 + number,
-        "ticket_expiry_ms": 121_000,
+        "home_uptime_ms": uptime_ms,
+        "ticket_expiry_ms": uptime_ms + 120_000,
         **changes,
     }
     return work.Dispatch(**members_)
