--- a/persimmonhinge/contracts/audit.py
+++ b/persimmonhinge/contracts/audit.py
@@ -18,6 +18,7 @@
     UNDRAIN_UPSTREAM = "undrain-upstream"
     DRAIN_HOST = "drain-host"
     UNDRAIN_HOST = "undrain-host"
+    MAKE_KEY = "make-key"
     ADD_KEY = "add-key"
     PROMOTE_KEY = "promote-key"
     RETIRE_KEY = "retire-key"
--- a/persimmonhinge/contracts/repository.py
+++ b/persimmonhinge/contracts/repository.py
@@ -39,6 +39,11 @@
     revision: ids.Revision
     record: audit.AuditRecord | None
 
+    @property
+    def is_delete(self) -> bool:
+        """True if the contract was deleted."""
+        return self.record is not None and self.record.after is None
+
 
 class ContractRepository:
     """Reads contracts, and changes them by compare-and-swap."""
--- /dev/null
+++ b/persimmonhinge/ctl/host_commands.py
@@ -0,0 +1,163 @@
+"""The commands `host ...`."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import typer
+
+from persimmonhinge import ids
+from persimmonhinge.contracts import audit
+from persimmonhinge.ctl import changes
+from persimmonhinge.ctl import exits
+from persimmonhinge.ctl import host_client
+from persimmonhinge.ctl import options
+from persimmonhinge.ctl import session as sessions
+from persimmonhinge.ctl import waiting
+
+program = typer.Typer(help="Entry hosts of the system.", no_args_is_help=True)
+HostWait = Annotated[
+    float | None,
+    typer.Option(
+        "--wait", min=0, help="Seconds to wait until the host shows it."
+    ),
+]
+_ALIVE = "alive"
+_LEAVING = "leaving"
+
+
+@program.command("list")
+def show_all(context: typer.Context, output: options.Output = None) -> None:
+    """Lists hosts: what the platform's list and they themselves say.
+
+    Example: persimmonhinge-ctl host list
+    """
+
+    async def work(session: sessions.Session) -> exits.ExitCode:
+        reports = await session.ask_hosts()
+        drains = await session.drains.list()
+        rows = [
+            _to_document(report, report.name in drains, reports)
+            for report in reports
+        ]
+        session.printer.show_document(rows)
+        session.printer.show_table(
+            "Hosts", _COLUMNS, [[row[c] for c in _COLUMNS] for row in rows]
+        )
+        return exits.ExitCode.OK
+
+    sessions.run(context, output, work)
+
+
+@program.command("drain")
+def drain(
+    context: typer.Context,
+    host: options.Host,
+    wait: HostWait = None,
+    reason: options.Reason = "",
+    request_id: options.RequestId = None,
+    output: options.Output = None,
+) -> None:
+    """Asks a host to leave: it hands its flows over and takes no new ones.
+
+    Example: persimmonhinge-ctl host drain entry-2 --reason "new kernel"
+    """
+
+    async def work(session: sessions.Session) -> exits.ExitCode:
+        record = await session.drains.drain(
+            ids.HostId(host), session.make_request(request_id, reason)
+        )
+        return await _report(session, host, record, wait, _LEAVING)
+
+    sessions.run(context, output, work)
+
+
+@program.command("undrain")
+def undrain(
+    context: typer.Context,
+    host: options.Host,
+    wait: HostWait = None,
+    reason: options.Reason = "",
+    request_id: options.RequestId = None,
+    output: options.Output = None,
+) -> None:
+    """Takes a host back that was asked to leave.
+
+    Example: persimmonhinge-ctl host undrain entry-2
+    """
+
+    async def work(session: sessions.Session) -> exits.ExitCode:
+        record = await session.drains.undrain(
+            ids.HostId(host), session.make_request(request_id, reason)
+        )
+        return await _report(session, host, record, wait, _ALIVE)
+
+    sessions.run(context, output, work)
+
+
+async def _report(
+    session: sessions.Session,
+    host: str,
+    record: audit.AuditRecord | None,
+    wait_s: float | None,
+    wanted: str,
+) -> exits.ExitCode:
+    revision = record.revision if record else 0
+    changes.show_record(session, host, revision, record)
+    shows = None
+    if wait_s is not None:
+        reports = await waiting.poll_hosts(
+            session, wait_s, lambda answers: _shows(answers, host, wanted)
+        )
+        shows = _shows(reports, host, wanted)
+    session.printer.show_document(
+        {"host": host, **changes.to_document(record), "in_force": shows}
+    )
+    if shows is False:
+        session.printer.show_note(f"error: {host} is not {wanted} yet")
+        return exits.ExitCode.NOT_IN_FORCE
+    return exits.ExitCode.OK
+
+
+def _shows(
+    reports: list[host_client.HostReport], host: str, wanted: str
+) -> bool:
+    return any(
+        report.status is not None
+        and report.name == host
+        and report.status.state == wanted
+        for report in reports
+    )
+
+
+_COLUMNS = (
+    *("host", "domain", "listed", "state", "ready", "drained"),
+    *("incarnation", "seen_alive_by", "asked", "problem"),
+)
+
+
+def _to_document(
+    report: host_client.HostReport,
+    is_drained: bool,
+    reports: list[host_client.HostReport],
+) -> dict[str, object]:
+    listed = report.target.listed
+    status = report.status
+    others = [r.status for r in reports if r.status and r is not report]
+    seen = sum(
+        member.host == report.name and member.state == _ALIVE
+        for other in others
+        for member in other.members
+    )
+    return {
+        "host": report.name,
+        "domain": report.domain,
+        "listed": listed.state if listed else None,
+        "state": status.state if status else None,
+        "ready": status.ready if status else None,
+        "drained": is_drained,
+        "incarnation": status.incarnation if status else None,
+        "seen_alive_by": seen,
+        "asked": len(others),
+        "problem": report.problem or None,
+    }
--- a/tests/test_contracts/test_contracts_audit.py
+++ b/tests/test_contracts/test_contracts_audit.py
@@ -85,7 +85,7 @@
             operators.platform, platform_operators.PREFIX, operators.writer
         )
         await changes.change(
-            audit.AuditAction.ADD_KEY,
+            audit.AuditAction.MAKE_KEY,
             make_request(),
             lambda stored: rotation.make_ring(),
         )
--- /dev/null
+++ b/tests/test_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' command line, as processes."""
