Let a host that was paused take a new incarnation at any doubt

A stopped process that runs on first reads what peers sent before they declared it dead: a suspicion, which it refuted. The refutation undid the death at the peers before it had heard of it, so it went on under its old incarnation. The new test with real processes and SIGSTOP failed so. After a pause of the suspicion time any doubt now leads to a new incarnation; a host that was only cut off still keeps its own.

--- a/persimmonhinge/membership/identity.py
+++ b/persimmonhinge/membership/identity.py
@@ -15,6 +15,8 @@
 
 logger = logging.getLogger(__name__)
 
+_DOUBTS = (records.Claim.SUSPECT, records.Claim.DEAD)
+
 # Called with the former and the new self.
 IncarnationHook = Callable[[members.Member, members.Member], None]
 
@@ -70,9 +72,11 @@
         A doubt is refuted by a higher version. A host that was paused for
         long enough to be declared dead takes a new incarnation instead: its
         roles have been taken over meanwhile, and work that it had begun may
-        have been judged lost. A host that only was cut off went on running
-        and knows all that it did; it keeps its incarnation, so that tickets
-        that name it stay good.
+        have been judged lost. Any doubt counts then, since what it reads
+        first is what peers sent before they declared it dead, and to refute
+        that would undo the death before it has heard of it. A host that only
+        was cut off went on running and knows all that it did; it keeps its
+        incarnation, so that tickets that name it stay good.
 
         Returns:
             True if the own record changed.
@@ -84,8 +88,8 @@
             return False
         if record.incarnation > self.record.incarnation:
             self._meet_namesake(record)
-        elif record.claim is records.Claim.DEAD and self._was_away():
-            logger.warning("Peers declared this host dead while it was paused.")
+        elif record.claim in _DOUBTS and self._was_away():
+            logger.warning("Peers gave this host up while it was paused.")
             self.take_incarnation(record.incarnation)
         else:
             self.record = msgspec.structs.replace(
--- a/persimmonhinge/membership/placement.py
+++ b/persimmonhinge/membership/placement.py
@@ -16,7 +16,7 @@
     """Members of one domain, in order of name."""
 
     names: list[bytes] = dataclasses.field(default_factory=list)
-    members: list[members.Member] = dataclasses.field(default_factory=list)
+    hosts: list[members.Member] = dataclasses.field(default_factory=list)
 
     def find_best(self, key: int) -> tuple[int, members.Member]:
         """Returns the highest score and who has it.
@@ -26,7 +26,7 @@
         hash_name = xxhash.xxh3_64_intdigest
         scores = [hash_name(name, key) for name in self.names]
         best = max(scores)
-        return best, self.members[scores.index(best)]
+        return best, self.hosts[scores.index(best)]
 
 
 class Placement:
@@ -82,7 +82,7 @@
         for member in takers:
             domain = self._domains.setdefault(member.domain, _Domain())
             domain.names.append(member.host.encode())
-            domain.members.append(member)
+            domain.hosts.append(member)
 
 
 def _get_score(scored: tuple[int, members.Member]) -> tuple[int, ids.HostId]:
--- /dev/null
+++ b/tests/test_membership/test_membership_pauses.py
@@ -0,0 +1,113 @@
+"""Processes that are stopped and run on."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import json
+import signal
+import subprocess
+import sys
+
+import trio
+
+from persimmonhinge.membership import pauses as pause_watches
+from tests.support import trios
+
+_LIMIT_S = 60
+# State and incarnation by host.
+Believed = dict[str, tuple[str, int]]
+
+
+class Process:
+    """A process that runs membership alone."""
+
+    def __init__(self, process: trio.Process) -> None:
+        assert process.stdout is not None
+        self._process = process
+        self._stdout = process.stdout
+        self._rest = b""
+        self.port = 0
+
+    async def wait_until(
+        self, condition: Callable[[Believed], bool]
+    ) -> Believed:
+        """Reads on until it reports what satisfies a condition."""
+        with trio.fail_after(_LIMIT_S):
+            while True:
+                self.port, believed = json.loads(await self._read_line())
+                if condition(believed):
+                    return believed
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to this process alone."""
+        self._process.send_signal(number)
+
+    async def _read_line(self) -> bytes:
+        while b"\n" not in self._rest:
+            data = await self._stdout.receive_some()
+            assert data, "the process ended"
+            self._rest += data
+        line, _, self._rest = self._rest.partition(b"\n")
+        return line
+
+
+@contextlib.asynccontextmanager
+async def run_process(name: str, seed_port: int) -> AsyncIterator[Process]:
+    """Runs one process and ends it."""
+    module = "tests.test_membership.pausable_host"
+    command = [sys.executable, "-m", module, name, str(seed_port)]
+    process = await trio.lowlevel.open_process(command, stdout=subprocess.PIPE)
+    try:
+        yield Process(process)
+    finally:
+        process.kill()
+        with trio.CancelScope(shield=True):
+            await process.wait()
+
+
+@trios.trio_test
+async def test_a_paused_host_wakes_as_a_new_incarnation() -> None:
+    """A host that was stopped woke up and went on as if nothing happened.
+
+    Its peers had declared it dead and given its roles to others. It has to
+    learn of that, come back as another incarnation, and must not take its
+    peers for dead because it could not read their answers meanwhile.
+    """
+    async with (
+        run_process("host-0", 0) as first,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        await first.wait_until(lambda believed: True)
+        others = [
+            await stack.enter_async_context(run_process(name, first.port))
+            for name in ("host-1", "host-2")
+        ]
+        paused = others[1]
+        before = await first.wait_until(lambda b: len(b) == 3)
+        for process in others:
+            await process.wait_until(lambda b: len(b) == 3)
+        paused.signal(signal.SIGSTOP)
+        await first.wait_until(lambda b: b["host-2"][0] == "dead")
+        paused.signal(signal.SIGCONT)
+        after = await first.wait_until(lambda b: b["host-2"][0] == "alive")
+        assert after["host-2"][1] > before["host-2"][1]
+        seen: list[Believed] = []
+
+        def note(believed: Believed) -> bool:
+            seen.append(believed)
+            return believed["host-2"] == after["host-2"]
+
+        await paused.wait_until(note)
+        states = {state for b in seen for state, _ in b.values()}
+        assert "dead" not in states
+
+
+def test_only_long_gaps_count_as_pauses() -> None:
+    times = iter([0.0, 1.0, 2.5, 4.4, 9.4, 9.4])
+    pauses = pause_watches.PauseWatch(1.0, lambda: next(times))
+    assert [pauses.check() for _ in range(5)] == [0, 0, 0, 1, 1]
+    assert pauses.longest_s == 5.0
+    pauses.clear()
+    assert pauses.longest_s == 0
