--- a/persimmonhinge/cmd/entry.py
+++ b/persimmonhinge/cmd/entry.py
@@ -21,7 +21,7 @@
 
 EXIT_BAD_SETTINGS = 2
 
-program = typer.Typer(add_completion=False)
+program = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
 @program.command()
--- a/persimmonhinge/membership/placement.py
+++ b/persimmonhinge/membership/placement.py
@@ -28,6 +28,16 @@
         best = max(scores)
         return best, self.hosts[scores.index(best)]
 
+    def rank(self, key: int) -> list[members.Member]:
+        """Returns the members, highest score first."""
+        hash_name = xxhash.xxh3_64_intdigest
+        scored = [
+            (hash_name(name, key), member)
+            for name, member in zip(self.names, self.hosts, strict=True)
+        ]
+        scored.sort(key=_get_score, reverse=True)
+        return [member for _, member in scored]
+
 
 class Placement:
     """Places flows and upstreams on the members of a view.
@@ -73,6 +83,22 @@
         _, keeper = found.find_best(_hash_key(upstream))
         return keeper
 
+    def rank_hosts(self, key: str, domain: str) -> list[members.Member]:
+        """Ranks the hosts of a domain that take roles, best first.
+
+        Args:
+            key: Name of the role that is placed.
+            domain: The failure domain; unknown ones have no hosts.
+        """
+        self._refresh()
+        found = self._domains.get(domain)
+        return found.rank(_hash_key(key)) if found else []
+
+    def domains(self) -> list[str]:
+        """Returns the failure domains with hosts that take roles, in order."""
+        self._refresh()
+        return sorted(self._domains)
+
     def _refresh(self) -> None:
         if self._version == self._view.changed.version:
             return
