--- /dev/null
+++ b/tests/test_policies/test_policies_admission.py
@@ -0,0 +1,52 @@
+"""Properties of the policies that refuse requests at once."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from persimmonhinge.policies import admission
+
+_SECONDS = strategies.floats(0, 100)
+
+
+@strategies.composite
+def draw_pressure(draw: strategies.DrawFn) -> admission.Pressure:
+    """Returns what a new request may find."""
+    slots = draw(strategies.integers(1, 5))
+    ahead_s = draw(_SECONDS)
+    return admission.Pressure(
+        slots=slots,
+        free_slots=draw(strategies.integers(0, slots)),
+        left_s=draw(_SECONDS),
+        cost_s=draw(_SECONDS),
+        running_s=draw(_SECONDS),
+        ahead_s=ahead_s,
+        queued_s=ahead_s + draw(_SECONDS),
+    )
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(pressure=draw_pressure())
+def test_admission_refuses_just_what_can_not_be_served(
+    pressure: admission.Pressure,
+) -> None:
+    policy = admission.admissions.get("deadline")()
+    idle = pressure.free_slots > 0 and pressure.ahead_s == 0
+    meets = pressure.finish_s <= pressure.left_s
+    assert policy.admits(pressure) == (idle or meets)
+    assert admission.admissions.get("open")().admits(pressure)
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(pressure=draw_pressure(), seed=strategies.integers(0, 99))
+def test_admission_spreads_returns_over_the_time_to_drain(
+    pressure: admission.Pressure, seed: int
+) -> None:
+    randomness = random.Random(seed)
+    times = {admission.spread_retry_s(pressure, randomness) for _ in range(50)}
+    assert min(times) >= max(1, pressure.drain_s)
+    assert max(times) <= 2 * (pressure.drain_s + 1)
+    assert len(times) > 1
--- /dev/null
+++ b/tests/test_policies/test_policies_order.py
@@ -0,0 +1,148 @@
+"""Properties of the orders in which a queue is served."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from persimmonhinge import ids
+from persimmonhinge.policies import order
+
+
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """Work that waits."""
+
+    call_class: ids.CallClassName
+    priority: int
+    deadline: float
+    sequence: int
+    share: float = 0.0
+    cost_s: float = 0.04
+
+
+_CLASSES = {
+    ids.CallClassName("reservations"): 0,
+    ids.CallClassName("reads"): 3,
+    ids.CallClassName("manifests"): 5,
+}
+
+
+@strategies.composite
+def draw_works(draw: strategies.DrawFn) -> list[Work]:
+    """Returns work of several classes in order of arrival."""
+    count = draw(strategies.integers(0, 20))
+    works = []
+    for sequence in range(count):
+        name = draw(strategies.sampled_from(sorted(_CLASSES)))
+        deadline = draw(strategies.integers(0, 5))
+        works.append(Work(name, _CLASSES[name], deadline, sequence))
+    return works
+
+
+def pop_all(queue: order.Order) -> list[order.Waiting]:
+    """Returns all work in the order in which it goes."""
+    return [queue.pop() for _ in range(len(queue))]
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(
+    works=draw_works(),
+    name=strategies.sampled_from(("fifo", "deadline", "priority")),
+)
+def test_order_serves_all_in_its_order(works: list[Work], name: str) -> None:
+    queue = order.orders.get(name)()
+    for waiting in works:
+        queue.push(waiting)
+    keys = {
+        "fifo": lambda w: w.sequence,
+        "deadline": lambda w: (w.deadline, w.sequence),
+        "priority": lambda w: (w.priority, w.deadline, w.sequence),
+    }
+    assert pop_all(queue) == sorted(works, key=keys[name])
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(
+    works=draw_works(),
+    dropped=strategies.sets(strategies.integers(0, 19)),
+    name=strategies.sampled_from(("fifo", "deadline", "priority")),
+)
+def test_order_drops_just_what_is_discarded(
+    works: list[Work], dropped: set[int], name: str
+) -> None:
+    queue = order.orders.get(name)()
+    for waiting in works:
+        queue.push(waiting)
+    for waiting in works:
+        if waiting.sequence in dropped:
+            queue.discard(waiting)
+            queue.discard(waiting)
+    left = [w for w in works if w.sequence not in dropped]
+    assert len(queue) == len(left)
+    assert sorted(w.sequence for w in queue) == [w.sequence for w in left]
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(works=draw_works())
+def test_order_lists_ahead_what_goes_before(works: list[Work]) -> None:
+    hypothesis.assume(works)
+    queue = order.orders.get("priority")()
+    new = works.pop()
+    for waiting in works:
+        queue.push(waiting)
+    ahead = {w.sequence for w in queue.list_ahead(new)}
+    queue.push(new)
+    before = [w.sequence for w in pop_all(queue)]
+    assert ahead == set(before[: before.index(new.sequence)])
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(
+    share=strategies.floats(0.05, 0.9),
+    cost_s=strategies.floats(0.01, 2.0),
+    rounds=strategies.integers(50, 400),
+)
+def test_order_gives_a_class_its_share_and_no_more(
+    share: float, cost_s: float, rounds: int
+) -> None:
+    """Manifests wait behind a steady load of reservations.
+
+    Served by priority alone they would wait for ever, and unloading at the
+    docks with them.
+    """
+    queue = order.orders.get("priority")()
+    manifests = ids.CallClassName("manifests")
+    reservations = ids.CallClassName("reservations")
+    served = {manifests: 0.0, reservations: 0.0}
+    for number in range(2):
+        queue.push(Work(manifests, 5, 0.0, -1 - number, share, cost_s))
+    for number in range(rounds):
+        queue.push(Work(reservations, 0, 0.0, 2 * number))
+        gone = queue.pop()
+        served[gone.call_class] += gone.cost_s
+        if gone.call_class == manifests:
+            queue.push(Work(manifests, 5, 0.0, 2 * number + 1, share, cost_s))
+    total = sum(served.values())
+    most_cost_s = max(cost_s, 0.04)
+    assert served[manifests] >= share * total - 2 * most_cost_s
+    assert served[manifests] <= share * total + 2 * most_cost_s
+
+
+def test_order_saves_nothing_up_for_an_idle_class() -> None:
+    queue = order.orders.get("priority")()
+    manifests = ids.CallClassName("manifests")
+    reservations = ids.CallClassName("reservations")
+    queue.push(Work(manifests, 5, 0.0, 0, 0.5))
+    for number in range(1, 10):
+        queue.push(Work(reservations, 0, 0.0, number))
+    pop_all(queue)
+    queue.push(Work(manifests, 5, 0.0, 10, 0.5))
+    queue.push(Work(reservations, 0, 0.0, 11))
+    assert queue.pop().call_class == reservations
+
+
+def test_order_names_its_policies() -> None:
+    assert order.orders.names() == ["deadline", "fifo", "priority"]
--- a/tests/test_upstreams/scene.py
+++ b/tests/test_upstreams/scene.py
@@ -36,8 +36,12 @@
 FAST = transmissions.Transmission(ack_timeout_s=0.2)
 
 
-def make_member(host: str, domain: str = "east") -> members.Member:
-    """Returns a live member."""
+def make_member(
+    host: str,
+    domain: str = "east",
+    state: members.MemberState = members.MemberState.ALIVE,
+) -> members.Member:
+    """Returns a member, a live one unless told otherwise."""
     return members.Member(
         ids.HostId(host),
         ids.DomainId(domain),
@@ -45,6 +49,7 @@
         1,
         1,
         ids.Incarnation(1),
+        state,
     )
 
 
@@ -185,11 +190,13 @@
 
 
 @contextlib.asynccontextmanager
-async def open_scene(**options: Any) -> AsyncIterator[Scene]:
-    """Runs a keeper on host `east-1` of domain `east`."""
-    view = views.View(make_member("east-1"))
+async def open_scene(
+    host: str = "east-1", **options: Any
+) -> AsyncIterator[Scene]:
+    """Runs a keeper on a host of domain `east`."""
+    view = views.View(make_member(host))
     store = stores.ContractStore(trio.current_time)
-    network = fake_network.FakeNetwork(ids.HostId("east-1"))
+    network = fake_network.FakeNetwork(ids.HostId(host))
     counts = host_counts.Counts()
     options.setdefault("timers", FAST)
     async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/tests/test_upstreams/test_upstreams_executed.py
@@ -0,0 +1,276 @@
+"""Properties of the table that keeps requests from running twice."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from persimmonhinge import ids
+from persimmonhinge.coap import codec
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.peers.messages import work
+from persimmonhinge.upstreams import executed
+from persimmonhinge.upstreams import executed_entry as entries
+from persimmonhinge.upstreams import job as jobs
+from persimmonhinge.upstreams import uptimes
+
+Outcome = work.Outcome
+_HOME = ids.HostRef(7)
+_TICKET_LIFE_MS = 8_000
+_CLASS = contracts.CallClass(
+    name="reservations", method=contracts.Method.POST, path="/*"
+)
+
+
+class Clock:
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def __call__(self) -> float:
+        """Returns the time."""
+        return self.now_s
+
+
+def make_dispatch(
+    number: int, uptime_ms: int, expiry_ms: int, upstream: str = "u1"
+) -> work.Dispatch:
+    """Returns one of a few reservations."""
+    return work.Dispatch(
+        ids.ServiceName("floor-trading"),
+        ids.Revision(1),
+        ids.UpstreamId(upstream),
+        ids.CallClassName("reservations"),
+        b"",
+        1_000,
+        idempotent=False,
+        ticket=ids.TicketId(b"ticket"),
+        token=b"token",
+        digest=bytes([number]),
+        home=_HOME,
+        home_uptime_ms=uptime_ms,
+        ticket_expiry_ms=expiry_ms,
+    )
+
+
+def make_recover(dispatch: work.Dispatch) -> work.Recover:
+    """Returns the question what became of a dispatch."""
+    return work.Recover(
+        dispatch.service,
+        dispatch.ticket,
+        dispatch.token,
+        dispatch.digest,
+        dispatch.home,
+        dispatch.ticket_expiry_ms,
+    )
+
+
+def make_job(dispatch: work.Dispatch) -> jobs.Job:
+    """Returns a job of a dispatch."""
+    return jobs.Job(dispatch, codec.Message(), _CLASS, 0.0, 0)
+
+
+@dataclasses.dataclass
+class Model:
+    """A home, a keeper's table between them, and what truly ran.
+
+    Dispatches may be read late and more than once, as from a link that
+    broke. The home's clock and the keeper's start at different times.
+    """
+
+    table: executed.ExecutedTable
+    clock: Clock
+    uptime_offset_ms: int
+    sent: list[work.Dispatch] = dataclasses.field(default_factory=list)
+    running: dict[bytes, jobs.Job] = dataclasses.field(default_factory=dict)
+    runs: dict[bytes, int] = dataclasses.field(default_factory=dict)
+    final_not_run: set[bytes] = dataclasses.field(default_factory=set)
+
+    @property
+    def uptime_ms(self) -> int:
+        """True uptime of the home."""
+        return self.uptime_offset_ms + int(self.clock.now_s * 1000)
+
+    def send(self, number: int) -> None:
+        """The home sends a dispatch; it may be read at any later time."""
+        expiry_ms = self.uptime_offset_ms + _TICKET_LIFE_MS
+        if self.uptime_ms < expiry_ms and bytes([number]) not in self.running:
+            if bytes([number]) in self.final_not_run:
+                return
+            self.sent.append(make_dispatch(number, self.uptime_ms, expiry_ms))
+
+    def read(self, place: int, *, admits: bool) -> None:
+        """The keeper reads a dispatch that was sent, perhaps once more."""
+        if not self.sent:
+            return
+        dispatch = self.sent[place % len(self.sent)]
+        verdict = self.table.check(dispatch)
+        if verdict is None:
+            job = make_job(dispatch)
+            self.table.begin(dispatch, job)
+            if admits:
+                self._run(dispatch, job)
+                return
+            verdict = work.Dispatched(Outcome.NOT_RUN)
+            job.finish(verdict)
+        self._take_verdict(dispatch, verdict)
+
+    def finish(self, number: int, outcome: work.Outcome) -> None:
+        """The upstream answers, or gives no sign."""
+        job = self.running.pop(bytes([number]), None)
+        if job is not None:
+            job.finish(work.Dispatched(outcome, b"answer"))
+
+    def recover(self, number: int) -> None:
+        """Another host asks what became of a request."""
+        expiry_ms = self.uptime_offset_ms + _TICKET_LIFE_MS
+        dispatch = make_dispatch(number, 0, expiry_ms)
+        found = self.table.recover(make_recover(dispatch))
+        if isinstance(found, entries.ExecutedEntry):
+            assert self.runs.get(dispatch.digest, 0) == 1
+            return
+        if found.outcome is Outcome.NOT_RUN:
+            assert dispatch.digest not in self.runs
+            self.final_not_run.add(dispatch.digest)
+
+    def _run(self, dispatch: work.Dispatch, job: jobs.Job) -> None:
+        digest = dispatch.digest
+        assert digest not in self.final_not_run, "ran after it was fenced"
+        self.runs[digest] = self.runs.get(digest, 0) + 1
+        assert self.runs[digest] == 1, "ran twice"
+        self.running[digest] = job
+
+    def _take_verdict(
+        self,
+        dispatch: work.Dispatch,
+        verdict: entries.ExecutedEntry | work.Dispatched,
+    ) -> None:
+        if isinstance(verdict, entries.ExecutedEntry):
+            assert self.runs.get(dispatch.digest, 0) == 1
+            return
+        if verdict.outcome is not Outcome.NOT_RUN:
+            return
+        assert dispatch.digest not in self.runs
+        same = [d for d in self.sent if d.digest == dispatch.digest]
+        if same[-1] is dispatch:
+            # The home waits for its newest dispatch and now tells the
+            # caller that the request did not run.
+            self.final_not_run.add(dispatch.digest)
+
+
+def make_model(uptime_offset_ms: int, most_entries: int) -> Model:
+    """Returns a model with an empty table."""
+    clock = Clock()
+    table = executed.ExecutedTable(uptimes.Uptimes(clock), most_entries)
+    return Model(table, clock, uptime_offset_ms)
+
+
+_NUMBERS = strategies.integers(0, 3)
+_STEPS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(strategies.just("send"), _NUMBERS),
+        strategies.tuples(strategies.just("run"), strategies.integers(0, 9)),
+        strategies.tuples(strategies.just("refuse"), strategies.integers(0, 9)),
+        strategies.tuples(strategies.just("answer"), _NUMBERS),
+        strategies.tuples(strategies.just("lose"), _NUMBERS),
+        strategies.tuples(strategies.just("recover"), _NUMBERS),
+        strategies.tuples(
+            strategies.just("wait"), strategies.sampled_from((1, 8, 15, 17))
+        ),
+    ),
+    max_size=60,
+)
+
+
+def take_step(model: Model, name: str, value: int) -> None:
+    """Does one step of a history."""
+    if name == "send":
+        model.send(value)
+    elif name == "run":
+        model.read(value, admits=True)
+    elif name == "refuse":
+        model.read(value, admits=False)
+    elif name == "answer":
+        model.finish(value, Outcome.ANSWERED)
+    elif name == "lose":
+        model.finish(value, Outcome.UNKNOWN)
+    elif name == "recover":
+        model.recover(value)
+    else:
+        model.clock.now_s += value / 2
+        model.table.forget_all_expired()
+
+
+@hypothesis.settings(deadline=None, derandomize=True, max_examples=1000)
+@hypothesis.given(
+    steps=_STEPS,
+    uptime_offset_ms=strategies.integers(0, 10_000_000),
+    most_entries=strategies.integers(1, 4),
+)
+def test_executed_no_history_runs_a_request_twice(
+    steps: list[tuple[str, int]], uptime_offset_ms: int, most_entries: int
+) -> None:
+    """A buyer is billed twice, or told "not run" about a lot that is his.
+
+    Dispatches are read late, in any order and more than once, answers get
+    lost, other hosts ask, tickets expire, and the table is full.
+    """
+    model = make_model(uptime_offset_ms, most_entries)
+    for name, value in steps:
+        take_step(model, name, value)
+        assert len(model.table) <= most_entries
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(
+    delays_ms=strategies.lists(strategies.integers(0, 50_000), max_size=10),
+    start_ms=strategies.integers(0, 10**9),
+)
+def test_executed_uptime_is_a_rising_bound_from_below(
+    delays_ms: list[int], start_ms: int
+) -> None:
+    clock = Clock()
+    bounds = uptimes.Uptimes(clock)
+    former = -1
+    for delay_ms in delays_ms:
+        true_ms = start_ms + int(clock.now_s * 1000)
+        bounds.note(_HOME, true_ms - delay_ms)
+        clock.now_s += 0.7
+        bound_ms = bounds.read(_HOME)
+        assert former <= bound_ms <= start_ms + clock.now_s * 1000
+        former = bound_ms
+
+
+def test_executed_full_table_takes_nothing_and_forgets_nothing() -> None:
+    model = make_model(0, most_entries=2)
+    for number in range(3):
+        model.send(number)
+        model.read(number, admits=True)
+    assert set(model.runs) == {b"\x00", b"\x01"}
+    model.finish(0, Outcome.ANSWERED)
+    found = model.table.recover(make_recover(make_dispatch(0, 0, 8_000)))
+    assert isinstance(found, entries.ExecutedEntry)
+    refused = model.table.recover(make_recover(make_dispatch(3, 0, 8_000)))
+    assert isinstance(refused, work.Dispatched)
+    assert refused.outcome is Outcome.UNKNOWN
+
+
+def test_executed_expired_ticket_runs_nothing() -> None:
+    """A copy of a reservation is read just after its ticket has expired.
+
+    The row of its first run has been forgotten by then, so an empty place
+    in the table does not say that it may run.
+    """
+    model = make_model(0, most_entries=2)
+    model.send(0)
+    model.read(0, admits=True)
+    model.finish(0, Outcome.ANSWERED)
+    model.clock.now_s = 7.9
+    model.send(0)
+    model.clock.now_s = 8.1
+    verdict = model.table.check(model.sent[1])
+    assert isinstance(verdict, work.Dispatched)
+    assert verdict.outcome is Outcome.UNKNOWN
--- /dev/null
+++ b/tests/test_upstreams/test_upstreams_recovery.py
@@ -0,0 +1,253 @@
+"""Tests of recovery: what a keeper says of a dead home's requests."""
+
+from __future__ import annotations
+
+import aiocoap
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.membership import member as members
+from persimmonhinge.peers.messages import handover
+from persimmonhinge.peers.messages import work
+from tests.support import trios
+from tests.test_upstreams import fake_upstream
+from tests.test_upstreams import scene
+
+Outcome = work.Outcome
+
+
+def acknowledge(
+    socket: fake_upstream.FakeSocket, request: aiocoap.Message
+) -> None:
+    """Acknowledges a request and leaves it running."""
+    fake_upstream.send_empty(socket, aiocoap.ACK, request.mid)
+
+
+def make_scene_contract(here: scene.Scene) -> None:
+    """Gives a keeper its contract."""
+    here.store.offer(
+        scene.make_record(
+            scene.make_contract({"u1": 9}, limits={"upstream_timeout_s": 10}),
+            1,
+        )
+    )
+
+
+@trios.clock_test
+async def test_recovery_returns_the_kept_answer() -> None:
+    upstream = fake_upstream.FakeUpstream()
+    async with scene.open_scene(open_socket=upstream.open) as here:
+        make_scene_contract(here)
+        dispatch = scene.make_dispatch()
+        ran = await here.ask(dispatch)
+        for digest in (dispatch.digest, b""):
+            question = scene.make_recover(dispatch, digest=digest)
+            found = await here.ask(question)
+            assert (found.outcome, found.answer) == (ran.outcome, ran.answer)
+
+
+@trios.clock_test
+async def test_recovery_waits_for_what_still_runs() -> None:
+    upstream = fake_upstream.FakeUpstream(acknowledge)
+    async with scene.open_scene(open_socket=upstream.open) as here:
+        make_scene_contract(here)
+        dispatch = scene.make_dispatch()
+        async with here.network.open_call(dispatch) as caller:
+            await trio.sleep(0.1)
+            caller.lost = True
+        found: list[work.Dispatched] = []
+
+        async def recover() -> None:
+            found.append(await here.ask(scene.make_recover(dispatch)))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(recover)
+            await trio.sleep(1)
+            [socket] = upstream.sockets
+            fake_upstream.send_separate(socket, upstream.received[0])
+        assert found[0].outcome is Outcome.ANSWERED
+
+
+@trios.clock_test
+async def test_fenced_request_never_runs() -> None:
+    """A home is paused, its successor asks, and the paused home wakes.
+
+    The successor has told the caller "not run" and the caller has reserved
+    elsewhere. What the woken home then dispatches must not run.
+    """
+    for digest in (None, b""):
+        upstream = fake_upstream.FakeUpstream()
+        async with scene.open_scene(open_socket=upstream.open) as here:
+            make_scene_contract(here)
+            dispatch = scene.make_dispatch()
+            question = scene.make_recover(dispatch)
+            if digest is not None:
+                question = scene.make_recover(dispatch, digest=digest)
+            assert (await here.ask(question)).outcome is Outcome.NOT_RUN
+            await trio.sleep(1)
+            woken = scene.make_dispatch(
+                ticket_expiry_ms=dispatch.ticket_expiry_ms
+            )
+            assert (await here.ask(woken)).outcome is Outcome.NOT_RUN
+            assert not upstream.received
+
+
+@trios.clock_test
+async def test_recovery_says_unknown_once_the_ticket_has_expired() -> None:
+    """A question comes so late that the keeper has forgotten the request.
+
+    An empty place in the table then says nothing: "not run" could be wrong.
+    """
+    upstream = fake_upstream.FakeUpstream()
+    async with scene.open_scene(open_socket=upstream.open) as here:
+        make_scene_contract(here)
+        dispatch = scene.make_dispatch()
+        await here.ask(dispatch)
+        await trio.sleep(125)
+        found = await here.ask(scene.make_recover(dispatch))
+        assert found.outcome is Outcome.UNKNOWN
+        again = await here.ask(dispatch)
+        assert again.outcome is Outcome.UNKNOWN
+        assert len(upstream.requests()) == 1
+
+
+@trios.clock_test
+async def test_copy_of_a_refused_dispatch_does_not_run_later() -> None:
+    """A home hands a reservation in on a link that breaks, and once more.
+
+    The second copy is refused and the caller told "not run". Then the first
+    one is read from the broken link, when the upstream has room again.
+    """
+    upstream = fake_upstream.FakeUpstream(acknowledge)
+    async with scene.open_scene(open_socket=upstream.open) as here:
+        here.store.offer(
+            scene.make_record(
+                scene.make_contract({"u1": 9}, limits={"queue": 0}), 1
+            )
+        )
+        late = scene.make_dispatch(number=9)
+        await trio.sleep(0.1)
+        for number in (1, 2):
+            here.nursery.start_soon(
+                here.ask, scene.make_dispatch(number=number)
+            )
+        await trio.sleep(0.1)
+        second = scene.make_dispatch(number=9)
+        assert (await here.ask(second)).outcome is Outcome.NOT_RUN
+        upstream.answer = fake_upstream.reply
+        await trio.sleep(4)
+        assert (await here.ask(late)).outcome is Outcome.NOT_RUN
+        await trio.sleep(4)
+        assert (await here.ask(late)).outcome is Outcome.NOT_RUN
+        assert len(upstream.requests()) == 2
+        retry = scene.make_dispatch(number=9)
+        assert (await here.ask(retry)).outcome is Outcome.ANSWERED
+
+
+@trios.clock_test
+async def test_other_incarnation_does_not_answer_for_a_keeper() -> None:
+    """A keeper restarts under its name with an empty table.
+
+    It has no row for what its former incarnation ran, and must not call
+    that not run.
+    """
+    async with scene.open_scene() as here:
+        question = scene.make_recover(
+            scene.make_dispatch(), keeper=ids.HostRef(5)
+        )
+        assert (await here.ask(question)).outcome is Outcome.NOT_KEEPER
+        me = here.view.self_member.ref
+        own = scene.make_recover(scene.make_dispatch(), keeper=me)
+        assert (await here.ask(own)).outcome is Outcome.NOT_RUN
+
+
+@trios.clock_test
+async def test_successor_answers_for_a_keeper_that_left() -> None:
+    """A keeper leaves as planned, and soon after a home dies.
+
+    The reservations that ran at the former keeper are known only from what
+    it handed over. Before the last part has come nobody can answer.
+    """
+    upstream = fake_upstream.FakeUpstream()
+    parts: list[handover.KeeperHandover] = []
+    dispatch = scene.make_dispatch()
+    async with scene.open_scene(open_socket=upstream.open) as leaver:
+        make_scene_contract(leaver)
+        ran = await leaver.ask(dispatch)
+        former = leaver.view.self_member.ref
+        leaver.view.put(scene.make_member("east-2"))
+        leaver.view.put(
+            scene.make_member("east-1", state=members.MemberState.LEAVING)
+        )
+        leaver.network.replies[handover.KeeperHandover] = (
+            handover.HandoverTaken()
+        )
+        await leaver.keepers.leave()
+        for host, part in leaver.network.sent:
+            assert host == "east-2"
+            assert isinstance(part, handover.KeeperHandover)
+            parts.append(part)
+    question = scene.make_recover(dispatch, keeper=former)
+    async with scene.open_scene("east-2") as successor:
+        assert [part.final for part in parts] == [False, True]
+        await successor.ask(parts[0])
+        before = await successor.ask(question)
+        assert before.outcome is Outcome.NOT_KEEPER
+        await successor.ask(parts[1])
+        found = await successor.ask(question)
+        assert (found.outcome, found.answer) == (ran.outcome, ran.answer)
+        other = scene.make_recover(
+            dispatch, keeper=former, digest=b"other request"
+        )
+        assert (await successor.ask(other)).outcome is Outcome.NOT_RUN
+
+
+@trios.clock_test
+async def test_requests_of_a_former_keeper_count_against_the_slots() -> None:
+    """The role moves while the former keeper's requests still run.
+
+    If the new one counted from zero, the upstream would have to shed.
+    """
+    upstream = fake_upstream.FakeUpstream()
+    async with scene.open_scene(open_socket=upstream.open) as here:
+        make_scene_contract(here)
+        key = ids.UpstreamId("floor-trading/u1")
+
+        def make_part(busy: int) -> handover.KeeperHandover:
+            return handover.KeeperHandover(
+                ids.HostRef(5), (key,), (), (busy,), False
+            )
+
+        await here.ask(make_part(2))
+        here.nursery.start_soon(here.ask, scene.make_dispatch())
+        await trio.sleep(1)
+        assert not upstream.received
+        await here.ask(make_part(1))
+        await trio.sleep(0.1)
+        assert len(upstream.requests()) == 1
+
+
+@trios.clock_test
+async def test_leaving_keeper_waits_for_what_runs() -> None:
+    upstream = fake_upstream.FakeUpstream(acknowledge)
+    async with scene.open_scene(open_socket=upstream.open) as here:
+        make_scene_contract(here)
+        results: list[work.Dispatched] = []
+
+        async def ask() -> None:
+            results.append(await here.ask(scene.make_dispatch()))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.1)
+            here.view.put(
+                scene.make_member("east-1", state=members.MemberState.LEAVING)
+            )
+            nursery.start_soon(here.keepers.leave)
+            await trio.sleep(2)
+            late = await here.ask(scene.make_dispatch(number=2))
+            assert late.outcome is Outcome.NOT_KEEPER
+            fake_upstream.send_separate(
+                upstream.sockets[0], upstream.received[0]
+            )
+        assert results[0].outcome is Outcome.ANSWERED
