Hold slots under shedding, warm cold upstreams, tell lost links apart

Cause: a full upstream shed the whole queue in one go; message ids could come round within the lifetime of an exchange, since the check looked only at the border of a chunk; a 4.08 about the keeper's own blocks went to the caller.

--- a/persimmonhinge/upstreams/keeper.py
+++ b/persimmonhinge/upstreams/keeper.py
@@ -87,6 +87,9 @@
         self._inheritance = inheritances.Inheritance(trio.current_time)
         self._upstreams: upstream_sets.KeptUpstreams | None = None
         self._handing: handing_parts.Handing | None = None
+        counts.watch("keeper_executed_rows", lambda: len(self._executed))
+        for name in ("busy", "queued", "feeds"):
+            counts.watch(f"keeper_{name}", functools.partial(self._sum, name))
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -121,6 +124,9 @@
             for kept in self._upstreams.list_kept()
         ]
 
+    def _sum(self, name: str) -> int:
+        return sum(getattr(load, name) for load in self.loads())
+
     def _make_context(self, nursery: trio.Nursery) -> contexts.KeeperContext:
         me = self._view.self_member
         return contexts.KeeperContext(
--- a/persimmonhinge/upstreams/kept.py
+++ b/persimmonhinge/upstreams/kept.py
@@ -114,6 +114,7 @@
         """Takes in that the upstream refused work or a feed with 5.03."""
         if not shedding.says_drain(answer):
             self._trust.note(_Sign.SHED, trio.current_time())
+            self.slots.pause()
             return
         max_age = answer.opt.max_age
         drain_s = max(_LEAST_DRAIN_S, max_age or 0)
--- a/persimmonhinge/upstreams/message_ids.py
+++ b/persimmonhinge/upstreams/message_ids.py
@@ -33,12 +33,15 @@
         return message_id
 
     def is_exhausted(self) -> bool:
-        """Tells whether the next id was used within its lifetime.
+        """Tells whether ids come round that were used within the lifetime.
 
-        The chunk that is begun was left for the last time when its last id
-        was used, so its time is a bound for all of its ids.
+        The time of a chunk is that of its last use, so it is a bound for
+        all of its ids. The chunk after the present one counts too, so that
+        what is under way when this turns true has ids left.
         """
-        left_at = self._left_at.get(self._next // _CHUNK)
-        if left_at is None or self._next % _CHUNK != 0:
-            return False
-        return self._clock() - left_at < transmission.EXCHANGE_LIFETIME_S
+        chunk = self._next // _CHUNK
+        return any(
+            self._clock() - left_at < transmission.EXCHANGE_LIFETIME_S
+            for place in (chunk, (chunk + 1) % (_IDS // _CHUNK))
+            if (left_at := self._left_at.get(place)) is not None
+        )
--- a/persimmonhinge/upstreams/slots.py
+++ b/persimmonhinge/upstreams/slots.py
@@ -20,6 +20,7 @@
 
 # What must be left for a class when others are guaranteed a share.
 _LEAST_PART = 0.1
+_SHED_PAUSE_S = 0.1
 
 
 class Slots:
@@ -52,6 +53,7 @@
         self._start = start
         self._randomness = randomness
         self._queue = _make_order(target)
+        self._paused_until = 0.0
         self._handed_busy: dict[ids.HostRef, tuple[int, float]] = {}
 
     @property
@@ -130,7 +132,12 @@
         self.fill()
 
     def fill(self) -> None:
-        """Starts jobs while slots are free."""
+        """Starts jobs while slots are free.
+
+        To be called from time to time: slots also come free by time alone.
+        """
+        if trio.current_time() < self._paused_until:
+            return
         while len(self._queue) and self.busy < self.count_usable():
             job = self._queue.pop()
             assert isinstance(job, jobs.Job)
@@ -141,16 +148,14 @@
             self.running.add(job)
             self._start(job)
 
-    def find_next_change(self) -> float | None:
-        """Returns when a slot comes free by time alone, None if none does."""
-        now = trio.current_time()
-        times = [at for _, at in self._handed_busy.values() if at > now]
-        warmer_at = self._slow_start.find_next_change(
-            self._target.upstream.slots, self._target.limits.slow_start_s, now
-        )
-        if warmer_at is not None:
-            times.append(warmer_at)
-        return min(times, default=None)
+    def pause(self) -> None:
+        """Starts nothing for a moment, because the upstream has shed work.
+
+        Guards against a whole queue that is shed in one go: the upstream is
+        full in spite of what this keeper counts, for instance while another
+        host still believes that it is the keeper.
+        """
+        self._paused_until = trio.current_time() + _SHED_PAUSE_S
 
     def _withdraw(self, job: jobs.Job) -> bool:
         if job.state is not jobs.JobState.WAITING:
--- a/persimmonhinge/upstreams/slow_start.py
+++ b/persimmonhinge/upstreams/slow_start.py
@@ -30,12 +30,3 @@
             self.begun_at = None
             return slots
         return max(1, math.floor(slots * warmth))
-
-    def find_next_change(
-        self, slots: int, length_s: float, now: float
-    ) -> float | None:
-        """Returns when one more slot may be used, None if all may be."""
-        used = self.count_slots(slots, length_s, now)
-        if self.begun_at is None or used >= slots:
-            return None
-        return self.begun_at + length_s * (used + 1) / slots
--- a/persimmonhinge/upstreams/transfer.py
+++ b/persimmonhinge/upstreams/transfer.py
@@ -20,6 +20,7 @@
 _LARGEST_EXPONENT = 6
 _MOST_ANSWER_OCTETS = 4_194_304
 _MOST_DOWNLOADS = 3
+_INCOMPLETE = aiocoap.REQUEST_ENTITY_INCOMPLETE
 
 BlockOption = optiontypes.BlockOption.BlockwiseTuple
 
@@ -102,6 +103,7 @@
         self._exchange: exchanges.Exchange | None = None
         self._abandoned = False
         self.may_run = False
+        self._in_blocks = False
 
     def abandon(self) -> None:
         """Sends nothing more; the present exchange goes on to its end."""
@@ -120,6 +122,11 @@
             return TransferResult(
                 TransferEnd.SHED, answer, "shed by the upstream"
             )
+        if self._in_blocks and answer.code == _INCOMPLETE:
+            # About blocks of this host, of which the caller knows nothing.
+            return TransferResult(
+                TransferEnd.NOT_RUN, reason="upstream lost a block"
+            )
         if answer.code == aiocoap.CONTINUE:
             return TransferResult(
                 TransferEnd.UNKNOWN, reason="asked for more than there is"
@@ -140,6 +147,7 @@
         if len(body) <= _block_octets(_LARGEST_EXPONENT):
             self.may_run = True
             return await self._exchange_once(self._request.copy())
+        self._in_blocks = True
         tag = self._endpoint.make_token()
         exponent = _LARGEST_EXPONENT
         offset = 0
--- /dev/null
+++ b/tests/test_upstreams/test_upstreams_links.py
@@ -0,0 +1,42 @@
+"""Tests of a keeper behind real links between two hosts."""
+
+from __future__ import annotations
+
+import trio
+
+from persimmonhinge.peers import network as networks
+from persimmonhinge.peers.messages import feeds
+from tests.support import trios
+from tests.test_peers import pairs
+from tests.test_upstreams import scene
+
+
+@trios.trio_test
+async def test_links_tell_a_closed_call_from_a_lost_one() -> None:
+    """A home closes a feed, another one dies.
+
+    The first feed has to end at the upstream at once; the second has to go
+    on until a new home takes it.
+    """
+    seen: list[bool] = []
+    ended = trio.Event()
+
+    async def serve(caller: networks.Caller, message: feeds.FeedOpen) -> None:
+        await caller.push(feeds.FeedEvent(1, b""))
+        await caller.wait_closed()
+        seen.append(caller.closed_by_caller)
+        ended.set()
+
+    opened = scene.make_feed_open()
+    async with pairs.open_pair() as (keeper, home):
+        keeper.network.handle(feeds.FeedOpen, serve)
+        for network in (home.network, keeper.network):
+            async with network.open(keeper.view.me, opened, 5.0) as stream:
+                await stream.receive()
+            await ended.wait()
+            ended = trio.Event()
+        async with home.network.open(keeper.view.me, opened, 5.0) as stream:
+            await stream.receive()
+            await home.network.aclose()
+            await ended.wait()
+    assert seen == [True, True, False]
