--- a/persimmonhinge/settings/entry.py
+++ b/persimmonhinge/settings/entry.py
@@ -102,7 +102,7 @@
         timeout_s: Limit for one call, seconds.
         prefix: Beginning of all keys of this deployment.
         retry_interval_s: First wait after a failure, seconds; it doubles to
-            twenty times this, with jitter.
+            four times this, with jitter.
     """
 
     endpoints: tuple[str, ...] = pydantic.Field(min_length=1)
