Tell a change that a restored platform made from one in force

After a restore the platform gives revisions again that hosts passed long ago. Without that the new test fails.

The unknown outcome was made by polling counts, which lost the race once in a run; the stand-in now goes down with the write itself.

--- a/persimmonhinge/contracts/diff.py
+++ b/persimmonhinge/contracts/diff.py
@@ -54,7 +54,8 @@
 
 def _is_named_list(value: Any) -> bool:
     return isinstance(value, list) and all(
-        isinstance(item, dict) and _find_name(item) for item in value
+        isinstance(item, dict) and _find_name(item) is not None
+        for item in value
     )
 
 
@@ -62,8 +63,8 @@
     return {_find_name(item): item for item in items}
 
 
-def _find_name(item: dict[str, Any]) -> str:
-    return next((item[key] for key in _NAME_KEYS if key in item), "")
+def _find_name(item: dict[str, Any]) -> Any:
+    return next((item[key] for key in _NAME_KEYS if key in item), None)
 
 
 def _show(value: Any) -> str:
--- a/persimmonhinge/ctl/contract_commands.py
+++ b/persimmonhinge/ctl/contract_commands.py
@@ -14,9 +14,8 @@
 from persimmonhinge.ctl import changes
 from persimmonhinge.ctl import contract_file
 from persimmonhinge.ctl import exits
+from persimmonhinge.ctl import goals
 from persimmonhinge.ctl import options
-from persimmonhinge.ctl import rollout as rollouts
-from persimmonhinge.ctl import rollout_search
 from persimmonhinge.ctl import session as sessions
 from persimmonhinge.ctl import waiting
 
@@ -209,33 +208,15 @@
 
     async def work(session: sessions.Session) -> exits.ExitCode:
         name = ids.ServiceName(service)
-        goal = await rollout_search.find_goal(session, name)
+        goal = await goals.find_goal(session, name)
         found = await waiting.wait_in_force(session, goal, wait or 0.0)
         waiting.show_rollout(session, found)
         session.printer.show_document(found.to_document())
-        await _warn_if_ahead(session, name, found)
         return waiting.find_exit_code(found)
 
     sessions.run(context, output, work)
 
 
-async def _warn_if_ahead(
-    session: sessions.Session,
-    service: ids.ServiceName,
-    found: rollouts.Rollout,
-) -> None:
-    """Says so if hosts hold more than the platform, even now."""
-    if found.newest <= found.revision:
-        return
-    revision = (await rollout_search.find_goal(session, service)).revision
-    if found.newest > revision:
-        session.printer.show_note(
-            f"warning: a host holds revision {found.newest} of {service}, "
-            f"newer than the platform's {revision}: the platform was "
-            "restored from an older copy"
-        )
-
-
 def _find(
     listed: list[versions.ContractVersion], service: str
 ) -> versions.ContractVersion | None:
--- a/persimmonhinge/ctl/rollout_search.py
+++ b/persimmonhinge/ctl/goals.py
@@ -1,4 +1,4 @@
-"""Finds what hosts should hold."""
+"""Finds what hosts should hold of a contract."""
 
 from __future__ import annotations
 
@@ -28,3 +28,17 @@
             if deletes and record.target == service:
                 return rollouts.Goal(service, record.revision, is_deleted=True)
         raise
+
+
+async def find_newest(
+    session: sessions.Session, service: ids.ServiceName
+) -> int:
+    """Returns the newest revision of a contract in the platform, 0 for none.
+
+    Raises:
+        PlatformError: The platform failed.
+    """
+    try:
+        return (await find_goal(session, service)).revision
+    except errors.ContractError:
+        return 0
--- a/persimmonhinge/ctl/program.py
+++ b/persimmonhinge/ctl/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import pathlib
 from typing import Annotated
 
@@ -23,6 +24,16 @@
     "--request-id."
 )
 
+
+class LogLevel(enum.Enum):
+    """Levels of the log."""
+
+    DEBUG = "DEBUG"
+    INFO = "INFO"
+    WARNING = "WARNING"
+    ERROR = "ERROR"
+
+
 # Typer's own tracebacks can show local variables, and with them secrets.
 program = typer.Typer(
     add_completion=False,
@@ -59,11 +70,14 @@
         typer.Option("--operator", help="Who works here, for the audit trail."),
     ] = None,
     log_level: Annotated[
-        str, typer.Option("--log-level", help="Lowest level that is logged.")
-    ] = "WARNING",
+        LogLevel,
+        typer.Option("--log-level", help="Lowest level that is logged."),
+    ] = LogLevel.WARNING,
 ) -> None:
     """Contracts, hosts, upstreams, ticket keys and the audit trail.
 
     Example: persimmonhinge-ctl --config ctl.yaml contract list
     """
-    context.obj = sessions.Invocation(config_file, output, operator, log_level)
+    context.obj = sessions.Invocation(
+        config_file, output, operator, log_level.value
+    )
--- a/persimmonhinge/ctl/rollout.py
+++ b/persimmonhinge/ctl/rollout.py
@@ -14,11 +14,14 @@
     """How a host stands with a revision.
 
     IN_FORCE: It holds it, or a newer one.
+    AHEAD: It holds one newer than any in the platform, which was restored
+        from an older copy; the host refuses what the platform has.
     BEHIND: It answers and holds an older one, or none.
     NO_ANSWER: It gave no answer; what it holds is not known.
     """
 
     IN_FORCE = "in-force"
+    AHEAD = "ahead"
     BEHIND = "behind"
     NO_ANSWER = "no-answer"
 
@@ -30,12 +33,16 @@
     Attributes:
         service: Name of the service.
         revision: Revision of its contract, or of its delete.
+        newest: Newest revision of it that the platform has; it is read after
+            the hosts were asked, so that no host is ahead of it by a change
+            in between. None if it was not read.
         is_deleted: True for a delete: a host that started later, and never
             knew the contract, is in line with it.
     """
 
     service: str
     revision: int
+    newest: int | None = None
     is_deleted: bool = False
 
 
@@ -76,7 +83,7 @@
     def is_complete(self) -> bool:
         """True if it is in force on all hosts that answer, and one does."""
         states = {host.state for host in self.hosts}
-        return HoldState.IN_FORCE in states and HoldState.BEHIND not in states
+        return states - {HoldState.NO_ANSWER} == {HoldState.IN_FORCE}
 
     @property
     def newest(self) -> int:
@@ -121,6 +128,16 @@
             report.problem,
         )
     held = report.status.contracts.get(goal.service)
-    in_force = goal.is_deleted if held is None else held >= goal.revision
-    state = HoldState.IN_FORCE if in_force else HoldState.BEHIND
+    state = _compare(goal, held)
     return HostRevision(report.name, report.domain, held, state)
+
+
+def _compare(goal: Goal, held: int | None) -> HoldState:
+    if held is None:
+        return HoldState.IN_FORCE if goal.is_deleted else HoldState.BEHIND
+    # Guards against a change reported as in force that no host took in:
+    # after a restore the platform gives revisions again that hosts passed
+    # long ago, so that what they hold is newer by number and older in fact.
+    if goal.newest is not None and held > max(goal.newest, goal.revision):
+        return HoldState.AHEAD
+    return HoldState.IN_FORCE if held >= goal.revision else HoldState.BEHIND
--- a/persimmonhinge/ctl/status_commands.py
+++ b/persimmonhinge/ctl/status_commands.py
@@ -29,11 +29,10 @@
     async def work(session: sessions.Session) -> exits.ExitCode:
         found, problem = await _read_contracts(session)
         reports = await session.ask_hosts()
+        newest, _ = await _read_contracts(session)
         progress = [
-            rollouts.compute(
-                rollouts.Goal(v.contract.service, v.revision), reports
-            )
-            for v in found
+            rollouts.compute(_make_goal(version, newest), reports)
+            for version in found
         ]
         _show_hosts(session, reports)
         _show_contracts(session, progress)
@@ -111,6 +110,14 @@
         return [], str(error)
 
 
+def _make_goal(
+    version: versions.ContractVersion, newest: list[versions.ContractVersion]
+) -> rollouts.Goal:
+    service = version.contract.service
+    revisions = (v.revision for v in newest if v.contract.service == service)
+    return rollouts.Goal(service, version.revision, next(revisions, None))
+
+
 async def _explain(
     session: sessions.Session,
     reports: Sequence[host_client.HostReport],
@@ -169,7 +176,7 @@
 ) -> None:
     session.printer.show_table(
         "Contracts",
-        ("service", "revision", "in force", "behind", "no answer"),
+        ("service", "revision", *(state.value for state in rollouts.HoldState)),
         [
             (r.service, r.revision, *(r.count(s) for s in rollouts.HoldState))
             for r in progress
--- a/persimmonhinge/ctl/waiting.py
+++ b/persimmonhinge/ctl/waiting.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import dataclasses
 
 import trio
 
+from persimmonhinge import ids
 from persimmonhinge.ctl import exits
+from persimmonhinge.ctl import goals
 from persimmonhinge.ctl import host_client
 from persimmonhinge.ctl import rollout as rollouts
 from persimmonhinge.ctl import session as sessions
@@ -55,6 +58,8 @@
         limit_s,
         lambda answers: rollouts.compute(goal, answers).is_complete,
     )
+    newest = await goals.find_newest(session, ids.ServiceName(goal.service))
+    goal = dataclasses.replace(goal, newest=newest)
     return rollouts.compute(goal, reports)
 
 
@@ -75,3 +80,10 @@
             for h in rollout.hosts
         ],
     )
+    ahead = rollout.count(rollouts.HoldState.AHEAD)
+    if ahead:
+        session.printer.show_note(
+            f"warning: {ahead} hosts hold a newer revision of "
+            f"{rollout.service} than the platform, which was restored from "
+            "an older copy; they refuse what it has"
+        )
--- a/tests/standins/platform_ctl.py
+++ b/tests/standins/platform_ctl.py
@@ -13,9 +13,11 @@
 from typing import Any
 
 import trio
+from typer import testing
 import yaml
 
 from persimmonhinge import ids
+from persimmonhinge.ctl import program
 from persimmonhinge.metrics import page
 from persimmonhinge.platform import client
 from persimmonhinge.platform import keys
@@ -72,13 +74,26 @@
         return str(path)
 
     async def run(self, *arguments: str) -> Ended:
-        """Runs a command with JSON results."""
+        """Runs a command with JSON results, in a thread of this process."""
         return await self.run_plain("--output", "json", *arguments)
 
     async def run_plain(self, *arguments: str) -> Ended:
-        """Runs a command."""
+        """Runs a command in a thread of this process, one at a time."""
+        runner = testing.CliRunner()
+        with trio.fail_after(_LIMIT_S):
+            done = await trio.to_thread.run_sync(
+                runner.invoke,
+                program.program,
+                [*self._settings_option(), *arguments],
+            )
+        if done.exception and not isinstance(done.exception, SystemExit):
+            raise done.exception
+        return Ended(done.exit_code, done.stdout, done.stderr)
+
+    async def run_process(self, *arguments: str) -> Ended:
+        """Runs a command with JSON results, as a process."""
         command = [sys.executable, "-m", "persimmonhinge.cmd.ctl"]
-        command += ["--config", str(self.folder / "ctl.yaml")]
+        command += [*self._settings_option(), "--output", "json"]
         with trio.fail_after(_LIMIT_S):
             done: subprocess.CompletedProcess[bytes] = await trio.run_process(
                 [*command, *arguments],
@@ -91,6 +106,9 @@
             done.returncode, done.stdout.decode(), done.stderr.decode()
         )
 
+    def _settings_option(self) -> list[str]:
+        return ["--config", str(self.folder / "ctl.yaml")]
+
     async def read_key(self, name: str) -> Any:
         """Reads a key of the deployment."""
         settings = self.platform.settings()
@@ -129,6 +147,7 @@
             "upstreams": [],
         }
         self.route: dict[str, Any] = {}
+        self._port = 0
 
     async def run(self, ctl: Ctl, nursery: trio.Nursery) -> None:
         """Serves pages and stands in the platform's host list."""
@@ -143,8 +162,13 @@
         server.pages.register("/status")(show_status)
         server.pages.register("/explain")(show_route)
         number: int = await nursery.start(server.run)
+        self._port = number
         await self.enter(ctl, number)
 
+    async def enter_again(self, ctl: Ctl) -> None:
+        """Stands in the list again, after it was lost."""
+        await self.enter(ctl, self._port)
+
     async def enter(self, ctl: Ctl, number: int) -> None:
         """Stands in the platform's host list with a port for its pages."""
         name = self.status["host"]
--- a/tests/standins/platform_faults.py
+++ b/tests/standins/platform_faults.py
@@ -12,6 +12,8 @@
         down: Connections close without an answer; watches break.
         delay_s: Each call waits first, seconds.
         drop_answers: So many writes take effect but get no answer.
+        down_after_write: The next write takes effect and gets no answer,
+            and with it the service goes down.
         drop_writes: So many transactions are lost and get no answer.
         late_writes: So many transactions get no answer and run `late_s`
             later.
@@ -23,6 +25,7 @@
     down: bool = False
     delay_s: float = 0.0
     drop_answers: int = 0
+    down_after_write: bool = False
     drop_writes: int = 0
     late_writes: int = 0
     late_s: float = 0.5
@@ -40,6 +43,7 @@
     down: bool | None = None
     delay_s: float | None = None
     drop_answers: int | None = None
+    down_after_write: bool | None = None
     drop_writes: int | None = None
     late_writes: int | None = None
     late_s: float | None = None
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -82,6 +82,10 @@
             self._nursery.start_soon(self._run_late, path, body)
             raise ConnectionDropped
         answer = self._gateway.answer(path, body)
+        if faults.down_after_write and answer.get("succeeded"):
+            faults.down_after_write = False
+            faults.down = True
+            raise ConnectionDropped
         if faults.drop_answers > 0 and answer.get("succeeded"):
             faults.drop_answers -= 1
             raise ConnectionDropped
--- a/tests/test_ctl/__init__.py
+++ b/tests/test_ctl/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the operators' command line, as processes."""
+"""Tests of the operators' command line."""
--- a/tests/test_ctl/test_ctl_contract.py
+++ b/tests/test_ctl/test_ctl_contract.py
@@ -1,4 +1,4 @@
-"""Tests of `contract ...` with real processes."""
+"""Tests of `contract ...`; races and lost answers with real processes."""
 
 from __future__ import annotations
 
@@ -27,21 +27,21 @@
     """
     async with platform_ctl.run_ctl() as ctl:
         path = ctl.write("floor.yaml", make_document())
-        made = (await ctl.run("contract", "apply", path)).read()
+        made = (await ctl.run_process("contract", "apply", path)).read()
         head = f"# revision: {made['revision']}\n"
         ended: dict[str, platform_ctl.Ended] = {}
 
         async def apply(operator: str, slots: int) -> None:
             name = f"{operator}.yaml"
             file = ctl.write(name, make_document(slots), head)
-            ended[operator] = await ctl.run(
+            ended[operator] = await ctl.run_process(
                 "--operator", operator, "contract", "apply", file
             )
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(apply, "anna", 3)
             nursery.start_soon(apply, "ben", 4)
-        stands = (await ctl.run("contract", "get", "floor")).read()
+        stands = (await ctl.run_process("contract", "get", "floor")).read()
     codes = {operator: done.code for operator, done in ended.items()}
     assert sorted(codes.values()) == [0, 3], ended
     winner = min(codes, key=lambda operator: codes[operator])
@@ -62,9 +62,9 @@
     async with platform_ctl.run_ctl() as ctl:
         await ctl.platform.set_faults(drop_answers=1)
         path = ctl.write("floor.yaml", make_document())
-        done = await ctl.run("contract", "apply", path)
+        done = await ctl.run_process("contract", "apply", path)
         counts = await ctl.platform.get_counts()
-        trail = (await ctl.run("audit")).read()
+        trail = (await ctl.run_process("audit")).read()
     assert done.code == 0, done.errors
     assert counts["txn"] == 1
     assert [entry["revision"] for entry in trail] == [done.read()["revision"]]
@@ -80,22 +80,15 @@
     async with platform_ctl.run_ctl() as ctl:
         ctl.configure(change_limit_s=0.5)
         path = ctl.write("floor.yaml", make_document())
-        await ctl.run("contract", "apply", path)
-        await ctl.platform.set_faults(drop_answers=1)
-
-        async def break_platform() -> None:
-            while (await ctl.platform.get_counts()).get("txn", 0) < 2:
-                await trio.sleep(0.01)
-            await ctl.platform.set_faults(down=True)
-
+        await ctl.run_process("contract", "apply", path)
+        await ctl.platform.set_faults(down_after_write=True)
         delete = ("contract", "delete", "floor", "--request-id", "one")
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(break_platform)
-            await ctl.platform.set_faults(delay_s=0.1)
-            unknown = await ctl.run(*delete)
-        await ctl.platform.set_faults(down=False, delay_s=0.0)
-        done = await ctl.run(*delete)
-        trail = (await ctl.run("audit", "--action", "delete-contract")).read()
+        unknown = await ctl.run_process(*delete)
+        await ctl.platform.set_faults(down=False)
+        done = await ctl.run_process(*delete)
+        trail = (
+            await ctl.run_process("audit", "--action", "delete-contract")
+        ).read()
     assert unknown.code == 6, unknown
     assert "--request-id one" in unknown.errors
     assert done.code == 0, done.errors
@@ -107,11 +100,11 @@
 async def test_contract_is_deleted_and_created_again() -> None:
     async with platform_ctl.run_ctl() as ctl:
         path = ctl.write("floor.yaml", make_document())
-        made = (await ctl.run("contract", "apply", path)).read()
-        deleted = (await ctl.run("contract", "delete", "floor")).read()
-        missing = await ctl.run("contract", "get", "floor")
-        again = (await ctl.run("contract", "apply", path)).read()
-        listed = (await ctl.run("contract", "list")).read()
+        made = (await ctl.run_process("contract", "apply", path)).read()
+        deleted = (await ctl.run_process("contract", "delete", "floor")).read()
+        missing = await ctl.run_process("contract", "get", "floor")
+        again = (await ctl.run_process("contract", "apply", path)).read()
+        listed = (await ctl.run_process("contract", "list")).read()
     assert made["revision"] < deleted["revision"] < again["revision"]
     assert missing.code == 1
     assert [version["revision"] for version in listed] == [again["revision"]]
@@ -176,8 +169,6 @@
             hosts[1].status["contracts"]["floor"] = revision
             full = await ctl.run("contract", "apply", path, "--wait", "5")
             shown = await ctl.run("contract", "rollout", "floor")
-            hosts[1].status["contracts"]["floor"] = revision + 10
-            ahead = await ctl.run("contract", "rollout", "floor")
     assert (short.code, behind.code, full.code) == (5, 5, 0)
     states = {host["host"]: host["state"] for host in shown.read()["hosts"]}
     assert states == {
@@ -186,7 +177,6 @@
         "gone": "no-answer",
     }
     assert "1 hosts gave no answer" in full.errors
-    assert "restored from an older copy" in ahead.errors
 
 
 @trios.trio_test
@@ -200,3 +190,29 @@
             old.status["contracts"]["floor"] = short.read()["revision"]
             full = await ctl.run("contract", "rollout", "floor")
     assert (short.code, full.code) == (5, 0)
+
+
+@trios.trio_test
+async def test_change_after_a_restore_is_not_reported_as_in_force() -> None:
+    """An operator is told "in force", and the hosts go on with the old one.
+
+    The platform is restored from an older copy and gives revisions again
+    that the hosts passed long ago; they refuse the operator's change, as
+    they hold a newer revision. Cause: revisions compared by number alone.
+    """
+    async with platform_ctl.run_ctl() as ctl:
+        await ctl.platform.take_copy()
+        path = ctl.write("floor.yaml", make_document())
+        await ctl.run("contract", "apply", path)
+        changed = ctl.write("changed.yaml", make_document(3))
+        last = await ctl.run("contract", "apply", changed, "--replace")
+        async with platform_ctl.run_hosts(ctl, "one") as (host,):
+            await ctl.platform.restore()
+            await host.enter_again(ctl)
+            held = last.read()["revision"] + 10
+            host.status["contracts"]["floor"] = held
+            done = await ctl.run("contract", "apply", path, "--wait", "5")
+            status = await ctl.run("status")
+    assert (done.code, status.code) == (5, 5)
+    assert done.read()["rollout"]["hosts"][0]["state"] == "ahead"
+    assert "restored from an older copy" in done.errors
--- a/tests/test_ctl/test_ctl_operations.py
+++ b/tests/test_ctl/test_ctl_operations.py
@@ -1,4 +1,4 @@
-"""Tests of hosts, upstreams, keys, audit and status with real processes."""
+"""Tests of hosts, upstreams, keys, audit and status."""
 
 from __future__ import annotations
 
