Let no datagram end a host

A GET with a Block2 option of the reserved size 7 ended the task that cut its answer, and with it the whole host: aiocoap then gives a bare tuple where a block option is expected. Found by the property over hostile datagrams, which failed before. Such options now get 4.00, as RFC 7959 section 2.2 asks. One fault more of this kind ends one request only: it is logged, counted as home_faults_total and answered 5.04.

Forgetting old exchanges is bounded to two for each new one; where most still ran, each request would have turned the whole queue over.

--- a/persimmonhinge/flows/exchanges.py
+++ b/persimmonhinge/flows/exchanges.py
@@ -205,9 +205,10 @@
             self._forget_first()
 
     def _forget_oldest(self) -> None:
-        excess = len(self._order) - MAX_KEPT
-        for _ in range(excess):
-            self._forget_first()
+        # Two for each new one, so that it stays cheap where most still run.
+        for _ in range(2):
+            if len(self._order) > MAX_KEPT:
+                self._forget_first()
 
     def _forget_first(self) -> None:
         exchange = self._order.popleft()
--- a/persimmonhinge/flows/home.py
+++ b/persimmonhinge/flows/home.py
@@ -99,7 +99,16 @@
                 await trio.sleep(_LEAVE_CHECK_S)
 
     def handle(self, flow: port.Flow, message: codec.Message) -> None:
-        """Takes a datagram of a flow; never waits."""
+        """Takes a datagram of a flow; never waits and never fails."""
+        try:
+            self._take(flow, message)
+        except Exception:
+            # Guards against one datagram that ends the host, and all flows
+            # with it, by a fault of ours that it brings out.
+            logger.exception("A datagram for %s failed.", flow.service)
+            self._counts.add("home_faults_total")
+
+    def _take(self, flow: port.Flow, message: codec.Message) -> None:
         if message.code.is_request():
             if message.mtype in (types.CON, types.NON):
                 self._take_request(flow, message)
--- a/persimmonhinge/flows/once.py
+++ b/persimmonhinge/flows/once.py
@@ -229,13 +229,26 @@
 
     def _start(self, run: _RunRow, row: rows.Row, order: orders.Order) -> None:
         assert self._nursery is not None
-        self._nursery.start_soon(run, row, order)
+        self._nursery.start_soon(self._contain, run, row, order)
+
+    async def _contain(
+        self, run: _RunRow, row: rows.Row, order: orders.Order
+    ) -> None:
+        """Runs a row; a fault of ours ends neither its copies nor the host."""
+        try:
+            with row.scope:
+                await run(row, order)
+        except Exception:
+            logger.exception("A request of %s failed.", order.service)
+            self._counts.add("home_faults_total")
+        row.finish(_CANCELLED)
 
     async def _run_row(self, row: rows.Row, order: orders.Order) -> None:
-        with row.scope:
+        try:
             row.finish(await self._dispatcher.run(order))
-        row.finish(_CANCELLED)
-        self._table.count_kept(row)
+        finally:
+            row.finish(_CANCELLED)
+            self._table.count_kept(row)
 
     async def _run_recovery(self, row: rows.Row, order: orders.Order) -> None:
         try:
--- a/persimmonhinge/flows/request.py
+++ b/persimmonhinge/flows/request.py
@@ -64,6 +64,10 @@
 
 def find_fault(message: codec.Message) -> codes.Code | None:
     """Returns the error code for options that can't be honoured, or None."""
+    for block in (message.opt.block1, message.opt.block2):
+        if block is not None and block.is_bert:
+            # RFC 7959 section 2.2: reserved, to be answered by 4.00.
+            return codes.Code.BAD_REQUEST
     for option in message.opt.option_list():
         if option.number in _PROXY_OPTIONS:
             return codes.Code.PROXYING_NOT_SUPPORTED
--- a/persimmonhinge/flows/server.py
+++ b/persimmonhinge/flows/server.py
@@ -260,6 +260,12 @@
         try:
             with exchange.scope as scope:
                 reply = await self._get_reply(order, entry, row)
+        except Exception:
+            # Guards against one request that ends the host, and all flows
+            # with it: a fault of ours that some datagram brings out.
+            logger.exception("A request of %s failed.", order.service)
+            self._counts.add("home_faults_total")
+            reply = replies.report_unknown("internal fault")
         finally:
             self._running -= 1
         if scope.cancelled_caught:
--- a/tests/test_flows/test_flows_home.py
+++ b/tests/test_flows/test_flows_home.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import logging
+
+from aiocoap import optiontypes
 from aiocoap.numbers import codes
+from aiocoap.numbers import optionnumbers
 from aiocoap.numbers import types
+import hypothesis
+from hypothesis import strategies
 import trio
 
+from persimmonhinge import errors
 from persimmonhinge.coap import codec
 from persimmonhinge.peers.messages import base
 from persimmonhinge.peers.messages import work
@@ -221,6 +228,89 @@
     assert world.counts.sum("home_retries_total") == 0
 
 
+_path = strategies.sampled_from([(11, b"lots"), (11, b"reserve"), (11, b"x")])
+_option = strategies.one_of(
+    # Block1, Block2 and Observe with few octets, so that they mean much.
+    strategies.tuples(
+        strategies.sampled_from([6, 23, 27]), strategies.binary(max_size=1)
+    ),
+    strategies.tuples(
+        strategies.sampled_from([1, 3, 4, 9, 12, 14, 35, 60, 252, 292, 65002]),
+        strategies.binary(max_size=6),
+    ),
+    strategies.tuples(
+        strategies.just(252), strategies.binary(min_size=40, max_size=40)
+    ),
+)
+
+
+@hypothesis.settings(deadline=None, derandomize=True, max_examples=300)
+@hypothesis.given(
+    header=strategies.tuples(
+        strategies.integers(0, 3),
+        strategies.sampled_from([1, 2, 3, 0, 9, 69, 225]),
+        strategies.binary(max_size=8),
+    ),
+    path=_path,
+    options=strategies.lists(_option, max_size=3),
+    payload=strategies.binary(max_size=80),
+)
+@trios.clock_test
+async def test_hostile_datagrams_harm_nothing(
+    header: tuple[int, int, bytes],
+    path: tuple[int, bytes],
+    options: list[tuple[int, bytes]],
+    payload: bytes,
+) -> None:
+    """A datagram ends a task of the host, and with it the service.
+
+    Any option may hold any octets; what a library makes of them differs.
+    """
+    kind, code, token = header
+    data = bytes((0x40 | kind << 4 | len(token), code, 0, 9)) + token
+    raw = codec.Message(code=Code.GET)
+    for number, value in (path, *options):
+        opaque = optionnumbers.OptionNumber(number)
+        raw.opt.add_option(optiontypes.OpaqueOption(opaque, value))
+    data += raw.opt.encode() + (b"\xff" + payload if payload else b"")
+    try:
+        message = codec.decode(data)
+    except errors.MalformedDatagramError:
+        return
+    world = home_fakes.HomeWorld()
+    world.keep_all(_answer)
+    async with world.running():
+        world.home.handle(home_fakes.FLOW, message)
+        await trio.sleep(1)
+        assert world.counts.sum("home_faults_total") == 0
+        assert (await world.ask(Code.GET, "/lots")).payload == b"done"
+
+
+@trios.clock_test
+async def test_fault_in_one_request_ends_no_other() -> None:
+    """One request takes down the host, and all its feeds with it.
+
+    A fault of ours shows up with a datagram that nobody has thought of.
+    """
+    world = home_fakes.HomeWorld()
+
+    async def break_down(message: base.Message) -> base.Message:
+        raise KeyError("a fault")
+
+    world.keep_all(break_down)
+    logging.disable(logging.CRITICAL)
+    async with world.running():
+        echo = await world.get_ticket()
+        for code, path in ((Code.GET, "/lots"), (Code.POST, "/reserve")):
+            reply = await world.ask(code, path, echo=echo)
+            assert reply.code is Code.GATEWAY_TIMEOUT
+        world.home.handle(home_fakes.FLOW, None)
+        world.keep_all(_answer)
+        assert (await world.ask(Code.GET, "/lots")).payload == b"done"
+    logging.disable(logging.NOTSET)
+    assert world.counts.sum("home_faults_total") == 3
+
+
 @trios.clock_test
 async def test_failing_service_gets_no_retry_storm() -> None:
     """A service that fails gets each request several times over.
