--- a/tests/test_contracts/fake_network.py
+++ b/tests/test_contracts/fake_network.py
@@ -7,16 +7,15 @@
 import random
 from typing import Any
 
-import msgspec
 import trio
 
 from persimmonhinge import errors
 from persimmonhinge import ids
+from persimmonhinge.peers import frames
 from persimmonhinge.peers import network as networks
 from persimmonhinge.peers.messages import base
 
-# About what a frame adds to a message: its length, kind and call number.
-_FRAME_OCTETS = 12
+_CALL = 1000
 _DELAY_S = 0.001
 
 
@@ -40,6 +39,7 @@
         self.octets: collections.Counter[str] = collections.Counter()
         self.networks: dict[str, FakeNetwork] = {}
         self._random = random.Random(seed)
+        self._writer = frames.FrameWriter()
 
     def add(self, host: ids.HostId) -> FakeNetwork:
         """Returns the network as a host sees it."""
@@ -64,12 +64,14 @@
         """Draws whether a message is lost."""
         return self._random.random() < self.loss
 
-    def carry(self, sender: str, message: base.Message) -> base.Message:
-        """Encodes, counts and decodes a message."""
-        data = msgspec.msgpack.encode(message)
+    def carry(self, sender: str, message: networks.M) -> networks.M:
+        """Writes, counts and reads the frame of a message."""
+        data = self._writer.write(frames.FrameKind.SEND, _CALL, message)
         self.messages[sender] += 1
-        self.octets[sender] += len(data) + _FRAME_OCTETS
-        return msgspec.msgpack.decode(data, type=type(message))
+        self.octets[sender] += len(data)
+        for frame in frames.FrameReader(sender).read(data):
+            return frames.read_body(frame, type(message), sender)
+        raise AssertionError("not a whole frame")
 
 
 class FakeNetwork:
