--- a/persimmonhinge/contracts/control.py
+++ b/persimmonhinge/contracts/control.py
@@ -99,9 +99,7 @@
         """Tells the platform's host list that this host leaves."""
         try:
             await hosts.announce_leaving(
-                self._platform,
-                self._settings.platform.prefix,
-                self._view.self_member,
+                self._platform, self._settings.platform.prefix, self._view.me
             )
         except (errors.PlatformError, errors.ConflictError) as error:
             logger.warning("Host list does not show the stop: %s", error)
--- a/persimmonhinge/contracts/hosts.py
+++ b/persimmonhinge/contracts/hosts.py
@@ -6,57 +6,44 @@
 
 from persimmonhinge import errors
 from persimmonhinge import ids
-from persimmonhinge.membership import member as members
 from persimmonhinge.platform import keys
 from persimmonhinge.platform import port
 
 _STEP = "announce leaving"
+_STATE = "state"
 LEAVING = "leaving"
 
 
-class ListedHost(msgspec.Struct, frozen=True):
-    """The value of a host's key in the list.
-
-    Attributes:
-        host: Its name.
-        domain: Its failure domain.
-        address: IP address of its peer and heartbeat ports.
-        port: TCP port of peer streams.
-        heartbeat_port: UDP port of heartbeats.
-        state: `live` or `leaving`.
-    """
-
-    host: str
-    domain: str
-    address: str
-    port: int
-    heartbeat_port: int
-    state: str = "live"
-
-
 async def announce_leaving(
-    platform: port.Platform, prefix: str, me: members.Member
+    platform: port.Platform, prefix: str, host: ids.HostId
 ) -> None:
-    """Tells the platform's host list that this host leaves.
+    """Marks a host as leaving in the platform's list.
+
+    The list is the platform's own: its other members are kept as they are,
+    whatever they mean, and a host that it does not list is not added.
 
     Raises:
-        PlatformError: The platform failed; peers know in any case.
+        PlatformError: The platform failed, or the entry can't be read.
         ConflictError: The entry changed at the same time.
     """
-    key = keys.host_key(prefix, ids.HostId(me.host))
-    listed = ListedHost(
-        host=me.host,
-        domain=me.domain,
-        address=me.address,
-        port=me.peer_port,
-        heartbeat_port=me.heartbeat_port,
-        state=LEAVING,
-    )
-    value = msgspec.json.encode(listed)
+    key = keys.host_key(prefix, host)
     found = await platform.get(key)
-    former = 0 if found is None else found.mod_revision
+    if found is None:
+        return
+    members = _read_members(found.value, host)
+    members[_STATE] = LEAVING
     revision = await platform.write_if(
-        (port.Compare(key, former),), (port.Write(key, value),)
+        (port.Compare(key, found.mod_revision),),
+        (port.Write(key, msgspec.json.encode(members)),),
     )
     if revision is None:
-        raise errors.ConflictError("the entry changed", step=_STEP)
+        raise errors.ConflictError("the entry changed", step=_STEP, peer=host)
+
+
+def _read_members(value: bytes, host: ids.HostId) -> dict[str, object]:
+    try:
+        return msgspec.json.decode(value, type=dict[str, object])
+    except msgspec.MsgspecError as error:
+        raise errors.PlatformError(
+            f"the entry can't be read: {error}", step=_STEP, peer=host
+        ) from error
