--- a/tests/test_client/server.py
+++ b/tests/test_client/server.py
@@ -39,6 +39,9 @@
         seen: Every message that arrived.
         callers: Where each of them came from.
         separate: True to acknowledge first and to answer later.
+        silent: True to answer nothing.
+        dying: Requests that are acknowledged and then forgotten.
+        lost_parts: Blocks of uploads that are still to be forgotten.
         script: Answers that are given first, one for each new token.
     """
 
@@ -50,6 +53,8 @@
         self.callers: list[Address] = []
         self.separate = False
         self.silent = False
+        self.dying = 0
+        self.lost_parts = 0
         self.script: list[codec.Message] = []
         self.large = b""
         self.etag = b"e1"
@@ -89,13 +94,19 @@
                 else:
                     await self._take(data, caller)
 
-    async def notify(self, payload: bytes, *, sequence: int = 0) -> None:
-        """Sends a state to all observers, in a NON message."""
+    async def notify(
+        self,
+        payload: bytes,
+        *,
+        sequence: int = 0,
+        kind: aiocoap.Type = aiocoap.NON,
+    ) -> None:
+        """Sends a state to all observers."""
         self._sequence += 1
         for token, caller in tuple(self._observers.items()):
             message = codec.Message(code=aiocoap.CONTENT, payload=payload)
             message.opt.observe = sequence or self._sequence
-            await self._send_new(message, token, caller, aiocoap.NON)
+            await self._send_new(message, token, caller, kind)
 
     async def send_raw(self, message: codec.Message, caller: Address) -> None:
         """Sends any message."""
@@ -111,6 +122,10 @@
         self.callers.append(caller)
         if message.code is aiocoap.EMPTY or self.silent:
             return
+        if self.dying:
+            self.dying -= 1
+            await self._send_empty(aiocoap.ACK, message.mid, caller)
+            return
         answer = self._answer(message, caller)
         if self.separate:
             await self._send_empty(aiocoap.ACK, message.mid, caller)
@@ -129,6 +144,9 @@
         if message.opt.echo != TICKET:
             return _make(aiocoap.UNAUTHORIZED, echo=TICKET)
         block = message.opt.block1
+        if self.lost_parts and block is not None and block.block_number:
+            self.lost_parts -= 1
+            return _make(aiocoap.REQUEST_ENTITY_INCOMPLETE)
         if block is not None and block.more:
             self._store_part(message)
             answer = _make(aiocoap.CONTINUE)
--- a/tests/test_client/test_client_feed.py
+++ b/tests/test_client/test_client_feed.py
@@ -85,18 +85,27 @@
         assert server.seen[-1].opt.observe == 1
 
 
-@trios.trio_test
-async def test_leaving_by_reset() -> None:
+async def expect_reset(kind: aiocoap.Type) -> None:
     async with (
         servers.open_server() as server,
         clients.open_client(server.address, settings=FAST) as caller,
     ):
         async with caller.observe("/board", leave=feeds.Leave.RESET) as feed:
             await anext(feed)
-        await server.notify(b"1")
-        while server.seen[-1].mtype is not aiocoap.RST:
+        await server.notify(b"1", kind=kind)
+        while len(server.seen) < 2:
             await trio.sleep(0.001)
-        assert len(server.seen) == 2
+        assert server.seen[-1].mtype is aiocoap.RST
+
+
+@trios.trio_test
+async def test_leaving_by_reset() -> None:
+    await expect_reset(aiocoap.NON)
+
+
+@trios.trio_test
+async def test_leaving_by_reset_of_a_confirmable_notification() -> None:
+    await expect_reset(aiocoap.CON)
 
 
 @trios.trio_test
--- a/tests/test_client/test_client_request.py
+++ b/tests/test_client/test_client_request.py
@@ -12,6 +12,7 @@
 from persimmonhinge.client import answer as answers
 from persimmonhinge.client import client as clients
 from persimmonhinge.client import settings as client_settings
+from persimmonhinge.client import tickets
 from persimmonhinge.contracts import contract as contracts
 from tests.support import trios
 from tests.test_client import server as servers
@@ -146,6 +147,67 @@
         assert server.runs == [b"a"]
 
 
+@trios.trio_test
+async def test_request_goes_on_when_the_host_dies_after_its_ack() -> None:
+    """An acknowledged request is sent again, as the same request.
+
+    A host acknowledges a reservation and dies before it answers. Without
+    another copy the buyer would wait for the whole deadline. The copy has
+    the same token and ticket and a new message id.
+    """
+    async with (
+        servers.open_server() as server,
+        clients.open_client(server.address, settings=FAST) as caller,
+    ):
+        await caller.request(POST, "/lots/1", b"a")
+        server.seen.clear()
+        server.dying = 1
+        answer = await caller.request(POST, "/lots/1", b"b")
+        assert answer.successful
+        first, second = server.seen
+        assert first.token == second.token
+        assert first.opt.echo == second.opt.echo == servers.TICKET
+        assert first.mid != second.mid
+
+
+@trios.clock_test
+async def test_old_ticket_is_not_used() -> None:
+    """A ticket is put away long before it expires.
+
+    A buyer's request with an old ticket runs, and its answer is lost. The
+    next copy comes after the ticket expired and is answered 4.01, so the
+    buyer can't tell whether it ran. A fresh ticket outlives all copies.
+    """
+    holder = tickets.TicketHolder(use_s=60.0)
+    message = servers.make_answer(aiocoap.CHANGED, echo=b"t")
+    assert holder.take(message)
+    await trio.sleep(60.0)
+    assert holder.get() == b"t"
+    await trio.sleep(0.1)
+    assert holder.get() == b""
+
+
+@trios.trio_test
+async def test_upload_starts_again_when_a_host_lost_its_blocks() -> None:
+    """An upload survives the death of the host that gathered its blocks.
+
+    A grower uploads a manifest. The host that holds the first blocks dies,
+    and its successor answers 4.08. All blocks are sent again under the same
+    token and ticket, so that the manifest still runs once.
+    """
+    async with (
+        servers.open_server() as server,
+        clients.open_client(server.address, settings=FAST) as caller,
+    ):
+        body = bytes(range(256)) * 20
+        server.lost_parts = 2
+        answer = await caller.request(POST, "/manifests/1", body)
+        assert answer.payload == body
+        assert server.runs == [body]
+        tokens = {m.token for m in server.seen if m.opt.echo}
+        assert len(tokens) == 1
+
+
 @trios.trio_test
 async def test_large_answer_is_whole() -> None:
     async with (
