--- a/tests/standins/demo.py
+++ b/tests/standins/demo.py
@@ -62,7 +62,8 @@
             DemoError: A process ended that should not have.
         """
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._make_changes)
+            nursery.start_soon(self._restart_host)
+            nursery.start_soon(self._drain_upstream)
             report = await self._run_load()
         failed = self._deployment.find_failed()
         if failed:
@@ -75,15 +76,9 @@
         passed_s = time.monotonic() - self._started_s
         self._console.print(f"{passed_s:5.1f} s  {text}", highlight=False)
 
-    async def _make_changes(self) -> None:
-        start_s = trio.current_time()
-        await trio.sleep_until(start_s + _RESTART_AT * self._duration_s)
-        await self._restart_host(self._deployment.plan.hosts[1].name)
-        await trio.sleep_until(start_s + _DRAIN_AT * self._duration_s)
-        service = self._deployment.plan.services[0]
-        await self._drain_upstream(service.name, service.upstreams[0].id)
-
-    async def _restart_host(self, name: str) -> None:
+    async def _restart_host(self) -> None:
+        await trio.sleep(_RESTART_AT * self._duration_s)
+        name = self._deployment.plan.hosts[1].name
         self.say(f"{name} makes a planned stop")
         code = await self._deployment.stop_host(name)
         if code:
@@ -92,9 +87,12 @@
         await self._deployment.start_host(name)
         self.say(f"{name} is back")
 
-    async def _drain_upstream(self, service: str, upstream: str) -> None:
+    async def _drain_upstream(self) -> None:
+        await trio.sleep(_DRAIN_AT * self._duration_s)
+        service = self._deployment.plan.services[0]
+        upstream = service.upstreams[0].id
+        await self._deployment.ctl("upstream", "drain", service.name, upstream)
         self.say(f"{upstream} is drained")
-        await self._deployment.ctl("upstream", "drain", service, upstream)
 
     async def _run_load(self) -> reports.Report:
         deployment = self._deployment
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -182,7 +182,7 @@
         path = self.folder / f"{contract.service}.contract.yaml"
         document = contract.model_dump(mode="json", exclude_none=True)
         path.write_text(yaml.safe_dump(document), encoding="utf-8")
-        await self.ctl("contract", "apply", str(path))
+        await self.ctl("contract", "apply", str(path), "--replace")
 
     async def ctl(
         self, *arguments: str, check: bool = True
