Count hosts that the platform's list lacks, and outages after a change

A host that others believe alive and that the lagging list lacks now holds a rotation up and shows in 'host list' and rollouts. An outage after a change ends with 5 and says that the change is made; it ended with 4, 'nothing changed'. Both tests fail without their guard.

--- a/persimmonhinge/ctl/changes.py
+++ b/persimmonhinge/ctl/changes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from persimmonhinge import errors
 from persimmonhinge.contracts import audit
 from persimmonhinge.contracts import diff
 from persimmonhinge.contracts import repository
@@ -31,9 +32,7 @@
     show_record(session, service, result.revision, result.record)
     rollout = None
     if wait_s is not None:
-        goal = rollouts.Goal(service, result.revision, result.is_delete)
-        rollout = await waiting.wait_in_force(session, goal, wait_s)
-        waiting.show_rollout(session, rollout)
+        rollout = await _wait(session, result, wait_s)
     session.printer.show_document(
         {
             "service": service,
@@ -42,8 +41,12 @@
             "rollout": rollout.to_document() if rollout else None,
         }
     )
+    if wait_s is None:
+        return exits.ExitCode.OK
     _note_missing(session, rollout)
-    return waiting.find_exit_code(rollout)
+    if rollout is not None and rollout.is_complete:
+        return exits.ExitCode.OK
+    return exits.ExitCode.NOT_IN_FORCE
 
 
 def to_document(record: audit.AuditRecord | None) -> dict[str, object]:
@@ -76,10 +79,33 @@
         session.printer.show_text(f"  {line}")
 
 
+async def _wait(
+    session: sessions.Session, result: repository.ChangeResult, wait_s: float
+) -> rollouts.Rollout | None:
+    """Waits until a change is in force; None if that can't be found out.
+
+    Guards against an outage after the change that is reported as "nothing
+    changed", as an outage before it is.
+    """
+    goal = rollouts.Goal(
+        result.service, result.revision, is_deleted=result.is_delete
+    )
+    try:
+        rollout = await waiting.wait_in_force(session, goal, wait_s)
+    except errors.PlatformError as error:
+        session.printer.show_note(f"error: {error}")
+        return None
+    waiting.show_rollout(session, rollout)
+    return rollout
+
+
 def _note_missing(
     session: sessions.Session, rollout: rollouts.Rollout | None
 ) -> None:
     if rollout is None:
+        session.printer.show_note(
+            "error: the change is made; how far it has come can't be found out"
+        )
         return
     silent = rollout.count(rollouts.HoldState.NO_ANSWER)
     if silent:
--- a/persimmonhinge/ctl/host_client.py
+++ b/persimmonhinge/ctl/host_client.py
@@ -17,6 +17,8 @@
 
 T = TypeVar("T", bound=pydantic.BaseModel)
 _NOT_FOUND = 404
+# States of members that serve callers.
+_SERVES = ("alive", "suspect")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,6 +54,23 @@
         return listed is None or listed.state != "leaving"
 
 
+def find_unlisted(reports: Sequence[HostReport]) -> list[HostReport]:
+    """Returns hosts that others believe alive and that were not asked.
+
+    Guards against a change taken for complete: the platform's list lags
+    behind, and a host that has just joined is not in it yet.
+    """
+    names = {report.name for report in reports}
+    unlisted: dict[str, HostReport] = {}
+    for report in reports:
+        for member in report.status.members if report.status else ():
+            if member.state in _SERVES and member.host not in names:
+                target = host_directory.HostTarget(None, seen=member.host)
+                problem = f"not in the host list; seen by {report.name}"
+                unlisted[member.host] = HostReport(target, None, problem)
+    return list(unlisted.values())
+
+
 class HostClient:
     """Speaks HTTP with hosts; use it in `async with`."""
 
--- a/persimmonhinge/ctl/host_commands.py
+++ b/persimmonhinge/ctl/host_commands.py
@@ -6,6 +6,7 @@
 
 import typer
 
+from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.contracts import audit
 from persimmonhinge.ctl import changes
@@ -106,10 +107,7 @@
     changes.show_record(session, host, revision, record)
     shows = None
     if wait_s is not None:
-        reports = await waiting.poll_hosts(
-            session, wait_s, lambda answers: _shows(answers, host, wanted)
-        )
-        shows = _shows(reports, host, wanted)
+        shows = await _wait(session, host, wait_s, wanted)
     session.printer.show_document(
         {"host": host, **changes.to_document(record), "in_force": shows}
     )
@@ -119,6 +117,21 @@
     return exits.ExitCode.OK
 
 
+async def _wait(
+    session: sessions.Session, host: str, wait_s: float, wanted: str
+) -> bool:
+    """Waits until a host is in a state; False if it does not show."""
+    try:
+        reports = await waiting.poll_hosts(
+            session, wait_s, lambda answers: _shows(answers, host, wanted)
+        )
+    except errors.PlatformError as error:
+        # The change is made: an outage now must not look like one before it.
+        session.printer.show_note(f"error: {error}")
+        return False
+    return _shows(reports, host, wanted)
+
+
 def _shows(
     reports: list[host_client.HostReport], host: str, wanted: str
 ) -> bool:
--- a/persimmonhinge/ctl/host_directory.py
+++ b/persimmonhinge/ctl/host_directory.py
@@ -42,15 +42,19 @@
     Attributes:
         url: Base URL of its pages, None if unknown.
         listed: Its entry in the platform's list, None if it has none.
+        seen: Its name, if only other hosts told of it.
     """
 
     url: str | None
     listed: ListedHost | None = None
+    seen: str = ""
 
     @property
     def name(self) -> str:
         """Its name, or its URL while only that is known."""
-        return self.listed.host if self.listed else str(self.url)
+        if self.listed:
+            return self.listed.host
+        return self.seen or str(self.url)
 
 
 async def find_hosts(
--- a/persimmonhinge/ctl/key_commands.py
+++ b/persimmonhinge/ctl/key_commands.py
@@ -6,19 +6,13 @@
 
 import typer
 
-from persimmonhinge import errors
-from persimmonhinge import ids
 from persimmonhinge.contracts import audit
-from persimmonhinge.contracts import outcome
 from persimmonhinge.contracts import ring_changes
 from persimmonhinge.ctl import changes
 from persimmonhinge.ctl import exits
-from persimmonhinge.ctl import host_client
+from persimmonhinge.ctl import key_rotation
 from persimmonhinge.ctl import options
 from persimmonhinge.ctl import session as sessions
-from persimmonhinge.ctl import waiting
-from persimmonhinge.keys import repository
-from persimmonhinge.keys import ring as rings
 from persimmonhinge.keys import rotation
 
 program = typer.Typer(
@@ -32,8 +26,6 @@
     ),
 ]
 _ROTATE_WAIT_S = 15.0
-# Steps after which the newest key mints.
-_MINTS = (audit.AuditAction.MAKE_KEY, audit.AuditAction.PROMOTE_KEY)
 
 
 @program.command("list")
@@ -85,9 +77,11 @@
     """
 
     async def work(session: sessions.Session) -> exits.ExitCode:
-        records = await _rotate(session, wait, without or [], reason)
+        records = await key_rotation.rotate(
+            session, wait, without or [], reason
+        )
         _show(session, records)
-        if any(record.action in _MINTS for record in records):
+        if any(record.action in key_rotation.MINTS for record in records):
             return exits.ExitCode.OK
         return exits.ExitCode.NOT_IN_FORCE
 
@@ -107,9 +101,11 @@
     """
 
     async def work(session: sessions.Session) -> exits.ExitCode:
-        hosts = _collect(await session.ask_hosts(), without or [])
+        hosts = key_rotation.collect_hosts(
+            await session.ask_hosts(), without or []
+        )
         life_s = session.settings.ticket_life_s
-        record = await _change(
+        record = await key_rotation.change(
             session,
             audit.AuditAction.RETIRE_KEY,
             reason,
@@ -123,58 +119,6 @@
     sessions.run(context, output, work)
 
 
-async def _rotate(
-    session: sessions.Session, wait_s: float, without: list[str], reason: str
-) -> list[audit.AuditRecord]:
-    """Takes the steps of a rotation that are left; returns them."""
-    stored = await session.ring.read()
-    if not stored.ring.keys:
-        return [
-            await _change(
-                session,
-                audit.AuditAction.MAKE_KEY,
-                reason,
-                lambda found: _make_first(found.ring),
-            )
-        ]
-    records = []
-    if not _has(stored.ring, rings.KeyState.NEXT):
-        added = await _change(
-            session,
-            audit.AuditAction.ADD_KEY,
-            reason,
-            lambda found: rotation.add_next(found.ring),
-        )
-        records.append(added)
-    hosts = await _wait_known(session, wait_s, without)
-    if hosts is not None:
-        promoted = await _change(
-            session,
-            audit.AuditAction.PROMOTE_KEY,
-            reason,
-            lambda found: rotation.promote(found.ring, found.revision, hosts),
-        )
-        records.append(promoted)
-    return records
-
-
-async def _change(
-    session: sessions.Session,
-    action: audit.AuditAction,
-    reason: str,
-    step: ring_changes.Step,
-) -> audit.AuditRecord:
-    request = session.make_request(None, reason)
-    try:
-        return await session.ring.change(action, request, step)
-    except outcome.OutcomeUnknownError:
-        session.printer.show_note(
-            "note: `keys list` shows how the ring stands; the same command "
-            "goes on from there"
-        )
-        raise
-
-
 def _show(session: sessions.Session, records: list[audit.AuditRecord]) -> None:
     for record in records:
         changes.show_record(
@@ -186,69 +130,3 @@
             for record in records
         ]
     )
-
-
-async def _wait_known(
-    session: sessions.Session, wait_s: float, without: list[str]
-) -> rotation.HostReports | None:
-    """Waits until all hosts hold the ring; None if one does not in time."""
-    stored = await session.ring.read()
-    reports = await waiting.poll_hosts(
-        session,
-        wait_s,
-        lambda answers: _knows(stored, _collect(answers, without)),
-    )
-    hosts = _collect(reports, without)
-    if _knows(stored, hosts):
-        return hosts
-    missing = [
-        host
-        for host, known in hosts.items()
-        if known is None or known.revision < stored.revision
-    ]
-    session.printer.show_note(
-        "error: the new key mints nothing yet, as not all hosts are known to "
-        f"hold it: {', '.join(missing) or 'no host answers'}"
-    )
-    return None
-
-
-def _collect(
-    reports: list[host_client.HostReport], without: list[str]
-) -> dict[ids.HostId, rotation.HostKeys | None]:
-    """Returns what each host tells that is expected to answer.
-
-    A host that its peers believe dead is expected too, unless the operator
-    names it: it may be cut off, and serve callers all the same.
-    """
-    hosts: dict[ids.HostId, rotation.HostKeys | None] = {}
-    for report in reports:
-        if report.name in without:
-            continue
-        if report.status is not None:
-            hosts[ids.HostId(report.name)] = rotation.HostKeys(
-                ids.Revision(report.status.key_revision),
-                report.status.key_age_s or 0.0,
-            )
-        elif report.is_expected:
-            hosts[ids.HostId(report.name)] = None
-    return hosts
-
-
-def _knows(stored: repository.StoredRing, hosts: rotation.HostReports) -> bool:
-    return bool(hosts) and all(
-        known is not None and known.revision >= stored.revision
-        for known in hosts.values()
-    )
-
-
-def _make_first(ring: rings.KeyRing) -> rings.KeyRing:
-    if ring.keys:
-        raise errors.ConflictError(
-            "another operator made the first key", step="rotate ticket keys"
-        )
-    return rotation.make_ring()
-
-
-def _has(ring: rings.KeyRing, state: rings.KeyState) -> bool:
-    return any(key.state is state for key in ring.keys)
--- a/persimmonhinge/ctl/session.py
+++ b/persimmonhinge/ctl/session.py
@@ -103,13 +103,14 @@
         )
 
     async def ask_hosts(self) -> list[host_client.HostReport]:
-        """Asks all hosts for their status.
+        """Asks all hosts for their status; adds those only others know.
 
         Raises:
             PlatformError: See `host_directory.find_hosts`.
         """
         targets = await host_directory.find_hosts(self.settings, self.platform)
-        return await self.hosts.ask_all(targets)
+        reports = await self.hosts.ask_all(targets)
+        return reports + host_client.find_unlisted(reports)
 
 
 Work = Callable[[Session], Awaitable[exits.ExitCode]]
--- a/persimmonhinge/ctl/waiting.py
+++ b/persimmonhinge/ctl/waiting.py
@@ -63,9 +63,9 @@
     return rollouts.compute(goal, reports)
 
 
-def find_exit_code(rollout: rollouts.Rollout | None) -> exits.ExitCode:
-    """Returns the exit code of a wait; None is no wait."""
-    if rollout is None or rollout.is_complete:
+def find_exit_code(rollout: rollouts.Rollout) -> exits.ExitCode:
+    """Returns the exit code of a wait."""
+    if rollout.is_complete:
         return exits.ExitCode.OK
     return exits.ExitCode.NOT_IN_FORCE
 
--- a/tests/standins/platform_ctl.py
+++ b/tests/standins/platform_ctl.py
@@ -149,11 +149,15 @@
         self.route: dict[str, Any] = {}
         self._port = 0
 
+    async def before_status(self) -> None:
+        """Does what a test wants done when the host is asked."""
+
     async def run(self, ctl: Ctl, nursery: trio.Nursery) -> None:
         """Serves pages and stands in the platform's host list."""
         server = page.PageServer(entry.MetricsSettings())
 
         async def show_status(request: page.PageRequest) -> page.PageAnswer:
+            await self.before_status()
             return page.make_json(self.status)
 
         async def show_route(request: page.PageRequest) -> page.PageAnswer:
--- a/tests/test_ctl/test_ctl_contract.py
+++ b/tests/test_ctl/test_ctl_contract.py
@@ -216,3 +216,24 @@
     assert (done.code, status.code) == (5, 5)
     assert done.read()["rollout"]["hosts"][0]["state"] == "ahead"
     assert "restored from an older copy" in done.errors
+
+
+@trios.trio_test
+async def test_outage_after_a_change_does_not_look_like_one_before_it() -> None:
+    """An operator is told "nothing changed", though the change is made.
+
+    The change is written, the command waits for the hosts, and the platform
+    goes down then. Cause: one exit code for any outage.
+    """
+    async with platform_ctl.run_ctl() as ctl:
+        path = ctl.write("floor.yaml", make_document())
+        async with platform_ctl.run_hosts(ctl, "one") as (host,):
+
+            async def break_platform() -> None:
+                await ctl.platform.set_faults(down=True)
+
+            host.before_status = break_platform  # type: ignore[method-assign]
+            done = await ctl.run("contract", "apply", path, "--wait", "0")
+    assert done.code == 5, done
+    assert done.read()["changed"]
+    assert "the change is made" in done.errors
--- a/tests/test_ctl/test_ctl_operations.py
+++ b/tests/test_ctl/test_ctl_operations.py
@@ -181,3 +181,31 @@
     assert "two names another home: two" in table.output
     assert "cold" in table.output
     assert none.code == 4
+
+
+@trios.trio_test
+async def test_host_that_is_not_yet_listed_holds_a_rotation_up() -> None:
+    """A host that has just joined refuses the tickets of all others.
+
+    It is not in the platform's list yet, which lags; the new key mints as
+    soon as all listed hosts hold it. Cause: the list taken for the truth.
+    """
+    async with platform_ctl.run_ctl() as ctl:
+        async with platform_ctl.run_hosts(ctl, "one") as (host,):
+            first = (await ctl.run("keys", "rotate")).read()
+            host.status["members"] = [
+                {
+                    "host": "new",
+                    "domain": "hall-1",
+                    "state": "alive",
+                    "incarnation": 1,
+                }
+            ]
+            host.status["key_revision"] = first[0]["revision"] + 1
+            held = await ctl.run("keys", "rotate", "--wait", "0")
+            gone = ("--without", "new")
+            full = await ctl.run("keys", "rotate", "--wait", "0", *gone)
+            listed = (await ctl.run("host", "list")).read()
+    assert (held.code, full.code) == (5, 0), (held, full)
+    assert "new" in held.errors
+    assert "seen by one" in listed[1]["problem"]
