Read the platform in one piece, watch from drained domains, log outages once

A host that read the platform passed each record on as a message of its own, so the limit on news never held: 50 contracts made some 300 messages. All that is read at once is now taken in at once. A domain whose hosts are all drained had no watcher left to hear that it is taken back; each of its hosts watches now. An outage is logged when it begins and when it ends.

--- a/persimmonhinge/contracts/partners.py
+++ b/persimmonhinge/contracts/partners.py
@@ -50,11 +50,16 @@
         self._chosen = _Partners([], [])
 
     def is_watcher(self) -> bool:
-        """Tells whether this host is to hold the watch in its domain."""
+        """Tells whether this host is to hold the watch in its domain.
+
+        Guards against a domain whose hosts are all drained: none of them
+        takes roles, and without a watch they might never learn that the
+        operators take them back. There each of them watches.
+        """
         domain = self._view.self_member.domain
         ranked = self._placement.rank_hosts(_WATCH_ROLE, domain)
         hosts = [m.host for m in ranked[:WATCHERS_IN_DOMAIN]]
-        return self._view.me in hosts
+        return self._view.me in hosts or not hosts
 
     def pick_for_push(self, exclude: str) -> list[ids.HostId]:
         """Returns hosts to pass news to at once.
--- a/persimmonhinge/contracts/watcher.py
+++ b/persimmonhinge/contracts/watcher.py
@@ -76,6 +76,7 @@
         self._random = randomness
         self.state = PlatformState.IDLE
         self.revision = 0
+        self._failed = False
         self.history = history.History(records)
         # What was read since the last beginning, and what was read up to the
         # end of the last time that a watch stood.
@@ -115,12 +116,24 @@
             self._fail("refused", error)
 
     def _fail(self, cause: str, error: errors.PlatformError) -> None:
-        if cause == "went-back":
-            self.state = PlatformState.WENT_BACK
-        else:
-            self.state = PlatformState.CONNECTING
         self._counts.add("control_platform_failures_total", cause=cause)
-        logger.warning("Platform is not followed: %s", error)
+        state = (
+            PlatformState.WENT_BACK
+            if isinstance(error, errors.PlatformWentBackError)
+            else PlatformState.CONNECTING
+        )
+        # An outage of hours would otherwise fill the log.
+        if state is not self.state or not self._failed:
+            logger.warning("Platform is not followed: %s", error)
+        self.state = state
+        self._failed = True
+
+    def _begin_following(self) -> None:
+        self.state = PlatformState.FOLLOWING
+        self._confirmed = self._session
+        if self._failed:
+            logger.info("Platform is followed again.")
+        self._failed = False
 
     async def _read(self) -> int:
         """Takes in all records as they stand.
@@ -197,8 +210,7 @@
             async with self._platform.watch(
                 self._settings.prefix, start
             ) as batches:
-                self.state = PlatformState.FOLLOWING
-                self._confirmed = self._session
+                self._begin_following()
                 async for batch in batches:
                     start = max(start, self._take_batch(batch) + 1)
             raise errors.PlatformUnavailableError("ended", step="watch")
@@ -212,24 +224,28 @@
         self.revision = max(self.revision, last)
         return last
 
-    def _take_event(self, event: port.WatchEvent) -> record_sets.Record | None:
+    def _take_event(self, event: port.WatchEvent) -> None:
         record = self._read_event(event)
         if record is not None:
-            self._session[record_sets.name_record(record)] = record
-            news = record_sets.pack([record])
-            self._publish(self._records.take_in(news, "platform"))
-        return record
+            self._take_in([record])
 
     def _take_values(
         self, values: list[port.KeyValue]
     ) -> dict[str, record_sets.Record | None]:
         """Takes in keys as they stand; returns what they hold, by name."""
-        return {
-            value.key.removeprefix(self._settings.prefix): self._take_event(
+        found = {
+            value.key.removeprefix(self._settings.prefix): self._read_event(
                 port.WatchEvent(value.key, value.value, value.mod_revision)
             )
             for value in values
         }
+        self._take_in([r for r in found.values() if r is not None])
+        return found
+
+    def _take_in(self, records: list[record_sets.Record]) -> None:
+        self._session.update(history.name_all(records))
+        news = record_sets.pack(records)
+        self._publish(self._records.take_in(news, "platform"))
 
     def _read_event(self, event: port.WatchEvent) -> record_sets.Record | None:
         try:
--- a/tests/test_contracts/test_contracts_control.py
+++ b/tests/test_contracts/test_contracts_control.py
@@ -79,6 +79,27 @@
         nursery.cancel_scope.cancel()
 
 
+@trios.clock_test
+async def test_host_that_can_only_be_called_learns_from_its_callers() -> None:
+    """One host keeps the former contract though others talk to it.
+
+    It can open no link, as in a cut that is one-way, and the news passed it
+    by.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, 6)
+        await fleet.start()
+        fleet.platform.unreachable = {"h0"}
+        others = set(fleet.hosts) - {"h0"}
+        fleet.links.cut({"h0"}, others)
+        revision = fleet.apply("floor")
+        await trio.sleep(1)
+        fleet.links.cuts -= {(other, "h0") for other in others}
+        await trio.sleep(_LIMIT_S)
+        assert fleet.knows("floor", revision)
+        nursery.cancel_scope.cancel()
+
+
 @trios.clock_test
 async def test_healed_cut_ends_in_agreement_and_nothing_goes_back() -> None:
     """After a cut has healed, a deleted contract is in force again.
--- a/tests/test_contracts/test_contracts_watcher.py
+++ b/tests/test_contracts/test_contracts_watcher.py
@@ -28,6 +28,29 @@
         nursery.cancel_scope.cancel()
 
 
+@trios.clock_test
+async def test_host_that_starts_does_not_send_on_all_that_it_reads() -> None:
+    """Control takes far more than its limit whenever a host starts.
+
+    The new host reads all contracts from the platform. They are new to it,
+    so it passes each on as news, though all others hold them.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, 6)
+        for number in range(50):
+            fleet.apply(f"service-{number}")
+        await fleet.start()
+        host = await fleet.restart("h0")
+        fleet.links.cut({"h0"}, set(fleet.hosts))
+        await trio.sleep(4)
+        fleet.links.heal()
+        await trio.sleep(5)
+        assert len(host.contracts.entries()) == 50
+        sent = host.counts.get("control_messages_sent_total", kind="knowledge")
+        assert sent <= 2
+        nursery.cancel_scope.cancel()
+
+
 @trios.clock_test
 async def test_hosts_make_one_ring_though_answers_are_lost() -> None:
     """Hosts refuse each other's tickets from the first day on.
@@ -187,6 +210,11 @@
 
 @trios.clock_test
 async def test_deleted_ticket_keys_stay_in_force() -> None:
+    """All tickets are refused after a host has started.
+
+    The platform has lost its ticket keys. The new host holds the watch, and
+    makes new ones before a peer has told it of those in force.
+    """
     async with trio.open_nursery() as nursery:
         fleet = fleets.Fleet(nursery, 6)
         await fleet.start()
@@ -194,7 +222,11 @@
         fleet.platform.put(_RINGS, None)
         await trio.sleep(30)
         host = await fleet.restart("h0")
+        fleet.links.cut({"h0"}, set(fleet.hosts))
+        await trio.sleep(1)
+        fleet.links.heal()
         await trio.sleep(30)
+        assert host in fleet.watchers()
         assert host.keys.record.body == body
         assert _RINGS not in fleet.platform.values
         nursery.cancel_scope.cancel()
