--- a/persimmonhinge/load/report.py
+++ b/persimmonhinge/load/report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Sequence
 
 import msgspec
@@ -98,6 +99,7 @@
         refused_but_ran: Keys of requests refused as not run that ran.
         faulty_keys: Keys of the requests behind the counts, by fault.
         kinds: Figures by kind of request.
+        causes: Requests without success, by code and text of the answer.
         services: Balance by service.
         feeds_not_opened: Feeds that never got a tick.
         feed_renewals: How often callers registered a feed again.
@@ -110,6 +112,7 @@
     refused_but_ran: list[str]
     faulty_keys: dict[str, list[str]]
     kinds: list[KindReport]
+    causes: dict[str, int]
     services: list[ServiceReport]
     feeds_not_opened: int
     feed_renewals: int
@@ -155,6 +158,7 @@
             "misrouted": verdict.misrouted,
         },
         kinds=_report_kinds(book.requests),
+        causes=_count_causes(book.requests),
         services=services,
         feeds_not_opened=len(book.feeds) - len(opened),
         feed_renewals=sum(feed.renewals for feed in opened),
@@ -237,6 +241,13 @@
     )
 
 
+def _count_causes(
+    records: list[request_record.RequestRecord],
+) -> dict[str, int]:
+    causes = (record.cause for record in records if record.cause)
+    return dict(collections.Counter(causes).most_common())
+
+
 def _report_services(
     book: books.Book,
     executions: Sequence[execution_logs.Execution],
--- a/persimmonhinge/load/request_record.py
+++ b/persimmonhinge/load/request_record.py
@@ -19,6 +19,7 @@
         outcome: What the caller knows.
         successful: True if the answer is a success.
         answer_key: Key that the answer carries, empty if none.
+        cause: Code and text of an answer that is no success, for people.
         latency_s: Time from the intended start to the end, seconds.
     """
 
@@ -28,4 +29,5 @@
     outcome: answers.Outcome
     successful: bool
     answer_key: str
+    cause: str
     latency_s: float
--- a/persimmonhinge/load/requests.py
+++ b/persimmonhinge/load/requests.py
@@ -18,6 +18,7 @@
 from persimmonhinge.settings import load as load_settings
 
 _RUN_OCTETS = 4
+_MOST_CAUSE_OCTETS = 100
 
 
 class RequestSource:
@@ -101,6 +102,7 @@
                 outcome=answer.outcome,
                 successful=answer.successful,
                 answer_key=_read_key(answer),
+                cause=_read_cause(answer),
                 latency_s=trio.current_time() - intended_s,
             )
         )
@@ -114,6 +116,16 @@
         return text.encode()
 
 
+def _read_cause(answer: answers.Answer) -> str:
+    """Returns why a request has no success; empty if it has."""
+    if answer.successful:
+        return ""
+    if answer.code is None:
+        return "no answer"
+    text = answer.payload[:_MOST_CAUSE_OCTETS].decode(errors="replace")
+    return f"{answer.code.dotted} {text}".strip()
+
+
 def _read_key(answer: answers.Answer) -> str:
     """Returns the key of an answer; empty if it has none."""
     if not answer.successful:
--- a/persimmonhinge/load/tables.py
+++ b/persimmonhinge/load/tables.py
@@ -26,6 +26,8 @@
     if report.services:
         console.print(_make_service_table(report))
     console.print(_make_promise_table(report))
+    for cause, count in report.causes.items():
+        console.print(f"{count} requests: {cause}", markup=False)
     for feed in report.broken_feeds:
         console.print(f"Feed {feed.name} broke: {', '.join(feed.faults)}.")
     for fault, keys in report.faulty_keys.items():
--- a/tests/test_load/test_load_verdict.py
+++ b/tests/test_load/test_load_verdict.py
@@ -29,7 +29,7 @@
     if answer_key is None:
         answer_key = key if successful else ""
     return request_record.RequestRecord(
-        FLOOR, "lots", key, outcome, successful, answer_key, 0.01
+        FLOOR, "lots", key, outcome, successful, answer_key, "", 0.01
     )
 
 
