Tell operators how long a host has known its ticket keys

Cause: keys retire refuses until all hosts have known the ring long enough, and no host told. After: the age is on the page.

--- a/persimmonhinge/status/document.py
+++ b/persimmonhinge/status/document.py
@@ -42,6 +42,7 @@
             "ready": ready,
             "contracts": self._contracts.revisions(),
             "key_revision": self._keys.record.revision,
+            "key_age_s": self._keys.age_s(),
             "members": [
                 {
                     "host": member.host,
