Measure how feeds are spread over upstreams

The upstream stand-in logs each feed that is opened or closed; the load program takes the mean of open feeds over the time of the run.

--- a/persimmonhinge/load/book.py
+++ b/persimmonhinge/load/book.py
@@ -15,6 +15,9 @@
 
     Attributes:
         upstreams: Upstreams by service, as far as the settings name them.
+        started_at: Wall clock when all feeds were to be open, seconds since
+            the epoch.
+        ended_at: Wall clock when the feeds were told to close.
         sent: Requests whose time has come.
         requests: Requests that ended.
         feeds: All feeds.
@@ -23,6 +26,8 @@
     def __init__(self) -> None:
         self.upstreams: dict[ids.ServiceName, tuple[ids.UpstreamId, ...]]
         self.upstreams = {}
+        self.started_at = 0.0
+        self.ended_at = 0.0
         self.sent = 0
         self.requests: list[request_record.RequestRecord] = []
         self.feeds: list[feed_record.FeedRecord] = []
--- a/persimmonhinge/load/executions.py
+++ b/persimmonhinge/load/executions.py
@@ -15,6 +15,7 @@
 
 RUN = "run"
 MISROUTED = "misrouted"
+FEEDS = "feeds"
 
 
 class Execution(msgspec.Struct, frozen=True):
@@ -22,16 +23,21 @@
 
     Attributes:
         kind: RUN for a request that ran, MISROUTED for one that was meant
-            for another service; others are passed over.
+            for another service, FEEDS for a feed that was opened or
+            closed; others are passed over.
         key: Key in the body of the request, None if it has none.
         service: Service of the upstream.
         upstream: Id of the upstream.
+        t: Wall clock, seconds since the epoch.
+        feeds: Feeds that are open from now on.
     """
 
     kind: str
     key: str | None = None
     service: ids.ServiceName = ids.ServiceName("")
     upstream: ids.UpstreamId = ids.UpstreamId("")
+    t: float = 0.0
+    feeds: int = 0
 
 
 def read_executions(paths: Iterable[pathlib.Path]) -> list[Execution]:
--- a/persimmonhinge/load/report.py
+++ b/persimmonhinge/load/report.py
@@ -75,12 +75,25 @@
 
 
 class ServiceReport(msgspec.Struct, frozen=True):
-    """How the work of one service was spread."""
+    """How the work of one service was spread.
+
+    Attributes:
+        service: Its name.
+        imbalance: Most runs of one upstream over the mean.
+        variation: Coefficient of variation of runs.
+        feed_imbalance: Most feeds of one upstream over the mean.
+        feed_variation: Coefficient of variation of feeds.
+        runs: Runs by upstream.
+        feeds: Mean of open feeds by upstream.
+    """
 
     service: str
     imbalance: float
     variation: float
-    runs: dict[ids.UpstreamId, int]
+    feed_imbalance: float
+    feed_variation: float
+    runs: balance.Amounts
+    feeds: balance.Amounts
 
 
 class BrokenFeed(msgspec.Struct, frozen=True):
@@ -252,18 +265,30 @@
     book: books.Book,
     executions: Sequence[execution_logs.Execution],
 ) -> list[ServiceReport]:
-    counts = balance.count_runs(executions, book.upstreams)
+    runs = balance.count_runs(executions, book.upstreams)
+    feeds = balance.average_feeds(
+        executions, book.upstreams, book.started_at, book.ended_at
+    )
     return [
-        ServiceReport(
-            service=service,
-            imbalance=_round(balance.compute_imbalance(runs)),
-            variation=_round(balance.compute_variation(runs)),
-            runs=dict(sorted(runs.items())),
-        )
-        for service, runs in sorted(counts.items())
+        _report_service(service, runs.get(service, {}), feeds.get(service, {}))
+        for service in sorted(runs.keys() | feeds.keys())
     ]
 
 
+def _report_service(
+    service: ids.ServiceName, runs: balance.Amounts, feeds: balance.Amounts
+) -> ServiceReport:
+    return ServiceReport(
+        service=service,
+        imbalance=_round(balance.compute_imbalance(runs)),
+        variation=_round(balance.compute_variation(runs)),
+        feed_imbalance=_round(balance.compute_imbalance(feeds)),
+        feed_variation=_round(balance.compute_variation(feeds)),
+        runs=dict(sorted(runs.items())),
+        feeds={name: _round(mean) for name, mean in sorted(feeds.items())},
+    )
+
+
 def _report_feed(feed: feed_record.FeedRecord) -> BrokenFeed:
     return BrokenFeed(
         feed.name,
--- a/persimmonhinge/load/run.py
+++ b/persimmonhinge/load/run.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+import time
 
 import trio
 
@@ -44,7 +45,9 @@
             async with trio.open_nursery() as holders:
                 self._open_feeds(holders)
                 await self._wait(settings.ramp_s)
+                self.book.started_at = time.time()
                 await self._send_requests()
+                self.book.ended_at = time.time()
                 self._stop.set()
             await trio.sleep(settings.settle_s)
             nursery.cancel_scope.cancel()
--- a/persimmonhinge/load/tables.py
+++ b/persimmonhinge/load/tables.py
@@ -6,6 +6,8 @@
 from rich import console as consoles
 from rich import table as tables
 
+from persimmonhinge import ids
+from persimmonhinge.load import balance
 from persimmonhinge.load import report as reports
 
 # Of output that goes to a file or a pipe, where no terminal sets it.
@@ -61,24 +63,32 @@
 
 
 def _make_service_table(report: reports.Report) -> tables.Table:
-    table = tables.Table(title="Work by upstream")
+    table = tables.Table(title="Balance")
     table.add_column("service")
-    table.add_column("max / mean", justify="right")
-    table.add_column("variation", justify="right")
-    table.add_column("runs")
+    table.add_column("upstream")
+    for name in ("runs", "of the mean", "feeds", "of the mean"):
+        table.add_column(name, justify="right")
     for service in report.services:
-        runs = ", ".join(
-            f"{upstream} {count}" for upstream, count in service.runs.items()
-        )
-        table.add_row(
-            service.service,
-            f"{service.imbalance:.2f}",
-            f"{service.variation:.2f}",
-            runs,
-        )
+        for upstream in sorted(service.runs.keys() | service.feeds.keys()):
+            table.add_row(
+                service.service,
+                upstream,
+                f"{service.runs.get(upstream, 0):.0f}",
+                _format_part(service.runs, upstream),
+                f"{service.feeds.get(upstream, 0):.1f}",
+                _format_part(service.feeds, upstream),
+            )
+        table.add_section()
     return table
 
 
+def _format_part(amounts: balance.Amounts, upstream: ids.UpstreamId) -> str:
+    total = sum(amounts.values())
+    if not total:
+        return "-"
+    return f"{amounts.get(upstream, 0) * len(amounts) / total:.2f}"
+
+
 def _make_promise_table(report: reports.Report) -> tables.Table:
     summary = report.summary
     table = tables.Table(title="Promises")
--- a/tests/standins/upstream_state.py
+++ b/tests/standins/upstream_state.py
@@ -73,8 +73,9 @@
         self.faults = Faults(**document)
 
     def count_feed(self, change: int) -> None:
-        """Counts a feed that was opened or closed."""
+        """Counts and logs a feed that was opened or closed."""
         self.feeds += change
+        self.append("feeds", feeds=self.feeds)
         self.counts["max_feeds"] = max(self.counts["max_feeds"], self.feeds)
 
     def describe(self) -> dict[str, Any]:
--- a/tests/test_load/test_load_run.py
+++ b/tests/test_load/test_load_run.py
@@ -112,3 +112,15 @@
     assert (
         balance.compute_imbalance({UPSTREAM: 3, ids.UpstreamId("u2"): 3}) == 1.0
     )
+
+
+def test_feeds_count_for_the_time_that_they_are_open() -> None:
+    lines = [
+        execution_logs.Execution(
+            execution_logs.FEEDS, None, FLOOR, UPSTREAM, at_s, feeds
+        )
+        for at_s, feeds in ((5.0, 1), (10.0, 2), (15.0, 1), (30.0, 0))
+    ]
+    idle = ids.UpstreamId("u2")
+    means = balance.average_feeds(lines, {FLOOR: (idle,)}, 10.0, 20.0)
+    assert means == {FLOOR: {UPSTREAM: 1.5, idle: 0.0}}
