--- a/persimmonhinge/load/book.py
+++ b/persimmonhinge/load/book.py
@@ -43,6 +43,16 @@
         """Returns how many requests had an outcome."""
         return self._outcomes[outcome]
 
+    def select_answered(self) -> list[request_record.RequestRecord]:
+        """Returns the requests that got an answer."""
+        answered = answers.Outcome.ANSWERED
+        return [r for r in self.requests if r.outcome is answered]
+
+    def count_causes(self) -> dict[str, int]:
+        """Counts requests without success by cause, most frequent first."""
+        causes = (record.cause for record in self.requests if record.cause)
+        return dict(collections.Counter(causes).most_common())
+
     def describe(self) -> str:
         """Returns the counts so far in one line."""
         opened = sum(feed.opened for feed in self.feeds)
--- a/persimmonhinge/load/latency.py
+++ b/persimmonhinge/load/latency.py
@@ -6,6 +6,9 @@
 
 from hdrh import histogram
 
+MEDIAN = 50.0
+P99 = 99.0
+P999 = 99.9
 _MOST_US = 3_600_000_000
 _DIGITS = 3
 _US_PER_S = 1_000_000
