Run the demo with the deployment's credential, and refuse empty proofs

Hosts of the demo use TLS with certificates of a test authority, and a secret for heartbeats. A run in which a feed never opened or nothing was answered, or in which the drained upstream got work after 3 s, now fails: before, a run with no feed at all ended with 0.

--- a/tests/standins/demo.py
+++ b/tests/standins/demo.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import argparse
+import math
 import pathlib
 import shutil
 import signal
@@ -20,6 +21,7 @@
 from rich import console as consoles
 import trio
 
+from persimmonhinge.load import executions as execution_logs
 from persimmonhinge.load import report as reports
 from persimmonhinge.load import tables
 from tests.standins import child as children
@@ -31,6 +33,8 @@
 _EXIT_INTERRUPTED = 130
 _RESTART_AT = 0.3
 _DRAIN_AT = 0.65
+# A leaving upstream gets no new work after so long.
+_DRAIN_LIMIT_S = 3.0
 _PLANS = {
     "market": plans.make_market_plan,
     "utility": plans.make_utility_plan,
@@ -54,23 +58,46 @@
         self._duration_s = duration_s
         self._console = console
         self._started_s = time.monotonic()
+        self._drained = ""
+        self._drained_at = math.inf
 
     async def run(self) -> reports.Report:
         """Sends the load, makes the changes, and returns the report.
 
         Raises:
-            DemoError: A process ended that should not have.
+            DemoError: A process ended that should not have, the drained
+                upstream got new work, or there was too little to judge.
         """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._restart_host)
             nursery.start_soon(self._drain_upstream)
             report = await self._run_load()
+        self._check_proof(report)
         failed = self._deployment.find_failed()
         if failed:
             tails = [f"{process.name}:\n{process.tail()}" for process in failed]
             raise DemoError("processes ended: " + "\n".join(tails))
         return report
 
+    def _check_proof(self, report: reports.Report) -> None:
+        """Refuses a run that would pass because nothing happened."""
+        if not report.judged or not report.summary.answered:
+            raise DemoError("no request was answered")
+        if report.feeds_not_opened:
+            raise DemoError(f"{report.feeds_not_opened} feeds never opened")
+        self._check_drained()
+
+    def _check_drained(self) -> None:
+        log = self._deployment.execution_log(self._drained)
+        late = [
+            execution.key
+            for execution in execution_logs.read_executions([log])
+            if execution.kind == execution_logs.RUN
+            and execution.t > self._drained_at + _DRAIN_LIMIT_S
+        ]
+        if late:
+            raise DemoError(f"{self._drained} got new work: {late}")
+
     def say(self, text: str) -> None:
         """Tells what happens."""
         passed_s = time.monotonic() - self._started_s
@@ -92,6 +119,8 @@
         service = self._deployment.plan.services[0]
         upstream = service.upstreams[0].id
         await self._deployment.ctl("upstream", "drain", service.name, upstream)
+        self._drained = upstream
+        self._drained_at = time.time()
         self.say(f"{upstream} is drained")
 
     async def _run_load(self) -> reports.Report:
--- a/tests/standins/layout.py
+++ b/tests/standins/layout.py
@@ -9,6 +9,7 @@
 
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.settings import entry
+from tests.standins import credentials as credential_files
 from tests.standins import plan as plans
 from tests.standins import ports
 
@@ -89,9 +90,16 @@
         self,
         host: plans.HostPlan,
         platform: entry.PlatformSettings,
-        flows: entry.FlowSettings | None = None,
+        credentials: credential_files.Credentials | None = None,
     ) -> entry.EntrySettings:
-        """Returns the settings of an entry host."""
+        """Returns the settings of an entry host.
+
+        Args:
+            host: The host.
+            platform: How it reaches the platform.
+            credentials: Credential of the deployment; None leaves peer
+                streams and heartbeats open.
+        """
         found = self.hosts[host.name]
         return entry.EntrySettings(
             host=host.name,
@@ -102,6 +110,10 @@
                 address=host.address,
                 port=found.peer,
                 heartbeat_port=found.heartbeat,
+                tls=credentials.issue(host.name) if credentials else None,
+                heartbeat_secret_file=(
+                    credentials.heartbeat_secret_file if credentials else None
+                ),
             ),
             seeds=tuple(
                 self._make_seed(seed)
@@ -112,7 +124,7 @@
             metrics=entry.MetricsSettings(
                 address=METRICS_ADDRESS, port=found.metrics
             ),
-            flows=flows or entry.FlowSettings(),
+            flows=self.plan.flows,
             stop_limit_s=_STOP_LIMIT_S,
         )
 
--- a/tests/standins/plan.py
+++ b/tests/standins/plan.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.settings import entry
 
 DOMAINS = ("north", "middle", "south")
 _HOSTS_PER_DOMAIN = 2
@@ -73,12 +74,16 @@
         services: The services.
         seed: Seed of the fabric.
         secure: True for TLS between hosts and signed heartbeats.
+        flows: Settings of homes.
+        upstream_options: More arguments for each upstream stand-in.
     """
 
     hosts: tuple[HostPlan, ...]
     services: tuple[ServicePlan, ...]
     seed: int = 1
-    secure: bool = False
+    secure: bool = True
+    flows: entry.FlowSettings = entry.FlowSettings()
+    upstream_options: tuple[str, ...] = ()
 
 
 FEED_CLASS = contracts.CallClass(
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -22,6 +22,7 @@
 from persimmonhinge.platform import port as platform_ports
 from persimmonhinge.settings import entry
 from tests.standins import child as children
+from tests.standins import credentials as credential_files
 from tests.standins import fabric_control
 from tests.standins import layout as layouts
 from tests.standins import plan as plans
@@ -57,7 +58,9 @@
         self.fabric: fabric_control.FabricControl
         self.hosts: dict[str, children.Child] = {}
         self.upstreams: dict[str, children.Child] = {}
-        self._services: dict[str, str] = {}
+        self._credentials = None
+        if plan.secure:
+            self._credentials = credential_files.Credentials(folder)
         self._plans = {host.name: host for host in plan.hosts}
         self._others: list[children.Child] = []
 
@@ -161,12 +164,12 @@
             *("--slots", str(upstream.slots)),
             *("--connections", str(upstream.connections)),
             *("--log", str(self.execution_log(upstream.id))),
+            *self.plan.upstream_options,
         ]
         process = await children.start_child(
             upstream.id, "tests.standins.upstream", arguments, self.folder
         )
         self.upstreams[upstream.id] = process
-        self._services[upstream.id] = service
         await process.find_text("listening on ")
 
     def execution_log(self, upstream: str) -> pathlib.Path:
@@ -256,7 +259,9 @@
 
     async def _start_entry(self, host: plans.HostPlan) -> None:
         path = self.folder / f"{host.name}.yaml"
-        settings = self.layout.make_settings(host, self.platform.settings())
+        settings = self.layout.make_settings(
+            host, self.platform.settings(), self._credentials
+        )
         layouts.write_settings(path, settings)
         self.hosts[host.name] = await children.start_child(
             host.name,
