Let a host bind another address than peers know, and cut deployments by it

A host behind address translation could not take part: it listened on the address that it gives to its peers. `peers.bind_address` names the one to bind, and links are now dialed from it, so that filters between failure domains see the address that peers know; before, the kernel chose it.

The tests need the same to put the fault-injecting proxy between each pair of hosts: membership spreads the addresses that hosts are known by, so seeds alone can't point at a proxy.

--- a/persimmonhinge/membership/service.py
+++ b/persimmonhinge/membership/service.py
@@ -130,7 +130,7 @@
     async def _bind(self) -> udp.UdpDatagrams:
         view = self._around.view
         peers = self._around.settings.peers
-        bound = await udp.bind(peers.address, peers.heartbeat_port)
+        bound = await udp.bind(peers.own_address, peers.heartbeat_port)
         me = dataclasses.replace(view.self_member, heartbeat_port=bound.port)
         view.put(me)
         return bound
--- a/persimmonhinge/peers/credentials.py
+++ b/persimmonhinge/peers/credentials.py
@@ -24,13 +24,22 @@
     are replaced under the same address.
     """
 
-    def __init__(self, settings: settings_entry.TlsSettings) -> None:
+    def __init__(
+        self,
+        settings: settings_entry.TlsSettings,
+        own_address: str | None = None,
+    ) -> None:
         """Reads the files.
 
+        Args:
+            settings: The files.
+            own_address: IP address to dial from; None for any.
+
         Raises:
             SettingsError: A file can't be read or does not fit the others.
         """
         self._settings = settings
+        self._own_address = own_address
         self._client = _make_context(settings, ssl.PROTOCOL_TLS_CLIENT)
         self._server = _make_context(settings, ssl.PROTOCOL_TLS_SERVER)
 
@@ -47,7 +56,7 @@
 
     async def dial(self, member: members.Member) -> trio.abc.Stream:
         """Returns a stream to a host that showed its certificate."""
-        stream = await transports.dial_tcp(member)
+        stream = await transports.dial_tcp(member, self._own_address)
         secured = trio.SSLStream(stream, self._client)
         try:
             await _shake_hands(secured, member.host)
@@ -89,9 +98,9 @@
         SettingsError: The files of the credential can't be used.
     """
     if settings.tls is not None:
-        return TlsTransport(settings.tls)
+        return TlsTransport(settings.tls, settings.own_address)
     logger.warning("Peer streams are open to all: peers.tls is not set.")
-    return transports.TcpTransport()
+    return transports.TcpTransport(settings.own_address)
 
 
 def _make_context(
--- a/persimmonhinge/peers/streams.py
+++ b/persimmonhinge/peers/streams.py
@@ -86,7 +86,7 @@
     ) -> None:
         """Listens and serves until cancelled or closed."""
         listeners = await trio.open_tcp_listeners(
-            self.port, host=self._settings.address
+            self.port, host=self._settings.own_address
         )
         self.port = listeners[0].socket.getsockname()[1]
         try:
--- a/persimmonhinge/peers/transport.py
+++ b/persimmonhinge/peers/transport.py
@@ -41,9 +41,17 @@
 class TcpTransport:
     """TCP without a credential; for tests only."""
 
+    def __init__(self, own_address: str | None = None) -> None:
+        """Makes the transport.
+
+        Args:
+            own_address: IP address to dial from; None for any.
+        """
+        self._own_address = own_address
+
     async def dial(self, member: members.Member) -> trio.abc.Stream:
         """Returns a stream to a host."""
-        return await dial_tcp(member)
+        return await dial_tcp(member, self._own_address)
 
     async def accept(self, stream: trio.abc.Stream) -> trio.abc.Stream:
         """Returns the stream itself."""
@@ -53,14 +61,23 @@
         """Accepts any name."""
 
 
-async def dial_tcp(member: members.Member) -> trio.SocketStream:
+async def dial_tcp(
+    member: members.Member, own_address: str | None = None
+) -> trio.SocketStream:
     """Opens a TCP stream to a host.
 
+    Args:
+        member: The host.
+        own_address: IP address to dial from, so that filters between domains
+            see the address that peers know; None for any.
+
     Raises:
         PeerUnreachableError: The host can't be reached.
     """
     try:
-        return await trio.open_tcp_stream(member.address, member.peer_port)
+        return await trio.open_tcp_stream(
+            member.address, member.peer_port, local_address=own_address
+        )
     except OSError as error:
         raise errors.PeerUnreachableError(
             str(error), step="dial", peer=member.host
--- a/persimmonhinge/settings/entry.py
+++ b/persimmonhinge/settings/entry.py
@@ -49,7 +49,9 @@
     """Streams and heartbeats between hosts.
 
     Attributes:
-        address: IP address of both ports.
+        address: IP address of both ports, as peers reach them.
+        bind_address: IP address to listen on and to dial from, for a host
+            behind address translation; None for `address`.
         port: TCP port of streams.
         heartbeat_port: UDP port of heartbeats.
         tls: Credential; None leaves streams open, for tests only.
@@ -65,6 +67,7 @@
             None leaves them open, for tests only.
     """
 
+    bind_address: str | None = None
     port: Port
     heartbeat_port: Port
     tls: TlsSettings | None = None
@@ -76,6 +79,18 @@
     queue_messages: int = pydantic.Field(default=10_000, ge=1)
     heartbeat_secret_file: str | None = None
 
+    @property
+    def own_address(self) -> str:
+        """IP address that this host itself binds."""
+        return self.bind_address or self.address
+
+    @pydantic.field_validator("bind_address")
+    @classmethod
+    def _check_bind_address(cls, value: str | None) -> str | None:
+        if value is not None:
+            ipaddress.ip_address(value)
+        return value
+
 
 class SeedHost(IpAddressPart):
     """A host that may know the others.
--- a/tests/standins/faults_client.py
+++ b/tests/standins/faults_client.py
@@ -26,13 +26,23 @@
         """Closes the connection; the faults stay."""
         await self._stream.aclose()
 
-    async def add_tcp(self, name: str, target: tuple[str, int]) -> int:
+    async def add_tcp(
+        self,
+        name: str,
+        target: tuple[str, int],
+        listen: tuple[str, int] = (faults_proxy.LOOPBACK, 0),
+    ) -> int:
         """Forwards TCP; returns the port."""
-        return (await self._do(control.AddTcp(name, target))).port
+        return (await self._do(control.AddTcp(name, target, listen))).port
 
-    async def add_udp(self, name: str, target: tuple[str, int]) -> int:
+    async def add_udp(
+        self,
+        name: str,
+        target: tuple[str, int],
+        listen: tuple[str, int] = (faults_proxy.LOOPBACK, 0),
+    ) -> int:
         """Forwards UDP; returns the port."""
-        return (await self._do(control.AddUdp(name, target))).port
+        return (await self._do(control.AddUdp(name, target, listen))).port
 
     async def set(
         self,
