Give the two-body case to the property of exchanges by example

With the rule for two bodies at one revision removed, all tests had passed: the draws never made that case alone. It is an example now, revisions are drawn from fewer, and the test fails without the rule.

--- a/tests/test_contracts/test_contracts_records.py
+++ b/tests/test_contracts/test_contracts_records.py
@@ -17,7 +17,6 @@
 
 _SERVICES = ("floor", "intake", "dispatch")
 _RINGS = [rotation.write_body(rotation.make_ring()) for _ in range(4)]
-_ROUNDS = 3
 
 
 def _make_contract(draw: tuple[str, int, bool]) -> control.ContractRecord:
@@ -27,7 +26,7 @@
     return bodies.make_record(service, revision, port=7000 + revision)
 
 
-_revisions = strategies.integers(1, 9)
+_revisions = strategies.integers(1, 4)
 _contracts = strategies.tuples(
     strategies.sampled_from(_SERVICES), _revisions, strategies.booleans()
 ).map(_make_contract)
@@ -63,6 +62,9 @@
 
 
 @hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.example(
+    [bodies.make_record("floor", 4)], [bodies.make_tombstone("floor", 4)]
+)
 @hypothesis.given(_records, _records)
 def test_two_hosts_agree_after_exchanges_both_ways(
     one: list[record_sets.Record], other: list[record_sets.Record]
