Look for secrets where an error that quotes its input shows them

With both guards removed (the error of pydantic kept as cause, its input not hidden) the test had still passed, as the quoted part held no secret. With bodies whose faulty part is the secret it fails then, and passes with either guard alone.

--- a/tests/test_keys/test_keys_store.py
+++ b/tests/test_keys/test_keys_store.py
@@ -79,7 +79,7 @@
     logging.getLogger().addHandler(handler)
     try:
         records = _make_records()
-        for body in (_BODY, _BODY.replace(b'"current"', b'"other"'), _BODY[1:]):
+        for body in (_BODY, *_list_bad_bodies()):
             revision = ids.Revision(records.keys.record.revision + 1)
             record = control.KeyRecord(revision, body)
             output.write(f"{record!r} {control.Knowledge(keys=record)!r}")
@@ -97,6 +97,21 @@
     assert _SECRET[4:20] not in output.getvalue()
 
 
+def _list_bad_bodies() -> list[bytes]:
+    """Returns rings with faults where an error that quotes shows secrets."""
+    key = json.loads(_BODY)["keys"][0]
+    faults: list[object] = [
+        _SECRET,
+        {"keys": _SECRET},
+        {"keys": [_SECRET]},
+        {"keys": [{**key, "secret": [_SECRET]}]},
+        {"keys": [{**key, "secret": _SECRET[:40] + "!"}]},
+        {"keys": [{"secret": _SECRET, **key, "state": "other"}]},
+    ]
+    bodies = [json.dumps(fault).encode() for fault in faults]
+    return [*bodies, _SECRET.encode(), b"{" + _SECRET.encode()]
+
+
 def _make_records() -> record_sets.Records:
     return record_sets.Records(
         contract_stores.ContractStore(),
