Miss no change of contract or view while a keeper starts

Cause: a contract that came between the first look and the start of the tasks that follow changes was passed over, and upstreams that a later revision added then counted as warm.

Two tests did not fail without their guard and now do: the guard against copies of a refused dispatch, and repeats brought by the check of a feed.

--- a/persimmonhinge/upstreams/keeper.py
+++ b/persimmonhinge/upstreams/keeper.py
@@ -100,9 +100,14 @@
             self._upstreams = upstream_sets.KeptUpstreams(context, self._roles)
             self._handing = self._make_handing(self._upstreams)
             self._register(context, self._upstreams)
-            self._upstreams.refresh()
             for changed in (self._view.changed, self._contracts.changed):
-                nursery.start_soon(self._follow_changes, changed, nursery)
+                # Read before the first look, or a change that comes before
+                # the task runs would be missed.
+                version = changed.version
+                nursery.start_soon(
+                    self._follow_changes, changed, version, nursery
+                )
+            self._upstreams.refresh()
             nursery.start_soon(self._sweep)
             task_status.started()
 
@@ -193,11 +198,13 @@
         return work.LoadReport(tuple(self.loads()))
 
     async def _follow_changes(
-        self, changed: changes.ChangeSignal, nursery: trio.Nursery
+        self,
+        changed: changes.ChangeSignal,
+        version: int,
+        nursery: trio.Nursery,
     ) -> None:
         assert self._upstreams is not None
         assert self._handing is not None
-        version = changed.version
         while True:
             version = await changed.wait_beyond(version)
             self._upstreams.refresh()
--- a/tests/test_upstreams/test_upstreams_feeds.py
+++ b/tests/test_upstreams/test_upstreams_feeds.py
@@ -48,6 +48,7 @@
             fake_upstream.reply(socket, request, payload=self.state)
             return
         self.registrations[request.token] = request
+        self.number += 1
         fake_upstream.reply(
             socket, request, payload=self.state, observe=self.number
         )
@@ -78,7 +79,8 @@
 
 async def receive_state(caller: fake_network.FakeCaller) -> bytes:
     """Returns the state in the next event."""
-    event = await caller.from_keeper.receive()
+    with trio.fail_after(60):
+        event = await caller.from_keeper.receive()
     assert isinstance(event, feeds.FeedEvent), event
     payload: bytes = codec.decode(event.answer).payload
     return payload
@@ -86,7 +88,8 @@
 
 async def receive_end(caller: fake_network.FakeCaller) -> feeds.FeedEnd:
     """Returns the end that comes next."""
-    end = await caller.from_keeper.receive()
+    with trio.fail_after(60):
+        end = await caller.from_keeper.receive()
     assert isinstance(end, feeds.FeedEnd), end
     return end
 
@@ -190,7 +193,6 @@
     async with open_board() as (here, board):
         async with here.network.open_call(scene.make_feed_open()) as caller:
             await receive_state(caller)
-            board.number += 1
             board.state = b"its notification was lost"
             assert await receive_state(caller) == board.state
 
--- a/tests/test_upstreams/test_upstreams_recovery.py
+++ b/tests/test_upstreams/test_upstreams_recovery.py
@@ -134,10 +134,13 @@
         await trio.sleep(0.1)
         second = scene.make_dispatch(number=9)
         assert (await here.ask(second)).outcome is Outcome.NOT_RUN
+        for request in tuple(upstream.received):
+            fake_upstream.send_separate(upstream.sockets[0], request)
         upstream.answer = fake_upstream.reply
-        await trio.sleep(4)
+        await trio.sleep(1)
+        assert here.keepers.loads()[0].busy == 0
         assert (await here.ask(late)).outcome is Outcome.NOT_RUN
-        await trio.sleep(4)
+        await trio.sleep(5)
         assert (await here.ask(late)).outcome is Outcome.NOT_RUN
         assert len(upstream.requests()) == 2
         retry = scene.make_dispatch(number=9)
