Serve the pages of test hosts where the platform's list says

The stand-ins listed a host's pages at its own address and served them on 127.0.0.1, so the command line got no answer from any host of a deployment: `contract rollout` and `status` ended with 5 whatever the hosts held.

--- a/tests/standins/layout.py
+++ b/tests/standins/layout.py
@@ -14,7 +14,6 @@
 from tests.standins import ports
 
 FABRIC_ADDRESS = "127.0.0.1"
-METRICS_ADDRESS = "127.0.0.1"
 _UPSTREAM_ADDRESSES = "127.2.0."
 _STOP_LIMIT_S = 10.0
 
@@ -122,7 +121,7 @@
             ),
             platform=platform,
             metrics=entry.MetricsSettings(
-                address=METRICS_ADDRESS, port=found.metrics
+                address=host.address, port=found.metrics
             ),
             flows=self.plan.flows,
             stop_limit_s=_STOP_LIMIT_S,
@@ -143,7 +142,7 @@
     return HostPorts(
         ports.find_tcp_port(host.address),
         ports.find_udp_port([host.address]),
-        ports.find_tcp_port(METRICS_ADDRESS),
+        ports.find_tcp_port(host.address),
     )
 
 
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -148,8 +148,8 @@
 
     def metrics_url(self, name: str) -> str:
         """Returns the base URL of a host's page."""
-        port = self.layout.hosts[name].metrics
-        return f"http://{layouts.METRICS_ADDRESS}:{port}"
+        address = self._plans[name].address
+        return f"http://{address}:{self.layout.hosts[name].metrics}"
 
     async def start_upstream(
         self, service: str, upstream: plans.UpstreamPlan
