--- a/persimmonhinge/client/feed.py
+++ b/persimmonhinge/client/feed.py
@@ -68,6 +68,7 @@
         self._registered = False
         self._renewed = False
         self._max_age_s = 0
+        self._ticket = b""
         self._start_anew()
 
     def __aiter__(self) -> Feed:
@@ -126,7 +127,8 @@
         return await self._ask(_REGISTER)
 
     async def _ask(self, observe: int) -> codec.Message:
-        message = self._call.build(self._inbox.token, self._tickets.get())
+        self._ticket = self._tickets.get()
+        message = self._call.build(self._inbox.token, self._ticket)
         message.opt.observe = observe
         return await self._open_exchange(self._inbox).ask(message, _accept_any)
 
@@ -169,11 +171,22 @@
                         self._call.build(inbox.token, ticket), _accept_any
                     )
 
+    async def _answer_challenge(self) -> None:
+        """Registers with the new ticket, at once if it is the first.
+
+        Guards against a service that takes none of its own tickets: caller
+        and service would go round as fast as the network lets them.
+        """
+        refused = bool(self._ticket)
+        self._start_anew()
+        if refused:
+            await trio.sleep(self._settings.retry_s)
+
     async def _handle_error(self, message: codec.Message) -> None:
         has_ticket = self._tickets.take(message)
         answer = answers.read_answer(message)
         if message.code is aiocoap.UNAUTHORIZED and has_ticket:
-            self._start_anew()
+            await self._answer_challenge()
         elif answer.outcome is answers.Outcome.REFUSED:
             self._start_anew()
             await trio.sleep(answer.retry_after_s)
