Tell an upstream of a cancelled request

Cause: a request whose caller went away held its slot until it ended. A reset under the id of a request that was acknowledged now tells the upstream, as the home takes it from callers; one that does not know it passes it over. The slot is free once the upstream answers.

--- a/persimmonhinge/upstreams/endpoint.py
+++ b/persimmonhinge/upstreams/endpoint.py
@@ -115,6 +115,13 @@
         self._socket.send(codec.encode(message))
         return True
 
+    def send_empty(self, kind: aiocoap.Type, message_id: int) -> None:
+        """Sends an empty acknowledgement or reset."""
+        message = codec.Message(code=aiocoap.EMPTY)
+        message.mtype = kind
+        message.mid = message_id
+        self.send(message)
+
     def next_message_id(self) -> int:
         """Returns a message id that was not used lately."""
         return self._ids.next()
@@ -186,7 +193,6 @@
         if message.token != sender.token:
             self._counts.add("upstream_replies_unmatched_total")
             return
-        sender.acknowledge()
         listener = self._listeners.get(message.token)
         if listener is not None:
             listener.receive(message)
@@ -197,7 +203,7 @@
             accepted = self._offer(message)
         if message.mtype is aiocoap.CON or not accepted:
             kind = aiocoap.ACK if accepted else aiocoap.RST
-            self._send_empty(kind, message.mid)
+            self.send_empty(kind, message.mid)
 
     def _offer(self, message: codec.Message) -> bool:
         listener = self._listeners.get(message.token)
@@ -209,12 +215,6 @@
         self._counts.add("upstream_answers_unmatched_total")
         return False
 
-    def _send_empty(self, kind: aiocoap.Type, message_id: int) -> None:
-        message = codec.Message(code=aiocoap.EMPTY)
-        message.mtype = kind
-        message.mid = message_id
-        self.send(message)
-
     def _remember_finished(self, token: bytes) -> None:
         self._finished[token] = None
         if len(self._finished) > _FINISHED_TOKENS:
--- a/persimmonhinge/upstreams/exchange.py
+++ b/persimmonhinge/upstreams/exchange.py
@@ -98,12 +98,16 @@
         self._answer: codec.Message | None = None
 
     def abandon(self) -> None:
-        """Stops sending; an answer that still comes is reset.
+        """Stops sending, and tells an upstream that works on the request.
 
-        The exchange goes on until the answer or its limit, because the
-        upstream may be working on the request.
+        A reset under the id of the request rejects its acknowledgement; an
+        upstream may stop at it, and one that does not know it passes it
+        over. An answer that still comes is reset, too. The exchange goes on
+        until then or to its limit, because the upstream may go on.
         """
         self._abandoned = True
+        if self._acknowledged_at is not None and not self._done.is_set():
+            self._reject()
 
     def receive(self, answer: codec.Message) -> bool:
         """Takes the answer; see `listener.Listener`."""
@@ -114,9 +118,11 @@
         return not self._abandoned
 
     def acknowledge(self) -> None:
-        """Takes in an acknowledgement."""
+        """Takes in that the upstream works on the request."""
         if self._acknowledged_at is None:
             self._acknowledged_at = trio.current_time()
+        if self._abandoned:
+            self._reject()
         self._sign.set()
 
     def reset(self) -> None:
@@ -170,6 +176,9 @@
         with trio.move_on_at(until):
             await self._done.wait()
 
+    def _reject(self) -> None:
+        self._endpoint.send_empty(aiocoap.RST, self._request.mid)
+
     def _end_refused(self) -> None:
         # Guards against taking a request for refused that did run: the
         # first transmission may have been taken in, and a later one met
--- a/tests/standins/upstream_server.py
+++ b/tests/standins/upstream_server.py
@@ -69,6 +69,7 @@
         self._seen: dict[tuple[Source, int], _Seen] = {}
         self._uploads: dict[tuple[object, ...], bytearray] = {}
         self._answers: dict[tuple[object, ...], codec.Message] = {}
+        self._running: dict[tuple[Source, int], trio.CancelScope] = {}
         self._acknowledged: dict[tuple[Source, int], trio.Event] = {}
 
     async def bind(self, address: str, port: int) -> Source:
@@ -135,7 +136,7 @@
             if event is not None:
                 event.set()
             if message.mtype is aiocoap.RST:
-                self.on_reset(source, message.mid)
+                self._take_reset(source, message.mid)
             return
         if not message.code.is_request():
             return
@@ -146,6 +147,14 @@
         elif seen.reply is not None:
             nursery.start_soon(self._send_data, seen.reply, source)
 
+    def _take_reset(self, source: Source, message_id: int) -> None:
+        """Ends what was reset: a feed, or a request that runs."""
+        scope = self._running.get((source, message_id))
+        if scope is not None:
+            scope.cancel()
+        else:
+            self.on_reset(source, message_id)
+
     def _remember(self, source: Source, message_id: int) -> _Seen:
         now = time.monotonic()
         while self._seen:
@@ -165,7 +174,12 @@
 
         async def work() -> None:
             nonlocal answer
-            answer = await self._answer(message, source)
+            with trio.CancelScope() as scope:
+                self._running[(source, message.mid)] = scope
+                answer = await self._answer(message, source)
+            del self._running[(source, message.mid)]
+            if scope.cancelled_caught:
+                answer = codec.Message(code=aiocoap.GATEWAY_TIMEOUT)
             done.set()
 
         async with trio.open_nursery() as nursery:
--- a/tests/test_upstreams/test_upstreams_keeper.py
+++ b/tests/test_upstreams/test_upstreams_keeper.py
@@ -94,3 +94,29 @@
         result = await here.ask(scene.make_dispatch())
         assert result.outcome is Outcome.NOT_KEEPER
         assert result.keeper.startswith("east-")
+
+
+@trios.trio_test
+async def test_cancel_reaches_the_upstream_and_frees_its_slot() -> None:
+    """A caller goes away while its upload runs for a minute.
+
+    Without word to the upstream the slot would be taken for that minute.
+    """
+    async with scene.open_standin(run_time_ms=60_000.0) as standin:
+        async with scene.open_scene() as here:
+            contract = scene.make_contract({"u1": standin.port})
+            here.store.offer(scene.make_record(contract, 1))
+            upload = scene.make_dispatch(
+                call_class=ids.CallClassName("manifests"),
+                request=scene.make_request("/manifests", b"body"),
+                idempotent=True,
+                deadline_ms=120_000,
+            )
+            async with here.network.open_call(upload):
+                with trio.fail_after(5):
+                    while not standin.read_log():
+                        await trio.sleep(0.01)
+                assert here.keepers.loads()[0].busy == 1
+            with trio.fail_after(5):
+                while here.keepers.loads()[0].busy:
+                    await trio.sleep(0.01)
--- a/tests/test_upstreams/test_upstreams_outcomes.py
+++ b/tests/test_upstreams/test_upstreams_outcomes.py
@@ -208,10 +208,13 @@
             )
             await trio.sleep(0.1)
             assert here.keepers.loads()[0].busy == 1
-            fake_upstream.send_separate(*waiting[0])
+            socket, request = waiting[0]
+            [cancelled] = upstream.replies(aiocoap.RST)
+            assert cancelled.mid == request.mid
+            fake_upstream.send_separate(socket, request)
             await trio.sleep(0.1)
             assert here.keepers.loads()[0].busy == 0
-            assert len(upstream.replies(aiocoap.RST)) == 1
+            assert len(upstream.replies(aiocoap.RST)) == 2
 
 
 @trios.clock_test
