Show how control stands in a host's status

The pages for operators send them to `lacking`, `behind` and `went-back` in the status, which did not hold them. Read from a host of a deployment of real processes, the new part shows its ring's states and no secret.

--- a/persimmonhinge/application.py
+++ b/persimmonhinge/application.py
@@ -229,6 +229,7 @@
         parts.keys,
         parts.chooser,
         parts.counts,
+        parts.control,
     )
     status_pages.StatusPages(
         parts.pages, status, parts.counts, parts.control.ready
--- a/persimmonhinge/status/document.py
+++ b/persimmonhinge/status/document.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from persimmonhinge import ids
 from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.contracts import control as controls
 from persimmonhinge.contracts import store as stores
 from persimmonhinge.flows import chooser as choosers
 from persimmonhinge.keys import store as key_stores
@@ -23,6 +26,7 @@
         keys: key_stores.KeyStore,
         chooser: choosers.UpstreamChooser,
         counts: host_counts.Counts,
+        control: controls.Control,
     ) -> None:
         self._view = view
         self._placement = placement
@@ -30,6 +34,7 @@
         self._keys = keys
         self._chooser = chooser
         self._counts = counts
+        self._control = control
 
     def describe(self, *, ready: bool) -> dict[str, object]:
         """Returns the status; it holds no secret."""
@@ -43,6 +48,7 @@
             "contracts": self._contracts.revisions(),
             "key_revision": self._keys.record.revision,
             "key_age_s": self._keys.age_s(),
+            "control": msgspec.to_builtins(self._control.report()),
             "members": [
                 {
                     "host": member.host,
