Let a link that closes slowly not hide the next one

Closing a stream in good order takes time under TLS. A link that was opened meanwhile was forgotten when the old one ended, and each later message opened one more. Parts that still call while the host stops got a RuntimeError of the nursery in place of PeerUnreachableError. Links of hosts that are forgotten are forgotten too. A handler that fails since its caller left is no fault and is not logged as one. Dialing and back-off have modules of their own.

--- a/persimmonhinge/peers/handlers.py
+++ b/persimmonhinge/peers/handlers.py
@@ -67,6 +67,9 @@
         try:
             answer = await handler(call, message)
         except Exception as error:
+            if call.closed and isinstance(error, errors.PeerLinkLostError):
+                # Its caller left, so that the handler could go no further.
+                return
             # The caller's call fails; the link and other calls go on.
             self._log_failure(call.host, message)
             cause = link_messages.RefusalCause.FAILED
--- a/persimmonhinge/peers/link.py
+++ b/persimmonhinge/peers/link.py
@@ -4,60 +4,28 @@
 
 from collections.abc import AsyncIterator
 import contextlib
-import dataclasses
 import logging
-import math
-import random
 
 import trio
 
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.membership import member as members
-from persimmonhinge.membership import view as views
-from persimmonhinge.metrics import counts as metrics
+from persimmonhinge.peers import backoff as backoffs
 from persimmonhinge.peers import connection as connections
 from persimmonhinge.peers import dialed
-from persimmonhinge.peers import frames
-from persimmonhinge.peers import handshake
+from persimmonhinge.peers import dialing
 from persimmonhinge.peers import network
 from persimmonhinge.peers import outbox as outboxes
-from persimmonhinge.peers import transport as transports
 from persimmonhinge.peers.messages import base
-from persimmonhinge.settings import entry as settings_entry
 
 logger = logging.getLogger(__name__)
 
-# The wait between attempts doubles up to this multiple of the first.
-_MOST_BACKOFF = 10
 # A link that lived shorter than this counts as a failed attempt, seconds:
 # else a peer that closes each link at once would be dialed without pause.
 _SHORT_LIFE_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LinkContext:
-    """What all links of a host share.
-
-    Attributes:
-        settings: Settings of the peer streams.
-        view: The hosts known.
-        counts: Counters of this host.
-        transport: How streams are opened.
-        nursery: Where the task of each link runs.
-        open_links: Hosts with a link that stands.
-        batch_octets: Most octets joined in one write.
-    """
-
-    settings: settings_entry.PeerSettings
-    view: views.View
-    counts: metrics.Counts
-    transport: transports.Transport
-    nursery: trio.Nursery
-    open_links: set[ids.HostId]
-    batch_octets: int = outboxes.BATCH_OCTETS
-
-
 class _Attempt:
     """One attempt to open the link, for all that wait for it."""
 
@@ -74,7 +42,7 @@
         host: Name of the other host.
     """
 
-    def __init__(self, host: ids.HostId, context: LinkContext) -> None:
+    def __init__(self, host: ids.HostId, context: dialing.LinkContext) -> None:
         self.host = host
         self._context = context
         self._outbox = outboxes.Outbox(
@@ -84,9 +52,7 @@
         )
         self._attempt: _Attempt | None = None
         self._connection: dialed.DialedConnection | None = None
-        self._failures = 0
-        self._retry_time = -math.inf
-        self._tried: members.Member | None = None
+        self._backoff = backoffs.Backoff(context.settings)
 
     def send(self, message: base.Message) -> bool:
         """Queues a message without an answer; see `PeerNetwork.send`."""
@@ -94,9 +60,10 @@
             self._ensure_begun()
         except errors.PeerUnreachableError:
             return False
-        if self._connection is not None:
-            self._connection.note_use()
-        elif self._failures > 0:
+        connection = self._find_open()
+        if connection is not None:
+            connection.note_use()
+        elif self._backoff.has_failed:
             # The attempt that was just begun may fail like the last one. In
             # a cut that heartbeats don't show, each would swallow what is
             # sent while it lasts; the sender can take another host.
@@ -144,9 +111,9 @@
             close_if_outdated(self._connection, member)
 
     @property
-    def is_open(self) -> bool:
-        """True if the link stands."""
-        return self._connection is not None and not self._connection.closed
+    def is_unused(self) -> bool:
+        """True if no link stands and none is being opened."""
+        return self._connection is None and self._attempt is None
 
     async def flush(self) -> None:
         """Returns once all frames of calls went to the socket."""
@@ -160,7 +127,7 @@
             PeerUnreachableError: The host is unknown or dead, or the wait
                 after a failure still runs.
         """
-        if self.is_open:
+        if self._find_open() is not None:
             # A change of the view closes it; see `refresh`.
             return
         member = self._context.view.get(self.host)
@@ -168,20 +135,19 @@
             raise self._make_unreachable("find host", "unknown or dead")
         if self._attempt is not None:
             return
-        if self._tried is not None and _is_other_process(member, self._tried):
-            # The wait was for a process that is gone.
-            self._failures = 0
-            self._retry_time = -math.inf
-        if trio.current_time() < self._retry_time:
-            raise self._make_unreachable("dial", "the last attempt failed")
-        self._tried = member
+        self._backoff.begin(member)
         self._attempt = _Attempt()
         self._context.nursery.start_soon(self._run, self._attempt, member)
 
+    def _find_open(self) -> dialed.DialedConnection | None:
+        if self._connection is None or self._connection.closed:
+            return None
+        return self._connection
+
     async def _open_call(self, message: base.Message) -> dialed.OpenedCall:
         self._ensure_begun()
-        connection = self._connection
-        if connection is None or connection.closed:
+        connection = self._find_open()
+        if connection is None:
             connection = await self._wait_attempt()
         return await connection.open_call(message)
 
@@ -196,7 +162,7 @@
 
     async def _run(self, attempt: _Attempt, member: members.Member) -> None:
         try:
-            connection = await self._dial(member)
+            connection = await dialing.dial(member, self._context, self._outbox)
         except errors.PeerError as error:
             attempt.error = error
             self._note_failure(error)
@@ -216,12 +182,15 @@
         try:
             await connection.run()
         finally:
-            self._context.open_links.discard(self.host)
-            self._connection = None
+            if self._connection is connection:
+                # Else the next link stands already: closing a stream in good
+                # order takes time, and does not hold the next one up.
+                self._connection = None
+                self._context.open_links.discard(self.host)
         if trio.current_time() - began < _SHORT_LIFE_S:
-            self._wait_longer()
+            self._backoff.note_failure()
         else:
-            self._failures = 0
+            self._backoff.reset()
         if self._outbox.has_sends:
             self._go_on()
 
@@ -231,54 +200,13 @@
         except errors.PeerUnreachableError:
             self._outbox.drop_sends("unreachable")
 
-    async def _dial(self, member: members.Member) -> dialed.DialedConnection:
-        timeout_s = self._context.settings.connect_timeout_s
-        with trio.move_on_after(timeout_s):
-            stream = await self._context.transport.dial(member)
-            try:
-                return await self._greet(stream)
-            except BaseException:
-                await trio.aclose_forcefully(stream)
-                raise
-        raise self._make_unreachable("dial", f"no link in {timeout_s} s")
-
-    async def _greet(self, stream: trio.abc.Stream) -> dialed.DialedConnection:
-        context = self._context
-        context.transport.check_name(stream, self.host)
-        reader = frames.FrameReader(self.host)
-        mine = handshake.make_hello(context.view, self.host)
-        try:
-            kind = frames.FrameKind.HELLO
-            await handshake.send_message(stream, kind, mine)
-            hello = await handshake.receive_hello(stream, reader)
-        except trio.BrokenResourceError as error:
-            raise transports.explain_break(error, self.host) from error
-        handshake.check_answer(hello, context.view, self.host)
-        return dialed.DialedConnection(
-            stream,
-            reader,
-            hello,
-            self._outbox,
-            context.settings,
-            context.counts,
-            context.open_links.__len__,
-        )
-
     def _note_failure(self, error: errors.PeerError) -> None:
         cause = type(error).__name__
         self._context.counts.add("peer_dials_failed_total", cause=cause)
-        if self._failures == 0:
+        if not self._backoff.has_failed:
             logger.warning("No link to %s: %s.", self.host, error)
         self._outbox.drop_sends("unreachable")
-        self._wait_longer()
-
-    def _wait_longer(self) -> None:
-        factor = min(2**self._failures, _MOST_BACKOFF)
-        wait_s = self._context.settings.retry_interval_s * factor
-        # Jitter: hosts that lost a peer together don't dial it together.
-        wait_s *= random.uniform(0.75, 1.0)
-        self._retry_time = trio.current_time() + wait_s
-        self._failures += 1
+        self._backoff.note_failure()
 
     def _make_unreachable(
         self, step: str, text: str
@@ -308,14 +236,6 @@
         connection.close(cause, f"{member.host} counts as dead")
 
 
-def _is_other_process(one: members.Member, other: members.Member) -> bool:
-    return (
-        one.incarnation != other.incarnation
-        or one.address != other.address
-        or one.peer_port != other.peer_port
-    )
-
-
 def _refine(
     call: dialed.OpenedCall | None, error: errors.PeerLinkLostError
 ) -> errors.PeerError:
--- a/persimmonhinge/peers/network.py
+++ b/persimmonhinge/peers/network.py
@@ -74,7 +74,9 @@
     def handle(self, message_type: type[M], handler: Handler[M]) -> None:
         """Sets the handler of a message kind; each call gets its own task.
 
-        What the handler returns is the answer; None sends none.
+        What the handler returns is the answer; None ends the call without
+        one. A handler is not cancelled when its caller leaves: it sees
+        `Caller.wait_closed` return. If it raises, its call fails.
         """
 
     async def call(
@@ -89,6 +91,7 @@
             PeerUnreachableError: No link; it surely did not arrive.
             PeerLinkLostError: The link closed meanwhile; it may have.
             PeerCallTimeoutError: No answer in time; it may have.
+            PeerError: The other side refused it, or its handler raised.
         """
 
     def send(self, host: ids.HostId, message: base.Message) -> bool:
--- a/persimmonhinge/peers/streams.py
+++ b/persimmonhinge/peers/streams.py
@@ -15,6 +15,7 @@
 from persimmonhinge.metrics import counts as metrics
 from persimmonhinge.peers import accepted
 from persimmonhinge.peers import credentials
+from persimmonhinge.peers import dialing
 from persimmonhinge.peers import handlers as handler_tables
 from persimmonhinge.peers import link as links
 from persimmonhinge.peers import local
@@ -79,8 +80,14 @@
         self._links: dict[ids.HostId, links.Link] = {}
         self._nursery: trio.Nursery | None = None
         self._open_links: set[ids.HostId] = set()
+        counts.watch("peer_links_known", self._links.__len__)
         counts.watch("peer_links_open", self._open_links.__len__)
 
+    @property
+    def is_running(self) -> bool:
+        """True from the start of `run` to its end."""
+        return self._nursery is not None
+
     async def run(
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
@@ -208,14 +215,15 @@
         return call
 
     def _get_link(self, host: ids.HostId) -> links.Link:
+        nursery = self._get_nursery(host)
         link = self._links.get(host)
         if link is None:
-            context = links.LinkContext(
+            context = dialing.LinkContext(
                 settings=self._settings,
                 view=self._view,
                 counts=self._counts,
                 transport=self._transport,
-                nursery=self._get_nursery(host),
+                nursery=nursery,
                 open_links=self._open_links,
                 batch_octets=self._batch_octets,
             )
@@ -244,5 +252,8 @@
         while True:
             version = await self._view.changed.wait_beyond(version)
             self._server.refresh()
-            for link in tuple(self._links.values()):
+            for host, link in tuple(self._links.items()):
                 link.refresh()
+                if self._view.get(host) is None and link.is_unused:
+                    # Hosts are replaced by others all the time.
+                    del self._links[host]
--- a/tests/test_peers/test_peers_link.py
+++ b/tests/test_peers/test_peers_link.py
@@ -9,6 +9,7 @@
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.membership import member as members
+from persimmonhinge.peers import dialing
 from persimmonhinge.peers import link as links
 from persimmonhinge.peers import server as servers
 from persimmonhinge.peers import transport as transports
@@ -20,6 +21,30 @@
 _RELAY = relay.Relay(ids.ServiceName("s"), "127.0.0.1", 1, b"data")
 
 
+class _SlowStream(trio.abc.Stream):
+    """A stream whose closing takes half a second."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Sends octets."""
+        await self._stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Waits for room."""
+        await self._stream.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Receives octets."""
+        return bytes(await self._stream.receive_some(max_bytes))
+
+    async def aclose(self) -> None:
+        """Closes slowly, as under TLS."""
+        await trio.sleep(0.5)
+        await self._stream.aclose()
+
+
 class _MemoryTransport(transports.TcpTransport):
     """Dials a server in the same task tree.
 
@@ -41,27 +66,29 @@
             await trio.sleep_forever()
         near, far = memory_links.make_streams()
         self._nursery.start_soon(self._server.serve, far, self._nursery)
-        return near
+        return _SlowStream(near)
 
 
 @dataclasses.dataclass
-class _Dialing:
+class _Case:
     """A link from host A to host B.
 
     Attributes:
         link: The link.
+        near: Host A.
         far: Host B; it does not listen.
         transport: What the link dials by.
         arrived: Messages that B received.
     """
 
     link: links.Link
+    near: pairs.Host
     far: pairs.Host
     transport: _MemoryTransport
     arrived: list[relay.Relay]
 
 
-def _make_dialing(nursery: trio.Nursery) -> _Dialing:
+def _make_case(nursery: trio.Nursery) -> _Case:
     near = pairs.make_host(pairs.A)
     far = pairs.make_host(pairs.B)
     near.learn(pairs.make_member(pairs.B))
@@ -78,10 +105,10 @@
         table,
     )
     transport = _MemoryTransport(server, nursery)
-    context = links.LinkContext(
+    context = dialing.LinkContext(
         near.settings.peers, near.view, near.counts, transport, nursery, set()
     )
-    return _Dialing(links.Link(pairs.B, context), far, transport, arrived)
+    return _Case(links.Link(pairs.B, context), near, far, transport, arrived)
 
 
 @trios.clock_test
@@ -92,12 +119,12 @@
     would be lost.
     """
     async with trio.open_nursery() as nursery:
-        dialing = _make_dialing(nursery)
+        case = _make_case(nursery)
         for _ in range(300):
-            assert dialing.link.send(_RELAY)
+            assert case.link.send(_RELAY)
             await trio.sleep(1)
-        assert len(dialing.arrived) == 300
-        assert dialing.transport.dials == 1
+        assert len(case.arrived) == 300
+        assert case.transport.dials == 1
         nursery.cancel_scope.cancel()
 
 
@@ -109,66 +136,88 @@
     be lost, a third of all, though another host could serve them.
     """
     async with trio.open_nursery() as nursery:
-        dialing = _make_dialing(nursery)
-        dialing.transport.is_cut = True
-        assert dialing.link.send(_RELAY)
+        case = _make_case(nursery)
+        case.transport.is_cut = True
+        assert case.link.send(_RELAY)
         await trio.sleep(1.5)
         taken = 0
         for _ in range(1000):
-            taken += dialing.link.send(_RELAY)
+            taken += case.link.send(_RELAY)
             await trio.sleep(0.05)
         assert taken == 0
-        assert dialing.transport.dials > 10
-        dialing.transport.is_cut = False
+        assert case.transport.dials > 10
+        case.transport.is_cut = False
         with trio.fail_after(10):
-            while not dialing.link.send(_RELAY):
+            while not case.link.send(_RELAY):
                 await trio.sleep(0.05)
         await trio.sleep(1)
-        assert dialing.arrived == [_RELAY]
+        assert case.arrived == [_RELAY]
         nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
 async def test_waits_between_attempts_grow_to_a_limit() -> None:
     async with trio.open_nursery() as nursery:
-        dialing = _make_dialing(nursery)
-        dialing.transport.is_cut = True
+        case = _make_case(nursery)
+        case.transport.is_cut = True
         for _ in range(12_000):
-            dialing.link.send(_RELAY)
+            case.link.send(_RELAY)
             await trio.sleep(0.1)
         # Of 1200 s each attempt takes 1 s, and each wait 1.5 to 2 s.
-        assert 390 < dialing.transport.dials < 490
+        assert 390 < case.transport.dials < 490
         nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
 async def test_message_that_waits_when_a_link_dies_takes_the_next() -> None:
     async with trio.open_nursery() as nursery:
-        dialing = _make_dialing(nursery)
-        dialing.link.send(_RELAY)
+        case = _make_case(nursery)
+        case.link.send(_RELAY)
         await trio.sleep(5)
         newer = dataclasses.replace(
             pairs.make_member(pairs.B), incarnation=ids.Incarnation(2)
         )
-        dialing.far.view.put(newer)
-        dialing.link._context.view.put(newer)
-        dialing.link.send(_RELAY)
-        dialing.link.refresh()
+        case.far.view.put(newer)
+        case.near.view.put(newer)
+        case.link.send(_RELAY)
+        case.link.refresh()
         await trio.sleep(5)
-        assert dialing.transport.dials == 2
-        assert len(dialing.arrived) == 2
+        assert case.transport.dials == 2
+        assert len(case.arrived) == 2
         nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
 async def test_call_during_a_cut_is_unreachable_and_not_lost() -> None:
     async with trio.open_nursery() as nursery:
-        dialing = _make_dialing(nursery)
-        dialing.transport.is_cut = True
+        case = _make_case(nursery)
+        case.transport.is_cut = True
         for timeout_s in (0.5, 100):
             try:
-                await dialing.link.call(_RELAY, timeout_s)
+                await case.link.call(_RELAY, timeout_s)
                 raise AssertionError("the call was answered")
             except errors.PeerUnreachableError:
                 await trio.sleep(5)
         nursery.cancel_scope.cancel()
+
+
+@trios.clock_test
+async def test_link_that_closes_slowly_does_not_hide_the_next() -> None:
+    """A message is sent while an idle link closes, which takes a while.
+
+    The next link is opened at once. Were the end of the old one taken for its
+    end, each later message would open one more link.
+    """
+    async with trio.open_nursery() as nursery:
+        case = _make_case(nursery)
+        assert case.link.send(_RELAY)
+        await trio.sleep(30)
+        idle = "peer_links_closed_total"
+        while not case.near.counts.get(idle, cause="idle"):
+            await trio.sleep(0.1)
+        for _ in range(5):
+            assert case.link.send(_RELAY)
+            await trio.sleep(1)
+        assert case.transport.dials == 2
+        assert len(case.arrived) == 6
+        nursery.cancel_scope.cancel()
--- a/tests/test_peers/test_peers_streams.py
+++ b/tests/test_peers/test_peers_streams.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 
 import trio
 
 from persimmonhinge import errors
 from persimmonhinge import ids
+from persimmonhinge.membership import member as members
 from persimmonhinge.peers import network
 from persimmonhinge.peers.messages import base
 from persimmonhinge.peers.messages import feeds
@@ -203,3 +205,53 @@
             assert not host.network.send(pairs.B, message)
             assert not host.network.send(ids.HostId("nobody"), message)
             nursery.cancel_scope.cancel()
+
+
+@trios.trio_test
+async def test_close_writes_the_answers_that_wait() -> None:
+    """A host stops as planned right after its handler has answered.
+
+    The answer stands in the queue of the link. Were it dropped, the caller
+    would be told that the outcome of its reservation is unknown.
+    """
+    # More than the kernel's buffers take at once.
+    large = feeds.FeedEvent(1, b"x" * 6 * 1024 * 1024)
+    async with pairs.open_pair() as (a, b), trio.open_nursery() as nursery:
+
+        async def serve(
+            caller: network.Caller, message: work.LoadQuery
+        ) -> feeds.FeedEvent:
+            nursery.start_soon(b.network.aclose)
+            return large
+
+        b.network.handle(work.LoadQuery, serve)
+        answer = await a.network.call(pairs.B, work.LoadQuery(), _LIMIT_S)
+        assert answer == large
+
+
+@trios.trio_test
+async def test_stopped_network_delivers_nothing() -> None:
+    async with pairs.open_pair() as (a, b):
+        b.network.handle(work.LoadQuery, _answer)
+        await a.network.call(pairs.B, work.LoadQuery(), _LIMIT_S)
+        await a.network.aclose()
+        while a.network.is_running:
+            await trio.sleep(0.001)
+        for target in _HOSTS:
+            await _catch(errors.PeerUnreachableError, a, target)
+            assert not a.network.send(target, work.LoadQuery())
+
+
+@trios.trio_test
+async def test_link_of_a_host_that_was_forgotten_is_forgotten() -> None:
+    async with pairs.open_pair() as (a, b):
+        b.network.handle(work.LoadQuery, _answer)
+        await a.network.call(pairs.B, work.LoadQuery(), _LIMIT_S)
+        dead = members.MemberState.DEAD
+        a.learn(dataclasses.replace(b.member, state=dead))
+        while a.counts.gauges()["peer_links_open"]:
+            await trio.sleep(0.001)
+        a.view.remove(pairs.B)
+        with trio.fail_after(_LIMIT_S):
+            while a.counts.gauges()["peer_links_known"]:
+                await trio.sleep(0.001)
