Make the home's properties indifferent to a busy machine

Hypothesis fails a property whose examples take long to make; on a machine at a load of 12 that is no fault of the code. The test of stale keepers asked so often that its waits came near the deadline by chance.

--- a/tests/test_flows/home_fakes.py
+++ b/tests/test_flows/home_fakes.py
@@ -13,6 +13,7 @@
 
 from aiocoap.numbers import codes
 from aiocoap.numbers import types
+import hypothesis
 import trio
 
 from persimmonhinge import errors
@@ -39,6 +40,12 @@
 ME = ids.HostId("entry-1")
 KEEPERS = (ids.HostId("entry-2"), ids.HostId("entry-3"))
 
+# On a busy machine it takes long to make the examples, which is no fault.
+PROPERTY = hypothesis.settings(
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
 Keep = Callable[[base.Message], Awaitable[base.Message]]
 
 
