Wait for a new upstream that may be ahead or behind

A feed that lost its upstream took a lagging one at a state which the caller had missed, and stepped back: an unknown first state now waits 0.1 s (0.5 s while the old upstream serves) for what comes next.

--- a/persimmonhinge/flows/feeds/limits.py
+++ b/persimmonhinge/flows/feeds/limits.py
@@ -35,6 +35,9 @@
 FIRST_EVENT_S = 3.0
 # Longest time to hold back a new upstream that is ahead of the old one.
 SEAM_S = 0.5
+# The same where no old one serves: it shows that the new one is behind, if
+# upstreams publish less than this apart.
+BEHIND_S = 0.1
 SEAM_EVENTS = 64
 
 # Wait between two rounds over all upstreams: doubles from first to last.
