Count a handshake that just ends as unreachable, not as a wrong credential

Found with real processes: after a healed cut hosts showed peer_refusals_total{cause=PeerCredentialError}, though all had the deployment's credential. A host dials during the cut and gives up; the other side reads the end of the stream in the middle of the handshake. Ruled out: the certificates, since the same hosts linked before and after. Any broken handshake was taken for a refusal; now only a certificate that does not verify, or octets that are no TLS, are.

--- a/persimmonhinge/peers/credentials.py
+++ b/persimmonhinge/peers/credentials.py
@@ -126,16 +126,28 @@
     try:
         await stream.do_handshake()
     except trio.BrokenResourceError as error:
-        raise errors.PeerCredentialError(
-            _explain(error), step="shake hands", peer=peer
-        ) from error
+        raise _explain(error, peer) from error
+
 
+def _explain(error: trio.BrokenResourceError, peer: str) -> errors.PeerError:
+    """Returns why a handshake failed.
 
-def _explain(error: trio.BrokenResourceError) -> str:
+    Guards against a cut that shows as an attack: a stream that just ends in
+    the handshake, as when the other side gave up waiting, says nothing of
+    any credential. A side that refuses one knows it and counts it itself.
+    """
+    step = "shake hands"
     cause = error.__cause__
     if isinstance(cause, ssl.SSLCertVerificationError):
-        return f"certificate refused: {cause.verify_message}"
-    return f"no TLS with a credential: {cause or error}"
+        text = f"certificate refused: {cause.verify_message}"
+        return errors.PeerCredentialError(text, step=step, peer=peer)
+    if isinstance(cause, ssl.SSLEOFError) or not isinstance(
+        cause, ssl.SSLError
+    ):
+        text = f"ended: {cause or error}"
+        return errors.PeerUnreachableError(text, step=step, peer=peer)
+    text = f"no TLS with a credential: {cause}"
+    return errors.PeerCredentialError(text, step=step, peer=peer)
 
 
 def _read_names(certificate: dict[str, object]) -> list[str]:
--- a/tests/test_peers/test_peers_credentials.py
+++ b/tests/test_peers/test_peers_credentials.py
@@ -7,6 +7,7 @@
 import pathlib
 import tempfile
 
+import trio
 import trustme
 
 from persimmonhinge import errors
@@ -160,6 +161,27 @@
             assert b.counts.get("peer_refusals_total", cause=kind) == 1
 
 
+@trios.trio_test
+async def test_stream_that_ends_in_the_handshake_is_no_refusal() -> None:
+    """Operators are alarmed by refused credentials after each network cut.
+
+    A link is dialed while the network is cut; the dialing host gives up, and
+    the other side reads the end of the stream in the middle of the handshake.
+    Cause: each handshake that fails counted as a wrong credential.
+    """
+    with _open_authorities() as (ours, _):
+        async with pairs.open_pair(accepting := ours.make_host(pairs.A)):
+            port = accepting.network.port
+            stream = await trio.open_tcp_stream(pairs.ADDRESS, port)
+            await stream.aclose()
+            counts = accepting.counts
+            with trio.fail_after(_LIMIT_S):
+                while not counts.sum("peer_refusals_total"):
+                    await trio.sleep(0.01)
+            kind = "PeerUnreachableError"
+            assert counts.get("peer_refusals_total", cause=kind) == 1
+
+
 @trios.trio_test
 async def test_missing_file_is_an_error_of_the_settings() -> None:
     tls = {"certificate": "no.pem", "key": "no.key", "authority": "no.pem"}
