Tell a slow upstream by what is usual for a call class

Cause: one average over all classes took a manifest for a slow reservation, and it followed an upstream that had become ten times slower within two runs, so that the upstream passed for one that always was.

--- a/persimmonhinge/upstreams/kept.py
+++ b/persimmonhinge/upstreams/kept.py
@@ -181,8 +181,8 @@
             self._trust.note(_Sign.FAILED, now)
             return
         run_s = now - began_at
-        self._trust.note(_Sign.ANSWERED, now, run_s)
-        self.slots.costs.note(job.call_class, run_s)
+        slowdown = self.slots.costs.note(job.call_class, run_s)
+        self._trust.note(_Sign.ANSWERED, now, run_s, slowdown)
 
     def _look_at_socket(
         self,
--- a/persimmonhinge/upstreams/trust.py
+++ b/persimmonhinge/upstreams/trust.py
@@ -10,8 +10,9 @@
 _RISE_PER_S = 1.0 / 60
 _RISE_PER_SUCCESS = 0.05
 _SLOW_FACTOR = 10.0
+# Below this a run that took many times longer than usual is mere noise.
+_SLOW_S = 0.1
 _AVERAGE_WEIGHT = 0.2
-_BASE_WEIGHT = 0.02
 
 
 class Sign(enum.Enum):
@@ -47,7 +48,6 @@
 
     def __init__(self, now: float) -> None:
         self.service_s = 0.0
-        self._usual_s = 0.0
         self._value = 1.0
         self._changed_at = now
 
@@ -56,18 +56,21 @@
         risen = self._value + (now - self._changed_at) * _RISE_PER_S
         return min(1.0, risen)
 
-    def note(self, sign: Sign, now: float, run_s: float = 0.0) -> None:
+    def note(
+        self, sign: Sign, now: float, run_s: float = 0.0, slowdown: float = 1.0
+    ) -> None:
         """Takes in what became of a request.
 
         Args:
             sign: What the upstream did.
             now: The time.
             run_s: How long it took, for ANSWERED.
+            slowdown: How many times longer that is than is usual.
         """
         value = self.read(now)
         if sign is not Sign.ANSWERED:
             value *= _FACTORS[sign]
-        elif self._is_slow(run_s):
+        elif slowdown >= _SLOW_FACTOR and run_s >= _SLOW_S:
             value *= _FACTORS[Sign.FAILED]
         else:
             value += _RISE_PER_SUCCESS
@@ -76,15 +79,8 @@
         self._value = min(1.0, max(_LEAST, value))
         self._changed_at = now
 
-    def _is_slow(self, run_s: float) -> bool:
-        return self._usual_s > 0 and run_s > _SLOW_FACTOR * self._usual_s
-
     def _average(self, run_s: float) -> None:
         if self.service_s <= 0:
             self.service_s = run_s
-            self._usual_s = run_s
             return
         self.service_s += _AVERAGE_WEIGHT * (run_s - self.service_s)
-        # Long memory, so that an upstream that has become slow does not
-        # soon pass for one that always was.
-        self._usual_s += _BASE_WEIGHT * (run_s - self._usual_s)
--- a/tests/test_upstreams/fake_upstream.py
+++ b/tests/test_upstreams/fake_upstream.py
@@ -45,6 +45,10 @@
         """Gives a message of the upstream to the keeper."""
         self._send.send_nowait(arrival.Arrival(codec.encode(message)))
 
+    def deliver_data(self, data: bytes, *, refused: bool = False) -> None:
+        """Gives any octets to the keeper."""
+        self._send.send_nowait(arrival.Arrival(data, refused))
+
     def refuse(self, message: codec.Message) -> None:
         """Tells the keeper that ICMP refused a datagram of its own."""
         data = codec.encode(message)
