Check all feeds of an upstream whose port is found closed

Cause: a restarted upstream has forgotten its feeds, and each stood still until it counted as silent.

--- a/persimmonhinge/upstreams/feed.py
+++ b/persimmonhinge/upstreams/feed.py
@@ -57,6 +57,11 @@
             self._due = cause
             self.observation.wake()
 
+    def doubt(self, silent_since: float) -> None:
+        """Has the feed checked as if it were silent since a time."""
+        self.observation.heard_at = min(self.observation.heard_at, silent_since)
+        self.observation.wake()
+
     def note_ack(self, ack: messages.FeedAck) -> None:
         """Takes in what the home has sent to the caller."""
         self.sequence = max(self.sequence, ack.sequence)
--- a/persimmonhinge/upstreams/kept.py
+++ b/persimmonhinge/upstreams/kept.py
@@ -67,6 +67,8 @@
         self._context = context
         self._trust = trusts.Trust(trio.current_time())
         self._drains_until = 0.0
+        self._slow_start = slow_start
+        self._was_down = False
 
     @property
     def accepting(self) -> bool:
@@ -171,7 +173,14 @@
             return
         if result.end is not _End.ANSWERED:
             self._trust.note(_Sign.STALLED, now)
+            self._was_down |= result.end is _End.REFUSED
+            if result.end is _End.REFUSED:
+                self._doubt_feeds()
             return
+        if self._was_down:
+            # It is back, most likely as a new process.
+            self._was_down = False
+            self._slow_start.begun_at = now
         assert result.answer is not None
         code = result.answer.code
         if code == aiocoap.GATEWAY_TIMEOUT:
@@ -184,6 +193,12 @@
         slowdown = self.slots.costs.note(job.call_class, run_s)
         self._trust.note(_Sign.ANSWERED, now, run_s, slowdown)
 
+    def _doubt_feeds(self) -> None:
+        """Has all feeds checked now: nothing listens at the address."""
+        silent_s = self.target.limits.silent_feed_s
+        for feed in self.open_feeds:
+            feed.doubt(trio.current_time() - silent_s)
+
     def _look_at_socket(
         self,
         result: transfers.TransferResult,
--- a/persimmonhinge/upstreams/transfer.py
+++ b/persimmonhinge/upstreams/transfer.py
@@ -31,12 +31,14 @@
 
     ANSWERED: The whole answer is there.
     SHED: The upstream refused the request; it did not run.
+    REFUSED: Nothing listens at the address, or it reset the request.
     NOT_RUN: The request did not reach the upstream as a whole.
     UNKNOWN: It may have run.
     """
 
     ANSWERED = "answered"
     SHED = "shed"
+    REFUSED = "refused"
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
 
@@ -253,7 +255,7 @@
             return TransferResult(TransferEnd.NOT_RUN, reason="not sent")
         if end is exchanges.ExchangeEnd.REFUSED:
             return TransferResult(
-                TransferEnd.NOT_RUN, reason="refused by the upstream's host"
+                TransferEnd.REFUSED, reason="refused by the upstream's host"
             )
         if not self.may_run:
             return TransferResult(
--- a/tests/test_upstreams/test_upstreams_feeds.py
+++ b/tests/test_upstreams/test_upstreams_feeds.py
@@ -292,3 +292,31 @@
             assert isinstance(event, feeds.FeedEvent)
             whole = codec.decode(event.answer, limit=codec.MAX_WHOLE_OCTETS)
             assert whole.payload == body
+
+
+@trios.clock_test
+async def test_feeds_of_a_restarted_upstream_are_registered_again() -> None:
+    """An upstream restarts and has forgotten its feeds.
+
+    A request finds the port closed, which is the first that the keeper
+    learns of it. Waiting for silence would leave boards standing still.
+    """
+    async with open_board() as (here, board):
+
+        def refuse_posts(
+            socket: fake_upstream.FakeSocket, request: codec.Message
+        ) -> None:
+            if request.code == aiocoap.POST:
+                socket.refuse(request)
+            else:
+                board.serve(socket, request)
+
+        async with here.network.open_call(scene.make_feed_open()) as caller:
+            await receive_state(caller)
+            board.registrations.clear()
+            board.state = b"of the new process"
+            board.answer = refuse_posts
+            began_at = trio.current_time()
+            await here.ask(scene.make_dispatch())
+            assert await receive_state(caller) == board.state
+            assert trio.current_time() - began_at < 1
