--- a/tests/standins/buyers.py
+++ b/tests/standins/buyers.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import json
+import operator
 import random
 
 import trio
@@ -35,12 +36,18 @@
     """
 
     def __init__(
-        self, deployment: processes.Deployment, service: str, callers: int
+        self,
+        deployment: processes.Deployment,
+        service: str,
+        callers: int,
+        settings: client_settings.ClientSettings,
     ) -> None:
         self.records: list[request_record.RequestRecord] = []
         self._deployment = deployment
         self._service = service
         self._callers = callers
+        self._ended = [0] * callers
+        self._settings = settings
 
     async def run(self) -> None:
         """Sends until cancelled."""
@@ -59,6 +66,18 @@
             while self.count(answers.Outcome.ANSWERED) < wanted:
                 await trio.sleep(_POLL_S)
 
+    async def wait_each(self) -> None:
+        """Waits until each caller has ended a request that it began by now.
+
+        Raises:
+            TooSlowError: They have not within half a minute.
+        """
+        # The first that ends may have begun before.
+        wanted = [ended + 2 for ended in self._ended]
+        with trio.fail_after(30):
+            while any(map(operator.lt, self._ended, wanted)):
+                await trio.sleep(_POLL_S)
+
     def count(self, outcome: answers.Outcome) -> int:
         """Returns how many requests ended so."""
         return sum(record.outcome is outcome for record in self.records)
@@ -88,13 +107,14 @@
         address = self._deployment.layout.service_address(self._service)
         source = random.Random(f"{self._service}/{caller}")
         async with clients.open_client(
-            address, settings=_SETTINGS, random_source=source
+            address, settings=self._settings, random_source=source
         ) as client:
             number = 0
             while True:
                 number += 1
                 key = f"{self._service}-{caller}-{number}"
                 await self._reserve(client, key)
+                self._ended[caller] += 1
                 await trio.sleep(_PAUSE_S)
 
     async def _reserve(self, client: clients.Client, key: str) -> None:
@@ -121,14 +141,18 @@
 
 @contextlib.asynccontextmanager
 async def run_buyers(
-    deployment: processes.Deployment, service: str, callers: int = 6
+    deployment: processes.Deployment,
+    service: str,
+    callers: int = 6,
+    ticket_use_s: float = 60.0,
 ) -> AsyncIterator[Buyers]:
     """Runs callers; judges what they saw when the block has ended.
 
     Requests under way at the end are given up and not judged, but for the
     log of upstreams, which shows what ran twice.
     """
-    buyers = Buyers(deployment, service, callers)
+    settings = _SETTINGS.model_copy(update={"ticket_use_s": ticket_use_s})
+    buyers = Buyers(deployment, service, callers, settings)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(buyers.run)
         yield buyers
--- a/tests/standins/host_pages.py
+++ b/tests/standins/host_pages.py
@@ -56,8 +56,8 @@
         Raises:
             AssertionError: It does not show within the limit.
         """
-        last: Status = {}
         for host in hosts:
+            last: Status = {}
             with trio.move_on_after(limit_s):
                 while not is_done(last := await self.status(host)):
                     await trio.sleep(_POLL_S)
--- a/tests/test_integration/test_integration_control_cuts.py
+++ b/tests/test_integration/test_integration_control_cuts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 
 import trio
@@ -10,6 +11,7 @@
 from persimmonhinge.load import executions as execution_logs
 from tests.standins import buyers
 from tests.standins import cut_deployment
+from tests.standins import host_pages
 from tests.standins import revision_watch
 from tests.support import trios
 from tests.test_integration import control_plans
@@ -55,12 +57,13 @@
 async def _serve_alone(
     deployment: cut_deployment.CutDeployment,
     callers: buyers.Buyers,
-    side: Iterable[str],
-    far: Iterable[str],
+    side: Collection[str],
+    far: Collection[str],
 ) -> None:
     """Checks that one side of a cut answers callers by its own upstreams."""
     for host in far:
-        await deployment.fabric.cut(host)
+        await deployment.fabric.remove_host(host)
+    await callers.wait_each()
     before = _count_runs(deployment)
     await callers.wait_answered(20)
     ran = _count_runs(deployment) - before
@@ -68,8 +71,9 @@
     (service,) = deployment.plan.services
     own = {u.id for u in service.upstreams if u.domain in domains}
     assert set(ran) == own, ran
-    for host in far:
-        await deployment.fabric.heal(host)
+    for host in deployment.plan.hosts:
+        if host.name in far:
+            await deployment.fabric.add_host(host.name, host.address)
 
 
 def _count_runs(
@@ -83,13 +87,15 @@
 
 
 async def _check_quiet(
-    deployment: cut_deployment.CutDeployment, hosts: Iterable[str]
+    deployment: cut_deployment.CutDeployment, hosts: Collection[str]
 ) -> None:
     """Checks that no host is suspected dead again once all agree."""
     before = await _count_deaths(deployment, hosts)
     await trio.sleep(_QUIET_S)
     assert await _count_deaths(deployment, hosts) == before
-    await deployment.pages.wait_sees(hosts, hosts, limit_s=0.5)
+    for host in hosts:
+        alive = host_pages.find_alive(await deployment.pages.status(host))
+        assert alive == set(hosts)
 
 
 async def _count_deaths(
