--- a/tests/test_flows/feeds_fakes.py
+++ b/tests/test_flows/feeds_fakes.py
@@ -480,6 +480,9 @@
         """Is not used by feeds."""
         return ()
 
+    def note(self, *args: Any) -> None:
+        """Is not used by feeds."""
+
     def begin(self, *args: Any) -> None:
         """Counts a stream."""
         self.open += 1
