Start nothing in a keeper that has stopped, and slim down its feeds

Cause: feeds that ended after the keeper's tasks had closed raised an error in the handler of their call. A feed also held its parsed request, its newest answer and an empty deque.

--- a/persimmonhinge/upstreams/context.py
+++ b/persimmonhinge/upstreams/context.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
+import logging
 import random
 
 import trio
@@ -12,6 +15,8 @@
 from persimmonhinge.upstreams import arrival
 from persimmonhinge.upstreams import transmission as transmissions
 
+logger = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeeperContext:
@@ -32,3 +37,16 @@
     open_socket: arrival.SocketOpener
     timers: transmissions.Transmission
     nursery: trio.Nursery
+
+    def start_soon(
+        self, function: Callable[..., Awaitable[object]], *args: object
+    ) -> None:
+        """Starts a task that outlives the call which starts it.
+
+        When the host stops, the keeper's nursery may close before the last
+        calls have ended. What they would still start is of no use then.
+        """
+        try:
+            self.nursery.start_soon(function, *args)
+        except RuntimeError:
+            logger.debug("Task was not started: the keeper has stopped.")
--- a/persimmonhinge/upstreams/endpoints.py
+++ b/persimmonhinge/upstreams/endpoints.py
@@ -76,7 +76,7 @@
             self._context.counts,
             self._context.randomness,
         )
-        self._context.nursery.start_soon(endpoint.run)
+        self._context.start_soon(endpoint.run)
         return endpoint
 
     def _retire(self, endpoint: endpoint_parts.Endpoint) -> None:
--- a/persimmonhinge/upstreams/feeding.py
+++ b/persimmonhinge/upstreams/feeding.py
@@ -58,6 +58,8 @@
     ) -> None:
         """Carries one feed from its opening to its end."""
         try:
+            # A request that can't be read is found before a task relies on it.
+            requests.read_request(opened.request, opened.service)
             found = self._find(opened)
             if isinstance(found, messages.FeedEnd):
                 await self._refuse(caller, found)
@@ -132,9 +134,8 @@
     ) -> feed_parts.Feed:
         observation = self._orphans.take(opened)
         if observation is None:
-            request = requests.read_request(opened.request, opened.service)
             observation = observations.Observation(
-                self._context, kept.endpoints.get(), request
+                self._context, kept.endpoints.get(), opened
             )
             kept.feeds += 1
         home = self._view.get(caller.host)
@@ -163,7 +164,7 @@
         if lost and feed.observation.state is _State.OPEN:
             self._orphans.hold(feed)
             return
-        self._context.nursery.start_soon(feed.end)
+        self._context.start_soon(feed.end)
 
 
 async def _cancel_after(
--- a/persimmonhinge/upstreams/kept.py
+++ b/persimmonhinge/upstreams/kept.py
@@ -140,7 +140,7 @@
         self.move_feeds(messages.FeedEndCause.DRAINING)
 
     def _start(self, job: jobs.Job) -> None:
-        self._context.nursery.start_soon(self._run, job)
+        self._context.start_soon(self._run, job)
 
     async def _run(self, job: jobs.Job) -> None:
         endpoint = self.endpoints.get()
--- a/persimmonhinge/upstreams/observation.py
+++ b/persimmonhinge/upstreams/observation.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import collections
 import enum
 
 import trio
 
 from persimmonhinge.coap import codec
+from persimmonhinge.peers.messages import feeds as messages
 from persimmonhinge.upstreams import context as contexts
 from persimmonhinge.upstreams import endpoint as endpoints
 from persimmonhinge.upstreams import exchange as exchanges
@@ -42,24 +42,34 @@
     Attributes:
         state: Where it stands.
         heard_at: When the upstream last gave a sign on its token.
-        last: The answer with which it ended, or the newest one.
+        last: The answer with which it ended; None before.
     """
 
     def __init__(
         self,
         context: contexts.KeeperContext,
         endpoint: endpoints.Endpoint,
-        request: codec.Message,
+        opened: messages.FeedOpen,
     ) -> None:
+        """Makes an observation that is not registered yet.
+
+        Args:
+            context: What the parts of the keeper share.
+            endpoint: The socket that it stays on.
+            opened: What the home asked for.
+        """
         self.state = ObservationState.OPENING
         self.heard_at = trio.current_time()
         self.last: codec.Message | None = None
         self.endpoint = endpoint
         self._context = context
-        self._request = request
+        # Read anew when it is sent: read, it takes ten times the memory.
+        self._opened = opened
+        self._newest: tuple[int, bytes] | None = None
         self._token = endpoint.make_token()
         self._freshness = freshness.Freshness()
-        self._waiting: collections.deque[codec.Message] = collections.deque()
+        # A list, because an empty deque takes ten times the memory.
+        self._waiting: list[codec.Message] = []
         self._news = trio.Event()
         self._exchange: exchanges.Exchange | None = None
         self._checking = False
@@ -121,7 +131,7 @@
 
     def take(self) -> codec.Message | None:
         """Returns the oldest notification that waits, None if none does."""
-        return self._waiting.popleft() if self._waiting else None
+        return self._waiting.pop(0) if self._waiting else None
 
     def wake(self) -> None:
         """Makes `wait_news` return."""
@@ -153,24 +163,16 @@
             self._context.counts.add("feed_events_late_total")
             return
         self.state = ObservationState.OPEN
-        if self._checking and self._is_repeat(answer):
+        if self._checking and self._newest == _describe(answer):
+            # The answer to a check says nothing new.
             return
-        self.last = answer
+        self._newest = _describe(answer)
         self._waiting.append(answer)
         if len(self._waiting) > _MOST_WAITING:
-            self._waiting.popleft()
+            self._waiting.pop(0)
             self._context.counts.add("feed_events_dropped_total")
         self.wake()
 
-    def _is_repeat(self, answer: codec.Message) -> bool:
-        """Tells whether the answer to a check says nothing new."""
-        if self.last is None:
-            return False
-        return (
-            self.last.payload == answer.payload
-            and self.last.code == answer.code
-        )
-
     def _pass_to_exchange(self, answer: codec.Message) -> None:
         if self._exchange is not None:
             self._exchange.receive(answer)
@@ -181,7 +183,9 @@
         silence_s: float,
         timers: transmissions.Transmission,
     ) -> exchanges.ExchangeResult:
-        request = requests.copy_message(self._request)
+        request = requests.read_request(
+            self._opened.request, self._opened.service
+        )
         request.opt.observe = observe
         self._exchange = exchanges.Exchange(
             self.endpoint,
@@ -194,3 +198,8 @@
             return await self._exchange.run(exchanges.WaitLimits(silence_s))
         finally:
             self._exchange = None
+
+
+def _describe(answer: codec.Message) -> tuple[int, bytes]:
+    """Returns what decides whether two answers say the same."""
+    return int(answer.code), answer.payload
--- a/persimmonhinge/upstreams/orphans.py
+++ b/persimmonhinge/upstreams/orphans.py
@@ -67,10 +67,10 @@
         if feed is None:
             return None
         if feed.observation.state is not observations.ObservationState.OPEN:
-            self._context.nursery.start_soon(feed.end)
+            self._context.start_soon(feed.end)
             return None
         if feed.opened.request != opened.request:
-            self._context.nursery.start_soon(feed.end)
+            self._context.start_soon(feed.end)
             return None
         self._context.counts.add("feeds_resumed_total")
         return feed.observation
@@ -79,9 +79,9 @@
         """Keeps a feed and looks for a new home."""
         former = self._feeds.pop(_make_key(feed.opened), None)
         if former is not None:
-            self._context.nursery.start_soon(former.end)
+            self._context.start_soon(former.end)
         self._feeds[_make_key(feed.opened)] = feed
-        self._context.nursery.start_soon(self._find_home, feed)
+        self._context.start_soon(self._find_home, feed)
 
     async def _find_home(self, feed: feed_parts.Feed) -> None:
         with trio.move_on_after(HOLD_S):
--- a/tests/test_upstreams/fake_upstream.py
+++ b/tests/test_upstreams/fake_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import math
 
 import aiocoap
 import trio
@@ -23,7 +24,7 @@
         self.address = address
         self._upstream = upstream
         self._send, self._receive = trio.open_memory_channel[arrival.Arrival](
-            1000
+            math.inf
         )
 
     def send(self, data: bytes) -> None:
--- a/tests/test_upstreams/test_upstreams_feeds.py
+++ b/tests/test_upstreams/test_upstreams_feeds.py
@@ -249,6 +249,15 @@
         assert not board.registrations
 
 
+@trios.clock_test
+async def test_feed_that_can_not_be_read_is_refused() -> None:
+    async with open_board() as (here, board):
+        strange = scene.make_feed_open(request=b"no message")
+        async with here.network.open_call(strange) as caller:
+            assert (await receive_end(caller)).cause is _Cause.REFUSED
+        assert not board.received
+
+
 @trios.clock_test
 async def test_feed_whose_upstream_ends_it_is_lost() -> None:
     async with open_board() as (here, board):
