Keep message ids in an array

The profile of a starting host showed 65,536 draws of a random number. They took 44 ms of processor time and 2.75 MB as a list of integers; as an array drawn at once 0.9 ms and 0.14 MB (one run of each alone, load average 10 of 12 cores). Control has 32 MB, so 2.6 MB matter more than the time.

--- a/persimmonhinge/flows/front.py
+++ b/persimmonhinge/flows/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import array
 from collections.abc import Callable
 import functools
 import logging
@@ -51,10 +52,9 @@
         # A message id must not come back to the same caller within 247 s
         # (RFC 7252 section 4.4). One counter for all callers would wrap in
         # seconds under load; one for each costs memory for each flow.
-        self._message_ids = [
-            randomness.randrange(_MESSAGE_IDS)
-            for _ in range(_MESSAGE_ID_BUCKETS)
-        ]
+        self._message_ids = array.array(
+            "H", randomness.randbytes(2 * _MESSAGE_ID_BUCKETS)
+        )
 
     async def run(self, receive: Receive) -> None:
         """Serves the services of the contracts in force.
