Let no strange answer of an upstream stop a host or an exchange

Cause: a block that brings nothing was asked for again without end, a policy name of a newer version and any error in taking a datagram in ended the whole process. Blocks are now matched by their offset.

--- a/persimmonhinge/policies/admission.py
+++ b/persimmonhinge/policies/admission.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import dataclasses
+import logging
 import math
 import random
 from typing import Protocol
 
 from persimmonhinge import registry
 
+logger = logging.getLogger(__name__)
+
+_DEFAULT = "deadline"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pressure:
@@ -83,6 +88,14 @@
         return pressure.finish_s <= pressure.left_s
 
 
+def make_admission(name: str) -> Admission:
+    """Returns a policy; the default one if there is none of the name."""
+    if name not in admissions.names():
+        logger.warning("No admission policy %r; %s is used.", name, _DEFAULT)
+        name = _DEFAULT
+    return admissions.get(name)()
+
+
 def spread_retry_s(pressure: Pressure, randomness: random.Random) -> int:
     """Returns when a refused caller may come back, seconds, at least 1.
 
--- a/persimmonhinge/policies/order.py
+++ b/persimmonhinge/policies/order.py
@@ -6,12 +6,15 @@
 import bisect
 from collections.abc import Iterator
 import dataclasses
+import logging
 from typing import Any
 from typing import Protocol
 
 from persimmonhinge import ids
 from persimmonhinge import registry
 
+logger = logging.getLogger(__name__)
+
 
 class Waiting(Protocol):
     """Work that waits for a slot, as the policies see it.
@@ -132,3 +135,17 @@
 
 
 orders: registry.Registry[type[Order]] = registry.Registry("order policy")
+
+_DEFAULT = "priority"
+
+
+def make_order(name: str) -> Order:
+    """Returns an empty queue of a policy.
+
+    A contract may name a policy of a newer version; this host then serves by
+    the default rather than not at all.
+    """
+    if name not in orders.names():
+        logger.warning("No order policy %r; %s is used.", name, _DEFAULT)
+        name = _DEFAULT
+    return orders.get(name)()
--- a/persimmonhinge/upstreams/endpoint.py
+++ b/persimmonhinge/upstreams/endpoint.py
@@ -92,7 +92,7 @@
             except trio.ClosedResourceError:
                 return
             for arrived in arrivals:
-                self._take_in(arrived)
+                self._take_in_safely(arrived)
 
     def close(self) -> None:
         """Closes the socket."""
@@ -154,6 +154,18 @@
             if self._senders.get(message_id) is sender:
                 del self._senders[message_id]
 
+    def _take_in_safely(self, arrived: arrival.Arrival) -> None:
+        """Takes in a datagram, whatever it holds.
+
+        Guards against an upstream that stops this host for all services
+        with a message that no one has thought of.
+        """
+        try:
+            self._take_in(arrived)
+        except Exception:
+            self._counts.add("upstream_datagrams_failed_total")
+            logger.exception("Datagram of %s was passed over.", self.peer)
+
     def _take_in(self, arrived: arrival.Arrival) -> None:
         if arrived.refused:
             self._take_in_refusal(arrived.data)
--- a/persimmonhinge/upstreams/kept.py
+++ b/persimmonhinge/upstreams/kept.py
@@ -35,6 +35,9 @@
 _LEAST_DRAIN_S = 5.0
 _SERVER_ERROR_CLASS = 5
 _MOST_CHECKS = 32
+_UNFINISHED = work.Dispatched(
+    work.Outcome.UNKNOWN, reason="keeper stopped or failed"
+)
 
 
 class KeptUpstream:
@@ -159,7 +162,12 @@
             self._learn(result, job, began_at)
             self._look_at_socket(result, endpoint, began_at)
             job.finish(_conclude(result))
+        except Exception:
+            # An answer that no one has thought of must not stop the host.
+            logger.exception("Request at %s failed.", self.target.key)
         finally:
+            # Counts only if nothing above has ended the job.
+            job.finish(_UNFINISHED)
             self.slots.release(job)
             self.endpoints.close_idle()
 
--- a/persimmonhinge/upstreams/requests.py
+++ b/persimmonhinge/upstreams/requests.py
@@ -4,6 +4,7 @@
 
 import aiocoap
 
+from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.coap import codec
 
@@ -16,9 +17,13 @@
     keeper's own and are removed.
 
     Raises:
-        MalformedDatagramError: It is not a CoAP message.
+        MalformedDatagramError: It is not a CoAP request.
     """
     request = codec.decode(data, limit=codec.MAX_WHOLE_OCTETS)
+    if not request.code.is_request():
+        raise errors.MalformedDatagramError(
+            f"code {request.code} is no request", step="read request"
+        )
     options = request.opt
     options.uri_host = service
     options.uri_port = None
--- a/persimmonhinge/upstreams/slots.py
+++ b/persimmonhinge/upstreams/slots.py
@@ -52,7 +52,9 @@
         self._slow_start = slow_start
         self._start = start
         self._randomness = randomness
-        self._queue = _make_order(target)
+        policies = target.entry.contract.policies
+        self._queue = orders.make_order(policies.order)
+        self._admission = admissions.make_admission(policies.admission)
         self._paused_until = 0.0
         self._handed_busy: dict[ids.HostRef, tuple[int, float]] = {}
 
@@ -82,13 +84,16 @@
 
     def update(self, target: targets.Target) -> None:
         """Takes in a new contract."""
-        former = self._target.entry.contract.policies.order
+        former = self._target.entry.contract.policies
+        policies = target.entry.contract.policies
         self._target = target
-        if target.entry.contract.policies.order != former:
+        if policies.order != former.order:
             waiting = list(self._queue)
-            self._queue = _make_order(target)
+            self._queue = orders.make_order(policies.order)
             for job in waiting:
                 self._queue.push(job)
+        if policies.admission != former.admission:
+            self._admission = admissions.make_admission(policies.admission)
         self.fill()
 
     def submit(self, job: jobs.Job) -> None:
@@ -165,9 +170,7 @@
         return True
 
     def _admit(self, job: jobs.Job, pressure: admissions.Pressure) -> bool:
-        policies = self._target.entry.contract.policies
-        policy = admissions.admissions.get(policies.admission)()
-        if not policy.admits(pressure):
+        if not self._admission.admits(pressure):
             return False
         if pressure.free_slots > 0 and not len(self._queue):
             return True
@@ -228,10 +231,6 @@
         return min(ahead_s, (own_s + job.cost_s) / job.share)
 
 
-def _make_order(target: targets.Target) -> orders.Order:
-    return orders.orders.get(target.entry.contract.policies.order)()
-
-
 def _refuse(reason: str, retry_after_s: int) -> work.Dispatched:
     return work.Dispatched(
         work.Outcome.NOT_RUN, retry_after_s=retry_after_s, reason=reason
--- a/persimmonhinge/upstreams/transfer.py
+++ b/persimmonhinge/upstreams/transfer.py
@@ -211,27 +211,23 @@
     async def _fetch_blocks(
         self, first: codec.Message
     ) -> tuple[bytes | None, str]:
-        body = first.payload
-        exponent = first.opt.block2.size_exponent
-        more = True
-        while more:
+        body = b""
+        answer = first
+        while _continues(first, answer, len(body)):
+            body += answer.payload
+            if not answer.opt.block2.more:
+                return body, ""
             if len(body) > _MOST_ANSWER_OCTETS:
                 return None, "too large"
+            exponent = answer.opt.block2.size_exponent
             number = len(body) // _block_octets(exponent)
             result = await self._exchange_once(
                 self._make_block_request(number, exponent)
             )
-            answer = result.answer
-            if answer is None:
+            if result.answer is None:
                 return None, "no answer"
-            block2 = answer.opt.block2
-            if answer.opt.etag != first.opt.etag or block2 is None:
-                return None, "changed"
-            if answer.code != first.code or block2.block_number != number:
-                return None, "changed"
-            body += answer.payload
-            more = block2.more
-        return body, ""
+            answer = result.answer
+        return None, "changed"
 
     def _make_block_request(self, number: int, exponent: int) -> codec.Message:
         request = requests.copy_message(self._request, b"")
@@ -273,5 +269,23 @@
         return TransferResult(TransferEnd.ANSWERED, answer)
 
 
+def _continues(
+    first: codec.Message, answer: codec.Message, offset: int
+) -> bool:
+    """Tells whether an answer is the block at an offset of the first one's.
+
+    Guards against an answer put together from two states of a resource, and
+    against a block that brings nothing and is asked for again without end.
+    """
+    block2 = answer.opt.block2
+    if block2 is None or block2.start != offset:
+        return False
+    if answer.code != first.code or answer.opt.etag != first.opt.etag:
+        return False
+    return not block2.more or len(answer.payload) == _block_octets(
+        block2.size_exponent
+    )
+
+
 def _block_octets(exponent: int) -> int:
     return 1 << (min(exponent, _LARGEST_EXPONENT) + 4)
--- a/tests/test_upstreams/test_upstreams_message_layer.py
+++ b/tests/test_upstreams/test_upstreams_message_layer.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-import random
-
 import aiocoap
 import hypothesis
 from hypothesis import strategies
 import trio
 
+from persimmonhinge import ids
 from persimmonhinge.coap import codec
-from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.peers.messages import work
-from persimmonhinge.upstreams import endpoint as endpoints
-from persimmonhinge.upstreams import exchange as exchanges
+from persimmonhinge.policies import admission
+from persimmonhinge.policies import order
 from persimmonhinge.upstreams import freshness
 from persimmonhinge.upstreams import message_ids
 from persimmonhinge.upstreams import transmission
@@ -43,13 +41,13 @@
     It took the new one for a retransmission, since the ids came round.
     """
     now_s = 0.0
-    ids = message_ids.MessageIds(first, lambda: now_s)
+    source = message_ids.MessageIds(first, lambda: now_s)
     used_at: dict[int, float] = {}
     for count, pause_s in bursts:
         for _ in range(count):
-            if ids.is_exhausted():
+            if source.is_exhausted():
                 break
-            message_id = ids.next()
+            message_id = source.next()
             if message_id in used_at:
                 assert now_s - used_at[message_id] >= _LIFETIME_S
             used_at[message_id] = now_s
@@ -59,18 +57,20 @@
 @hypothesis.settings(deadline=None, derandomize=True)
 @hypothesis.given(
     start=strategies.integers(0, (1 << 24) - 1),
-    order=strategies.lists(strategies.integers(0, 30), max_size=40),
+    places=strategies.lists(strategies.integers(0, 30), max_size=40),
 )
-def test_freshness_lets_numbers_only_rise(start: int, order: list[int]) -> None:
+def test_freshness_lets_numbers_only_rise(
+    start: int, places: list[int]
+) -> None:
     fresh = freshness.Freshness()
     passed = [
         place
-        for place in order
+        for place in places
         if fresh.admit((start + place) % (1 << 24), 0.0)
     ]
     assert passed == sorted(set(passed))
-    if order:
-        assert passed[-1] == max(order)
+    if places:
+        assert passed[-1] == max(places)
 
 
 def test_freshness_begins_anew_after_a_long_time() -> None:
@@ -145,31 +145,49 @@
 
 
 @hypothesis.settings(deadline=None, derandomize=True, max_examples=200)
-@hypothesis.given(data=strategies.binary(max_size=80))
+@hypothesis.given(
+    data=strategies.binary(max_size=80), matched=strategies.booleans()
+)
 @trios.clock_test
-async def test_strange_datagrams_end_no_task_and_no_exchange(
-    data: bytes,
+async def test_strange_datagrams_end_no_task_and_stop_no_other_work(
+    data: bytes, matched: bool
 ) -> None:
-    upstream = fake_upstream.FakeUpstream(fake_upstream.swallow)
-    socket = upstream.open(scene.make_contract({"u1": 9}).address)
-    counts = host_counts.Counts()
-    randomness = random.Random(1)
-    endpoint = endpoints.Endpoint(
-        socket, "upstream", lambda: True, counts, randomness
-    )
-    request = codec.Message(code=aiocoap.GET)
-    exchange = exchanges.Exchange(
-        endpoint, request, transmission.Transmission(), randomness
-    )
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(endpoint.run)
-        nursery.start_soon(exchange.run, exchanges.WaitLimits(30.0))
-        await trio.sleep(1)
-        hypothesis.assume(data[2:4] != request.mid.to_bytes(2, "big"))
-        socket.deliver_data(data)
-        socket.deliver_data(data, refused=True)
-        await trio.sleep(1)
-        fake_upstream.reply(socket, request, payload=b"answer")
-        await trio.sleep(1)
-        assert endpoint.is_idle
-        endpoint.close()
+    """An upstream of one service sends what is no answer.
+
+    If that ended a task, the host would stop for all services.
+    """
+
+    def answer(
+        socket: fake_upstream.FakeSocket, request: codec.Message
+    ) -> None:
+        if request.opt.uri_path == ("time",):
+            fake_upstream.reply(socket, request, payload=b"answer")
+            return
+        # The token is right and the rest may be anything.
+        head = bytes([0x68]) + data[:1] + request.mid.to_bytes(2, "big")
+        whole = head + request.token + data[1:] if matched else data
+        socket.deliver_data(whole)
+        socket.deliver_data(whole, refused=True)
+
+    upstream = fake_upstream.FakeUpstream(answer)
+    async with scene.open_scene(open_socket=upstream.open) as here:
+        here.store.offer(scene.make_record(scene.make_contract({"u1": 9}), 1))
+        reads = ids.CallClassName("reads")
+        for path in ("/strange", "/time"):
+            request = scene.make_request(path, code=aiocoap.GET)
+            dispatch = scene.make_dispatch(
+                request=request, idempotent=True, call_class=reads
+            )
+            result = await here.ask(dispatch)
+        opened = scene.make_feed_open()
+        async with here.network.open_call(opened) as caller:
+            with trio.fail_after(60):
+                await caller.from_keeper.receive()
+        assert codec.decode(result.answer).payload == b"answer"
+        assert not here.counts.sum("upstream_datagrams_failed_total")
+
+
+def test_policies_of_a_newer_version_give_way_to_the_default() -> None:
+    assert len(order.make_order("of a newer version")) == 0
+    policy = admission.make_admission("of a newer version")
+    assert isinstance(policy, admission.DeadlineAdmission)
