--- a/persimmonhinge/upstreams/executed.py
+++ b/persimmonhinge/upstreams/executed.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import functools
-import heapq
-import itertools
 
 from persimmonhinge import ids
 from persimmonhinge.peers.messages import work
 from persimmonhinge.upstreams import executed_entry as entries
+from persimmonhinge.upstreams import executed_rows
 from persimmonhinge.upstreams import job as jobs
 from persimmonhinge.upstreams import uptimes as home_uptimes
 
@@ -41,26 +40,17 @@
         self.uptimes = uptimes
         self._most_entries = most_entries
         self._most_answer_octets = most_answer_octets
-        self._rows: dict[
-            tuple[ids.TicketId, bytes],
-            dict[bytes, entries.ExecutedEntry],
-        ] = {}
-        self._due: dict[
-            ids.HostRef, list[tuple[int, int, entries.ExecutedEntry]]
-        ] = {}
-        self._count = 0
-        self._answer_octets = 0
-        self._numbers = itertools.count()
+        self._rows = executed_rows.ExecutedRows()
 
     def __len__(self) -> int:
-        return self._count
+        return len(self._rows)
 
     @property
     def is_full(self) -> bool:
         """True if it takes no new row."""
-        if self._count >= self._most_entries:
+        if len(self._rows) >= self._most_entries:
             return True
-        return self._answer_octets >= self._most_answer_octets
+        return self._rows.answer_octets >= self._most_answer_octets
 
     def check(
         self, dispatch: work.Dispatch
@@ -88,18 +78,18 @@
         )
         entry.job = job
         job.on_finish = functools.partial(self.end, dispatch)
-        self._put(entry, entry.expiry_ms)
+        self._rows.put(entry, entry.expiry_ms)
 
     def end(self, dispatch: work.Dispatch, outcome: work.Dispatched) -> None:
         """Keeps the outcome of a job, or that it was refused."""
-        entry = self._get(_make_key(dispatch))
+        entry = self._rows.get(_make_key(dispatch))
         if entry is None or entry.state is not _State.PENDING:
             return
         entry.job = None
         if outcome.outcome in (_Outcome.ANSWERED, _Outcome.UNKNOWN):
             entry.state = _State.ENDED
             entry.outcome = outcome
-            self._answer_octets += entry.answer_octets
+            self._rows.answer_octets += entry.answer_octets
             return
         refused = entries.ExecutedEntry(
             entry.key, entry.home, entry.expiry_ms, _State.REFUSED
@@ -107,7 +97,7 @@
         refused.upstream = dispatch.upstream
         refused.refused_at_ms = dispatch.home_uptime_ms
         due_ms = dispatch.home_uptime_ms + MOST_DISPATCH_AGE_MS + 1
-        self._put(refused, min(due_ms, entry.expiry_ms))
+        self._rows.put(refused, min(due_ms, entry.expiry_ms))
 
     def recover(
         self, question: work.Recover
@@ -137,37 +127,30 @@
             question.ticket_expiry_ms,
             _State.FENCED,
         )
-        if self.is_full and self._get(fence.key) is None:
+        if self.is_full and self._rows.get(fence.key) is None:
             return _unknown("table is full")
-        self._put(fence, fence.expiry_ms)
+        self._rows.put(fence, fence.expiry_ms)
         return _not_run("did not run here and will not")
 
     def forget_expired(self, home: ids.HostRef) -> None:
         """Forgets the rows of a home that may be forgotten."""
-        due = self._due.get(home)
         uptime_ms = self.uptimes.read(home)
-        while due and due[0][0] <= uptime_ms:
-            due_ms, _, entry = heapq.heappop(due)
-            if self._get(entry.key) is not entry:
-                continue
+        for entry in self._rows.take_due(home, uptime_ms):
             if entry.state is _State.PENDING:
-                self._plan(entry, due_ms + MOST_DISPATCH_AGE_MS)
-                continue
-            self._drop(entry)
-        if not due:
-            self._due.pop(home, None)
+                self._rows.plan(entry, uptime_ms + MOST_DISPATCH_AGE_MS)
+            else:
+                self._rows.drop(entry)
 
     def forget_all_expired(self) -> None:
         """Forgets all rows that may be forgotten."""
-        for home in list(self._due):
+        for home in self._rows.list_homes():
             self.forget_expired(home)
 
     def list_lasting(self) -> list[entries.ExecutedEntry]:
         """Returns the rows that a successor needs, pending ones not."""
         return [
             entry
-            for rows in self._rows.values()
-            for entry in rows.values()
+            for entry in self._rows
             if entry.state in (_State.ENDED, _State.FENCED)
         ]
 
@@ -177,13 +160,12 @@
         Returns:
             False if the table is full.
         """
-        known = self._get(entry.key)
+        known = self._rows.get(entry.key)
         if known is not None and _may_have_run(known):
             return True
         if self.is_full:
             return False
-        self._put(entry, entry.expiry_ms)
-        self._answer_octets += entry.answer_octets
+        self._rows.put(entry, entry.expiry_ms)
         return True
 
     def _judge(
@@ -226,46 +208,19 @@
         self, dispatch: work.Dispatch
     ) -> entries.ExecutedEntry | None:
         key = _make_key(dispatch)
-        found = self._get(key)
+        found = self._rows.get(key)
         if found is not None and found.state is not _State.REFUSED:
             return found
-        fence = self._get(entries.ExecutedKey(key.ticket, key.token, b""))
+        fence = self._rows.get(entries.ExecutedKey(key.ticket, key.token, b""))
         return fence or found
 
     def _find_all(self, question: work.Recover) -> list[entries.ExecutedEntry]:
-        rows = self._rows.get((question.ticket, question.token), {})
+        rows = self._rows.get_all(question.ticket, question.token)
         if not question.digest:
             return list(rows.values())
         entry = rows.get(question.digest)
         return [] if entry is None else [entry]
 
-    def _get(self, key: entries.ExecutedKey) -> entries.ExecutedEntry | None:
-        rows = self._rows.get((key.ticket, key.token))
-        return None if rows is None else rows.get(key.digest)
-
-    def _put(self, entry: entries.ExecutedEntry, due_ms: int) -> None:
-        former = self._get(entry.key)
-        if former is not None:
-            self._drop(former)
-        key = entry.key
-        rows = self._rows.setdefault((key.ticket, key.token), {})
-        rows[key.digest] = entry
-        self._count += 1
-        self._plan(entry, due_ms)
-
-    def _plan(self, entry: entries.ExecutedEntry, due_ms: int) -> None:
-        due = self._due.setdefault(entry.home, [])
-        heapq.heappush(due, (due_ms, next(self._numbers), entry))
-
-    def _drop(self, entry: entries.ExecutedEntry) -> None:
-        key = entry.key
-        rows = self._rows[(key.ticket, key.token)]
-        del rows[key.digest]
-        if not rows:
-            del self._rows[(key.ticket, key.token)]
-        self._count -= 1
-        self._answer_octets -= entry.answer_octets
-
 
 def _make_key(dispatch: work.Dispatch) -> entries.ExecutedKey:
     return entries.ExecutedKey(dispatch.ticket, dispatch.token, dispatch.digest)
--- a/persimmonhinge/upstreams/kept.py
+++ b/persimmonhinge/upstreams/kept.py
@@ -22,6 +22,7 @@
 from persimmonhinge.upstreams import slow_start as slow_starts
 from persimmonhinge.upstreams import target as targets
 from persimmonhinge.upstreams import transfer as transfers
+from persimmonhinge.upstreams import transfer_result as results
 from persimmonhinge.upstreams import trust as trusts
 
 if TYPE_CHECKING:
@@ -29,7 +30,7 @@
 
 logger = logging.getLogger(__name__)
 
-_End = transfers.TransferEnd
+_End = results.TransferEnd
 _Outcome = work.Outcome
 _Sign = trusts.Sign
 _LEAST_DRAIN_S = 5.0
@@ -172,7 +173,7 @@
             self.endpoints.close_idle()
 
     def _learn(
-        self, result: transfers.TransferResult, job: jobs.Job, began_at: float
+        self, result: results.TransferResult, job: jobs.Job, began_at: float
     ) -> None:
         now = trio.current_time()
         if result.end is _End.SHED:
@@ -209,7 +210,7 @@
 
     def _look_at_socket(
         self,
-        result: transfers.TransferResult,
+        result: results.TransferResult,
         endpoint: endpoint_parts.Endpoint,
         began_at: float,
     ) -> None:
@@ -217,7 +218,7 @@
             self.endpoints.report_silence(endpoint, began_at)
 
 
-def _conclude(result: transfers.TransferResult) -> work.Dispatched:
+def _conclude(result: results.TransferResult) -> work.Dispatched:
     if result.end is _End.ANSWERED:
         assert result.answer is not None
         answer = requests.write_answer(result.answer)
--- a/persimmonhinge/upstreams/transfer.py
+++ b/persimmonhinge/upstreams/transfer.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
-import enum
 import random
 
 import aiocoap
@@ -15,6 +13,7 @@
 from persimmonhinge.upstreams import exchange as exchanges
 from persimmonhinge.upstreams import requests
 from persimmonhinge.upstreams import shedding
+from persimmonhinge.upstreams import transfer_result as results
 from persimmonhinge.upstreams import transmission as transmissions
 
 # Block size is 2 ** (exponent + 4) octets, RFC 7959 section 2.2.
@@ -26,45 +25,6 @@
 BlockOption = optiontypes.BlockOption.BlockwiseTuple
 
 
-class TransferEnd(enum.Enum):
-    """How a transfer ended.
-
-    ANSWERED: The whole answer is there.
-    SHED: The upstream refused the request; it did not run.
-    REFUSED: Nothing listens at the address, or it reset the request.
-    NOT_RUN: The request did not reach the upstream as a whole.
-    UNKNOWN: It may have run.
-    """
-
-    ANSWERED = "answered"
-    SHED = "shed"
-    REFUSED = "refused"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TransferResult:
-    """The end of a transfer.
-
-    Attributes:
-        end: How it ended.
-        answer: The whole answer for ANSWERED, the refusal for SHED.
-        reason: Why it did not end with an answer, for people.
-    """
-
-    end: TransferEnd
-    answer: codec.Message | None = None
-    reason: str = ""
-
-    @property
-    def retry_after_s(self) -> int:
-        """Max-Age of the refusal, seconds; 0 without one."""
-        if self.end is not TransferEnd.SHED or self.answer is None:
-            return 0
-        return shedding.read_retry_s(self.answer)
-
-
 class Transfer:
     """Runs one request at an upstream.
 
@@ -114,7 +74,7 @@
         if self._exchange is not None:
             self._exchange.abandon()
 
-    async def run(self) -> TransferResult:
+    async def run(self) -> results.TransferResult:
         """Runs the transfer to its end."""
         result = await self._upload()
         if result.end is not exchanges.ExchangeEnd.ANSWERED:
@@ -122,17 +82,18 @@
         answer = result.answer
         assert answer is not None
         if shedding.is_shed(answer):
-            return TransferResult(
-                TransferEnd.SHED, answer, "shed by the upstream"
+            return results.TransferResult(
+                results.TransferEnd.SHED, answer, "shed by the upstream"
             )
         if self._in_blocks and answer.code == _INCOMPLETE:
             # About blocks of this host, of which the caller knows nothing.
-            return TransferResult(
-                TransferEnd.NOT_RUN, reason="upstream lost a block"
+            return results.TransferResult(
+                results.TransferEnd.NOT_RUN, reason="upstream lost a block"
             )
         if answer.code == aiocoap.CONTINUE:
-            return TransferResult(
-                TransferEnd.UNKNOWN, reason="asked for more than there is"
+            return results.TransferResult(
+                results.TransferEnd.UNKNOWN,
+                reason="asked for more than there is",
             )
         return await self._download(answer)
 
@@ -184,7 +145,7 @@
             block.opt.size1 = len(body)
         return block
 
-    async def _download(self, first: codec.Message) -> TransferResult:
+    async def _download(self, first: codec.Message) -> results.TransferResult:
         for _ in range(_MOST_DOWNLOADS):
             block2 = first.opt.block2
             if block2 is None or not block2.more:
@@ -204,8 +165,9 @@
             if again.answer is None:
                 break
             first = again.answer
-        return TransferResult(
-            TransferEnd.UNKNOWN, reason=f"answer is incomplete: {problem}"
+        return results.TransferResult(
+            results.TransferEnd.UNKNOWN,
+            reason=f"answer is incomplete: {problem}",
         )
 
     async def _fetch_blocks(
@@ -246,27 +208,34 @@
         )
         return await self._exchange.run(self._limits)
 
-    def _end_without_answer(self, end: exchanges.ExchangeEnd) -> TransferResult:
+    def _end_without_answer(
+        self, end: exchanges.ExchangeEnd
+    ) -> results.TransferResult:
         if end is exchanges.ExchangeEnd.UNSENT:
-            return TransferResult(TransferEnd.NOT_RUN, reason="not sent")
+            return results.TransferResult(
+                results.TransferEnd.NOT_RUN, reason="not sent"
+            )
         if end is exchanges.ExchangeEnd.REFUSED:
-            return TransferResult(
-                TransferEnd.REFUSED, reason="refused by the upstream's host"
+            return results.TransferResult(
+                results.TransferEnd.REFUSED,
+                reason="refused by the upstream's host",
             )
         if not self.may_run:
-            return TransferResult(
-                TransferEnd.NOT_RUN, reason="upload was cut off"
+            return results.TransferResult(
+                results.TransferEnd.NOT_RUN, reason="upload was cut off"
             )
-        return TransferResult(
-            TransferEnd.UNKNOWN, reason="no sign of the upstream"
+        return results.TransferResult(
+            results.TransferEnd.UNKNOWN, reason="no sign of the upstream"
         )
 
-    def _end_whole(self, first: codec.Message, body: bytes) -> TransferResult:
+    def _end_whole(
+        self, first: codec.Message, body: bytes
+    ) -> results.TransferResult:
         answer = requests.copy_message(first, body)
         del answer.opt.block1
         del answer.opt.block2
         del answer.opt.observe
-        return TransferResult(TransferEnd.ANSWERED, answer)
+        return results.TransferResult(results.TransferEnd.ANSWERED, answer)
 
 
 def _continues(
