--- a/tests/standins/cut_deployment.py
+++ b/tests/standins/cut_deployment.py
@@ -113,6 +113,14 @@
         """Cuts a failure domain off from the platform."""
         await self.proxy.set(_CUT, name=f"platform {domain}")
 
+    async def delay_streams(self, sender: str, delay_s: float) -> None:
+        """Delays what a host sends on links that it dialed."""
+        await self.proxy.set(
+            rules.Fault(delay_s=delay_s),
+            source=bound_address(self._plans[sender]),
+            direction=rules.Direction.FORWARD,
+        )
+
     async def lose_datagrams(self, part: float) -> None:
         """Loses heartbeats; streams get late by retransmissions."""
         await self.proxy.set(rules.Fault(drop=part))
--- a/tests/test_integration/test_integration_control_contracts.py
+++ b/tests/test_integration/test_integration_control_contracts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import trio
+
 from persimmonhinge.ctl import exits
 from persimmonhinge.platform import client as platform_clients
 from persimmonhinge.platform import port
@@ -12,6 +14,9 @@
 from tests.test_integration import control_plans
 
 _SERVICE = control_plans.SERVICE
+_OLDER = "control_records_refused_total{cause=older}"
+# Longer than the time between two changes.
+_DELAY_S = 3.0
 
 
 async def _apply(deployment: cut_deployment.CutDeployment, queue: int) -> int:
@@ -62,6 +67,34 @@
     assert states == dict.fromkeys(hosts, "in-force")
 
 
+@trios.trio_test
+async def test_news_that_comes_late_brings_nothing_back() -> None:
+    """For some seconds, some hosts serve by a contract that was replaced.
+
+    What one host sends is slow on its way. Two changes are accepted, one
+    after the other; the others have both when the first one arrives from the
+    slow host. They must refuse it as older. Cause: what is heard last taken
+    for what is newest.
+    """
+    async with cut_deployment.run_cut_deployment(
+        control_plans.make_plan()
+    ) as deployment:
+        hosts = deployment.names()
+        slow, *others = hosts
+        await deployment.pages.wait_sees(hosts, hosts)
+        async with revision_watch.watch_revisions(deployment.pages, hosts):
+            await deployment.delay_streams(slow, _DELAY_S)
+            await _apply(deployment, 11)
+            newest = await _apply(deployment, 12)
+            await deployment.pages.wait_holds(hosts, _SERVICE, newest)
+            await trio.sleep(2 * _DELAY_S)
+        refused = [
+            (await deployment.pages.status(host))["counts"].get(_OLDER, 0)
+            for host in others
+        ]
+    assert any(refused), "no old news came"
+
+
 @trios.trio_test
 async def test_restored_platform_takes_no_contract_back() -> None:
     """After a restore of the platform, hosts serve by an old contract.
