--- a/benchmarks/echo_upstream.py
+++ b/benchmarks/echo_upstream.py
@@ -24,6 +24,8 @@
         answer.mtype = aiocoap.ACK if confirmable else aiocoap.NON
         answer.mid = request.mid
         answer.token = request.token
+        if request.opt.observe == 0:
+            answer.opt.observe = 1
         receiver.sendto(codec.encode(answer), source)
 
 
--- a/benchmarks/packets.py
+++ b/benchmarks/packets.py
@@ -150,7 +150,16 @@
     )
 
 
-async def give_upstream(deployment: processes.Deployment, echo: str) -> None:
+# A cold upstream gets its full slots only after the slow start.
+_LIMITS = contracts.Limits(slow_start_s=0, queue=_SLOTS)
+
+
+async def give_upstream(
+    deployment: processes.Deployment,
+    echo: str,
+    limits: contracts.Limits = _LIMITS,
+    connections: int = 0,
+) -> None:
     """Gives the service its upstream and waits until it serves."""
     service = deployment.plan.services[0]
     empty = deployment.layout.make_contract(service)
@@ -159,9 +168,8 @@
         address=contracts.Address.model_validate(echo),
         domain=plans.DOMAINS[0],
         slots=_SLOTS,
+        connections=connections,
     )
-    # A cold upstream gets its full slots only after the slow start.
-    limits = contracts.Limits(slow_start_s=0, queue=_SLOTS)
     await deployment.apply(
         empty.model_copy(update={"upstreams": (upstream,), "limits": limits})
     )
@@ -237,7 +245,7 @@
         address = find_address(deployment, first)
         pids = [deployment.hosts[h.name].pid for h in (first, second)]
         for title, source_ports in (("at home", near), ("relayed", far)):
-            before = await _read_counts(deployment, first)
+            before = await read_counts(deployment, first)
             loaded = [
                 await measure(address, pids, options.seconds, 32, source_ports)
                 for _ in range(options.rounds)
@@ -248,7 +256,7 @@
                 )
                 for _ in range(options.rounds)
             ]
-            after = await _read_counts(deployment, first)
+            after = await read_counts(deployment, first)
             relayed = _subtract(after, before, "datagrams_relayed_total")
             received = _subtract(after, before, "datagrams_received_total")
             _print(f"two hosts, {title}, loaded", take_median(loaded))
@@ -294,9 +302,10 @@
     raise children.ChildError(f"no caller has {home.name} as its home")
 
 
-async def _read_counts(
+async def read_counts(
     deployment: processes.Deployment, host: plans.HostPlan
 ) -> dict[str, int]:
+    """Returns the counters of a host."""
     async with httpx.AsyncClient(trust_env=False) as client:
         answer = await client.get(f"{deployment.metrics_url(host.name)}/status")
     counts: dict[str, int] = answer.json()["counts"]
--- a/persimmonhinge/peers/connection.py
+++ b/persimmonhinge/peers/connection.py
@@ -157,6 +157,7 @@
                 self._is_writing = True
                 data = self.outbox.take(self.writer)
                 await self._stream.send_all(data)
+                self._counts.add("peer_octets_sent_total", len(data))
                 self._is_writing = False
                 self._keep_alive.sent = True
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
