--- a/persimmonhinge/membership/service.py
+++ b/persimmonhinge/membership/service.py
@@ -145,6 +145,9 @@
                 parts.roster.identity.add_hook(hook)
             self._parts = parts
             self._nursery = nursery
+            self._around.counts.watch(
+                "membership_news_queued", lambda: len(parts.roster.gossip)
+            )
             receiver = receivers.Receiver(parts, self._around.counts, nursery)
             nursery.start_soon(receiver.run)
             nursery.start_soon(self._beat, parts)
