Take over a new credential at SIGHUP; log what the program itself says

Cause: a program run by python -m logs under the name __main__, to which no handler belonged: its lines had no prefix, and those below WARNING were lost.

--- a/persimmonhinge/application.py
+++ b/persimmonhinge/application.py
@@ -14,6 +14,7 @@
 from persimmonhinge import ids
 from persimmonhinge.contracts import control as controls
 from persimmonhinge.contracts import drains as drain_stores
+from persimmonhinge.contracts import host_list as host_lists
 from persimmonhinge.contracts import store as contract_stores
 from persimmonhinge.flows import chooser as choosers
 from persimmonhinge.flows import front as fronts
@@ -84,6 +85,14 @@
         """Begins a planned stop; a second call changes nothing."""
         self._stopping.set()
 
+    def reload(self) -> None:
+        """Reads the files of the credential again.
+
+        Raises:
+            SettingsError: They can't be used; the former stay in use.
+        """
+        self.parts.network.reload_credential()
+
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -193,7 +202,8 @@
     drains = drain_stores.DrainStore()
     network = streams.StreamNetwork(settings, view, counts)
     platform = platform_client.EtcdPlatform(settings.platform)
-    membership = memberships.Membership(settings, view, counts)
+    host_list = host_lists.HostList(settings.platform.prefix)
+    membership = memberships.Membership(settings, view, counts, host_list.hosts)
     control = controls.Control(
         settings,
         view,
@@ -204,6 +214,7 @@
         network,
         platform,
         counts,
+        host_list=host_list,
     )
     chooser = choosers.UpstreamChooser(
         view, placement, contracts, network, randomness
--- a/persimmonhinge/cmd/entry.py
+++ b/persimmonhinge/cmd/entry.py
@@ -36,8 +36,9 @@
 ) -> None:
     """Runs an entry host until SIGTERM, which is a planned stop.
 
-    SIGHUP reads the settings file again and takes over the log level; all
-    else needs a restart, and the log says so.
+    SIGHUP reads the settings file and the files of the credential again and
+    takes over the log level and the credential; all else needs a restart,
+    and the log says so.
 
     Example: persimmonhinge-entry --config entry.yaml --check
     """
@@ -76,16 +77,19 @@
     with trio.open_signal_receiver(*watched) as received:
         async for number in received:
             if number == signal.SIGHUP:
-                _reread(settings, config_file)
+                _reread(host, settings, config_file)
             else:
                 host.stop()
 
 
 def _reread(
-    settings: settings_entry.EntrySettings, config_file: pathlib.Path
+    host: application.EntryApplication,
+    settings: settings_entry.EntrySettings,
+    config_file: pathlib.Path,
 ) -> None:
     try:
         fresh = config.load(config_file, settings_entry.EntrySettings)
+        host.reload()
     except errors.SettingsError as error:
         logger.error("Kept the former settings: %s.", error)
         return
--- a/persimmonhinge/logs.py
+++ b/persimmonhinge/logs.py
@@ -9,6 +9,8 @@
 _FORMAT = "%(asctime)s.%(msecs)03dZ %(levelname)-7s %(prefix)s: %(message)s"
 _DATE_FORMAT = "%Y-%m-%dT%H:%M:%S"
 _PACKAGE = "persimmonhinge"
+# A program that is run by `python -m` bears this name in place of its own.
+_MAIN = "__main__"
 
 
 class _PartFilter(logging.Filter):
@@ -20,7 +22,7 @@
 
     def filter(self, record: logging.LogRecord) -> bool:
         parts = record.name.split(".")
-        part = parts[1] if len(parts) > 1 else parts[0]
+        part = parts[1] if len(parts) > 1 else "cmd"
         record.prefix = f"[{self._name}/{part}]"
         return True
 
@@ -37,7 +39,8 @@
     formatter.converter = time.gmtime
     handler.setFormatter(formatter)
     handler.addFilter(_PartFilter(name))
-    root = logging.getLogger(_PACKAGE)
-    root.handlers = [handler]
-    root.propagate = False
-    root.setLevel(level)
+    for logger_name in (_PACKAGE, _MAIN):
+        logger = logging.getLogger(logger_name)
+        logger.handlers = [handler]
+        logger.propagate = False
+        logger.setLevel(level)
