Find hosts by the platform's list

The settings and the operators' page say that the platform's list adds to the seeds; nothing read it. A host whose seeds were all gone, or that had none, stayed alone, took all roles and served beside the deployment. The new test with real processes failed: after 30 s none of the others had seen the host. Whoever holds the watch now also reads the list, and membership tries what it names; a host that knows nobody holds the watch, so no other has to read it. Cost: one more read when a watch begins.

--- a/persimmonhinge/contracts/control.py
+++ b/persimmonhinge/contracts/control.py
@@ -9,6 +9,7 @@
 
 from persimmonhinge import errors
 from persimmonhinge.contracts import drains as drain_stores
+from persimmonhinge.contracts import host_list as host_lists
 from persimmonhinge.contracts import hosts
 from persimmonhinge.contracts import partners as partner_choice
 from persimmonhinge.contracts import records as record_sets
@@ -53,6 +54,7 @@
         platform: port.Platform,
         counts: host_counts.Counts,
         randomness: random.Random | None = None,
+        host_list: host_lists.HostList | None = None,
     ) -> None:
         self._settings = settings
         self._view = view
@@ -72,6 +74,7 @@
             self._spread.set_ready,
             counts,
             draws,
+            host_list,
         )
 
     async def run(
--- a/persimmonhinge/contracts/watcher.py
+++ b/persimmonhinge/contracts/watcher.py
@@ -13,6 +13,7 @@
 from persimmonhinge import ids
 from persimmonhinge.contracts import backoff
 from persimmonhinge.contracts import history
+from persimmonhinge.contracts import host_list as host_lists
 from persimmonhinge.contracts import reading
 from persimmonhinge.contracts import records as record_sets
 from persimmonhinge.keys import rotation
@@ -66,8 +67,10 @@
         set_ready: Callable[[], None],
         counts: host_counts.Counts,
         randomness: random.Random,
+        host_list: host_lists.HostList | None = None,
     ) -> None:
         self._settings = settings
+        self._host_list = host_list or host_lists.HostList(settings.prefix)
         self._platform = platform
         self._records = records
         self._publish = publish
@@ -157,6 +160,8 @@
             known, self._confirmed, found, self.revision
         )
         await self._create_ring(found)
+        listed = await self._get_prefix(self._settings.prefix + keys.HOSTS)
+        self._host_list.replace(listed.values)
         self._set_ready()
         return start
 
@@ -225,6 +230,7 @@
         return last
 
     def _take_event(self, event: port.WatchEvent) -> None:
+        self._host_list.take_event(event)
         record = self._read_event(event)
         if record is not None:
             self._take_in([record])
--- a/tests/standins/cut_deployment.py
+++ b/tests/standins/cut_deployment.py
@@ -48,12 +48,14 @@
         platform_ports: Port at which a failure domain reaches the platform.
         other_credentials: Credentials of hosts that have not those of the
             deployment.
+        seedless: Hosts whose settings name no other host.
     """
 
     def __init__(self, plan: plans.DeploymentPlan) -> None:
         super().__init__(plan)
         self.platform_ports: dict[str, int] = {}
         self.other_credentials: dict[str, credential_files.Credentials] = {}
+        self.seedless: set[str] = set()
 
     def make_settings(
         self,
@@ -69,6 +71,7 @@
         reached = {"endpoints": (url,), "retry_interval_s": _RETRY_S}
         return settings.model_copy(
             update={
+                "seeds": () if host.name in self.seedless else settings.seeds,
                 "peers": settings.peers.model_copy(update=own),
                 "platform": platform.model_copy(update=reached),
             }
--- a/tests/test_integration/test_integration_control_membership.py
+++ b/tests/test_integration/test_integration_control_membership.py
@@ -126,6 +126,25 @@
         await deployment.pages.wait_sees(everyone, everyone)
 
 
+@trios.trio_test
+async def test_host_without_seeds_joins_by_a_list_that_lags() -> None:
+    """A new host serves alone, beside a deployment that it never meets.
+
+    Its settings name no other host. The platform's list does, and it lags:
+    one of the listed hosts is long gone. The host must find the others by
+    the list, and none of them may believe in the one that is gone. Cause: a
+    list that nobody reads, or one that is believed.
+    """
+    async with _run_settled() as deployment:
+        gone, *others = deployment.names()
+        await deployment.kill_host(gone)
+        await deployment.pages.wait_sees(others, others)
+        deployment.layout.seedless.add(_NEW_HOST.name)
+        await deployment.add_host(_NEW_HOST)
+        everyone = [*others, _NEW_HOST.name]
+        await deployment.pages.wait_sees(everyone, everyone)
+
+
 async def _wait_incarnation(
     deployment: cut_deployment.CutDeployment,
     hosts: Iterable[str],
--- a/tests/test_integration/test_integration_control_outage.py
+++ b/tests/test_integration/test_integration_control_outage.py
@@ -16,8 +16,8 @@
 _SERVICE = control_plans.SERVICE
 _HOSTS = 12
 _WATCHERS = 6
-# What a watcher reads when it comes back: keys, contracts and drains.
-_READS = 3
+# What a watcher reads when it comes back: keys, contracts, drains and hosts.
+_READS = 4
 _OUTAGE_S = 4.0
 _CALM_S = 3.0
 _ROLES_LIMIT_S = 30.0
