Ask a keeper for a free slot, and look ahead for all homes

A home chooses by reports that are older than a request runs for, so requests wait at one upstream while another idles; and homes that share one report all open their feeds at the same upstream. Ruled out as the cause: the ticket's two keepers (a trial without that limit changed little) and the interval of reports (a trial with 30 ms instead of 500 ms changed little, and control could not carry it).

Feeds that a host opened since a report now count once for each home. Queries for loads are limited to 20 a second from each host, whatever the fleet.

Each policy has a file of its own.

Seen failing without their guard: the burst of feeds (factor 1), the limit of queries, the later uptime of a second question, BUSY without a row, BUSY as a retry, the tie break.

--- a/persimmonhinge/flows/chooser.py
+++ b/persimmonhinge/flows/chooser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 import random
 
@@ -24,6 +25,10 @@
 
 _QUERY_INTERVAL_S = 0.5
 _QUERY_TIMEOUT_S = 1.0
+# So many queries a second, with reports of a few hundred octets, stay below
+# the limit of what control may send. In a large fleet reports come later;
+# those that come with answers are not limited.
+_MOST_QUERIES_PER_S = 20.0
 # An upstream that nobody trusts still gets a trickle, by which it is seen
 # to recover; with all distrusted alike, the least bad go on serving.
 _LEAST_TRUST = 0.02
@@ -60,12 +65,18 @@
         reachable = self._find_reachable(entry, exclude, among)
         if not reachable:
             return None
+        homes = len(self._view.role_takers())
         candidates = [
-            self._weigh(entry, choice.upstream, kind)
+            self._weigh(entry, choice.upstream, kind, homes)
             for choice in reachable.values()
         ]
         policy = self._get_policy(entry, kind)
-        return reachable[policy.choose(candidates).upstream]
+        chosen = policy.choose(candidates)
+        found = reachable[chosen.upstream]
+        if kind is not contracts.CallKind.REQUEST or len(reachable) < 2:
+            return found
+        may_be_busy = policy.asks and _may_be_busy(found.upstream, chosen)
+        return dataclasses.replace(found, may_be_busy=may_be_busy)
 
     def pick_keepers(
         self, entry: stores.ContractEntry, count: int
@@ -132,8 +143,11 @@
                 asked.discard(host)
                 return
             await self._ask_once(host)
+            interval_s = max(
+                _QUERY_INTERVAL_S, len(asked) / _MOST_QUERIES_PER_S
+            )
             # Hosts that started together would ask together.
-            await trio.sleep(_QUERY_INTERVAL_S * self._random.uniform(0.8, 1.2))
+            await trio.sleep(interval_s * self._random.uniform(0.8, 1.2))
 
     async def _ask_once(self, host: ids.HostId) -> None:
         try:
@@ -197,6 +211,7 @@
         entry: stores.ContractEntry,
         upstream: contracts.Upstream,
         kind: contracts.CallKind,
+        homes: int,
     ) -> policies.Candidate:
         service = ids.ServiceName(entry.contract.service)
         upstream_id = ids.UpstreamId(upstream.id)
@@ -208,7 +223,7 @@
         return policies.Candidate(
             upstream_id,
             capacity=max(units, 1) * trust,
-            load=self._book.estimate(service, upstream_id, kind),
+            load=self._book.estimate(service, upstream_id, kind, homes),
             own=self._book.count_own(service, upstream_id, kind),
         )
 
@@ -220,3 +235,15 @@
         if key not in self._policies:
             self._policies[key] = policies.choices.get(name)(self._random)
         return self._policies[key]
+
+
+def _may_be_busy(
+    upstream: contracts.Upstream, chosen: policies.Candidate
+) -> bool:
+    """Tells whether it is worth asking for a slot that is free now.
+
+    Reports are older than most requests run for. But once the least loaded
+    has a queue, all are likely to be busy, and asking would only add to the
+    work of hosts under overload.
+    """
+    return chosen.load <= upstream.slots
--- a/persimmonhinge/flows/dispatcher.py
+++ b/persimmonhinge/flows/dispatcher.py
@@ -29,6 +29,8 @@
 # Hosts differ in contract or membership for this long, as a rule.
 _CONVERGE_S = 0.05
 _MOST_CONVERGE_S = 0.4
+# Uptimes that a keeper compares count milliseconds.
+_NEXT_UPTIME_S = 0.001
 _RETRY_AFTER_S = 1
 
 Outcome = work.Outcome
@@ -47,9 +49,11 @@
         last: What is told if there is no further attempt.
         exclude: Upstreams that are not tried again.
         among: Keepers that may run it; None for all.
+        busy: The upstream that had no free slot; None before any was asked.
     """
 
     def __init__(self, order: orders.Order) -> None:
+        self.busy: ids.UpstreamId | None = None
         self.last = _NOWHERE
         self.exclude: set[ids.UpstreamId] = set()
         self.among: frozenset[ids.HostRef] | None = None
@@ -113,7 +117,12 @@
             )
             if choice is None:
                 return course.last
-            attempt = await self._attempt(order, entry, choice)
+            if course.busy == choice.upstream.id:
+                # The keeper takes a second dispatch for the same upstream
+                # only if it left the home later than the refused one.
+                await trio.sleep(_NEXT_UPTIME_S)
+            waits = course.busy is not None or not choice.may_be_busy
+            attempt = await self._attempt(order, entry, choice, waits=waits)
             if _is_final(order, attempt):
                 return await self._settle(order, choice, attempt)
             if not await self._may_retry(order, course, choice, attempt):
@@ -132,6 +141,11 @@
             # agree in a moment, whereas asking at once is in vain.
             await course.wait()
             return True
+        if attempt.dispatched.outcome is Outcome.BUSY:
+            # Nothing ran; the answer told the load, so the next choice is
+            # made by what is true now, and waits for its slot.
+            course.busy = ids.UpstreamId(choice.upstream.id)
+            return True
         course.last = attempt.dispatched
         course.exclude.add(ids.UpstreamId(choice.upstream.id))
         if attempt.source is Source.UNREACHABLE:
@@ -169,9 +183,11 @@
         order: orders.Order,
         entry: stores.ContractEntry,
         choice: port.Choice,
+        *,
+        waits: bool,
     ) -> attempts.Attempt:
         upstream = ids.UpstreamId(choice.upstream.id)
-        message = self._write_dispatch(order, entry, upstream)
+        message = self._write_dispatch(order, entry, upstream, waits=waits)
         timeout_s = order.deadline - trio.current_time() + _ANSWER_MARGIN_S
         self._chooser.begin(order.service, upstream, _REQUEST)
         try:
@@ -194,6 +210,8 @@
         order: orders.Order,
         entry: stores.ContractEntry,
         upstream: ids.UpstreamId,
+        *,
+        waits: bool,
     ) -> work.Dispatch:
         call_class = order.call_class
         left_s = order.deadline - trio.current_time()
@@ -204,6 +222,7 @@
             ids.CallClassName(call_class.name),
             order.request,
             max(1, int(left_s * 1000)),
+            waits=waits,
         )
         if order.ticket is None or order.key is None:
             return plain
@@ -221,6 +240,7 @@
             home=order.key.home,
             home_uptime_ms=self._mint.uptime_ms(),
             ticket_expiry_ms=order.ticket.expiry_ms,
+            waits=waits,
         )
 
 
--- a/persimmonhinge/flows/loads.py
+++ b/persimmonhinge/flows/loads.py
@@ -83,13 +83,27 @@
         service: ids.ServiceName,
         upstream: ids.UpstreamId,
         kind: contracts.CallKind,
+        homes: int = 1,
     ) -> float:
-        """Returns requests running and waiting, or open feeds, by now."""
+        """Returns requests running and waiting, or open feeds, by now.
+
+        Args:
+            service: The service.
+            upstream: Its upstream.
+            kind: REQUEST or FEED.
+            homes: Hosts that choose from the same reports. Guards against
+                a burst of feeds that all hosts open at the one upstream
+                which had the fewest: what this host has opened since the
+                report, each of the others is likely to have opened too.
+        """
         own = self.count_own(service, upstream, kind)
         report = self._reports.get((service, upstream))
         if report is None:
             return own
         if kind is contracts.CallKind.FEED:
-            return max(0, report.load.feeds + own - report.own_feeds)
+            change = own - report.own_feeds
+            if change > 0:
+                change *= homes
+            return max(0, report.load.feeds + change)
         load = report.load.busy + report.load.queued
         return max(0, load + own - report.own_requests)
--- a/persimmonhinge/flows/port.py
+++ b/persimmonhinge/flows/port.py
@@ -45,11 +45,14 @@
         upstream: The upstream.
         keeper: Host that keeps it.
         keeper_ref: The incarnation of that host.
+        may_be_busy: True if the upstream may turn out to have no free slot
+            while another one, which could take the work too, has.
     """
 
     upstream: contracts.Upstream
     keeper: ids.HostId
     keeper_ref: ids.HostRef
+    may_be_busy: bool = False
 
 
 class Chooser(Protocol):
--- a/persimmonhinge/peers/messages/work.py
+++ b/persimmonhinge/peers/messages/work.py
@@ -16,6 +16,7 @@
     UNKNOWN: It may have run.
     NOT_KEEPER: This host does not keep the upstream; it did not run here.
     STALE: Contract revisions differ; it did not run here.
+    BUSY: No slot was free and it was not to wait; it did not run here.
     """
 
     ANSWERED = "answered"
@@ -23,6 +24,7 @@
     UNKNOWN = "unknown"
     NOT_KEEPER = "not-keeper"
     STALE = "stale"
+    BUSY = "busy"
 
 
 class UpstreamLoad(base.Message, array_like=True, frozen=True):
@@ -69,6 +71,7 @@
         home_uptime_ms: Monotonic age of the home's process when it sent
             this, so that the keeper can tell when the ticket expires.
         ticket_expiry_ms: Uptime of the home at which the ticket expires.
+        waits: False if it is to be answered BUSY rather than wait for a slot.
     """
 
     service: ids.ServiceName
@@ -84,6 +87,7 @@
     home: ids.HostRef = ids.HostRef(0)
     home_uptime_ms: int = 0
     ticket_expiry_ms: int = 0
+    waits: bool = True
 
 
 @base.message_kind("dispatched")
--- a/persimmonhinge/policies/choice.py
+++ b/persimmonhinge/policies/choice.py
@@ -1,11 +1,12 @@
-"""Policies that choose an upstream for one piece of work."""
+"""How an upstream is chosen: what the policies share."""
 
 from __future__ import annotations
 
+import abc
 from collections.abc import Sequence
 import dataclasses
 import random
-from typing import Protocol
+from typing import ClassVar
 
 from persimmonhinge import ids
 from persimmonhinge import registry
@@ -34,94 +35,29 @@
         return (self.load + 1) / self.capacity
 
 
-class ChoicePolicy(Protocol):
-    """Chooses one of several candidates."""
-
-    def choose(self, candidates: Sequence[Candidate]) -> Candidate:
-        """Returns one of the candidates, of which there is at least one."""
-
-
-class ChoicePolicyFactory(Protocol):
-    """Makes a policy with its own state and its own random numbers."""
-
-    def __call__(self, randomness: random.Random) -> ChoicePolicy:
-        """Returns a new policy."""
-
-
-choices: registry.Registry[ChoicePolicyFactory] = registry.Registry(
-    "choice policy"
-)
-
-
-@choices.register("random")
-class RandomChoice:
-    """Takes any candidate, blind to load: the plain baseline."""
-
-    def __init__(self, randomness: random.Random) -> None:
-        self._random = randomness
-
-    def choose(self, candidates: Sequence[Candidate]) -> Candidate:
-        """Returns one of the candidates."""
-        return self._random.choice(candidates)
-
-
-@choices.register("round-robin")
-class RoundRobinChoice:
-    """Takes candidates in turn, blind to load."""
-
-    def __init__(self, randomness: random.Random) -> None:
-        # Hosts that all began with the first would load it together.
-        self._next = randomness.randrange(1_000_000)
-
-    def choose(self, candidates: Sequence[Candidate]) -> Candidate:
-        """Returns one of the candidates."""
-        self._next += 1
-        return candidates[self._next % len(candidates)]
+class ChoicePolicy(abc.ABC):
+    """Chooses one of several candidates.
 
+    Attributes:
+        asks: True to ask the chosen upstream's keeper for a slot that is
+            free at once, and to choose again if there is none.
+    """
 
-@choices.register("least-connections")
-class LeastConnectionsChoice:
-    """Takes what has least of this host's own work: one host's sight."""
+    asks: ClassVar[bool] = False
 
     def __init__(self, randomness: random.Random) -> None:
-        self._random = randomness
+        """Makes a policy with its own state.
 
-    def choose(self, candidates: Sequence[Candidate]) -> Candidate:
-        """Returns one of the candidates."""
-        return min(
-            candidates,
-            key=lambda c: ((c.own + 1) / c.capacity, self._random.random()),
-        )
-
-
-@choices.register("least-loaded")
-class LeastLoadedChoice:
-    """Takes the least load as the keepers report it, corrected for age."""
-
-    def __init__(self, randomness: random.Random) -> None:
+        Args:
+            randomness: Source of its random numbers.
+        """
         self._random = randomness
 
+    @abc.abstractmethod
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
-        """Returns one of the candidates."""
-        return min(
-            candidates,
-            key=lambda c: (c.relative_load, self._random.random()),
-        )
-
-
-@choices.register("power-of-two")
-class PowerOfTwoChoice:
-    """Takes the less loaded of two that are drawn by capacity.
-
-    Hosts that share one old report do not all run to the same upstream, as
-    they would if each took the least loaded.
-    """
+        """Returns one of the candidates, of which there is at least one."""
 
-    def __init__(self, randomness: random.Random) -> None:
-        self._random = randomness
 
-    def choose(self, candidates: Sequence[Candidate]) -> Candidate:
-        """Returns one of the candidates."""
-        weights = [candidate.capacity for candidate in candidates]
-        drawn = self._random.choices(candidates, weights, k=2)
-        return min(drawn, key=lambda c: c.relative_load)
+choices: registry.Registry[type[ChoicePolicy]] = registry.Registry(
+    "choice policy"
+)
--- /dev/null
+++ b/persimmonhinge/policies/choice_least_connections.py
@@ -0,0 +1,21 @@
+"""The candidate with least work of this host."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from persimmonhinge.policies import choice
+
+
+@choice.choices.register("least-connections")
+class LeastConnectionsChoice(choice.ChoicePolicy):
+    """Takes what has least of this host's own work: one host's sight."""
+
+    def choose(
+        self, candidates: Sequence[choice.Candidate]
+    ) -> choice.Candidate:
+        """Returns one of the candidates."""
+        return min(
+            candidates,
+            key=lambda c: ((c.own + 1) / c.capacity, self._random.random()),
+        )
--- /dev/null
+++ b/persimmonhinge/policies/choice_least_loaded.py
@@ -0,0 +1,21 @@
+"""The candidate with the least load."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from persimmonhinge.policies import choice
+
+
+@choice.choices.register("least-loaded")
+class LeastLoadedChoice(choice.ChoicePolicy):
+    """Takes the least load as the keepers report it, corrected for age."""
+
+    def choose(
+        self, candidates: Sequence[choice.Candidate]
+    ) -> choice.Candidate:
+        """Returns one of the candidates."""
+        return min(
+            candidates,
+            key=lambda c: (c.relative_load, self._random.random()),
+        )
--- /dev/null
+++ b/persimmonhinge/policies/choice_round_robin.py
@@ -0,0 +1,26 @@
+"""One candidate after the other."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import random
+
+from persimmonhinge.policies import choice
+
+
+@choice.choices.register("round-robin")
+class RoundRobinChoice(choice.ChoicePolicy):
+    """Takes candidates in turn, blind to load."""
+
+    def __init__(self, randomness: random.Random) -> None:
+        """See `ChoicePolicy`."""
+        super().__init__(randomness)
+        # Hosts that all began with the first would load it together.
+        self._next = randomness.randrange(1_000_000)
+
+    def choose(
+        self, candidates: Sequence[choice.Candidate]
+    ) -> choice.Candidate:
+        """Returns one of the candidates."""
+        self._next += 1
+        return candidates[self._next % len(candidates)]
--- a/persimmonhinge/upstreams/slots.py
+++ b/persimmonhinge/upstreams/slots.py
@@ -100,6 +100,9 @@
         """Takes a job in, or finishes it at once as not run."""
         job.cost_s = self.costs.estimate(job.call_class)
         pressure = self._measure(job)
+        if not job.dispatch.waits and not self._starts_now(pressure):
+            job.finish(work.Dispatched(work.Outcome.BUSY))
+            return
         if not self._admit(job, pressure):
             retry_s = admissions.spread_retry_s(pressure, self._randomness)
             job.finish(_refuse("overloaded", retry_s))
@@ -169,6 +172,11 @@
         job.finish(_refuse("dropped from the queue", 0))
         return True
 
+    def _starts_now(self, pressure: admissions.Pressure) -> bool:
+        if len(self._queue) or pressure.free_slots <= 0:
+            return False
+        return trio.current_time() >= self._paused_until
+
     def _admit(self, job: jobs.Job, pressure: admissions.Pressure) -> bool:
         if not self._admission.admits(pressure):
             return False
--- a/tests/test_flows/home_fakes.py
+++ b/tests/test_flows/home_fakes.py
@@ -260,7 +260,12 @@
 class HomeWorld:
     """A home, its fakes, and a caller's hand."""
 
-    def __init__(self, me: ids.HostId = ME, **flows: Any) -> None:
+    def __init__(
+        self,
+        me: ids.HostId = ME,
+        make_chooser: Callable[[views.View], FakeChooser] = FakeChooser,
+        **flows: Any,
+    ) -> None:
         self.view = views.View(make_member(me))
         for host in KEEPERS:
             self.view.put(make_member(host))
@@ -283,7 +288,7 @@
             self.keys,
             self.network,  # type: ignore[arg-type]
             self.answers,
-            FakeChooser(self.view),
+            make_chooser(self.view),
             self.feeds,
             self.counts,
         )
--- /dev/null
+++ b/tests/test_flows/test_flows_loads.py
@@ -0,0 +1,105 @@
+"""Properties of what a host knows of the load of upstreams."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from persimmonhinge import ids
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.flows import loads
+from persimmonhinge.peers.messages import work
+
+_SERVICE = ids.ServiceName("floor-trading")
+_UPSTREAM = ids.UpstreamId("u1")
+_REQUEST = contracts.CallKind.REQUEST
+_FEED = contracts.CallKind.FEED
+_KINDS = strategies.sampled_from([_REQUEST, _FEED])
+
+
+def _report(
+    busy: int = 0, queued: int = 0, feeds: int = 0
+) -> work.UpstreamLoad:
+    return work.UpstreamLoad(_UPSTREAM, 2, busy, queued, feeds)
+
+
+def _estimate(
+    book: loads.LoadBook, kind: contracts.CallKind, homes: int = 1
+) -> float:
+    return book.estimate(_SERVICE, _UPSTREAM, kind, homes)
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(
+    kind=_KINDS,
+    steps=strategies.lists(
+        strategies.sampled_from(["begin", "end", "note"]), max_size=60
+    ),
+)
+def test_estimate_is_exact_while_no_other_host_works(
+    kind: contracts.CallKind, steps: list[str]
+) -> None:
+    """A host alone sees an upstream as fuller or emptier than it is.
+
+    Its own work counts twice, or is taken off twice, around a report.
+    """
+    book = loads.LoadBook()
+    running = 0
+    for step in steps:
+        if step == "begin":
+            running += 1
+            book.begin(_SERVICE, _UPSTREAM, kind)
+        elif step == "end" and running:
+            running -= 1
+            book.end(_SERVICE, _UPSTREAM, kind)
+        elif step == "note":
+            book.note(_SERVICE, _report(running, 0, running))
+        assert _estimate(book, kind) == running
+        assert book.count_own(_SERVICE, _UPSTREAM, kind) == running
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(
+    kind=_KINDS,
+    reported=strategies.integers(0, 9),
+    begun=strategies.integers(0, 9),
+    ended=strategies.integers(0, 9),
+)
+def test_estimate_is_never_negative(
+    kind: contracts.CallKind, reported: int, begun: int, ended: int
+) -> None:
+    book = loads.LoadBook()
+    for _ in range(begun):
+        book.begin(_SERVICE, _UPSTREAM, kind)
+    book.note(_SERVICE, _report(reported, 0, reported))
+    for _ in range(min(begun, ended)):
+        book.end(_SERVICE, _UPSTREAM, kind)
+    assert _estimate(book, kind, homes=6) >= 0
+
+
+def test_queue_counts_as_load_and_feeds_of_other_hosts_too() -> None:
+    book = loads.LoadBook()
+    assert _estimate(book, _FEED) == 0
+    book.note(_SERVICE, _report(busy=2, queued=3, feeds=40))
+    assert _estimate(book, _REQUEST) == 5
+    assert _estimate(book, _FEED) == 40
+    other = ids.ServiceName("grower-intake")
+    assert book.estimate(other, _UPSTREAM, _FEED) == 0
+
+
+def test_feeds_opened_since_the_report_count_for_all_homes() -> None:
+    """All feeds open at the one upstream that had the fewest.
+
+    Boards come on at the same minute on all hosts, which share a report
+    of half a second ago; each adds its own few to it and sees it empty.
+    """
+    book = loads.LoadBook()
+    book.note(_SERVICE, _report(busy=1, feeds=10))
+    for _ in range(2):
+        book.begin(_SERVICE, _UPSTREAM, _FEED)
+        book.begin(_SERVICE, _UPSTREAM, _REQUEST)
+    assert _estimate(book, _FEED, homes=6) == 22
+    assert _estimate(book, _REQUEST, homes=6) == 3
+    book.note(_SERVICE, _report(busy=1, feeds=22))
+    book.end(_SERVICE, _UPSTREAM, _FEED)
+    assert _estimate(book, _FEED, homes=6) == 21
--- /dev/null
+++ b/tests/test_policies/test_policies_choice.py
@@ -0,0 +1,119 @@
+"""Properties of the policies that choose an upstream."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from persimmonhinge import ids
+from persimmonhinge.policies import choice
+
+_LOADS = strategies.integers(0, 6)
+_SEEDS = strategies.integers(0, 99)
+_AWARE = ("least-loaded", "free-slot")
+
+
+@strategies.composite
+def draw_candidates(draw: strategies.DrawFn) -> list[choice.Candidate]:
+    """Returns upstreams as a host may see them."""
+    candidates = []
+    for number in range(draw(strategies.integers(1, 7))):
+        own = draw(_LOADS)
+        candidates.append(
+            _make(number, draw(_LOADS) + own, own, draw(_CAPACITIES))
+        )
+    return candidates
+
+
+_CAPACITIES = strategies.sampled_from([0.04, 0.5, 1.0, 2.0, 3.0])
+
+
+def _make(
+    number: int, load: float, own: float = 0, capacity: float = 2
+) -> choice.Candidate:
+    name = ids.UpstreamId(f"u{number}")
+    return choice.Candidate(name, capacity, load, own)
+
+
+def _new(name: str, seed: int = 1) -> choice.ChoicePolicy:
+    return choice.choices.get(name)(random.Random(seed))
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(
+    candidates=draw_candidates(),
+    name=strategies.sampled_from(choice.choices.names()),
+    seed=_SEEDS,
+)
+def test_each_policy_returns_a_candidate_and_repeats_by_its_seed(
+    candidates: list[choice.Candidate], name: str, seed: int
+) -> None:
+    first, second = _new(name, seed), _new(name, seed)
+    chosen = [first.choose(candidates) for _ in range(20)]
+    assert chosen == [second.choose(candidates) for _ in range(20)]
+    assert all(candidate in candidates for candidate in chosen)
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(candidates=draw_candidates(), seed=_SEEDS)
+def test_policies_that_see_load_take_the_least(
+    candidates: list[choice.Candidate], seed: int
+) -> None:
+    least = min(candidate.relative_load for candidate in candidates)
+    for name in _AWARE:
+        chosen = _new(name, seed).choose(candidates)
+        assert chosen.relative_load == least
+    own = min((c.own + 1) / c.capacity for c in candidates)
+    chosen = _new("least-connections", seed).choose(candidates)
+    assert (chosen.own + 1) / chosen.capacity == own
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(candidates=draw_candidates(), seed=_SEEDS)
+def test_power_of_two_takes_the_worst_only_when_drawn_twice(
+    candidates: list[choice.Candidate], seed: int
+) -> None:
+    hypothesis.assume(len({c.relative_load for c in candidates}) > 1)
+    policy = _new("power-of-two", seed)
+    worst = max(candidate.relative_load for candidate in candidates)
+    hits = sum(
+        policy.choose(candidates).relative_load == worst for _ in range(300)
+    )
+    capacity = sum(candidate.capacity for candidate in candidates)
+    part = sum(c.capacity for c in candidates if c.relative_load == worst)
+    # The square of the chance of one draw, with ample room for chance.
+    assert hits <= 300 * (part / capacity) ** 2 + 60
+
+
+def test_round_robin_takes_each_in_turn() -> None:
+    candidates = [_make(number, number) for number in range(5)]
+    policy = _new("round-robin")
+    chosen = collections.Counter(
+        policy.choose(candidates).upstream for _ in range(50)
+    )
+    assert set(chosen.values()) == {10}
+
+
+def test_equal_candidates_share_the_work() -> None:
+    """All upstreams idle, and every host sends to the first of the contract.
+
+    Candidates stand in the order of the contract, so a minimum without a
+    tie break is the same upstream on all hosts.
+    """
+    candidates = [_make(number, 0) for number in range(4)]
+    for name in choice.choices.names():
+        policy = _new(name)
+        chosen = collections.Counter(
+            policy.choose(candidates).upstream for _ in range(400)
+        )
+        assert min(chosen.get(c.upstream, 0) for c in candidates) >= 50, name
+
+
+def test_distrusted_candidate_is_last_and_yet_taken_when_all_are() -> None:
+    good, bad = _make(1, 5), _make(2, 0, capacity=0.04)
+    assert _new("free-slot").choose([good, bad]) is good
+    worse = _make(3, 1, capacity=0.04)
+    assert _new("free-slot").choose([bad, worse]) is bad
--- /dev/null
+++ b/tests/test_upstreams/test_upstreams_free_slot.py
@@ -0,0 +1,48 @@
+"""Tests of requests that take a free slot or none."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.peers.messages import work
+from tests.support import trios
+from tests.test_upstreams import scene
+
+_RUNS = 2
+
+
+@trios.trio_test
+async def test_full_upstream_says_so_and_may_be_asked_again() -> None:
+    """A reservation runs twice, or at no upstream.
+
+    It was answered BUSY at a full upstream, and its home goes elsewhere or
+    comes back. A copy of the first dispatch, out of a broken link, must not
+    run; a later dispatch must.
+    """
+    standins = scene.open_standin(run_time_ms=300.0)
+    async with scene.open_scene() as here, standins as standin:
+        contract = scene.make_contract({"u1": standin.port})
+        here.store.offer(scene.make_record(contract, 1))
+        async with trio.open_nursery() as nursery:
+            for number in range(_RUNS):
+                dispatch = scene.make_dispatch(number=number)
+                nursery.start_soon(here.ask, dispatch)
+            while not _is_full(here):
+                await trio.sleep(0.001)
+            first = scene.make_dispatch(number=9, waits=False)
+            answer = await here.ask(first)
+            assert answer.outcome is work.Outcome.BUSY
+            assert answer.load.busy == _RUNS
+        copy = await here.ask(msgspec.structs.replace(first, waits=True))
+        assert copy.outcome is work.Outcome.NOT_RUN
+        again = await here.ask(scene.make_dispatch(number=9, waits=False))
+        assert again.outcome is work.Outcome.ANSWERED
+        runs = [line["key"] for line in standin.read_log()]
+    assert runs.count("key-9") == 1
+    assert answer.load.upstream == ids.UpstreamId("u1")
+
+
+def _is_full(here: scene.Scene) -> bool:
+    return any(load.busy == _RUNS for load in here.keepers.loads())
