Prove that a new ticket key waits for all hosts

With the wait taken out, the test of rotations under load passes, as news of a ring is everywhere within milliseconds; this one cuts a domain off first.

--- a/tests/test_integration/test_integration_control_keys.py
+++ b/tests/test_integration/test_integration_control_keys.py
@@ -72,6 +72,39 @@
     assert "with-a-retired-key" not in [line.key for line in ran]
 
 
+@trios.trio_test
+async def test_new_key_mints_only_when_all_hosts_know_it() -> None:
+    """After a rotation, one failure domain refuses the tickets of others.
+
+    It was cut off while the new key was made. The key must not mint before
+    the cut heals and all hosts hold it; the operator is told whom it waits
+    for, and the same command goes on from there. Cause: a key that mints as
+    soon as it is written.
+    """
+    async with cut_deployment.run_cut_deployment(
+        control_plans.make_plan()
+    ) as deployment:
+        north = deployment.names("north")
+        others = deployment.names("middle", "south")
+        await deployment.pages.wait_sees(deployment.names(), [*north, *others])
+        await deployment.cut_both_ways(north, others)
+        await deployment.cut_platform("north")
+        held = await deployment.ctl(
+            "keys", "rotate", "--wait", "1", check=False
+        )
+        early = await control_plans.read_json(deployment, "keys", "list")
+        await deployment.heal()
+        await deployment.ctl("keys", "rotate")
+        later = await control_plans.read_json(deployment, "keys", "list")
+        async with buyers.run_buyers(deployment, _SERVICE) as callers:
+            await callers.wait_answered(30)
+    assert held.returncode == exits.ExitCode.NOT_IN_FORCE, held
+    assert all(name in held.stderr.decode() for name in north)
+    assert [key["state"] for key in early["keys"]] == ["current", "next"]
+    assert [key["state"] for key in later["keys"]] == ["former", "current"]
+    assert not callers.causes(), callers.causes()
+
+
 @trios.trio_test
 async def test_secrets_are_in_no_log_status_or_metric() -> None:
     """Whoever reads a log or a status page can forge tickets or heartbeats.
