Test what callers of feeds are told, and homes that change

Each test of a failure tells its story: a caller that is gone, a price that comes back, no upstream left, a home that dies half way through a hand-over, a home taken for dead that lives, a keeper whose link stays open, a view that flaps.

--- /dev/null
+++ b/tests/test_flows/test_flows_feeds_callers.py
@@ -0,0 +1,177 @@
+"""Tests of what callers of feeds are told, and of callers that go away."""
+
+from __future__ import annotations
+
+import aiocoap
+import trio
+
+from persimmonhinge.coap import codec
+from persimmonhinge.flows.feeds import limits
+from persimmonhinge.peers.messages import feeds as messages
+from tests.support import trios
+from tests.test_flows import feeds_fakes
+
+_QUICK_S = 0.05
+FLOW = feeds_fakes.FLOW
+
+
+def _set_end(world: feeds_fakes.World, end: messages.FeedEnd | None) -> None:
+    for upstream in world.upstreams.values():
+        upstream.end = end
+
+
+@trios.clock_test
+async def test_feeds_remove_a_caller_that_acknowledges_nothing() -> None:
+    """A buyer's device loses power; nothing tells the home.
+
+    Its feed would hold a connection of an upstream for good. The first
+    notification asks for an acknowledgement; four repetitions, with the
+    newest price, get none (RFC 7641, 4.5).
+    """
+    async with feeds_fakes.run_world() as world:
+        world.caller.acknowledges = False
+        world.home().register()
+        await trio.sleep(_QUICK_S)
+        for tick in range(1, 101):
+            world.publish(tick)
+            await trio.sleep(1)
+        confirmable = [
+            m for m in world.caller.messages if m.mtype is aiocoap.CON
+        ]
+        assert len(confirmable) == 1 + limits.MAX_RETRANSMIT
+        assert len({m.mid for m in confirmable}) == len(confirmable)
+        observed = [m.opt.observe for m in confirmable]
+        assert observed == sorted(set(observed))
+        assert world.count_feeds() == world.count_streams() == 0
+        assert world.home().chooser.open == 0
+
+
+@trios.clock_test
+async def test_feeds_keep_a_caller_that_acknowledges() -> None:
+    async with feeds_fakes.run_world() as world:
+        world.home().register()
+        for tick in range(1, 101):
+            await trio.sleep(1)
+            world.publish(tick)
+        kinds = [m.mtype for m in world.caller.messages]
+        assert kinds.count(aiocoap.CON) == 5
+        assert world.count_feeds() == 1
+
+
+@trios.clock_test
+async def test_feeds_end_by_reset_and_renew_by_token() -> None:
+    async with feeds_fakes.run_world() as world:
+        home = world.home()
+        home.register()
+        await trio.sleep(_QUICK_S)
+        home.register()
+        assert world.caller.last().payload == b'{"tick": 0}'
+        assert world.count_feeds() == world.count_streams() == 1
+        assert not home.feeds.reset(FLOW, 60_000)
+        assert home.feeds.reset(FLOW, world.caller.last().mid)
+        await trio.sleep(_QUICK_S)
+        assert world.count_feeds() == world.count_streams() == 0
+
+
+@trios.clock_test
+async def test_feeds_pass_on_a_price_that_comes_back() -> None:
+    """A price goes up and down again.
+
+    Its digest is among the recent ones: dropped as a repeat, it would leave
+    the buyer with the wrong price until the next change.
+    """
+    async with feeds_fakes.run_world() as world:
+        world.home().register()
+        await trio.sleep(_QUICK_S)
+        for tick in (1, 2, 1, 2, 2, 1):
+            world.publish(tick)
+            await trio.sleep(_QUICK_S)
+        assert world.caller.ticks == [0, 1, 2, 1, 2, 1]
+        await trio.sleep(31)
+        world.publish(1)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.ticks[-2:] == [1, 1], "would become stale"
+
+
+@trios.clock_test
+async def test_feeds_refuse_at_once_when_all_upstreams_refuse() -> None:
+    async with feeds_fakes.run_world() as world:
+        refused = messages.FeedEnd(messages.FeedEndCause.REFUSED)
+        _set_end(world, refused)
+        world.home().register()
+        await trio.sleep(_QUICK_S)
+        answer = world.caller.last()
+        assert answer.code is aiocoap.SERVICE_UNAVAILABLE
+        assert answer.opt.observe is None
+        assert answer.opt.max_age >= limits.REFUSED_RETRY_S
+        assert len(world.caller.messages) == 1
+        assert world.count_feeds() == 0
+
+
+@trios.clock_test
+async def test_feeds_tell_the_caller_when_no_upstream_is_left() -> None:
+    """All upstreams of a service go away, for less and for more than 8 s.
+
+    Within the deadline of the call class the feed goes on by itself; after
+    it the buyer is told, rather than left with a feed that stands still.
+    """
+    for outage_s in (6, 10):
+        async with feeds_fakes.run_world() as world:
+            world.home().register()
+            await trio.sleep(_QUICK_S)
+            keepers = {u.keeper for u in world.upstreams.values()}
+            world.down |= keepers
+            for upstream in world.upstreams.values():
+                upstream.cut()
+            await trio.sleep(outage_s)
+            world.down -= keepers
+            world.publish(1)
+            await trio.sleep(3)
+            if outage_s < 8:
+                assert world.caller.ticks == [0, 1]
+                continue
+            answer = world.caller.last()
+            assert answer.code is aiocoap.SERVICE_UNAVAILABLE
+            assert answer.opt.observe is None and answer.opt.max_age
+            assert world.count_feeds() == world.count_streams() == 0
+
+
+@trios.clock_test
+async def test_feeds_pass_on_an_answer_that_is_final() -> None:
+    async with feeds_fakes.run_world() as world:
+        missing = codec.Message(code=aiocoap.NOT_FOUND)
+        missing.mtype, missing.mid = aiocoap.NON, 0
+        cause = messages.FeedEndCause.REFUSED
+        _set_end(world, messages.FeedEnd(cause, codec.encode(missing)))
+        world.home().register()
+        await trio.sleep(_QUICK_S)
+        assert world.caller.last().code is aiocoap.NOT_FOUND
+        opened = [s for u in world.upstreams.values() for s in u.streams]
+        assert len(opened) == 1
+
+
+@trios.clock_test
+async def test_feeds_end_with_their_contract() -> None:
+    async with feeds_fakes.run_world() as world:
+        world.home().register()
+        await trio.sleep(_QUICK_S)
+        world.delete_contract()
+        await trio.sleep(_QUICK_S)
+        assert world.caller.last().code is aiocoap.SERVICE_UNAVAILABLE
+        assert world.caller.last().opt.observe is None
+        assert world.count_feeds() == world.count_streams() == 0
+
+
+@trios.clock_test
+async def test_feeds_cut_large_states_into_blocks() -> None:
+    async with feeds_fakes.run_world() as world:
+        world.publish(10**3000)
+        world.home().register()
+        await trio.sleep(_QUICK_S)
+        first = world.caller.last()
+        assert len(first.payload) == limits.BLOCK_OCTETS
+        assert first.opt.block2.more and first.opt.etag
+        request = world.caller.make_get(observe=None)
+        whole = world.home().feeds.read_state(FLOW, request)
+        assert whole is not None and len(whole.payload) > 3000
+        assert whole.opt.etag == first.opt.etag
--- /dev/null
+++ b/tests/test_flows/test_flows_feeds_homes.py
@@ -0,0 +1,193 @@
+"""Tests of feeds whose home or keeper changes."""
+
+from __future__ import annotations
+
+import aiocoap
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.flows.feeds import limits
+from persimmonhinge.peers.messages import feeds as messages
+from tests.support import trios
+from tests.test_flows import feeds_fakes
+
+_QUICK_S = 0.05
+_HOSTS = ("h1", "h2", "h3")
+State = feeds_fakes.State
+
+
+async def _open(world: feeds_fakes.World) -> feeds_fakes.Host:
+    home = world.home()
+    home.register()
+    await trio.sleep(_QUICK_S)
+    return home
+
+
+@trios.clock_test
+async def test_feeds_are_handed_over_by_a_host_that_leaves() -> None:
+    async with feeds_fakes.run_world(*_HOSTS) as world:
+        home = await _open(world)
+        await world.spread_member(home.name, State.LEAVING)
+        await home.feeds.leave()
+        assert home.feeds.count() == 0
+        world.publish(1)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.ticks == [0, 1]
+        assert world.caller.sent_by[-1] != home.name
+        assert world.count_feeds() == world.count_streams() == 1
+
+
+@trios.clock_test
+async def test_feeds_of_the_last_host_are_told_that_it_leaves() -> None:
+    async with feeds_fakes.run_world() as world:
+        home = await _open(world)
+        await home.feeds.leave()
+        assert world.caller.last().code is aiocoap.SERVICE_UNAVAILABLE
+        assert home.feeds.count() == 0
+
+
+@trios.clock_test
+async def test_feeds_go_on_when_the_former_home_dies_half_way() -> None:
+    """A home dies between the two messages of a hand-over.
+
+    Its successor has the feed open but sends nothing, waiting for the second
+    message; the buyer would see a feed that stands still for good.
+    """
+    async with feeds_fakes.run_world(*_HOSTS) as world:
+        home = await _open(world)
+        (stream,) = [
+            s for u in world.upstreams.values() for s in u.open_streams()
+        ]
+        heir = next(h for h in world.live_hosts() if h is not home)
+        assert await stream.hand_over(heir, prepares=True)
+        home.stop_at_once()
+        world.publish(1)
+        await trio.sleep(limits.PREPARED_S / 2)
+        assert world.caller.ticks == [0]
+        await trio.sleep(limits.PREPARED_S)
+        assert world.caller.ticks == [0, 1]
+
+
+@trios.clock_test
+async def test_feeds_say_the_newest_state_again_after_a_home_died() -> None:
+    """A keeper pushed a price, and the home died before it sent it.
+
+    For the keeper the buyer has had it; taken at its word, the new home
+    would leave the buyer with the older price until the next change.
+    """
+    async with feeds_fakes.run_world(*_HOSTS) as world:
+        home = await _open(world)
+        (stream,) = [
+            s for u in world.upstreams.values() for s in u.open_streams()
+        ]
+        home.stop_at_once()
+        stream.closed = False
+        world.publish(1)
+        heir = next(h for h in world.live_hosts() if h is not home)
+        assert await stream.hand_over(heir)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.ticks == [0, 1]
+
+
+@trios.clock_test
+async def test_feeds_of_two_homes_become_one() -> None:
+    """A keeper takes a home for dead that lives, as in a one-way cut.
+
+    The buyer gets prices from two hosts. Numbers only grow, so that each
+    price is taken once, and when views agree one home is left.
+    """
+    async with feeds_fakes.run_world(*_HOSTS) as world:
+        home = await _open(world)
+        (stream,) = [
+            s for u in world.upstreams.values() for s in u.open_streams()
+        ]
+        heir = next(h for h in world.live_hosts() if h is not home)
+        assert await stream.hand_over(heir)
+        world.publish(1)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.ticks == [0, 0, 1]
+        await trio.sleep(2 * limits.HANDOVER_RETRY_S)
+        assert world.count_feeds() == world.count_streams() == 1
+        world.publish(2)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.ticks == [0, 0, 1, 2]
+
+
+@trios.clock_test
+async def test_feeds_move_when_their_keeper_is_dead_in_the_view() -> None:
+    """A keeper dies, and its link stays open without a word.
+
+    Nothing arrives and nothing fails; the buyer would see a feed that
+    stands still. The death in the view ends the stream.
+    """
+    async with feeds_fakes.run_world() as world:
+        home = await _open(world)
+        for upstream in world.upstreams.values():
+            # In the view, but not a host that may be home.
+            keeper = feeds_fakes.make_member(upstream.keeper, State.LEAVING)
+            home.view.put(keeper)
+        await trio.sleep(_QUICK_S)
+        (old,) = [u for u in world.upstreams.values() if u.open_streams()]
+        world.down.add(old.keeper)
+        dead = feeds_fakes.make_member(old.keeper, State.DEAD)
+        home.view.put(dead)
+        await trio.sleep(1)
+        world.publish(1)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.ticks == [0, 1]
+
+
+@trios.clock_test
+async def test_feeds_stay_where_a_view_only_flaps() -> None:
+    """A host is suspected dead and refutes it within a second.
+
+    Without a time to settle its feeds would move to and fro.
+    """
+    async with feeds_fakes.run_world(*_HOSTS) as world:
+        home = await _open(world)
+        for state in (State.LEAVING, State.ALIVE):
+            await world.spread_member(home.name, state)
+        await trio.sleep(2 * limits.SETTLE_S)
+        assert home.feeds.count() == world.count_feeds() == 1
+        assert home.counts.sum("feeds_handed_over_total") == 0
+
+
+@trios.clock_test
+async def test_feeds_are_reported_to_their_keeper() -> None:
+    async with feeds_fakes.run_world() as world:
+        await _open(world)
+        (upstream,) = [u for u in world.upstreams.values() if u.streams]
+        for tick in range(1, 2 * limits.ACK_EVENTS):
+            world.publish(tick)
+            await trio.sleep(0.01)
+        (stream,) = upstream.open_streams()
+        assert len(stream.acks) == 2
+        await trio.sleep(2 * limits.ACK_INTERVAL_S)
+        assert stream.acks[-1].sequence == stream.sequence
+        assert stream.acks[-1].recent[-1:] == (stream.recent[-4:],)
+
+
+@trios.clock_test
+async def test_feeds_rebalance_moves_no_more_than_asked() -> None:
+    async with feeds_fakes.run_world() as world:
+        home = await _open(world)
+        (old,) = [u for u in world.upstreams if world.upstreams[u].streams]
+        upstream = ids.UpstreamId(old)
+        service = feeds_fakes.SERVICE
+        assert await home.feeds.move(service, upstream, 0) == 0
+        assert await home.feeds.move(service, upstream, 5) == 1
+        await trio.sleep(_QUICK_S)
+        assert not world.upstreams[old].open_streams()
+        refused = messages.FeedEnd(messages.FeedEndCause.REFUSED)
+        for other in world.upstreams.values():
+            other.end = refused
+        assert sum(
+            [
+                await home.feeds.move(service, ids.UpstreamId(name), 1)
+                for name in world.upstreams
+            ]
+        )
+        await trio.sleep(_QUICK_S)
+        world.publish(1)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.ticks == [0, 1]
