Send nothing to upstreams right after a pause until a peer told what is new

A keeper was stopped by SIGSTOP with packets in its sockets, an upstream's address moved to another service meanwhile, and the keeper woke: it sent three packets of the floor to the intake's upstream within the first milliseconds, by its old contract. Ruled out: the quarantine of a moved address, which counts from the moment a host hears of the move, and the check of each datagram, which asks the same old contract. A woken host can't know what changed; so it compares the clock with its own last tick before each packet, and after a gap of more than 1 s holds work (STALE, nothing ran) until a peer that is itself up to date has answered an exchange that began after the pause, or for 3 s if nobody does, so that a domain that is cut off goes on.

--- a/persimmonhinge/contracts/spread.py
+++ b/persimmonhinge/contracts/spread.py
@@ -11,6 +11,7 @@
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.contracts import differences as difference_logs
+from persimmonhinge.contracts import freshness as freshness_parts
 from persimmonhinge.contracts import partners as partner_choice
 from persimmonhinge.contracts import records as record_sets
 from persimmonhinge.metrics import counts as host_counts
@@ -76,12 +77,16 @@
 
     async def run(self) -> None:
         """Exchanges with one other host again and again."""
-        while True:
-            await self._exchange_with_any()
-            interval_s = _INTERVAL_S if self.ready() else _FIRST_INTERVAL_S
-            await trio.sleep(
-                interval_s * self._random.uniform(1 - _JITTER, 1 + _JITTER)
-            )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._tick)
+            while True:
+                await self._exchange_with_any()
+                interval_s = (
+                    _INTERVAL_S if self._is_up_to_date() else _FIRST_INTERVAL_S
+                )
+                await trio.sleep(
+                    interval_s * self._random.uniform(1 - _JITTER, 1 + _JITTER)
+                )
 
     def publish(self, news: control.Knowledge, source: str) -> None:
         """Passes records on that this host has just taken in.
@@ -95,6 +100,16 @@
         for host in self._partners.pick_for_push(exclude=source):
             self._send(host, news)
 
+    async def _tick(self) -> None:
+        """Shows that this process runs, so that a pause is noticed."""
+        while True:
+            self._records.contracts.freshness.tick()
+            await trio.sleep(freshness_parts.TICK_INTERVAL_S)
+
+    def _is_up_to_date(self) -> bool:
+        """Tells whether other hosts may rely on what this one knows."""
+        return self.ready() and self._records.contracts.freshness.is_current()
+
     async def _exchange_with_any(self) -> None:
         for host in self._partners.pick_for_exchange():
             try:
@@ -105,8 +120,10 @@
                 logger.debug("Exchange failed: %s", error)
 
     async def _exchange(self, host: ids.HostId) -> None:
+        freshness = self._records.contracts.freshness
+        asked_at = freshness.now()
         mine = self._records.digest()
-        question = control.KnowledgeDigest(mine, self.ready())
+        question = control.KnowledgeDigest(mine, self._is_up_to_date())
         answer = await self._call(host, question, control.KnowledgeDigest)
         if answer.digest == mine:
             self._differences.clear(host)
@@ -114,6 +131,7 @@
             await self._reconcile(host)
         if answer.ready:
             self._ready.set()
+            freshness.confirm(asked_at)
         self._exchanged.set()
 
     async def _reconcile(self, host: ids.HostId) -> None:
@@ -154,7 +172,9 @@
     async def _answer_digest(
         self, caller: networks.Caller, message: control.KnowledgeDigest
     ) -> control.KnowledgeDigest:
-        answer = control.KnowledgeDigest(self._records.digest(), self.ready())
+        answer = control.KnowledgeDigest(
+            self._records.digest(), self._is_up_to_date()
+        )
         self._count(answer)
         return answer
 
--- a/persimmonhinge/contracts/store.py
+++ b/persimmonhinge/contracts/store.py
@@ -13,6 +13,7 @@
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.contracts import freshness as freshness_parts
 from persimmonhinge.contracts import owners as address_owners
 from persimmonhinge.contracts import quarantine as quarantines
 from persimmonhinge.peers.messages import control
@@ -38,10 +39,12 @@
 
     Attributes:
         changed: Announced at each record that is taken in.
+        freshness: Whether they may be acted on after a pause.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self.changed = changes.ChangeSignal()
+        self.freshness = freshness_parts.Freshness(clock)
         self._records: dict[ids.ServiceName, control.ContractRecord] = {}
         self._entries: dict[ids.ServiceName, ContractEntry] = {}
         self._owners = address_owners.AddressOwners()
@@ -112,12 +115,27 @@
     ) -> bool:
         """Tells whether work of a service may go to an upstream address.
 
-        It may not if the address belongs to another service, or if it left
-        another one less than `quarantine.IN_FORCE_LIMIT_S` ago.
+        It may not if the address belongs to another service, if it left
+        another one less than `quarantine.IN_FORCE_LIMIT_S` ago, or if this
+        host stood still and has not asked since what is new.
         """
         if self._owners.get(address) != service:
             return False
-        return not self._quarantine.holds(address, service)
+        if self._quarantine.holds(address, service):
+            return False
+        return self.freshness.is_current()
+
+    def may_send(
+        self, service: ids.ServiceName, address: contracts.Address
+    ) -> bool:
+        """Tells whether a packet of work under way may go to an upstream.
+
+        Work goes on to its end after the contract dropped the address, but
+        not once it belongs to another service, nor right after a pause.
+        """
+        if self._owners.get(address) not in (None, service):
+            return False
+        return self.freshness.is_current()
 
     def _assign_addresses(
         self,
--- a/persimmonhinge/upstreams/endpoints.py
+++ b/persimmonhinge/upstreams/endpoints.py
@@ -84,5 +84,4 @@
         self.close_idle()
 
     def _may_send(self) -> bool:
-        owner = self._context.contracts.owner_of(self._address)
-        return owner in (None, self._service)
+        return self._context.contracts.may_send(self._service, self._address)
