Tell a contract apart that has another's revision

Found while proving a restored platform: it went back by one change, the next one got the revision that hosts already held, they kept the former contract, as they must keep one of the two, and the command line said "in force" with code 0. Ruled out: a status read too early; it stayed so. Cause: revisions compared by number alone. Hosts now show a hash of each contract and the command line compares it where the numbers are equal; such a host shows as `other`, the command ends with 5, and any change of the contract gets a new revision. A host that shows no hash is judged by number, as before.

--- a/persimmonhinge/contracts/reading.py
+++ b/persimmonhinge/contracts/reading.py
@@ -38,7 +38,7 @@
     revision = ids.Revision(event.mod_revision)
     if name.startswith(keys.CONTRACTS):
         service = ids.ServiceName(name.removeprefix(keys.CONTRACTS))
-        body = _read_contract(service, event.value)
+        body = read_contract(service, event.value)
         return control.ContractRecord(service, revision, body)
     if name.startswith(keys.HOST_DRAINS):
         host = ids.HostId(name.removeprefix(keys.HOST_DRAINS))
@@ -50,7 +50,12 @@
     return None
 
 
-def _read_contract(service: ids.ServiceName, value: bytes | None) -> bytes:
+def read_contract(service: str, value: bytes | None) -> bytes:
+    """Returns a contract as it was written; empty for a delete.
+
+    Raises:
+        ContractError: The value is not a stored contract.
+    """
     if value is None:
         return b""
     try:
--- a/persimmonhinge/contracts/version.py
+++ b/persimmonhinge/contracts/version.py
@@ -10,7 +10,9 @@
 from persimmonhinge import config
 from persimmonhinge import errors
 from persimmonhinge import ids
+from persimmonhinge.contracts import body_digest
 from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.contracts import reading
 from persimmonhinge.contracts import stored as stored_contracts
 from persimmonhinge.platform import port
 
@@ -22,10 +24,12 @@
     Attributes:
         stored: The contract, and who wrote it.
         revision: Its revision.
+        digest: Hash of the contract as it was written.
     """
 
     stored: stored_contracts.StoredContract
     revision: ids.Revision
+    digest: str
 
     @property
     def contract(self) -> contracts.Contract:
@@ -52,7 +56,12 @@
         raise errors.ContractError(
             config.describe(error), step="read stored contract", peer=pair.key
         ) from error
-    return ContractVersion(stored, ids.Revision(pair.mod_revision))
+    body = reading.read_contract(pair.key, pair.value)
+    return ContractVersion(
+        stored,
+        ids.Revision(pair.mod_revision),
+        body_digest.compute_digest(body),
+    )
 
 
 def to_document(contract: contracts.Contract) -> dict[str, Any]:
--- a/persimmonhinge/ctl/goals.py
+++ b/persimmonhinge/ctl/goals.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.contracts import audit
@@ -21,7 +23,7 @@
     """
     try:
         version = await session.contracts.get(service)
-        return rollouts.Goal(service, version.revision)
+        return rollouts.Goal(service, version.revision, digest=version.digest)
     except errors.ContractError:
         async for record in session.trail.read_backwards():
             deletes = record.action is audit.AuditAction.DELETE_CONTRACT
@@ -30,15 +32,17 @@
         raise
 
 
-async def find_newest(
-    session: sessions.Session, service: ids.ServiceName
-) -> int:
-    """Returns the newest revision of a contract in the platform, 0 for none.
+async def add_newest(
+    session: sessions.Session, goal: rollouts.Goal
+) -> rollouts.Goal:
+    """Returns a goal with what the platform now has of the contract.
 
     Raises:
         PlatformError: The platform failed.
     """
     try:
-        return (await find_goal(session, service)).revision
+        found = await find_goal(session, ids.ServiceName(goal.service))
     except errors.ContractError:
-        return 0
+        return dataclasses.replace(goal, newest=0)
+    digest = found.digest if found.revision == goal.revision else ""
+    return dataclasses.replace(goal, newest=found.revision, digest=digest)
--- a/persimmonhinge/ctl/host_status.py
+++ b/persimmonhinge/ctl/host_status.py
@@ -45,6 +45,8 @@
         state: What it believes of itself: `alive` or `leaving`.
         ready: True if it serves what its contracts name.
         contracts: Revision of each contract it holds, deleted ones too.
+        contract_digests: Hash of each contract that it holds; none from an
+            older host.
         key_revision: Revision of the ticket keys it holds.
         key_age_s: Seconds since it took them in; None if it does not tell.
         members: The hosts that it knows.
@@ -58,6 +60,7 @@
     state: str
     ready: bool
     contracts: dict[str, int] = {}
+    contract_digests: dict[str, str] = {}
     key_revision: int = 0
     key_age_s: float | None = None
     members: tuple[MemberStatus, ...] = ()
--- a/persimmonhinge/ctl/rollout.py
+++ b/persimmonhinge/ctl/rollout.py
@@ -16,12 +16,15 @@
     IN_FORCE: It holds it, or a newer one.
     AHEAD: It holds one newer than any in the platform, which was restored
         from an older copy; the host refuses what the platform has.
+    OTHER: It holds another contract at this revision, which a platform that
+        was restored from an older copy gave a second time.
     BEHIND: It answers and holds an older one, or none.
     NO_ANSWER: It gave no answer; what it holds is not known.
     """
 
     IN_FORCE = "in-force"
     AHEAD = "ahead"
+    OTHER = "other"
     BEHIND = "behind"
     NO_ANSWER = "no-answer"
 
@@ -36,6 +39,7 @@
         newest: Newest revision of it that the platform has; it is read after
             the hosts were asked, so that no host is ahead of it by a change
             in between. None if it was not read.
+        digest: Hash of the contract in the platform; empty if not known.
         is_deleted: True for a delete: a host that started later, and never
             knew the contract, is in line with it.
     """
@@ -43,6 +47,7 @@
     service: str
     revision: int
     newest: int | None = None
+    digest: str = ""
     is_deleted: bool = False
 
 
@@ -129,6 +134,11 @@
         )
     held = report.status.contracts.get(goal.service)
     state = _compare(goal, held)
+    digest = report.status.contract_digests.get(goal.service, goal.digest)
+    # Guards against a change reported as in force where hosts hold another
+    # contract under its number: of two at one revision they all keep one.
+    if held == goal.revision and goal.digest and digest != goal.digest:
+        state = HoldState.OTHER
     return HostRevision(report.name, report.domain, held, state)
 
 
--- a/persimmonhinge/ctl/status_commands.py
+++ b/persimmonhinge/ctl/status_commands.py
@@ -115,7 +115,12 @@
 ) -> rollouts.Goal:
     service = version.contract.service
     revisions = (v.revision for v in newest if v.contract.service == service)
-    return rollouts.Goal(service, version.revision, next(revisions, None))
+    return rollouts.Goal(
+        service,
+        version.revision,
+        next(revisions, None),
+        digest=version.digest,
+    )
 
 
 async def _explain(
--- a/persimmonhinge/ctl/waiting.py
+++ b/persimmonhinge/ctl/waiting.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import dataclasses
 
 import trio
 
-from persimmonhinge import ids
 from persimmonhinge.ctl import exits
 from persimmonhinge.ctl import goals
 from persimmonhinge.ctl import host_client
@@ -58,8 +56,7 @@
         limit_s,
         lambda answers: rollouts.compute(goal, answers).is_complete,
     )
-    newest = await goals.find_newest(session, ids.ServiceName(goal.service))
-    goal = dataclasses.replace(goal, newest=newest)
+    goal = await goals.add_newest(session, goal)
     return rollouts.compute(goal, reports)
 
 
@@ -80,6 +77,13 @@
             for h in rollout.hosts
         ],
     )
+    other = rollout.count(rollouts.HoldState.OTHER)
+    if other:
+        session.printer.show_note(
+            f"warning: {other} hosts hold another contract of "
+            f"{rollout.service} at this revision, which the platform gave "
+            "twice; apply it again with any change"
+        )
     ahead = rollout.count(rollouts.HoldState.AHEAD)
     if ahead:
         session.printer.show_note(
--- a/persimmonhinge/status/document.py
+++ b/persimmonhinge/status/document.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from persimmonhinge import ids
+from persimmonhinge.contracts import body_digest
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.contracts import control as controls
 from persimmonhinge.contracts import store as stores
@@ -46,6 +47,11 @@
             "state": me.state.value,
             "ready": ready,
             "contracts": self._contracts.revisions(),
+            "contract_digests": {
+                record.service: body_digest.compute_digest(record.body)
+                for record in self._contracts.records()
+                if record.body
+            },
             "key_revision": self._keys.record.revision,
             "key_age_s": self._keys.age_s(),
             "control": msgspec.to_builtins(self._control.report()),
--- a/tests/test_ctl/test_ctl_contract.py
+++ b/tests/test_ctl/test_ctl_contract.py
@@ -218,6 +218,22 @@
     assert "restored from an older copy" in done.errors
 
 
+@trios.trio_test
+async def test_other_contract_at_the_same_revision_is_not_in_force() -> None:
+    async with platform_ctl.run_ctl() as ctl:
+        path = ctl.write("floor.yaml", make_document())
+        async with platform_ctl.run_hosts(ctl, "one") as (host,):
+            done = await ctl.run("contract", "apply", path)
+            host.status["contracts"]["floor"] = done.read()["revision"]
+            older = await ctl.run("contract", "rollout", "floor")
+            host.status["contract_digests"] = {"floor": "of another text"}
+            other = await ctl.run("contract", "rollout", "floor")
+            status = await ctl.run("status")
+    assert (older.code, other.code, status.code) == (0, 5, 5)
+    assert other.read()["hosts"][0]["state"] == "other"
+    assert "which the platform gave twice" in other.errors
+
+
 @trios.trio_test
 async def test_outage_after_a_change_does_not_look_like_one_before_it() -> None:
     """An operator is told "nothing changed", though the change is made.
--- a/tests/test_integration/test_integration_control_contracts.py
+++ b/tests/test_integration/test_integration_control_contracts.py
@@ -129,6 +129,36 @@
     assert newest > held
 
 
+@trios.trio_test
+async def test_contract_under_a_revision_given_twice_is_told_apart() -> None:
+    """An operator is told "in force", and the hosts work by another contract.
+
+    The platform goes back by exactly one change, and the next one gets the
+    same revision. All hosts keep one of the two; if it is the former one,
+    the command line must say so. Cause: revisions compared by number alone.
+    """
+    async with cut_deployment.run_cut_deployment(
+        control_plans.make_plan()
+    ) as deployment:
+        hosts = deployment.names()
+        await deployment.platform.take_copy()
+        # Of two at one revision hosts keep the greater text.
+        held = await _apply(deployment, 19)
+        await deployment.pages.wait_holds(hosts, _SERVICE, held)
+        await deployment.platform.restore()
+        again = await _apply(deployment, 12)
+        refused = await deployment.ctl(
+            "contract", "rollout", _SERVICE, check=False
+        )
+        newest = await _apply(deployment, 13)
+        await deployment.pages.wait_holds(hosts, _SERVICE, newest)
+        good = await deployment.ctl("contract", "rollout", _SERVICE)
+    assert again == held
+    assert refused.returncode == exits.ExitCode.NOT_IN_FORCE, refused
+    assert b"other" in refused.stdout
+    assert good.returncode == exits.ExitCode.OK
+
+
 async def _wait_went_back(deployment: cut_deployment.CutDeployment) -> None:
     cause = "control_platform_failures_total{cause=went-back}"
     await deployment.pages.wait(
