--- a/persimmonhinge/flows/feeds/seam.py
+++ b/persimmonhinge/flows/feeds/seam.py
@@ -49,7 +49,7 @@
             self._compare(feed, event)
         elif feed.candidate is source:
             self._take_from_candidate(source, event)
-        # Else a late event of a former upstream: it would step back.
+        # Else it is a late event of a former upstream, which is passed over.
 
     def lose(self, source: sources.Source) -> None:
         """Notes that an upstream serves its feed no more."""
--- a/tests/test_flows/test_flows_feeds_homes.py
+++ b/tests/test_flows/test_flows_feeds_homes.py
@@ -132,11 +132,37 @@
         dead = feeds_fakes.make_member(old.keeper, State.DEAD)
         home.view.put(dead)
         await trio.sleep(1)
+        assert not old.open_streams()
         world.publish(1)
         await trio.sleep(_QUICK_S)
         assert world.caller.ticks == [0, 1]
 
 
+@trios.clock_test
+async def test_feeds_away_from_home_ask_for_no_acknowledgement() -> None:
+    """The home of a flow moves to a host that this one can't reach.
+
+    Other hosts bring the caller's acknowledgements there. The buyer, who is
+    well and acknowledges all, would be taken for gone.
+    """
+    async with feeds_fakes.run_world() as world:
+        home = await _open(world)
+        world.caller.acknowledges = False
+        world.publish(1)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.last().mtype is aiocoap.CON
+        for number in range(8):
+            home.view.put(feeds_fakes.make_member(f"cut-off-{number}"))
+        assert not home.is_home()
+        for tick in range(2, 100):
+            await trio.sleep(1)
+            world.publish(tick)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.ticks == list(range(100))
+        kinds = [m.mtype for m in world.caller.messages]
+        assert kinds.count(aiocoap.CON) == 1 + limits.MAX_RETRANSMIT
+
+
 @trios.clock_test
 async def test_feeds_stay_where_a_view_only_flaps() -> None:
     """A host is suspected dead and refutes it within a second.
