Look for kept upstreams in the own domain only

At 610 hosts and 5,000 upstreams one look after a change of the view or of a contract took 73 ms of the event loop, which comes near the 100 ms of one attempt of a probe; the profile was the hash over the hosts of the upstream's domain, worked out for all domains although a keeper always stands in the domain of its upstream.

--- a/persimmonhinge/upstreams/roles.py
+++ b/persimmonhinge/upstreams/roles.py
@@ -70,6 +70,9 @@
 
     def keeps(self, target: targets.Target) -> bool:
         """Tells whether this host keeps an upstream."""
+        if target.upstream.domain != self._view.self_member.domain:
+            # Spares the hash of all hosts of ten other domains out of eleven.
+            return False
         keeper = self.find_keeper(target)
         return keeper is not None and keeper.host == self._view.me
 
