Have both operators of a race read before one writes

With the compare of the write taken out the test passed: the commands started too far apart, so that the second one met the first one's result. Each call of the platform now takes 0.7 s.

--- a/tests/test_integration/test_integration_control_operators.py
+++ b/tests/test_integration/test_integration_control_operators.py
@@ -16,6 +16,7 @@
 from tests.test_integration import control_plans
 
 _SERVICE = control_plans.SERVICE
+_DELAY_S = 0.7
 _Done = subprocess.CompletedProcess[bytes]
 
 
@@ -60,9 +61,12 @@
                 check=False,
             )
 
+        # Each call takes so long that both have read before one writes.
+        await deployment.platform.set_faults(delay_s=_DELAY_S)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(apply, "anna", 21)
             nursery.start_soon(apply, "ben", 22)
+        await deployment.platform.set_faults(delay_s=0.0)
         codes = {name: done.returncode for name, done in results.items()}
         (winner,) = [
             n for n, code in codes.items() if code == exits.ExitCode.OK
