--- a/tests/standins/once_scene.py
+++ b/tests/standins/once_scene.py
@@ -33,6 +33,8 @@
 # After the last answer: copies that are still under way must run nothing.
 _AFTER_S = 1.0
 _MOST_TRIES = 3
+# Part of the copies that are retries by the caller, not the same datagram.
+_NEW_MESSAGE_ID = 0.5
 
 Outcome = requests.Outcome
 
@@ -75,6 +77,7 @@
         self._stack = stack
         self._nursery = nursery
         self._seed = deployment.plan.seed
+        self._random = random.Random(self._seed)
 
     def address(self, host: str, service: str = SERVICE) -> callers.Address:
         """Returns where a host takes the packets of a service."""
@@ -189,6 +192,9 @@
     ) -> Tally:
         """Repeats all requests to hosts at random until all have outcomes.
 
+        Half of the copies are the same datagram, half are retries with a new
+        message id.
+
         A caller whose request was refused as not run sends the same key
         again under a new ticket, as people do, while copies of the former
         request still arrive. Then all is judged.
@@ -236,12 +242,14 @@
 
     async def _spray(self, places: Sequence[callers.Address]) -> None:
         """Repeats all requests to hosts at random, until cancelled."""
-        source = random.Random(self._seed)
+        source = self._random
         while True:
             for caller in self.callers:
                 for request in list(caller.requests):
-                    place = source.choice(places)
-                    await caller.send(request.octets, place)
+                    data = request.octets
+                    if source.random() < _NEW_MESSAGE_ID:
+                        data = request.change_message_id(source)
+                    await caller.send(data, source.choice(places))
             await trio.sleep(_REPEAT_S)
 
 
--- a/tests/standins/raw_request.py
+++ b/tests/standins/raw_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 
 import aiocoap
 
@@ -41,6 +42,10 @@
         """True if an answer is that of the upstream."""
         return Outcome.ANSWERED in self.outcomes
 
+    def change_message_id(self, source: random.Random) -> bytes:
+        """Returns the datagram with another message id, as a retry has."""
+        return self.octets[:2] + source.randbytes(2) + self.octets[4:]
+
     def describe(self) -> list[str]:
         """Returns the answers for people."""
         return [
--- a/tests/test_integration/test_integration_once_cut.py
+++ b/tests/test_integration/test_integration_once_cut.py
@@ -33,6 +33,25 @@
     assert tally == once_scene.Tally(answered=_CALLERS, ran=_CALLERS)
 
 
+@trios.trio_test
+async def test_links_reset_while_requests_run() -> None:
+    """A buyer hears "unknown" of a lot only because a connection was reset.
+
+    Requests run when something between the hosts resets all connections.
+    The home loses its calls, but the keepers live and still run them: it
+    must ask them by a new link instead of giving up, and try no other one.
+    """
+    plan = once_scene.make_plan(_RUN_MS)
+    async with once_scene.run_scene(plan) as scene:
+        home = await scene.find_spare()
+        callers = await scene.open_callers(_CALLERS, home)
+        await scene.reserve_all(callers, home)
+        await scene.wait_runs(_CALLERS)
+        await scene.deployment.proxy.reset()
+        tally = await scene.settle()
+    assert tally == once_scene.Tally(answered=_CALLERS, ran=_CALLERS)
+
+
 @trios.trio_test
 async def test_home_cut_off_while_others_answer_for_it() -> None:
     """Two hosts answer one request, each in its own way, during a cut.
