Name the cause of a closed call in one place

Cause: keepers tell a home that left from one that closed its call by a text that stood four times as a literal; a change of one would have cut feeds off in silence. Behaviour is unchanged; the peers' tests pass.

--- a/persimmonhinge/peers/accepted.py
+++ b/persimmonhinge/peers/accepted.py
@@ -186,7 +186,7 @@
     def _take_close(self, frame: frames.Frame) -> None:
         call = self._calls.pop(frame.call, None)
         if call is not None:
-            call.close("the caller closed the call")
+            call.close(calls.CLOSED_BY_CALLER)
 
     def _take_ping(self, frame: frames.Frame) -> None:
         ping = frames.read_body(frame, link_messages.Ping, self.hello.host)
--- a/persimmonhinge/peers/dialed.py
+++ b/persimmonhinge/peers/dialed.py
@@ -59,7 +59,7 @@
     def leave(self) -> None:
         """Ends the call; the handler learns it if it knows of the call."""
         if not self.closed:
-            self.close("the caller closed the call")
+            self.close(calls.CLOSED_BY_CALLER)
             self._link.end_call(self)
 
 
--- a/persimmonhinge/peers/streams.py
+++ b/persimmonhinge/peers/streams.py
@@ -14,6 +14,7 @@
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as metrics
 from persimmonhinge.peers import accepted
+from persimmonhinge.peers import calls
 from persimmonhinge.peers import credentials
 from persimmonhinge.peers import dialing
 from persimmonhinge.peers import handlers as handler_tables
@@ -193,7 +194,7 @@
             step = "answer call"
             raise errors.PeerError(text, step=step, peer=call.host) from error
         finally:
-            call.close_both("the caller closed the call")
+            call.close_both(calls.CLOSED_BY_CALLER)
         raise errors.PeerCallTimeoutError(
             f"nothing in {timeout_s} s", step="wait for answer", peer=call.host
         )
@@ -206,7 +207,7 @@
         try:
             yield call
         finally:
-            call.close_both("the caller closed the call")
+            call.close_both(calls.CLOSED_BY_CALLER)
 
     def _start_here(self, message: base.Message) -> local.LocalCall:
         nursery = self._get_nursery(self._view.me)
