Count the hosts that take roles once for each view

Each choice of an upstream made a list of all members to count them. The placement already holds the members by domain.

--- a/persimmonhinge/flows/chooser.py
+++ b/persimmonhinge/flows/chooser.py
@@ -65,7 +65,7 @@
         reachable = self._find_reachable(entry, exclude, among)
         if not reachable:
             return None
-        homes = len(self._view.role_takers())
+        homes = self._placement.count_hosts()
         candidates = [
             self._weigh(entry, choice.upstream, kind, homes)
             for choice in reachable.values()
--- a/persimmonhinge/membership/placement.py
+++ b/persimmonhinge/membership/placement.py
@@ -94,6 +94,11 @@
         found = self._domains.get(domain)
         return found.rank(_hash_key(key)) if found else []
 
+    def count_hosts(self) -> int:
+        """Returns how many hosts take roles."""
+        self._refresh()
+        return sum(len(domain.hosts) for domain in self._domains.values())
+
     def domains(self) -> list[str]:
         """Returns the failure domains with hosts that take roles, in order."""
         self._refresh()
