--- a/benchmarks/packets.py
+++ b/benchmarks/packets.py
@@ -195,8 +195,9 @@
     echo: str, folder: pathlib.Path, options: Options, rounds: int
 ) -> list[Run]:
     """Measures the bare relay."""
+    # A log of its own, for the address is read from it.
     relay = await children.start_child(
-        "relay", "benchmarks.bare_relay", [echo], folder
+        f"relay-{next(_seeds)}", "benchmarks.bare_relay", [echo], folder
     )
     try:
         address = (await relay.find_text("listening on ")).strip()
