--- a/persimmonhinge/flows/feeds/adoption.py
+++ b/persimmonhinge/flows/feeds/adoption.py
@@ -8,7 +8,9 @@
 import trio
 
 from persimmonhinge import errors
+from persimmonhinge import ids
 from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.flows import port
 from persimmonhinge.flows.feeds import caller_side
 from persimmonhinge.flows.feeds import digests
 from persimmonhinge.flows.feeds import event as events
@@ -27,7 +29,7 @@
         self,
         around: surroundings.Surroundings,
         callers: caller_side.CallerSide,
-        adopt: Callable[[feeds.Feed], None],
+        adopt: Callable[[feeds.Feed, port.Choice | None], None],
         forget: Callable[[feeds.Feed], None],
     ) -> None:
         self._around = around
@@ -35,7 +37,9 @@
         self._adopt = adopt
         self._forget = forget
 
-    async def take(self, message: messages.FeedAdopt) -> feeds.Feed | None:
+    async def take(
+        self, sender: ids.HostId, message: messages.FeedAdopt
+    ) -> feeds.Feed | None:
         """Takes in a feed, or what the former home says of one.
 
         Two hosts may hand over the same feed, or one may do so twice: the
@@ -48,7 +52,7 @@
         flow = outline.read_flow(opened)
         feed = self._around.table.get(flow, opened.token)
         if feed is None:
-            feed = self._make(message)
+            feed = self._make(sender, message)
         if feed is None or not await self._is_served(feed):
             return None
         # Above all that the former home has sent, so that the caller does
@@ -59,7 +63,9 @@
             self._go_live(feed, digests.join(opened.recent))
         return feed
 
-    def _make(self, message: messages.FeedAdopt) -> feeds.Feed | None:
+    def _make(
+        self, sender: ids.HostId, message: messages.FeedAdopt
+    ) -> feeds.Feed | None:
         opened = message.feed
         call_class = self._classify(opened)
         most = self._around.settings.flows.most_flows
@@ -82,9 +88,22 @@
         if message.prepares:
             self._callers.hold(feed)
             self._expect_commit(feed)
-        self._adopt(feed)
+        self._adopt(feed, self._find_former(sender, opened))
         return feed
 
+    def _find_former(
+        self, sender: ids.HostId, opened: messages.FeedOpen
+    ) -> port.Choice | None:
+        """Returns where a keeper that hands a feed over has it open."""
+        entry = self._around.contracts.get(opened.service)
+        keeper = self._around.view.get(sender)
+        if entry is None or keeper is None:
+            return None
+        upstream = entry.contract.get_upstream(opened.upstream)
+        if upstream is None:
+            return None
+        return port.Choice(upstream, sender, keeper.ref)
+
     def _classify(
         self, opened: messages.FeedOpen
     ) -> contracts.CallClass | None:
@@ -103,7 +122,7 @@
     async def _is_served(self, feed: feeds.Feed) -> bool:
         """Waits until an upstream serves a feed; drops it if none does."""
         if feed.opened is not None and feed.source is None:
-            with trio.move_on_after(limits.FIRST_EVENT_S):
+            with trio.move_on_after(limits.ADOPT_S):
                 await feed.opened.wait()
         if feed.closed:
             return False
--- a/persimmonhinge/flows/feeds/handover.py
+++ b/persimmonhinge/flows/feeds/handover.py
@@ -10,6 +10,7 @@
 
 from persimmonhinge import errors
 from persimmonhinge import ids
+from persimmonhinge.flows import port
 from persimmonhinge.flows.feeds import adoption
 from persimmonhinge.flows.feeds import caller_side
 from persimmonhinge.flows.feeds import feed as feeds
@@ -32,7 +33,7 @@
         self,
         around: surroundings.Surroundings,
         callers: caller_side.CallerSide,
-        adopt: Callable[[feeds.Feed], None],
+        adopt: Callable[[feeds.Feed, port.Choice | None], None],
         forget: Callable[[feeds.Feed], None],
         end: Callable[[feeds.Feed, bytes, int], None],
     ) -> None:
@@ -62,7 +63,7 @@
         """Answers a host that hands a feed over."""
         if self._leaving or not self._around.view.self_member.takes_roles:
             return messages.Adopted(False)
-        feed = await self._adoption.take(message)
+        feed = await self._adoption.take(caller.host, message)
         if feed is None:
             return messages.Adopted(False)
         # A host whose view differs hands over to this one what this one
--- a/persimmonhinge/flows/feeds/limits.py
+++ b/persimmonhinge/flows/feeds/limits.py
@@ -32,7 +32,10 @@
 RECENT_ANSWERS = 16
 
 # Longest time to wait for the first event of an upstream.
-FIRST_EVENT_S = 3.0
+FIRST_EVENT_S = 2.0
+# Longest time to look for upstreams before a feed is not adopted: enough for
+# two attempts, and less than the other side waits.
+ADOPT_S = 3.5
 # Longest time to hold back a new upstream that is ahead of the old one.
 SEAM_S = 0.5
 # The same where no old one serves: it shows that the new one is behind, if
--- a/persimmonhinge/flows/feeds/refusal.py
+++ b/persimmonhinge/flows/feeds/refusal.py
@@ -22,7 +22,7 @@
 
 def note(search: searches.Search, source: sources.Source) -> None:
     """Notes an upstream that did not take the feed."""
-    search.tried.add(ids.UpstreamId(source.upstream.id))
+    search.tried |= {ids.UpstreamId(source.upstream.id)}
     end = source.end
     if end is None or end.cause is not messages.FeedEndCause.REFUSED:
         search.unreachable = True
--- a/persimmonhinge/flows/feeds/search.py
+++ b/persimmonhinge/flows/feeds/search.py
@@ -7,6 +7,7 @@
 import trio
 
 from persimmonhinge import ids
+from persimmonhinge.flows import port
 from persimmonhinge.flows.feeds import limits
 
 
@@ -15,6 +16,9 @@
     """What one task knows while it looks for an upstream.
 
     Attributes:
+        preferred: Where the feed was before; tried first. A keeper that has
+            lost the link to a home keeps the feed open for a while, and what
+            came meanwhile is not lost.
         tried: Upstreams that are passed over in this round.
         once: True to give up after the first round, as for a rebalance.
         first: True while the caller has had no answer on this feed.
@@ -26,7 +30,10 @@
         permit: What was acquired for the attempt that runs.
     """
 
-    tried: set[ids.UpstreamId]
+    preferred: port.Choice | None = None
+    # Most searches try one upstream and stay in memory with their feed: an
+    # empty set of its own would take 216 octets.
+    tried: frozenset[ids.UpstreamId] = frozenset()
     once: bool = False
     first: bool = False
     unreachable: bool = False
@@ -37,7 +44,7 @@
 
     def begin_round(self) -> None:
         """Lets all upstreams be tried again."""
-        self.tried.clear()
+        self.tried = frozenset()
         self.unreachable = False
         self.delay_s = min(self.delay_s * 2, limits.RETRY_LAST_S)
 
--- a/persimmonhinge/flows/feeds/service.py
+++ b/persimmonhinge/flows/feeds/service.py
@@ -232,11 +232,13 @@
         self._upstreams.open(feed)
         self._handover.note(feed)
 
-    def _adopt(self, feed: feed_rows.Feed) -> None:
+    def _adopt(
+        self, feed: feed_rows.Feed, preferred: port.Choice | None
+    ) -> None:
         """Opens a feed that another host hands over."""
         self._around.table.add(feed)
         self._around.counts.add("feeds_adopted_total")
-        self._upstreams.open(feed)
+        self._upstreams.open(feed, preferred)
 
     def _forget(self, feed: feed_rows.Feed) -> None:
         """Closes a feed without a word to its caller."""
--- a/persimmonhinge/flows/feeds/upstream_side.py
+++ b/persimmonhinge/flows/feeds/upstream_side.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import contextlib
 import logging
 import math
 
@@ -23,6 +24,7 @@
 from persimmonhinge.flows.feeds import search as searches
 from persimmonhinge.flows.feeds import source as sources
 from persimmonhinge.flows.feeds import surroundings
+from persimmonhinge.peers import network as networks
 from persimmonhinge.peers.messages import base
 from persimmonhinge.peers.messages import feeds as messages
 
@@ -62,10 +64,17 @@
         self._seam = seams.Seam(around, callers, self._note_taken)
         self._permits = trio.Semaphore(limits.MOVES_AT_A_TIME)
 
-    def open(self, feed: feeds.Feed) -> None:
-        """Looks for the first upstream of a feed."""
+    def open(
+        self, feed: feeds.Feed, preferred: port.Choice | None = None
+    ) -> None:
+        """Looks for the first upstream of a feed.
+
+        Args:
+            feed: The feed.
+            preferred: Where it was open at its former home, if anywhere.
+        """
         first = feed.reply is not feeds.Reply.DONE
-        self._start(feed, searches.Search(set(), first=first))
+        self._start(feed, searches.Search(preferred, first=first))
 
     def move(self, feed: feeds.Feed, *, once: bool = False) -> bool:
         """Moves a feed from an upstream that still serves it.
@@ -79,8 +88,8 @@
         """
         if feed.searching or feed.source is None or feed.closed:
             return False
-        tried = {ids.UpstreamId(feed.source.upstream.id)}
-        self._start(feed, searches.Search(tried, once=once))
+        tried = frozenset({ids.UpstreamId(feed.source.upstream.id)})
+        self._start(feed, searches.Search(tried=tried, once=once))
         return True
 
     def must_move(self, source: sources.Source) -> bool:
@@ -117,7 +126,7 @@
                 return
             # The upstream that served is gone and no one looks for another.
             feed.searching = True
-            search = searches.Search({ids.UpstreamId(source.upstream.id)})
+            search = self._search_anew(source)
             self._around.counts.add("feeds_lost_upstream_total")
 
     def _choose(
@@ -126,10 +135,24 @@
         entry = self._around.contracts.get(feed.flow.service)
         if entry is None:
             return None
+        if search.preferred is not None:
+            preferred, search.preferred = search.preferred, None
+            return preferred
         return self._around.chooser.choose(
-            entry, contracts.CallKind.FEED, exclude=frozenset(search.tried)
+            entry, contracts.CallKind.FEED, exclude=search.tried
         )
 
+    def _search_anew(self, source: sources.Source) -> searches.Search:
+        """Returns the search for an upstream after one was lost."""
+        tried = frozenset({ids.UpstreamId(source.upstream.id)})
+        if source.end is not None or self.must_move(source):
+            return searches.Search(tried=tried)
+        if self._around.view.find_ref(source.keeper_ref) is None:
+            return searches.Search(tried=tried)
+        # Only the link was lost.
+        choice = port.Choice(source.upstream, source.keeper, source.keeper_ref)
+        return searches.Search(choice)
+
     def _make_source(
         self, feed: feeds.Feed, choice: port.Choice
     ) -> sources.Source:
@@ -215,26 +238,26 @@
     ) -> None:
         feed = source.feed
         feed.candidate = source
-        now = trio.current_time()
-        source.scope.deadline = now + limits.FIRST_EVENT_S
-        entry = self._around.contracts.get(feed.flow.service)
-        if entry is None:
-            return
-        opening = outline.make_open(
-            feed, ids.UpstreamId(source.upstream.id), entry.revision
-        )
-        timeout_s = self._around.settings.peers.connect_timeout_s
-        network = self._around.network
-        async with network.open(source.keeper, opening, timeout_s) as stream:
+        source.scope.deadline = trio.current_time() + limits.FIRST_EVENT_S
+        async with self._open_stream(source) as stream:
             source.stream = stream
-            while not source.feed.closed:
-                message = await stream.receive()
-                if self._take(source, message):
+            while not feed.closed:
+                if self._take(source, await stream.receive()):
                     return
                 search.release()
                 if feed.source is source:
                     await self._reports.report_by_count(feed)
 
+    def _open_stream(
+        self, source: sources.Source
+    ) -> contextlib.AbstractAsyncContextManager[networks.PeerStream]:
+        entry = self._around.contracts.get(source.feed.flow.service)
+        revision = ids.Revision(0) if entry is None else entry.revision
+        upstream = ids.UpstreamId(source.upstream.id)
+        opening = outline.make_open(source.feed, upstream, revision)
+        timeout_s = self._around.settings.peers.connect_timeout_s
+        return self._around.network.open(source.keeper, opening, timeout_s)
+
     def _take(self, source: sources.Source, message: base.Message) -> bool:
         """Takes a message of a keeper; True if it was the last."""
         if isinstance(message, messages.FeedEvent):
@@ -259,6 +282,9 @@
 
     def _take_end(self, source: sources.Source, end: messages.FeedEnd) -> bool:
         self._around.counts.add("feed_ends_total", cause=end.cause.value)
+        if end.load is not None:
+            service = source.feed.flow.service
+            self._around.chooser.note(service, end.load)
         if end.cause not in _MOVE_CAUSES or not source.started:
             source.end = end
             return True
--- a/tests/test_flows/test_flows_feeds_homes.py
+++ b/tests/test_flows/test_flows_feeds_homes.py
@@ -138,6 +138,30 @@
         assert world.caller.ticks == [0, 1]
 
 
+@trios.clock_test
+async def test_feeds_come_back_to_the_keeper_that_holds_them() -> None:
+    """A link to a keeper is cut, or a home dies; the keeper lives.
+
+    It keeps the feed and what comes meanwhile. Opened at another upstream,
+    the buyer would miss the prices in between.
+    """
+    for dies in (False, True):
+        async with feeds_fakes.run_world(*_HOSTS) as world:
+            home = await _open(world)
+            (old,) = [u for u in world.upstreams.values() if u.streams]
+            keeper = feeds_fakes.make_member(old.keeper, State.LEAVING)
+            for host in world.live_hosts():
+                host.view.put(keeper)
+            if dies:
+                home.stop_at_once()
+                heir = next(h for h in world.live_hosts() if h is not home)
+                assert await old.streams[0].hand_over(heir)
+            else:
+                old.cut()
+            await trio.sleep(_QUICK_S)
+            assert len(old.open_streams()) == world.count_streams() == 1
+
+
 @trios.clock_test
 async def test_feeds_away_from_home_ask_for_no_acknowledgement() -> None:
     """The home of a flow moves to a host that this one can't reach.
