--- a/tests/test_flows/test_flows_feeds_homes.py
+++ b/tests/test_flows/test_flows_feeds_homes.py
@@ -145,8 +145,9 @@
     It keeps the feed and what comes meanwhile. Opened at another upstream,
     the buyer would miss the prices in between.
     """
-    for dies in (False, True):
-        async with feeds_fakes.run_world(*_HOSTS) as world:
+    for seed in range(6):
+        dies = seed % 2 == 1
+        async with feeds_fakes.run_world(*_HOSTS, seed=seed) as world:
             home = await _open(world)
             (old,) = [u for u in world.upstreams.values() if u.streams]
             keeper = feeds_fakes.make_member(old.keeper, State.LEAVING)
