Pass a dead home over to who will be home after it

Cause: until the death is known, hosts pass the home over and use the next in rank, which was the best host of another failure domain. A caller that registered again then had its feed there. Once the death was known the home was another host of the dead one's domain, and the keeper of the feed gave it that one, with ticks that the caller had had, under higher numbers. Ruled out: retransmitted notifications, and late ones of the upstream; the numbers in the trace were those of an adopted feed.

The second in rank is now who becomes home when the first is gone; then follows the best host of each other domain.

--- a/persimmonhinge/flows/router.py
+++ b/persimmonhinge/flows/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import logging
 from typing import Protocol
 
@@ -84,12 +85,18 @@
 
     def _list_homes(
         self, flow: port.Flow, message: codec.Message
-    ) -> list[ids.HostId]:
+    ) -> Iterator[ids.HostId]:
         minted_by = self._find_mint(flow, message)
         if minted_by is not None:
-            return [minted_by]
+            yield minted_by
+            return
+        home = self._placement.find_home(flow.service, flow.caller)
+        if home is None:
+            return
+        yield home.host
+        # Seldom needed, and worked out only then: this is on the packet path.
         ranked = self._placement.rank_homes(flow.service, flow.caller)
-        return [member.host for member in ranked]
+        yield from (member.host for member in ranked[1:])
 
     def _find_mint(
         self, flow: port.Flow, message: codec.Message
--- a/persimmonhinge/membership/placement.py
+++ b/persimmonhinge/membership/placement.py
@@ -10,6 +10,9 @@
 from persimmonhinge.membership import member as members
 from persimmonhinge.membership import view as views
 
+# Below all scores.
+_NO_SCORE = -1
+
 
 @dataclasses.dataclass(slots=True)
 class _Domain:
@@ -28,27 +31,28 @@
         best = max(scores)
         return best, self.hosts[scores.index(best)]
 
-    def find_next(
-        self, key: int, best: members.Member
-    ) -> tuple[int, members.Member] | None:
-        """Returns who has the highest score but one, None if alone."""
-        for score, member in self._score(key):
-            if member is not best:
-                return score, member
-        return None
+    def find_two(self, key: int) -> list[tuple[int, members.Member]]:
+        """Returns the two highest scores, one if there is one member."""
+        hash_name = xxhash.xxh3_64_intdigest
+        scores = [hash_name(name, key) for name in self.names]
+        best = max(scores)
+        place = scores.index(best)
+        found = [(best, self.hosts[place])]
+        if len(scores) > 1:
+            scores[place] = _NO_SCORE
+            second = max(scores)
+            found.append((second, self.hosts[scores.index(second)]))
+        return found
 
     def rank(self, key: int) -> list[members.Member]:
         """Returns the members, highest score first."""
-        return [member for _, member in self._score(key)]
-
-    def _score(self, key: int) -> list[tuple[int, members.Member]]:
         hash_name = xxhash.xxh3_64_intdigest
         scored = [
             (hash_name(name, key), member)
             for name, member in zip(self.names, self.hosts, strict=True)
         ]
         scored.sort(key=_get_score, reverse=True)
-        return scored
+        return [member for _, member in scored]
 
 
 class Placement:
@@ -65,6 +69,15 @@
         self._version = -1
         self._domains: dict[str, _Domain] = {}
 
+    def find_home(
+        self, service: ids.ServiceName, caller: tuple[str, int]
+    ) -> members.Member | None:
+        """Returns the first of `rank_homes`, for half the work."""
+        self._refresh()
+        key = _hash_flow(service, caller)
+        best = [domain.find_best(key) for domain in self._domains.values()]
+        return max(best, key=_get_score)[1] if best else None
+
     def rank_homes(
         self, service: ids.ServiceName, caller: tuple[str, int]
     ) -> list[members.Member]:
@@ -80,17 +93,14 @@
         the caller would see ticks of both, thus steps back.
         """
         self._refresh()
-        key = _hash_key(f"{service}\n{caller[0]}\n{caller[1]}")
-        best = [domain.find_best(key) for domain in self._domains.values()]
-        best.sort(key=_get_score, reverse=True)
-        if not best:
+        key = _hash_flow(service, caller)
+        found = [domain.find_two(key) for domain in self._domains.values()]
+        if not found:
             return []
-        _, home = best.pop(0)
-        second = self._domains[home.domain].find_next(key, home)
-        if second is not None:
-            best.append(second)
-            best.sort(key=_get_score, reverse=True)
-        return [home, *(member for _, member in best)]
+        home = max(found, key=_get_first_score).pop(0)
+        rest = [scored[0] for scored in found if scored]
+        rest.sort(key=_get_score, reverse=True)
+        return [home[1], *[member for _, member in rest]]
 
     def find_keeper(
         self, upstream: ids.UpstreamId, domain: str
@@ -147,5 +157,15 @@
     return (score, member.host)
 
 
+def _get_first_score(
+    scored: list[tuple[int, members.Member]],
+) -> tuple[int, ids.HostId]:
+    return _get_score(scored[0])
+
+
+def _hash_flow(service: ids.ServiceName, caller: tuple[str, int]) -> int:
+    return _hash_key(f"{service}\n{caller[0]}\n{caller[1]}")
+
+
 def _hash_key(key: str) -> int:
     return xxhash.xxh3_64_intdigest(key.encode())
--- a/tests/test_membership/test_membership_placement.py
+++ b/tests/test_membership/test_membership_placement.py
@@ -106,6 +106,7 @@
         number = int(home.host.removeprefix("host-"))
         successor = without[number].rank_homes(_SERVICE, flow)[0]
         assert second.host == successor.host
+        assert home == placement.find_home(_SERVICE, flow)
 
 
 def test_homes_are_ranked_beyond_each_domain() -> None:
