--- a/tests/test_membership/hosts.py
+++ b/tests/test_membership/hosts.py
@@ -132,6 +132,7 @@
     Attributes:
         network: The network.
         hosts: Running hosts by number.
+        peers: Settings of heartbeats of hosts that are started.
     """
 
     def __init__(
@@ -141,7 +142,7 @@
         self.hosts: dict[int, Host] = {}
         self._nursery = nursery
         self._seed = seed
-        self._peers = peers
+        self.peers = peers
         self._starts = 0
         _seed_scheduler(seed)
 
@@ -164,7 +165,7 @@
         if seeds is None:
             seeds = [make_seed(0), make_seed(1)]
         settings = make_settings(
-            name or f"host-{number}", number, seeds, **self._peers
+            name or f"host-{number}", number, seeds, **self.peers
         )
         listed = [
             settings_entry.SeedHost.model_validate(fields)
--- a/tests/test_membership/test_membership_service.py
+++ b/tests/test_membership/test_membership_service.py
@@ -4,6 +4,8 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import pathlib
+import tempfile
 from typing import Any
 
 import trio
@@ -325,6 +327,30 @@
         assert "ghost" not in host.states()
 
 
+@trios.clock_test
+async def test_a_host_with_another_secret_is_no_member() -> None:
+    """A host of another deployment was given flows.
+
+    Its settings name seeds of this deployment by mistake; both sides have
+    heartbeats with a secret, but not the same one.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        paths = [pathlib.Path(folder, name) for name in ("ours", "theirs")]
+        for path in paths:
+            path.write_text(f"secret of {path.name}\n")
+        ours, theirs = (str(path) for path in paths)
+        async with run_fleet(4, seed=22, heartbeat_secret_file=ours) as fleet:
+            fleet.peers["heartbeat_secret_file"] = theirs
+            stranger = await fleet.start_host(5)
+            await trio.sleep(10)
+            assert len(stranger.states()) == 1
+            del fleet.hosts[5]
+            assert fleet.agrees()
+            name = "heartbeat_datagrams_refused_total"
+            refused = fleet.hosts[0].counts.get(name, cause="bad-signature")
+            assert refused > 0
+
+
 @trios.clock_test
 async def test_two_changes_at_once_under_loss() -> None:
     """A host dies while another restarts and a third one joins, with loss."""
