Name keepers in tickets in turn, and break ties by recent work

Each home now names keepers in turn by capacity, and free-slot takes, of those that can run the work equally soon, the one that it gave least lately. Feeds hold no slots; free-slot chooses for them by least load.

Sheds of upstreams are counted (keeper_sheds_total). The balance of a run can take a drained upstream as one that took work for a while only.

Seen failing without their guard: turns by chance, a newcomer that catches up, ties by chance, recent work that is never forgotten.

--- a/persimmonhinge/flows/loads.py
+++ b/persimmonhinge/flows/loads.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 import dataclasses
+import math
 
 from persimmonhinge import ids
 from persimmonhinge.contracts import contract as contracts
@@ -11,6 +13,7 @@
 
 UpstreamKey = tuple[ids.ServiceName, ids.UpstreamId]
 _WorkKey = tuple[ids.ServiceName, ids.UpstreamId, contracts.CallKind]
+_RECENT_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,6 +23,12 @@
     own_feeds: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Recent:
+    amount: float
+    counted_at: float
+
+
 class LoadBook:
     """The last report on each upstream, corrected by this host's own work.
 
@@ -28,7 +37,14 @@
     the meantime is not known.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, read_clock: Callable[[], float]) -> None:
+        """Makes a book without reports.
+
+        Args:
+            read_clock: Returns the time, seconds.
+        """
+        self._read_clock = read_clock
+        self._recent: dict[_WorkKey, _Recent] = {}
         self._reports: dict[UpstreamKey, _Report] = {}
         self._own: collections.Counter[_WorkKey] = collections.Counter()
 
@@ -48,7 +64,10 @@
         kind: contracts.CallKind,
     ) -> None:
         """Counts work that this host has begun."""
-        self._own[(service, upstream, kind)] += 1
+        key = (service, upstream, kind)
+        self._own[key] += 1
+        amount = self.count_recent(service, upstream, kind) + 1
+        self._recent[key] = _Recent(amount, self._read_clock())
 
     def end(
         self,
@@ -71,6 +90,23 @@
         """Returns how much work of this host an upstream has."""
         return self._own[(service, upstream, kind)]
 
+    def count_recent(
+        self,
+        service: ids.ServiceName,
+        upstream: ids.UpstreamId,
+        kind: contracts.CallKind,
+    ) -> float:
+        """Returns how much work this host gave an upstream lately.
+
+        What is older counts less, so that an upstream that was away does
+        not get all work until it has caught up.
+        """
+        recent = self._recent.get((service, upstream, kind))
+        if recent is None:
+            return 0.0
+        age_s = self._read_clock() - recent.counted_at
+        return recent.amount * math.exp(-age_s / _RECENT_S)
+
     def get(
         self, service: ids.ServiceName, upstream: ids.UpstreamId
     ) -> work.UpstreamLoad | None:
--- a/persimmonhinge/load/balance.py
+++ b/persimmonhinge/load/balance.py
@@ -58,6 +58,29 @@
     return _freeze(means)
 
 
+def scale_left(
+    amounts: Mapping[ids.UpstreamId, float],
+    left_at: Mapping[ids.UpstreamId, float],
+    start_s: float,
+    end_s: float,
+) -> Amounts:
+    """Returns what each upstream would have had if it had taken work always.
+
+    Args:
+        amounts: Runs by upstream.
+        left_at: When upstreams that were drained took the last work; wall
+            clock, after the start.
+        start_s: Wall clock, seconds since the epoch.
+        end_s: Wall clock, after the start.
+    """
+    return {
+        upstream: amount
+        * (end_s - start_s)
+        / (min(end_s, left_at.get(upstream, end_s)) - start_s)
+        for upstream, amount in amounts.items()
+    }
+
+
 def compute_imbalance(amounts: Mapping[ids.UpstreamId, float]) -> float:
     """Returns the largest amount over the mean; 1 is even, 0 if no work."""
     total = sum(amounts.values())
--- a/persimmonhinge/policies/choice.py
+++ b/persimmonhinge/policies/choice.py
@@ -5,6 +5,7 @@
 import abc
 from collections.abc import Sequence
 import dataclasses
+import math
 import random
 from typing import ClassVar
 
@@ -22,18 +23,25 @@
         load: Work that it has, as last reported by its keeper and corrected
             by what this host began and ended since.
         own: The part of the load that this host gave it.
+        recent: Work that this host gave it lately, ended or not.
     """
 
     upstream: ids.UpstreamId
     capacity: float
     load: float
     own: float
+    recent: float = 0.0
 
     @property
     def relative_load(self) -> float:
         """Load for each unit of capacity, the new work included."""
         return (self.load + 1) / self.capacity
 
+    @property
+    def turn(self) -> int:
+        """In which turn of its slots the new work would run, from 1."""
+        return math.ceil(self.relative_load)
+
 
 class ChoicePolicy(abc.ABC):
     """Chooses one of several candidates.
@@ -41,9 +49,12 @@
     Attributes:
         asks: True to ask the chosen upstream's keeper for a slot that is
             free at once, and to choose again if there is none.
+        for_feeds: Name of the policy that chooses for feeds; empty for the
+            same. Feeds hold no slots, and last.
     """
 
     asks: ClassVar[bool] = False
+    for_feeds: ClassVar[str] = ""
 
     def __init__(self, randomness: random.Random) -> None:
         """Makes a policy with its own state.
--- a/persimmonhinge/upstreams/kept.py
+++ b/persimmonhinge/upstreams/kept.py
@@ -119,6 +119,7 @@
     def note_shed(self, answer: codec.Message) -> None:
         """Takes in that the upstream refused work or a feed with 5.03."""
         if not shedding.says_drain(answer):
+            self._context.counts.add("keeper_sheds_total")
             self._trust.note(_Sign.SHED, trio.current_time())
             self.slots.pause()
             return
--- /dev/null
+++ b/tests/test_flows/test_flows_keeper_turns.py
@@ -0,0 +1,60 @@
+"""Properties of the turns in which tickets name keepers."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from persimmonhinge import ids
+from persimmonhinge.flows import keeper_turns
+
+_SERVICE = ids.ServiceName("floor-trading")
+_ROUNDS = 200
+_WEIGHTS = strategies.lists(
+    strategies.sampled_from([1.0, 2.0, 3.0]), min_size=3, max_size=6
+)
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(weights=_WEIGHTS, seed=strategies.integers(0, 9))
+def test_each_keeper_is_named_by_its_weight(
+    weights: list[float], seed: int
+) -> None:
+    """One keeper is named twice as often as another by chance."""
+    turns = keeper_turns.KeeperTurns(random.Random(seed))
+    table = {ids.HostRef(n + 1): weight for n, weight in enumerate(weights)}
+    counts: collections.Counter[ids.HostRef] = collections.Counter()
+    for _ in range(_ROUNDS):
+        counts.update(turns.pick(_SERVICE, table, 1))
+    for ref, weight in table.items():
+        wanted = _ROUNDS * weight / sum(weights)
+        assert abs(counts[ref] - wanted) <= len(weights)
+
+
+@hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.given(weights=_WEIGHTS, count=strategies.integers(1, 4))
+def test_keepers_of_a_ticket_differ(weights: list[float], count: int) -> None:
+    turns = keeper_turns.KeeperTurns(random.Random(1))
+    table = {ids.HostRef(n + 1): weight for n, weight in enumerate(weights)}
+    for _ in range(20):
+        picked = turns.pick(_SERVICE, table, count)
+        assert len(set(picked)) == min(count, len(table))
+    assert not turns.pick(_SERVICE, {}, count)
+
+
+def test_keeper_that_recovers_or_joins_gets_no_more_than_its_turn() -> None:
+    """A keeper is left out long after its upstreams have recovered.
+
+    Or it gets all tickets, because it was named less than the others.
+    """
+    turns = keeper_turns.KeeperTurns(random.Random(1))
+    one, two, new = ids.HostRef(1), ids.HostRef(2), ids.HostRef(3)
+    for _ in range(100):
+        turns.pick(_SERVICE, {one: 2.0, two: 0.04}, 1)
+    counts: collections.Counter[ids.HostRef] = collections.Counter()
+    for _ in range(30):
+        counts.update(turns.pick(_SERVICE, {one: 2.0, two: 2.0, new: 2.0}, 1))
+    assert all(9 <= counts[ref] <= 11 for ref in (one, two, new)), counts
