Measure a relay and a dispatch over a link apart from each other

The home of the callers was not always the keeper, so that a packet that was relayed saved a dispatch over a link, and the cost of the relay came out as 368 us in one run and 36 us in another. Callers are now chosen by home and keeper, and the cases take turns.

--- a/benchmarks/packets.py
+++ b/benchmarks/packets.py
@@ -236,33 +236,80 @@
     _print_spread("one host", host)
 
 
+@dataclasses.dataclass
+class _Case:
+    """A way of requests through two hosts.
+
+    Attributes:
+        title: What it is.
+        entry: The host that gets the packets.
+        source_ports: Ports of the callers, by which their home is set.
+        loaded: Runs with many requests in flight.
+        alone: Runs with one in flight.
+        relayed: Part of the packets that was relayed.
+    """
+
+    title: str
+    entry: plans.HostPlan
+    source_ports: list[int]
+    loaded: list[Run] = dataclasses.field(default_factory=list)
+    alone: list[Run] = dataclasses.field(default_factory=list)
+    relayed: float = 0.0
+
+
 async def compare_relayed(echo: str, options: Options) -> None:
-    """Prints two hosts with no packet and with each packet relayed."""
+    """Prints what a relay costs, and what a dispatch over a link.
+
+    The home of all callers is the keeper at first, so that the relay is the
+    only step between hosts. Cases take turns, so that other load on the
+    machine meets all alike.
+    """
     async with processes.run_deployment(make_plan(2)) as deployment:
         await give_upstream(deployment, echo)
-        first, second = deployment.plan.hosts
-        near = await _find_source_ports(deployment, first, options.generators)
-        far = await _find_source_ports(deployment, second, options.generators)
-        address = find_address(deployment, first)
-        pids = [deployment.hosts[h.name].pid for h in (first, second)]
-        for title, source_ports in (("at home", near), ("relayed", far)):
-            before = await read_counts(deployment, first)
-            loaded = [
-                await measure(address, pids, options.seconds, 32, source_ports)
-                for _ in range(options.rounds)
-            ]
-            alone = [
-                await measure(
-                    address, pids, options.seconds / 2, 1, source_ports[:1]
-                )
-                for _ in range(options.rounds)
-            ]
-            after = await read_counts(deployment, first)
-            relayed = _subtract(after, before, "datagrams_relayed_total")
-            received = _subtract(after, before, "datagrams_received_total")
-            _print(f"two hosts, {title}, loaded", take_median(loaded))
-            _print(f"two hosts, {title}, one in flight", take_median(alone))
-            print(f"  {relayed / max(received, 1):.1%} of packets relayed")
+        keeper = await _find_keeper(deployment)
+        other = next(h for h in deployment.plan.hosts if h != keeper)
+        kept = await _find_source_ports(deployment, keeper, options.generators)
+        away = await _find_source_ports(deployment, other, options.generators)
+        cases = (
+            _Case("all steps on one", keeper, kept),
+            _Case("relayed", other, kept),
+            _Case("dispatched over a link", other, away),
+        )
+        for _ in range(options.rounds):
+            for case in cases:
+                await _measure_case(deployment, case, options)
+    for case in cases:
+        _print(f"two hosts, {case.title}, loaded", take_median(case.loaded))
+        _print(f"two hosts, {case.title}, alone", take_median(case.alone))
+        print(f"  {case.relayed:.1%} of packets relayed")
+
+
+async def _measure_case(
+    deployment: processes.Deployment, case: _Case, options: Options
+) -> None:
+    address = find_address(deployment, case.entry)
+    pids = [host.pid for host in deployment.hosts.values()]
+    ports_used = case.source_ports
+    before = await read_counts(deployment, case.entry)
+    case.loaded.append(
+        await measure(address, pids, options.seconds, 32, ports_used)
+    )
+    case.alone.append(
+        await measure(address, pids, options.seconds / 2, 1, ports_used[:1])
+    )
+    after = await read_counts(deployment, case.entry)
+    relayed = _subtract(after, before, "datagrams_relayed_total")
+    received = _subtract(after, before, "datagrams_received_total")
+    case.relayed = relayed / max(received, 1)
+
+
+async def _find_keeper(deployment: processes.Deployment) -> plans.HostPlan:
+    url = f"{deployment.metrics_url(deployment.plan.hosts[0].name)}/explain"
+    query = {"service": _SERVICE, "caller": "127.0.0.1:1"}
+    async with httpx.AsyncClient(trust_env=False) as client:
+        answer = await client.get(url, params=query)
+    name = answer.json()["upstreams"][0]["keeper"]
+    return next(h for h in deployment.plan.hosts if h.name == name)
 
 
 async def profile_host(echo: str, options: Options) -> None:
