--- a/tests/test_flows/test_flows_recovery.py
+++ b/tests/test_flows/test_flows_recovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from aiocoap.numbers import codes
+from aiocoap.numbers import types
 import hypothesis
 from hypothesis import strategies
 import trio
@@ -205,7 +206,9 @@
     world = home_fakes.HomeWorld(_SUCCESSOR)
     for host in home_fakes.KEEPERS:
         world.network.keep[host] = _make_keeper(host, None)
-    message = home_fakes.make_request(POST, "/reserve", echo=echo)
+    message = home_fakes.make_request(
+        POST, "/reserve", echo=echo, mtype=types.CON
+    )
     async with world.running():
         world.home.handle(home_fakes.FLOW, message)
         await trio.sleep(3)
