--- a/benchmarks/control_processes.py
+++ b/benchmarks/control_processes.py
@@ -101,15 +101,18 @@
     )
 
 
-def _print_costs(costs: Sequence[Cost]) -> None:
-    for cost in costs:
-        print(
-            f"{cost.hosts:3} hosts: platform {sum(cost.calls.values()):.2f} "
-            f"calls/s {cost.calls}; each host sends "
-            f"{cost.stream_octets:.0f} octets/s on streams and "
-            f"{cost.heartbeat_octets:.0f} of heartbeats, and takes "
-            f"{cost.processor:.2%} of a core"
-        )
+def _print_cost(cost: Cost) -> None:
+    print(
+        f"{cost.hosts:3} hosts: platform {sum(cost.calls.values()):.2f} "
+        f"calls/s {cost.calls}; each host sends "
+        f"{cost.stream_octets:.0f} octets/s on streams and "
+        f"{cost.heartbeat_octets:.0f} of heartbeats, and takes "
+        f"{cost.processor:.2%} of a core",
+        flush=True,
+    )
+
+
+def _print_lines(costs: Sequence[Cost]) -> None:
     sizes = [cost.hosts for cost in costs]
     lines = {
         "platform calls/s": [sum(cost.calls.values()) for cost in costs],
@@ -132,8 +135,11 @@
     parser.add_argument("--sizes", type=int, nargs="+", default=_SIZES)
     options = parser.parse_args()
     print(usage.describe_load())
-    costs = [trio.run(measure, size) for size in options.sizes]
-    _print_costs(costs)
+    costs = []
+    for size in options.sizes:
+        costs.append(trio.run(measure, size))
+        _print_cost(costs[-1])
+    _print_lines(costs)
     print(json.dumps([dataclasses.asdict(cost) for cost in costs]))
 
 
