--- a/persimmonhinge/flows/feeds/handover.py
+++ b/persimmonhinge/flows/feeds/handover.py
@@ -158,8 +158,9 @@
         async with self._lock:
             work = iter(list(self._misplaced))
             failed: set[ids.HostId] = set()
+            workers = min(limits.HANDOVERS_AT_A_TIME, len(self._misplaced))
             async with trio.open_nursery() as nursery:
-                for _ in range(limits.HANDOVERS_AT_A_TIME):
+                for _ in range(workers):
                     nursery.start_soon(self._work_through, work, failed)
 
     async def _work_through(
--- a/persimmonhinge/flows/feeds/upstream_side.py
+++ b/persimmonhinge/flows/feeds/upstream_side.py
@@ -14,6 +14,7 @@
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.flows import port
 from persimmonhinge.flows.feeds import caller_side
+from persimmonhinge.flows.feeds import choices
 from persimmonhinge.flows.feeds import event as events
 from persimmonhinge.flows.feeds import feed as feeds
 from persimmonhinge.flows.feeds import limits
@@ -47,6 +48,9 @@
     looks for another when it is lost. A move from an upstream that still
     serves is made by a second task; the first one ends when the feed has
     changed over.
+
+    Attributes:
+        choices: Judges upstreams.
     """
 
     def __init__(
@@ -61,6 +65,7 @@
         self._nursery = nursery
         self._reports = reporter
         self._end = end
+        self.choices = choices.Choices(around)
         self._seam = seams.Seam(around, callers, self._note_taken)
         self._permits = trio.Semaphore(limits.MOVES_AT_A_TIME)
 
@@ -92,26 +97,13 @@
         self._start(feed, searches.Search(tried=tried, once=once))
         return True
 
-    def must_move(self, source: sources.Source) -> bool:
-        """Tells whether the upstream of a stream is to be left."""
-        if source.cause is not None:
-            return True
-        entry = self._around.contracts.get(source.feed.flow.service)
-        if entry is None:
-            return True
-        upstream_id = ids.UpstreamId(source.upstream.id)
-        upstream = entry.contract.get_upstream(upstream_id)
-        if upstream is None or upstream.address != source.upstream.address:
-            return True
-        return upstream.state is not contracts.UpstreamState.ACTIVE
-
     def _start(self, feed: feeds.Feed, search: searches.Search) -> None:
         feed.searching = True
         self._nursery.start_soon(self._carry, feed, search)
 
     async def _carry(self, feed: feeds.Feed, search: searches.Search) -> None:
         while not feed.closed:
-            choice = self._choose(feed, search)
+            choice = self.choices.choose(feed, search)
             if choice is None:
                 if not await self._wait_for_round(feed, search):
                     return
@@ -126,33 +118,9 @@
                 return
             # The upstream that served is gone and no one looks for another.
             feed.searching = True
-            search = self._search_anew(source)
+            search = self.choices.search_anew(source)
             self._around.counts.add("feeds_lost_upstream_total")
 
-    def _choose(
-        self, feed: feeds.Feed, search: searches.Search
-    ) -> port.Choice | None:
-        entry = self._around.contracts.get(feed.flow.service)
-        if entry is None:
-            return None
-        if search.preferred is not None:
-            preferred, search.preferred = search.preferred, None
-            return preferred
-        return self._around.chooser.choose(
-            entry, contracts.CallKind.FEED, exclude=search.tried
-        )
-
-    def _search_anew(self, source: sources.Source) -> searches.Search:
-        """Returns the search for an upstream after one was lost."""
-        tried = frozenset({ids.UpstreamId(source.upstream.id)})
-        if source.end is not None or self.must_move(source):
-            return searches.Search(tried=tried)
-        if self._around.view.find_ref(source.keeper_ref) is None:
-            return searches.Search(tried=tried)
-        # Only the link was lost.
-        choice = port.Choice(source.upstream, source.keeper, source.keeper_ref)
-        return searches.Search(choice)
-
     def _make_source(
         self, feed: feeds.Feed, choice: port.Choice
     ) -> sources.Source:
@@ -186,7 +154,7 @@
             False if the search is over.
         """
         if feed.source is not None:
-            if search.once or not self.must_move(feed.source):
+            if search.once or not self.choices.must_move(feed.source):
                 feed.searching = False
                 return False
         elif search.first and not search.unreachable:
@@ -194,19 +162,13 @@
             self._finish(feed, search)
             return False
         delay_s = search.delay_s * self._around.random.uniform(0.5, 1.0)
-        if feed.source is None and not self._is_in_time(feed, delay_s):
+        if feed.source is None and not self.choices.is_in_time(feed, delay_s):
             self._finish(feed, search)
             return False
         await trio.sleep(delay_s)
         search.begin_round()
         return True
 
-    def _is_in_time(self, feed: feeds.Feed, delay_s: float) -> bool:
-        if self._around.contracts.get(feed.flow.service) is None:
-            return False
-        deadline = feed.lost_at + feed.call_class.deadline_s
-        return trio.current_time() + delay_s < deadline
-
     def _finish(self, feed: feeds.Feed, search: searches.Search) -> None:
         answer = b"" if search.unreachable else search.answer
         self._end(feed, answer, search.retry_after_s)
@@ -297,5 +259,5 @@
         if feed.opened is not None:
             feed.opened.set()
         # Its keeper may have asked for a move while it was a candidate.
-        if feed.source is not None and self.must_move(feed.source):
+        if feed.source is not None and self.choices.must_move(feed.source):
             self.move(feed)
--- a/persimmonhinge/flows/feeds/watches.py
+++ b/persimmonhinge/flows/feeds/watches.py
@@ -82,7 +82,7 @@
                 await trio.lowlevel.checkpoint()
             if feed.flow.service not in services or feed.source is None:
                 continue
-            if self._upstreams.must_move(feed.source):
+            if self._upstreams.choices.must_move(feed.source):
                 self._upstreams.move(feed)
 
     async def _leave_keepers(self, gone: set[ids.HostRef]) -> None:
--- a/tests/test_flows/feeds_fakes.py
+++ b/tests/test_flows/feeds_fakes.py
@@ -82,6 +82,8 @@
         self.recent = digests.join(opened.recent)
         self.acks: list[messages.FeedAck] = []
         self.closed = False
+        # True for a message that is on its way although its reader stops.
+        self.late = False
         self._sender, self._receiver = trio.open_memory_channel[base.Message](
             1000
         )
@@ -90,9 +92,13 @@
         """Returns the next message, as `PeerStream` does."""
         await trio.sleep(LINK_S)
         try:
-            return await self._receiver.receive()
+            if not self.late:
+                return await self._receiver.receive()
+            with trio.CancelScope(shield=True):
+                received = await self._receiver.receive()
         except trio.EndOfChannel:
             raise errors.PeerLinkLostError("cut", step="receive") from None
+        return received
 
     async def push(self, message: base.Message) -> None:
         """Notes an acknowledgement."""
@@ -154,6 +160,7 @@
         mute: True to give nothing at all on new streams.
         streams: Those that the homes opened.
         lag_s: Time from a new state to its publication here.
+        late: True if its streams give one more message once they end.
         waiting: States that are yet to be published here.
     """
 
@@ -163,6 +170,7 @@
     mute: bool = False
     streams: list[FakeStream] = dataclasses.field(default_factory=list)
     lag_s: float = 0.0
+    late: bool = False
     waiting: list[int] = dataclasses.field(default_factory=list)
 
     def open_streams(self) -> list[FakeStream]:
@@ -176,6 +184,7 @@
     def accept(self, stream: FakeStream) -> None:
         """Takes a stream that a home opens."""
         self.streams.append(stream)
+        stream.late = self.late
         if self.mute:
             return
         if self.end is not None:
--- a/tests/test_flows/test_flows_feeds.py
+++ b/tests/test_flows/test_flows_feeds.py
@@ -87,3 +87,33 @@
             assert world.caller.ticks == [0, 1, 2]
             assert not old.open_streams()
             assert world.count_streams() == 1
+
+
+@trios.clock_test
+async def test_feeds_pass_over_a_late_event_of_the_former_upstream() -> None:
+    """A message was taken off the link when its feed changed over.
+
+    The caller has had newer states from the new upstream: passed on, the
+    late one would step back.
+    """
+    async with feeds_fakes.run_world() as world:
+        for upstream in world.upstreams.values():
+            upstream.late = True
+        world.home().register()
+        await trio.sleep(_QUICK_S)
+        (old,) = [u for u in world.upstreams.values() if u.open_streams()]
+        (stream,) = old.open_streams()
+        old.tell(messages.FeedEndCause.DRAINING)
+        await trio.sleep(_QUICK_S)
+        (new,) = [
+            u
+            for u in world.upstreams.values()
+            if len(u.streams) == 1 and u is not old
+        ]
+        new.streams[0].late = False
+        for tick in (1, 2):
+            new.publish(tick)
+            await trio.sleep(_QUICK_S)
+        stream.give_tick(0)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.ticks == [0, 1, 2]
