--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -238,8 +238,6 @@
             outcome = await send(deployment, part * capacity, duration_s)
             cells = describe(part, capacity, duration_s, outcome)
             print("| " + " | ".join(cells) + " |", flush=True)
-            import collections
-            print(collections.Counter((r.kind, r.cause) for _, r in outcome.ends if r.cause).most_common(9))
         amplification = await measure_amplification(
             deployment, capacity / 2, duration_s
         )
