Prove drains, silent feeds and deaths with real processes

Feeds that went silent are found, moved and counted while their upstream runs other work; feeds that are only quiet stay. Feeds go on after a host or an upstream was killed; if the killed host kept none itself, without a new registration.

--- a/tests/standins/upstream_board.py
+++ b/tests/standins/upstream_board.py
@@ -96,6 +96,7 @@
 
     def _refuse(self) -> codec.Message | None:
         if self._state.draining:
+            self._state.counts["sheds"] += 1
             return make_refusal(60, b"draining")
         if self._state.feeds >= self._state.settings.connections:
             self._state.counts["excess_feeds"] += 1
--- a/tests/standins/watchers.py
+++ b/tests/standins/watchers.py
@@ -7,6 +7,7 @@
 import dataclasses
 import itertools
 import json
+import math
 import random
 
 import trio
@@ -36,11 +37,13 @@
         tick: Its number.
         at: When it came, in seconds of trio's clock.
         renewed: True if the caller had registered its feed again.
+        sequence: Its Observe number, None if it had none.
     """
 
     tick: int
     at: float
     renewed: bool
+    sequence: int | None
 
 
 class Watchers:
@@ -116,6 +119,40 @@
             or any(b.tick - a.tick != 1 for a, b in itertools.pairwise(seen))
         }
 
+    def steps(self) -> list[int]:
+        """Returns by how much each tick is above the one before."""
+        return [
+            later.tick - former.tick
+            for seen in self.sights
+            for former, later in itertools.pairwise(seen)
+        ]
+
+    def steps_back(self) -> list[str]:
+        """Returns each repeat and each step back, gaps passed over."""
+        return [
+            f"feed {number}: {former.tick}, then {later.tick}"
+            for number, seen in enumerate(self.sights)
+            for former, later in itertools.pairwise(seen)
+            if later.tick <= former.tick and not later.renewed
+        ]
+
+    def waits_s(self, since: float) -> list[float]:
+        """Returns each feed's longest time without a tick after a moment.
+
+        A time that began before the moment counts from it on.
+        """
+        return [
+            max(
+                (
+                    later.at - max(former.at, since)
+                    for former, later in itertools.pairwise(seen)
+                    if later.at > since
+                ),
+                default=math.inf,
+            )
+            for seen in self.sights
+        ]
+
     def check_whole(self) -> None:
         """Judges that no caller noticed anything.
 
@@ -146,7 +183,9 @@
                 self.renewals[number] = feed.renewals
                 tick = json.loads(notification.payload)["tick"]
                 now = trio.current_time()
-                sight = Sight(tick, now, notification.renewed)
+                sight = Sight(
+                    tick, now, notification.renewed, notification.sequence
+                )
                 self.sights[number].append(sight)
 
 
@@ -156,11 +195,12 @@
     service: str,
     count: int = 20,
     settings: client_settings.ClientSettings = PATIENT,
+    first_ticks: int = 3,
 ) -> AsyncIterator[Watchers]:
     """Opens feeds and waits until each has shown its first ticks."""
     watchers = Watchers(deployment, service, count, settings)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watchers.run)
-        await watchers.wait_more(3)
+        await watchers.wait_more(first_ticks)
         yield watchers
         nursery.cancel_scope.cancel()
--- a/tests/test_integration/feed_plans.py
+++ b/tests/test_integration/feed_plans.py
@@ -4,7 +4,6 @@
 
 from collections.abc import AsyncIterator
 import contextlib
-import re
 
 import trio
 
@@ -17,7 +16,7 @@
 _SLOTS = 2
 _POLL_S = 0.1
 _LIMIT_S = 30.0
-_FEEDS_GAUGE = re.compile(r"(persimmonhinge_)?feeds_open({.*})?$")
+QUICK_LIMITS = contracts.Limits(silent_feed_s=1.0)
 _CLASSES = (plans.FEED_CLASS, plans.READ_CLASS, plans.LOT_CLASS)
 
 
@@ -56,20 +55,31 @@
     return host_pages.HostPages(deployment.metrics_url)
 
 
-async def count_feeds(deployment: processes.Deployment, host: str) -> int:
-    """Returns how many feeds a host is home of."""
+async def count_feeds(
+    deployment: processes.Deployment, host: str, gauge: str = "feeds_open"
+) -> int:
+    """Returns how many feeds a host is home of, or another of its gauges."""
     text = await open_pages(deployment).read(host, "metrics")
     for line in text.splitlines():
         name, _, value = line.rpartition(" ")
-        if _FEEDS_GAUGE.match(name):
+        if name.partition("{")[0] in (gauge, f"persimmonhinge_{gauge}"):
             return int(float(value))
-    raise AssertionError(f"{host} shows no feeds:\n{text}")
+    raise AssertionError(f"{host} does not show {gauge}:\n{text}")
 
 
-async def find_busiest(deployment: processes.Deployment) -> str:
-    """Returns the host that is home of most feeds."""
+async def find_busiest(
+    deployment: processes.Deployment, *, keeper: bool = True
+) -> str:
+    """Returns the host that is home of most feeds.
+
+    Args:
+        deployment: The processes.
+        keeper: False to pass over hosts that keep feeds for homes.
+    """
     feeds = {
-        host: await count_feeds(deployment, host) for host in deployment.hosts
+        host: await count_feeds(deployment, host)
+        for host in deployment.hosts
+        if keeper or not await count_feeds(deployment, host, "keeper_feeds")
     }
     return max(feeds, key=feeds.__getitem__)
 
