--- a/tests/standins/demo.py
+++ b/tests/standins/demo.py
@@ -21,6 +21,8 @@
 from rich import console as consoles
 import trio
 
+from persimmonhinge import ids
+from persimmonhinge.load import balance
 from persimmonhinge.load import executions as execution_logs
 from persimmonhinge.load import report as reports
 from persimmonhinge.load import tables
@@ -35,6 +37,7 @@
 _DRAIN_AT = 0.65
 # A leaving upstream gets no new work after so long.
 _DRAIN_LIMIT_S = 3.0
+_DECIMALS = 3
 _PLANS = {
     "market": plans.make_market_plan,
     "utility": plans.make_utility_plan,
@@ -73,6 +76,7 @@
             nursery.start_soon(self._drain_upstream)
             report = await self._run_load()
         self._check_proof(report)
+        report = self._weigh_drained(report)
         failed = self._deployment.find_failed()
         if failed:
             tails = [f"{process.name}:\n{process.tail()}" for process in failed]
@@ -87,6 +91,31 @@
             raise DemoError(f"{report.feeds_not_opened} feeds never opened")
         self._check_drained()
 
+    def _weigh_drained(self, report: reports.Report) -> reports.Report:
+        """Takes the drained upstream as one that took work for a while.
+
+        Counted as all others it would pass for one that got too little.
+        """
+        logs = self._deployment.execution_logs()
+        times = [
+            execution.t
+            for execution in execution_logs.read_executions(logs)
+            if execution.kind == execution_logs.RUN
+        ]
+        left_at = {ids.UpstreamId(self._drained): self._drained_at}
+        imbalance = max(
+            balance.compute_imbalance(
+                balance.scale_left(
+                    service.runs, left_at, min(times), max(times)
+                )
+            )
+            for service in report.services
+        )
+        summary = msgspec.structs.replace(
+            report.summary, imbalance=round(imbalance, _DECIMALS)
+        )
+        return msgspec.structs.replace(report, summary=summary)
+
     def _check_drained(self) -> None:
         log = self._deployment.execution_log(self._drained)
         late = [
