Answer at once when the keepers of a dead home's request are gone

Cause: since the copies of one side of a cut are no longer answered with an early 'unknown', a caller whose home and keepers had really died also waited until its deadline for that answer, although no round of questions could change it.

After: in the first round, where another host of the keeper's domain lives; where the whole domain is dark it may be a cut, and the keepers are asked until the deadline as before.

--- a/persimmonhinge/flows/recovery.py
+++ b/persimmonhinge/flows/recovery.py
@@ -27,6 +27,8 @@
 _ROUND_PAUSE_S = 0.5
 
 Outcome = work.Outcome
+# What each keeper of a ticket says; None without an answer.
+Findings = dict[ids.HostRef, work.Dispatched | None]
 
 
 class Recovery:
@@ -34,10 +36,11 @@
 
     Only they can have run its work, so they can tell together: one has the
     answer, or all promise that it did not run and never will. While one of
-    them can't be reached, they are asked again until the caller's deadline.
+    them may come back, they are asked again until the caller's deadline.
     Guards against "unknown" from one side of a cut for a request that the
     other side runs and answers: the caller's packets reach both sides, and
-    the side without the home would be the first to speak.
+    the side without the home would be the first to speak. A keeper that is
+    gone is not waited for: the caller gets its final answer at once.
     """
 
     def __init__(
@@ -63,28 +66,54 @@
         """
         while True:
             found = await self._ask_each(order)
-            result = _conclude(found)
+            result = _conclude(list(found.values()))
             again_at = trio.current_time() + _ROUND_PAUSE_S
-            if not _may_become_known(found) or again_at >= order.deadline:
+            if not self._may_become_known(found):
+                break
+            if again_at >= order.deadline:
                 break
             await trio.sleep_until(again_at)
         self._counts.add("home_recoveries_total", outcome=result.outcome.value)
         return result
 
-    async def _ask_each(
-        self, order: orders.Order
-    ) -> list[work.Dispatched | None]:
+    async def _ask_each(self, order: orders.Order) -> Findings:
         assert order.ticket is not None
-        found: list[work.Dispatched | None] = []
+        found: Findings = {}
 
         async def ask(keeper: ids.HostRef) -> None:
-            found.append(await self._find(order, keeper))
+            found[keeper] = await self._find(order, keeper)
 
         async with trio.open_nursery() as nursery:
             for keeper in order.ticket.keepers:
                 nursery.start_soon(ask, keeper)
         return found
 
+    def _may_become_known(self, found: Findings) -> bool:
+        """Tells whether another round may change the conclusion."""
+        told = [dispatched for dispatched in found.values() if dispatched]
+        if any(d.outcome is not Outcome.NOT_RUN for d in told):
+            return False
+        silent = [keeper for keeper, told in found.items() if told is None]
+        return bool(silent) and all(map(self._may_return, silent))
+
+    def _may_return(self, keeper: ids.HostRef) -> bool:
+        """Tells whether a keeper without an answer may be beyond a cut.
+
+        A cut takes a whole domain away. Where others of its domain answer,
+        a keeper that is believed dead is dead, or so paused that it comes
+        back as another incarnation; one that is not even known is gone too.
+        """
+        for member in self._view.all():
+            if member.ref == keeper:
+                return member.answers or self._is_dark(member.domain)
+        return False
+
+    def _is_dark(self, domain: ids.DomainId) -> bool:
+        return not any(
+            member.domain == domain and member.answers
+            for member in self._view.all()
+        )
+
     async def ask_keeper(
         self, order: orders.Order, keeper: ids.HostRef
     ) -> work.Dispatched:
@@ -176,14 +205,6 @@
     )
 
 
-def _may_become_known(found: list[work.Dispatched | None]) -> bool:
-    """Tells whether another round may change the conclusion."""
-    told = [dispatched for dispatched in found if dispatched is not None]
-    if len(told) == len(found):
-        return False
-    return all(dispatched.outcome is Outcome.NOT_RUN for dispatched in told)
-
-
 def _conclude(found: list[work.Dispatched | None]) -> work.Dispatched:
     for dispatched in found:
         if dispatched and dispatched.outcome is Outcome.ANSWERED:
--- a/tests/test_flows/test_flows_recovery.py
+++ b/tests/test_flows/test_flows_recovery.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from aiocoap.numbers import codes
 from aiocoap.numbers import types
 import hypothesis
@@ -11,6 +13,7 @@
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.flows import port
+from persimmonhinge.membership import member as members
 from persimmonhinge.peers.messages import base
 from persimmonhinge.peers.messages import work
 from tests.support import trios
@@ -230,3 +233,51 @@
         reply = await world.ask(POST, "/reserve", echo=echo)
     assert reply.code is Code.GATEWAY_TIMEOUT
     assert trio.current_time() - began < 30
+
+
+def _bury(world: home_fakes.HomeWorld, domain: str) -> None:
+    for host in home_fakes.KEEPERS:
+        member = home_fakes.make_member(host)
+        dead = dataclasses.replace(
+            member,
+            domain=ids.DomainId(domain),
+            state=members.MemberState.DEAD,
+        )
+        world.view.put(dead)
+        world.network.keep[host] = _make_keeper(host, None)
+
+
+@trios.clock_test
+async def test_dead_keepers_are_not_waited_for() -> None:
+    """A buyer waits ten seconds to be told that an outcome is unknown.
+
+    Home and keepers die, other hosts of their domain live. A copy comes to
+    one of these. Cause: it asked the dead until the deadline, as in a cut,
+    although nobody but they could have told.
+    """
+    echo = await _get_ticket()
+    world = home_fakes.HomeWorld(_SUCCESSOR)
+    _bury(world, "north")
+    began = trio.current_time()
+    async with world.running():
+        reply = await world.ask(POST, "/reserve", echo=echo)
+        assert reply.code is Code.GATEWAY_TIMEOUT
+        assert trio.current_time() - began < 2
+
+
+@trios.clock_test
+async def test_keepers_of_a_dark_domain_are_asked_until_the_deadline() -> None:
+    """A domain without a sign of life may be cut off and run the request."""
+    echo = await _get_ticket()
+    world = home_fakes.HomeWorld(_SUCCESSOR)
+    _bury(world, "south")
+    message = home_fakes.make_request(
+        POST, "/reserve", echo=echo, mtype=types.CON
+    )
+    async with world.running():
+        world.home.handle(home_fakes.FLOW, message)
+        await trio.sleep(5)
+        assert not world.answers.sent
+        await trio.sleep(20)
+        ((_, reply),) = world.answers.sent
+    assert reply.code is Code.GATEWAY_TIMEOUT
