--- a/persimmonhinge/membership/gossip.py
+++ b/persimmonhinge/membership/gossip.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import dataclasses
 import heapq
 import math
 
@@ -15,6 +16,21 @@
 _MAX_OCTETS = 450
 _OCTETS_PER_S = 4_000.0
 _BURST_OCTETS = 8_000.0
+_URGENT = (records.Claim.SUSPECT, records.Claim.DEAD)
+
+
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class _News:
+    """A place in the queue; the least goes first.
+
+    A death does not wait behind hundreds of hosts that have started or come
+    back, and neither does a suspicion, which its host has to hear of in time.
+    """
+
+    can_wait: bool
+    times: int
+    number: int
+    host: ids.HostId
 
 
 class Gossip:
@@ -42,7 +58,7 @@
         self._table = table
         self._measure = measure
         self._budget = budgets.OctetBudget(_OCTETS_PER_S, _BURST_OCTETS, now)
-        self._queue: list[tuple[int, int, ids.HostId]] = []
+        self._queue: list[_News] = []
         self._current: dict[ids.HostId, int] = {}
         self._number = 0
 
@@ -67,35 +83,38 @@
             if record is not None and record.claim is not records.Claim.ALIVE:
                 chosen.append(record)
                 room -= self._measure(record)
-        told: list[tuple[int, ids.HostId]] = []
+        told: list[_News] = []
         while self._queue and room > 0:
-            times, number, host = heapq.heappop(self._queue)
-            if self._current.get(host) != number:
+            news = heapq.heappop(self._queue)
+            if self._current.get(news.host) != news.number:
                 continue  # A newer entry of this host is queued.
-            record = self._table.get(host)
+            record = self._table.get(news.host)
             if record is None:
-                del self._current[host]
+                del self._current[news.host]
                 continue
             octets = self._measure(record)
             if not self._budget.take(octets):
-                heapq.heappush(self._queue, (times, number, host))
+                heapq.heappush(self._queue, news)
                 break
-            told.append((times + 1, host))
+            told.append(news)
             room -= octets
-            if host != about:
+            if news.host != about:
                 chosen.append(record)
         self._requeue(told)
         return tuple(chosen)
 
-    def _requeue(self, told: list[tuple[int, ids.HostId]]) -> None:
+    def _requeue(self, told: list[_News]) -> None:
         most = _SPREAD_FACTOR * math.ceil(math.log2(len(self._table) + 1))
-        for times, host in told:
-            if times < most:
-                self._push(times, host)
+        for news in told:
+            if news.times + 1 < most:
+                self._push(news.times + 1, news.host)
             else:
-                del self._current[host]
+                del self._current[news.host]
 
     def _push(self, times: int, host: ids.HostId) -> None:
         self._number += 1
         self._current[host] = self._number
-        heapq.heappush(self._queue, (times, self._number, host))
+        record = self._table.get(host)
+        urgent = record is not None and record.claim in _URGENT
+        news = _News(not urgent, times, self._number, host)
+        heapq.heappush(self._queue, news)
--- a/tests/test_membership/test_membership_codec.py
+++ b/tests/test_membership/test_membership_codec.py
@@ -112,3 +112,22 @@
         told |= {rumor.host for rumor in rumors}
     assert not len(gossip)
     assert told | {target} >= {record.host for record in table.all()}
+
+
+def test_a_suspicion_does_not_wait_behind_hosts_that_started() -> None:
+    """A dead host was noticed seconds later on the far side of a big fleet.
+
+    Hundreds of hosts had just started, and the suspicion queued behind them.
+    """
+    codec = codecs.DatagramCodec(None)
+    table = tables.Table(100.0, lambda: 0.0)
+    times = itertools.count()
+    gossip = gossips.Gossip(table, codec.measure, lambda: next(times))
+    suspect = test_membership_record.make_record(claim=records.Claim.SUSPECT)
+    for number in range(300):
+        record = test_membership_record.make_record(f"new-{number}")
+        table.offer(record)
+        gossip.add(record.host)
+    table.offer(suspect)
+    gossip.add(suspect.host)
+    assert all(suspect in gossip.take(about=None) for _ in range(10))
