Split the fakes for feeds into files with one job each

feeds_fakes.py held upstreams, hosts, the caller, the network, the chooser and shared values in 525 lines. Each has its file now; feeds_fakes only runs them.

--- /dev/null
+++ b/tests/test_flows/feeds_caller.py
@@ -0,0 +1,62 @@
+"""A caller that checks the order of what it sees."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+
+import aiocoap
+import trio
+
+from persimmonhinge.client import order
+from persimmonhinge.coap import codec
+from tests.test_flows import feeds_values
+
+if TYPE_CHECKING:
+    from tests.test_flows import feeds_hosts
+    from tests.test_flows import feeds_world
+
+
+class FakeCaller:
+    """A caller that acknowledges, and notes what it sees in order."""
+
+    def __init__(self, world: feeds_world.World) -> None:
+        self.world = world
+        self.messages: list[codec.Message] = []
+        self.ticks: list[int] = []
+        self.sent_by: list[str] = []
+        self.acknowledges = True
+        self._order = order.NotificationOrder()
+        self._ids = 0
+
+    def next_id(self) -> int:
+        """Returns a new message id."""
+        self._ids += 1
+        return self._ids
+
+    def take(self, host: feeds_hosts.Host, message: codec.Message) -> None:
+        """Takes a message that a host sends."""
+        self.messages.append(codec.decode(codec.encode(message)))
+        self.sent_by.append(host.name)
+        if message.mtype is aiocoap.CON and self.acknowledges:
+            host.feeds.acknowledge(feeds_values.FLOW, message.mid)
+        if message.opt.observe is None or message.opt.block2 is not None:
+            return
+        if self._order.take(message.opt.observe, trio.current_time()):
+            self.ticks.append(json.loads(message.payload)["tick"])
+
+    def last(self) -> codec.Message:
+        """Returns the newest message."""
+        return self.messages[-1]
+
+    def make_get(
+        self, observe: int | None = 0, mtype: Any = aiocoap.NON
+    ) -> codec.Message:
+        """Returns a request for the feed."""
+        message = codec.Message(code=aiocoap.GET)
+        message.opt.uri_path = ("prices",)
+        message.opt.observe = observe
+        message.token, message.mid = feeds_values.TOKEN, self.next_id()
+        message.mtype = mtype
+        return codec.decode(codec.encode(message))
--- /dev/null
+++ b/tests/test_flows/feeds_chooser.py
@@ -0,0 +1,61 @@
+"""A random choice of upstreams."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from persimmonhinge import ids
+from persimmonhinge.contracts import contract as contracts
+from persimmonhinge.contracts import store
+from persimmonhinge.flows import port
+from persimmonhinge.membership import member as members
+
+if TYPE_CHECKING:
+    from tests.test_flows import feeds_world
+
+
+class FakeChooser:
+    """Chooses at random, and notes what is open."""
+
+    def __init__(self, world: feeds_world.World) -> None:
+        self._world = world
+        self.open = 0
+
+    def choose(
+        self,
+        entry: store.ContractEntry,
+        kind: contracts.CallKind,
+        *,
+        exclude: frozenset[ids.UpstreamId] = frozenset(),
+        among: frozenset[ids.HostRef] | None = None,
+    ) -> port.Choice | None:
+        """Chooses among the active upstreams."""
+        fit = [
+            u
+            for u in entry.contract.upstreams
+            if u.id not in exclude and u.state is contracts.UpstreamState.ACTIVE
+        ]
+        if not fit:
+            return None
+        upstream = self._world.random.choice(fit)
+        keeper = ids.HostId(self._world.upstreams[upstream.id].keeper)
+        ref = members.compute_ref(keeper, ids.Incarnation(1))
+        return port.Choice(upstream, keeper, ref)
+
+    def pick_keepers(
+        self, entry: store.ContractEntry, count: int
+    ) -> tuple[ids.HostRef, ...]:
+        """Is not used by feeds."""
+        return ()
+
+    def note(self, *args: Any) -> None:
+        """Is not used by feeds."""
+
+    def begin(self, *args: Any) -> None:
+        """Counts a stream."""
+        self.open += 1
+
+    def end(self, *args: Any) -> None:
+        """Counts a stream no more."""
+        self.open -= 1
--- /dev/null
+++ b/tests/test_flows/feeds_upstreams.py
@@ -0,0 +1,166 @@
+"""Upstreams that publish states on the streams of homes."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import aiocoap
+import msgspec
+import trio
+
+from persimmonhinge import errors
+from persimmonhinge import ids
+from persimmonhinge.coap import codec
+from persimmonhinge.flows.feeds import digests
+from persimmonhinge.peers.messages import base
+from persimmonhinge.peers.messages import feeds as messages
+from tests.test_flows import feeds_values
+
+if TYPE_CHECKING:
+    from tests.test_flows import feeds_hosts
+
+
+@dataclasses.dataclass
+class FakePeer:
+    """The side that called."""
+
+    host: ids.HostId
+
+
+class FakeStream:
+    """The home's end of a feed at a fake upstream."""
+
+    def __init__(self, opened: messages.FeedOpen, keeper: str) -> None:
+        self.opened = opened
+        self.keeper = keeper
+        self.sequence = opened.last_sequence
+        self.recent = digests.join(opened.recent)
+        self.acks: list[messages.FeedAck] = []
+        self.closed = False
+        # True for a message that is on its way although its reader stops.
+        self.late = False
+        self._sender, self._receiver = trio.open_memory_channel[base.Message](
+            1000
+        )
+
+    async def receive(self) -> base.Message:
+        """Returns the next message, as `PeerStream` does."""
+        await trio.sleep(feeds_values.LINK_S)
+        try:
+            if not self.late:
+                return await self._receiver.receive()
+            with trio.CancelScope(shield=True):
+                received = await self._receiver.receive()
+        except trio.EndOfChannel:
+            raise errors.PeerLinkLostError("cut", step="receive") from None
+        return received
+
+    async def push(self, message: base.Message) -> None:
+        """Notes an acknowledgement."""
+        if self.closed:
+            raise errors.PeerLinkLostError("cut", step="push")
+        assert isinstance(message, messages.FeedAck)
+        self.acks.append(message)
+
+    def give(self, message: base.Message) -> None:
+        """Sends a message to the home."""
+        if not self.closed:
+            self._sender.send_nowait(message)
+
+    def give_tick(self, tick: int) -> None:
+        """Sends a state to the home."""
+        self.sequence += 1
+        answer = codec.Message(
+            payload=feeds_values.make_payload(tick), code=aiocoap.CONTENT
+        )
+        self.recent = digests.append(self.recent, digests.compute(answer))
+        self.give(
+            messages.FeedEvent(self.sequence, feeds_values.make_answer(tick))
+        )
+
+    async def hand_over(
+        self, home: feeds_hosts.Host, *, prepares: bool = False
+    ) -> bool:
+        """Hands the feed to another home, as after the death of its own."""
+        opened = msgspec.structs.replace(
+            self.opened,
+            last_sequence=self.sequence,
+            recent=digests.split(self.recent),
+        )
+        handler = home.network.handlers[messages.FeedAdopt]
+        peer = FakePeer(ids.HostId(self.keeper))
+        reply = await handler(peer, messages.FeedAdopt(opened, prepares))
+        assert isinstance(reply, messages.Adopted)
+        return reply.accepted
+
+    def cut(self) -> None:
+        """Closes the link."""
+        self.closed = True
+        self._sender.close()
+
+
+@dataclasses.dataclass(eq=False)
+class FakeUpstream:
+    """An upstream behind its keeper.
+
+    Attributes:
+        keeper: feeds_hosts.Host that keeps it.
+        tick: The state that it has published.
+        end: Given instead of a first event, if set.
+        mute: True to give nothing at all on new streams.
+        streams: Those that the homes opened.
+        lag_s: Time from a new state to its publication here.
+        late: True if its streams give one more message once they end.
+        waiting: States that are yet to be published here.
+    """
+
+    keeper: str
+    tick: int = 0
+    end: messages.FeedEnd | None = None
+    mute: bool = False
+    streams: list[FakeStream] = dataclasses.field(default_factory=list)
+    lag_s: float = 0.0
+    late: bool = False
+    waiting: list[int] = dataclasses.field(default_factory=list)
+
+    def open_streams(self) -> list[FakeStream]:
+        """Returns the streams that homes have open."""
+        return [s for s in self.streams if not s.closed]
+
+    def find_stream(self) -> FakeStream | None:
+        """Returns an open stream, None if there is none."""
+        return next(iter(self.open_streams()), None)
+
+    def accept(self, stream: FakeStream) -> None:
+        """Takes a stream that a home opens."""
+        self.streams.append(stream)
+        stream.late = self.late
+        if self.mute:
+            return
+        if self.end is not None:
+            stream.give(self.end)
+        else:
+            stream.give_tick(self.tick)
+
+    def publish(self, tick: int) -> None:
+        """Gives a new state to all open streams."""
+        self.tick = tick
+        for stream in self.open_streams():
+            stream.give_tick(tick)
+
+    async def publish_late(self) -> None:
+        """Gives the next state that waits, after the lag."""
+        await trio.sleep(self.lag_s)
+        if self.waiting:
+            self.publish(self.waiting.pop(0))
+
+    def tell(self, cause: messages.FeedEndCause) -> None:
+        """Has the keeper ask all homes to move."""
+        for stream in self.open_streams():
+            stream.give(messages.FeedEnd(cause))
+
+    def cut(self) -> None:
+        """Closes the links of all open streams."""
+        for stream in self.open_streams():
+            stream.cut()
--- /dev/null
+++ b/tests/test_flows/feeds_world.py
@@ -0,0 +1,96 @@
+"""All hosts and upstreams of a test of feeds."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import TYPE_CHECKING
+
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.peers.messages import control
+from tests.test_flows import feeds_caller
+from tests.test_flows import feeds_upstreams
+from tests.test_flows import feeds_values
+
+if TYPE_CHECKING:
+    from tests.test_flows import feeds_hosts
+
+
+class World:
+    """All hosts and upstreams of a test, and what the caller sees."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.upstreams = {
+            u: feeds_upstreams.FakeUpstream(f"k-{u}")
+            for u in feeds_values.UPSTREAMS
+        }
+        self.hosts: dict[str, feeds_hosts.Host] = {}
+        self.down: set[str] = set()
+        self.caller = feeds_caller.FakeCaller(self)
+        self.revision = 0
+
+    def publish(self, tick: int) -> None:
+        """Gives a new state at all upstreams at once."""
+        for upstream in self.upstreams.values():
+            upstream.publish(tick)
+
+    async def publish_unevenly(self, tick: int) -> None:
+        """Gives a new state at each upstream after that one's lag."""
+        async with trio.open_nursery() as nursery:
+            for upstream in self.upstreams.values():
+                upstream.waiting.append(tick)
+                nursery.start_soon(upstream.publish_late)
+
+    async def spread_member(self, host: str, state: feeds_values.State) -> None:
+        """Lets all hosts learn the state of a host, each at its own time."""
+        for other in self.live_hosts():
+            other.view.put(feeds_values.make_member(host, state))
+            await trio.sleep(self.random.uniform(0, 0.2))
+
+    def set_contract(self, *draining: str) -> None:
+        """Puts a contract in force, with upstreams that drain."""
+        self.revision += 1
+        body = json.dumps(
+            feeds_values.make_contract(frozenset(draining))
+        ).encode()
+        self._offer(body)
+
+    def delete_contract(self) -> None:
+        """Deletes the contract."""
+        self.revision += 1
+        self._offer(b"")
+
+    def _offer(self, body: bytes) -> None:
+        revision = ids.Revision(self.revision)
+        for host in self.hosts.values():
+            record = control.ContractRecord(
+                feeds_values.SERVICE, revision, body
+            )
+            host.contracts.offer(record)
+
+    def count_feeds(self) -> int:
+        """Returns the feeds in the tables of all hosts."""
+        return sum(host.feeds.count() for host in self.live_hosts())
+
+    def live_hosts(self) -> list[feeds_hosts.Host]:
+        """Returns the hosts that have not died."""
+        return [h for h in self.hosts.values() if h.name not in self.down]
+
+    def count_streams(self) -> int:
+        """Returns the streams open at all upstreams."""
+        return sum(len(u.open_streams()) for u in self.upstreams.values())
+
+    def takes_no_call(self, host: str) -> bool:
+        """Tells whether a host is unknown or dead."""
+        keepers = {u.keeper for u in self.upstreams.values()}
+        return host in self.down or host not in {*self.hosts, *keepers}
+
+    def home(self) -> feeds_hosts.Host:
+        """Returns the host that is home of the flow in its own view."""
+        for host in self.live_hosts():
+            if host.is_home():
+                return host
+        raise AssertionError("no host is home")
--- a/tests/test_flows/test_flows_feeds.py
+++ b/tests/test_flows/test_flows_feeds.py
@@ -8,6 +8,7 @@
 from persimmonhinge.peers.messages import feeds as messages
 from tests.support import trios
 from tests.test_flows import feeds_fakes
+from tests.test_flows import feeds_values
 
 _QUICK_S = 0.05
 
@@ -23,7 +24,7 @@
             await trio.sleep(_QUICK_S)
         assert world.caller.ticks == [0, 1, 2, 3]
         assert home.feeds.close(
-            feeds_fakes.FLOW, world.caller.make_get(observe=1)
+            feeds_values.FLOW, world.caller.make_get(observe=1)
         )
         await trio.sleep(_QUICK_S)
         world.publish(4)
--- a/tests/test_flows/test_flows_feeds_callers.py
+++ b/tests/test_flows/test_flows_feeds_callers.py
@@ -10,12 +10,14 @@
 from persimmonhinge.peers.messages import feeds as messages
 from tests.support import trios
 from tests.test_flows import feeds_fakes
+from tests.test_flows import feeds_values
+from tests.test_flows import feeds_world
 
 _QUICK_S = 0.05
-FLOW = feeds_fakes.FLOW
+FLOW = feeds_values.FLOW
 
 
-def _set_end(world: feeds_fakes.World, end: messages.FeedEnd | None) -> None:
+def _set_end(world: feeds_world.World, end: messages.FeedEnd | None) -> None:
     for upstream in world.upstreams.values():
         upstream.end = end
 
--- a/tests/test_flows/test_flows_feeds_homes.py
+++ b/tests/test_flows/test_flows_feeds_homes.py
@@ -10,13 +10,16 @@
 from persimmonhinge.peers.messages import feeds as messages
 from tests.support import trios
 from tests.test_flows import feeds_fakes
+from tests.test_flows import feeds_hosts
+from tests.test_flows import feeds_values
+from tests.test_flows import feeds_world
 
 _QUICK_S = 0.05
 _HOSTS = ("h1", "h2", "h3")
-State = feeds_fakes.State
+State = feeds_values.State
 
 
-async def _open(world: feeds_fakes.World) -> feeds_fakes.Host:
+async def _open(world: feeds_world.World) -> feeds_hosts.Host:
     home = world.home()
     home.register()
     await trio.sleep(_QUICK_S)
@@ -124,12 +127,12 @@
         home = await _open(world)
         for upstream in world.upstreams.values():
             # In the view, but not a host that may be home.
-            keeper = feeds_fakes.make_member(upstream.keeper, State.LEAVING)
+            keeper = feeds_values.make_member(upstream.keeper, State.LEAVING)
             home.view.put(keeper)
         await trio.sleep(_QUICK_S)
         (old,) = [u for u in world.upstreams.values() if u.open_streams()]
         world.down.add(old.keeper)
-        dead = feeds_fakes.make_member(old.keeper, State.DEAD)
+        dead = feeds_values.make_member(old.keeper, State.DEAD)
         home.view.put(dead)
         await trio.sleep(1)
         assert not old.open_streams()
@@ -150,7 +153,7 @@
         async with feeds_fakes.run_world(*_HOSTS, seed=seed) as world:
             home = await _open(world)
             (old,) = [u for u in world.upstreams.values() if u.streams]
-            keeper = feeds_fakes.make_member(old.keeper, State.LEAVING)
+            keeper = feeds_values.make_member(old.keeper, State.LEAVING)
             for host in world.live_hosts():
                 host.view.put(keeper)
             if dies:
@@ -177,7 +180,7 @@
         await trio.sleep(_QUICK_S)
         assert world.caller.last().mtype is aiocoap.CON
         for number in range(8):
-            home.view.put(feeds_fakes.make_member(f"cut-off-{number}"))
+            home.view.put(feeds_values.make_member(f"cut-off-{number}"))
         assert not home.is_home()
         for tick in range(2, 100):
             await trio.sleep(1)
@@ -224,7 +227,7 @@
         home = await _open(world)
         (old,) = [u for u in world.upstreams if world.upstreams[u].streams]
         upstream = ids.UpstreamId(old)
-        service = feeds_fakes.SERVICE
+        service = feeds_values.SERVICE
         assert await home.feeds.move(service, upstream, 0) == 0
         assert await home.feeds.move(service, upstream, 5) == 1
         await trio.sleep(_QUICK_S)
--- a/tests/test_flows/test_flows_feeds_seams.py
+++ b/tests/test_flows/test_flows_feeds_seams.py
@@ -13,6 +13,9 @@
 from persimmonhinge.peers.messages import feeds as messages
 from tests.support import trios
 from tests.test_flows import feeds_fakes
+from tests.test_flows import feeds_upstreams
+from tests.test_flows import feeds_values
+from tests.test_flows import feeds_world
 
 _HOSTS = ("h1", "h2", "h3")
 _SKEW_S = 0.05
@@ -29,11 +32,11 @@
     max_examples=40,
     phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
 )
-World = feeds_fakes.World
+World = feeds_world.World
 Step = Callable[["Course"], Awaitable[None]]
 Steps = list[tuple[Step, float]]
 Cause = messages.FeedEndCause
-State = feeds_fakes.State
+State = feeds_values.State
 
 
 class Course:
@@ -70,15 +73,15 @@
 
     async def drain_by_contract(self) -> None:
         """Drains one upstream and takes the others back."""
-        name = self.world.random.choice(feeds_fakes.UPSTREAMS)
+        name = self.world.random.choice(feeds_values.UPSTREAMS)
         self.world.set_contract(name)
 
     async def rebalance(self) -> None:
         """Asks for a gentle move."""
         for host in self.world.hosts.values():
-            for name in feeds_fakes.UPSTREAMS:
+            for name in feeds_values.UPSTREAMS:
                 upstream = ids.UpstreamId(name)
-                await host.feeds.move(feeds_fakes.SERVICE, upstream, 1)
+                await host.feeds.move(feeds_values.SERVICE, upstream, 1)
 
     async def drain_home(self) -> None:
         """Lets the home leave and one that left come back."""
@@ -113,7 +116,7 @@
             if await stream.hand_over(heir) and await stream.hand_over(heir):
                 return
 
-    def _serving(self) -> feeds_fakes.FakeUpstream:
+    def _serving(self) -> feeds_upstreams.FakeUpstream:
         for upstream in self.world.upstreams.values():
             if upstream.open_streams():
                 return upstream
