Write the commands host drain and undrain once

The two commands differed only in the call and in the state waited for, as those of upstreams do, which share one function already. Behaviour is the same: the 18 tests of test_ctl pass.

--- a/persimmonhinge/ctl/host_commands.py
+++ b/persimmonhinge/ctl/host_commands.py
@@ -63,14 +63,7 @@
 
     Example: persimmonhinge-ctl host drain entry-2 --reason "new kernel"
     """
-
-    async def work(session: sessions.Session) -> exits.ExitCode:
-        record = await session.drains.drain(
-            ids.HostId(host), session.make_request(request_id, reason)
-        )
-        return await _report(session, host, record, wait, _LEAVING)
-
-    sessions.run(context, output, work)
+    _set_state(context, (host, _LEAVING), wait, reason, request_id, output)
 
 
 @program.command("undrain")
@@ -86,12 +79,26 @@
 
     Example: persimmonhinge-ctl host undrain entry-2
     """
+    _set_state(context, (host, _ALIVE), wait, reason, request_id, output)
+
+
+def _set_state(
+    context: typer.Context,
+    wanted: tuple[str, str],
+    wait: float | None,
+    reason: str,
+    request_id: str | None,
+    output: options.Output,
+) -> None:
+    host, state = wanted
 
     async def work(session: sessions.Session) -> exits.ExitCode:
-        record = await session.drains.undrain(
+        drains = session.drains
+        change = drains.drain if state == _LEAVING else drains.undrain
+        record = await change(
             ids.HostId(host), session.make_request(request_id, reason)
         )
-        return await _report(session, host, record, wait, _ALIVE)
+        return await _report(session, host, record, wait, state)
 
     sessions.run(context, output, work)
 
