--- a/tests/test_flows/home_fakes.py
+++ b/tests/test_flows/home_fakes.py
@@ -142,6 +142,11 @@
     return work.Dispatched(work.Outcome.ANSWERED, make_answer(payload))
 
 
+async def answer_done(message: base.Message) -> base.Message:
+    """Answers as a keeper whose upstream did the work."""
+    return answered(b"done")
+
+
 class FakeAnswers:
     """Keeps what is sent to callers."""
 
@@ -329,3 +334,22 @@
         assert reply.code == replies.Code.UNAUTHORIZED
         echo: bytes = reply.opt.echo
         return echo
+
+
+def post(
+    world: HomeWorld,
+    echo: bytes,
+    token: bytes,
+    mid: int,
+    payload: bytes = b"lot 7",
+) -> None:
+    """Hands the home a reservation and doesn't wait for the answer."""
+    message = make_request(
+        codes.Code.POST,
+        "/reserve",
+        token=token,
+        mid=mid,
+        payload=payload,
+        echo=echo,
+    )
+    world.home.handle(FLOW, message)
--- /dev/null
+++ b/tests/test_flows/test_flows_requests_ends.py
@@ -0,0 +1,76 @@
+"""Tests of requests that run while their home or caller goes."""
+
+from __future__ import annotations
+
+from aiocoap.numbers import codes
+from aiocoap.numbers import types
+import trio
+
+from persimmonhinge.coap import codec
+from persimmonhinge.flows import replies
+from persimmonhinge.peers.messages import base
+from tests.support import trios
+from tests.test_flows import home_fakes
+
+Code = codes.Code
+POST = codes.Code.POST
+
+
+@trios.clock_test
+async def test_leaving_home_ends_what_runs_and_begins_nothing() -> None:
+    world = home_fakes.HomeWorld()
+
+    async def answer_late(message: base.Message) -> base.Message:
+        await trio.sleep(3)
+        return home_fakes.answered(b"late")
+
+    world.keep_all(answer_late)
+    async with world.running():
+        echo = await world.get_ticket()
+        home_fakes.post(world, echo, b"a", 60)
+        await trio.sleep(0.5)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(world.home.leave)
+            await trio.sleep(0.5)
+            reply = await world.ask(POST, "/reserve", token=b"b", echo=echo)
+            assert reply.code is Code.SERVICE_UNAVAILABLE
+            assert reply.opt.echo is None
+            assert world.home.in_progress() == 1
+        late = world.answers.sent[-1][1]
+    assert (late.token, late.payload) == (b"a", b"late")
+    assert late.opt.echo is None
+
+
+@trios.clock_test
+async def test_last_caller_that_resets_cancels_the_work() -> None:
+    world = home_fakes.HomeWorld()
+    cancelled = []
+
+    async def hang(message: base.Message) -> base.Message:
+        try:
+            await trio.sleep_forever()
+        finally:
+            cancelled.append(message)
+        raise AssertionError
+
+    world.keep_all(hang)
+    async with world.running():
+        echo = await world.get_ticket()
+        for mid in (70, 71):
+            message = home_fakes.make_request(
+                POST, "/reserve", mid=mid, mtype=types.CON, echo=echo
+            )
+            world.home.handle(home_fakes.FLOW, message)
+        await trio.sleep(1)
+        _reset(world, 70)
+        await trio.sleep(1)
+        assert not cancelled
+        _reset(world, 71)
+        await trio.sleep(1)
+        assert len(cancelled) == 1
+
+
+def _reset(world: home_fakes.HomeWorld, mid: int) -> None:
+    message = replies.reject(Code.EMPTY)
+    message.mtype, message.mid, message.token = types.RST, mid, b""
+    world.home.handle(home_fakes.FLOW, codec.decode(codec.encode(message)))
