Ask an order for its ticket in one place

Every reader of an order with a ticket first asserted that the ticket and the key were there. The order now has one property for work that runs only with a ticket, and its key builds on it; a dispatch with a ticket is the plain one with its ticket's fields set. Behaviour stays as it was: only the dispatcher read the key of idempotent work, and it still looks at the ticket first.

--- a/persimmonhinge/flows/dispatcher.py
+++ b/persimmonhinge/flows/dispatcher.py
@@ -5,6 +5,7 @@
 import logging
 import random
 
+import msgspec
 import trio
 
 from persimmonhinge import errors
@@ -232,23 +233,18 @@
             max(1, int(left_s * 1000)),
             waits=waits,
         )
-        if order.ticket is None or order.key is None:
+        if order.ticket is None:
             return plain
-        return work.Dispatch(
-            plain.service,
-            plain.revision,
-            plain.upstream,
-            plain.call_class,
-            plain.request,
-            plain.deadline_ms,
+        key = order.key
+        return msgspec.structs.replace(
+            plain,
             idempotent=False,
-            ticket=order.key.ticket,
-            token=order.key.token,
-            digest=order.key.digest,
-            home=order.key.home,
+            ticket=key.ticket,
+            token=key.token,
+            digest=key.digest,
+            home=key.home,
             home_uptime_ms=self._mint.uptime_ms(),
             ticket_expiry_ms=order.ticket.expiry_ms,
-            waits=waits,
         )
 
 
--- a/persimmonhinge/flows/once.py
+++ b/persimmonhinge/flows/once.py
@@ -106,7 +106,6 @@
         except tickets.RefusedTicketError as error:
             return self._refuse_ticket(order, entry, echo, error.fault)
         order = order.bind(ticket)
-        assert order.key is not None
         row = self._table.find(order.key)
         if row is not None:
             return row
@@ -182,16 +181,15 @@
         *,
         has_room: bool,
     ) -> Admission:
-        assert order.ticket is not None
-        assert order.key is not None
-        if not self._mint.begins(order.ticket):
+        ticket = order.held_ticket
+        if not self._mint.begins(ticket):
             return self._desk.ask(order.flow, entry, "expired")
         if self._desk.leaving:
             # Never undone, so a late copy of it is refused as well.
             return replies.refuse(0, "host leaves")
         row = None
         if has_room:
-            row = self._table.begin(order.key, order.ticket.expiry_ms)
+            row = self._table.begin(order.key, ticket.expiry_ms)
         if row is None:
             self._counts.add("home_refused_total", cause="table-full")
             self._mint.close_issued()
@@ -201,15 +199,14 @@
         return row
 
     def _recover(self, order: orders.Order) -> Admission:
-        assert order.ticket is not None
-        assert order.key is not None
-        elsewhere = self._find_elsewhere(order.ticket)
+        elsewhere = self._find_elsewhere(order.held_ticket)
         if elsewhere is not None:
             return elsewhere
-        row = self._recovering.get(order.key)
+        key = order.key
+        row = self._recovering.get(key)
         if row is None:
-            row = rows.Row(order.key, is_recovered=True)
-            self._recovering[order.key] = row
+            row = rows.Row(key, is_recovered=True)
+            self._recovering[key] = row
             self._start(self._run_recovery, row, order)
         return row
 
--- a/persimmonhinge/flows/order.py
+++ b/persimmonhinge/flows/order.py
@@ -43,11 +43,16 @@
         return self.flow.service
 
     @property
-    def key(self) -> rows.RowKey | None:
-        """What its row is known by; None for idempotent work."""
-        if self.ticket is None:
-            return None
-        return self.make_key(self.ticket.home, self.ticket.ticket_id)
+    def held_ticket(self) -> tickets.Ticket:
+        """Its ticket, for work that runs only with one."""
+        assert self.ticket is not None
+        return self.ticket
+
+    @property
+    def key(self) -> rows.RowKey:
+        """What its row is known by; only work with a ticket has one."""
+        ticket = self.held_ticket
+        return self.make_key(ticket.home, ticket.ticket_id)
 
     def make_key(self, home: ids.HostRef, ticket: ids.TicketId) -> rows.RowKey:
         """Returns the key that it has under a ticket."""
--- a/persimmonhinge/flows/recovery.py
+++ b/persimmonhinge/flows/recovery.py
@@ -77,14 +77,13 @@
         return result
 
     async def _ask_each(self, order: orders.Order) -> Findings:
-        assert order.ticket is not None
         found: Findings = {}
 
         async def ask(keeper: ids.HostRef) -> None:
             found[keeper] = await self._find(order, keeper)
 
         async with trio.open_nursery() as nursery:
-            for keeper in order.ticket.keepers:
+            for keeper in order.held_ticket.keepers:
                 nursery.start_soon(ask, keeper)
         return found
 
@@ -192,15 +191,14 @@
 
 
 def _write_question(order: orders.Order, keeper: ids.HostRef) -> work.Recover:
-    assert order.ticket is not None
-    assert order.key is not None
+    key = order.key
     return work.Recover(
         order.service,
-        order.key.ticket,
-        order.key.token,
-        order.key.digest,
-        order.key.home,
-        order.ticket.expiry_ms,
+        key.ticket,
+        key.token,
+        key.digest,
+        key.home,
+        order.held_ticket.expiry_ms,
         keeper,
     )
 
