Find a kept answer, screen a block and read an answer in one place each

Both kinds of request looked for a kept answer by the same lines before a later block was served; that is one method now. The checks of a block that no upload can take are a function of their own, so that taking a block reads in one piece. What an upstream sent is asked of the transfer's result, which holds the assertion that stood at each of three readers. Behaviour stays as it was.

--- a/persimmonhinge/flows/server.py
+++ b/persimmonhinge/flows/server.py
@@ -164,10 +164,9 @@
             message.opt.block2,
             (shapes.SliceKey(exchange.flow, order.digest),),
         )
-        if exchange.shape.is_later:
-            whole = self._slices.find(exchange.shape)
-            if whole is not None:
-                return whole
+        whole = self._find_whole(exchange)
+        if whole is not None:
+            return whole
         if not self._has_room():
             self._counts.add("home_refused_total", cause="overload")
             return replies.refuse(_OVERLOAD_RETRY_S, "host is full")
@@ -191,10 +190,10 @@
             return taken
         order = _make_order(exchange, taken, call_class)
         exchange.shape = _make_once_shape(exchange, message, echo)
+        whole = self._find_whole(exchange)
+        if whole is not None:
+            return whole
         if exchange.shape.is_later:
-            whole = self._slices.find(exchange.shape)
-            if whole is not None:
-                return whole
             admission = self._once.find_answer(order, entry, echo)
         else:
             admission = self._once.admit(
@@ -217,6 +216,14 @@
             return replies.reject(Code.REQUEST_ENTITY_TOO_LARGE)
         return upload_types.Whole(message, exchange.token)
 
+    def _find_whole(
+        self, exchange: exchange_types.Exchange
+    ) -> codec.Message | None:
+        """Returns the kept answer that a later block is asked of."""
+        if not exchange.shape.is_later:
+            return None
+        return self._slices.find(exchange.shape)
+
     def _has_room(self) -> bool:
         return self._running + self._unconfirmed < MAX_IN_PROGRESS
 
--- a/persimmonhinge/flows/uploads.py
+++ b/persimmonhinge/flows/uploads.py
@@ -51,13 +51,10 @@
             (they went to another home, or it forgot them), 4.13 if the body
             gets too large; or none if there is no room now.
         """
+        refusal = _refuse_block(message, limit_octets)
+        if refusal is not None:
+            return refusal
         block = message.opt.block1
-        if not blocks.is_sound(block, len(message.payload)):
-            return blocks.reject_upload(codes.Code.BAD_REQUEST, block)
-        if block.start + len(message.payload) > limit_octets:
-            return blocks.reject_upload(
-                codes.Code.REQUEST_ENTITY_TOO_LARGE, block, limit_octets
-            )
         if block.block_number == 0 and not block.more:
             return uploads.Whole(message, message.token)
         key = uploads.UploadKey(
@@ -129,6 +126,20 @@
             self._octets -= len(upload.body)
 
 
+def _refuse_block(
+    message: codec.Message, limit_octets: int
+) -> codec.Message | None:
+    """Returns the answer to a block that no upload can take; else None."""
+    block = message.opt.block1
+    if not blocks.is_sound(block, len(message.payload)):
+        return blocks.reject_upload(codes.Code.BAD_REQUEST, block)
+    if block.start + len(message.payload) > limit_octets:
+        return blocks.reject_upload(
+            codes.Code.REQUEST_ENTITY_TOO_LARGE, block, limit_octets
+        )
+    return None
+
+
 def _finish(upload: uploads.Upload, message: codec.Message) -> uploads.Whole:
     """Returns the whole request.
 
--- a/persimmonhinge/upstreams/kept.py
+++ b/persimmonhinge/upstreams/kept.py
@@ -178,8 +178,7 @@
     ) -> None:
         now = trio.current_time()
         if result.end is _End.SHED:
-            assert result.answer is not None
-            self.note_shed(result.answer)
+            self.note_shed(result.received)
             return
         if result.end is not _End.ANSWERED:
             self._trust.note(_Sign.STALLED, now)
@@ -191,8 +190,7 @@
             # It is back, most likely as a new process.
             self._was_down = False
             self._slow_start.begun_at = now
-        assert result.answer is not None
-        code = result.answer.code
+        code = result.received.code
         if code == aiocoap.GATEWAY_TIMEOUT:
             # The caller's deadline was short; it says nothing bad.
             return
@@ -221,8 +219,7 @@
 
 def _conclude(result: results.TransferResult) -> work.Dispatched:
     if result.end is _End.ANSWERED:
-        assert result.answer is not None
-        answer = requests.write_answer(result.answer)
+        answer = requests.write_answer(result.received)
         return work.Dispatched(_Outcome.ANSWERED, answer)
     if result.end is _End.UNKNOWN:
         return work.Dispatched(_Outcome.UNKNOWN, reason=result.reason)
--- a/persimmonhinge/upstreams/transfer_result.py
+++ b/persimmonhinge/upstreams/transfer_result.py
@@ -40,6 +40,12 @@
     answer: codec.Message | None = None
     reason: str = ""
 
+    @property
+    def received(self) -> codec.Message:
+        """What the upstream sent, for an end of ANSWERED or SHED."""
+        assert self.answer is not None
+        return self.answer
+
     @property
     def retry_after_s(self) -> int:
         """Max-Age of the refusal, seconds; 0 without one."""
