Give the keeper's tasks what they work on

They now get them when they are started. Behaviour stays as it was. The 63 tests of upstreams pass, ruff and mypy are clean.

--- a/persimmonhinge/upstreams/keeper.py
+++ b/persimmonhinge/upstreams/keeper.py
@@ -97,18 +97,25 @@
         """Serves homes until it is cancelled."""
         async with trio.open_nursery() as nursery:
             context = self._make_context(nursery)
-            self._upstreams = upstream_sets.KeptUpstreams(context, self._roles)
-            self._handing = self._make_handing(self._upstreams)
-            self._register(context, self._upstreams)
+            upstreams = upstream_sets.KeptUpstreams(context, self._roles)
+            handing = self._make_handing(upstreams)
+            self._upstreams = upstreams
+            self._handing = handing
+            self._register(context, upstreams)
             for changed in (self._view.changed, self._contracts.changed):
                 # Read before the first look, or a change that comes before
                 # the task runs would be missed.
                 version = changed.version
                 nursery.start_soon(
-                    self._follow_changes, changed, version, nursery
+                    _follow_changes,
+                    changed,
+                    version,
+                    upstreams,
+                    handing,
+                    nursery,
                 )
-            self._upstreams.refresh()
-            nursery.start_soon(self._sweep)
+            upstreams.refresh()
+            nursery.start_soon(self._sweep, upstreams)
             task_status.started()
 
     async def leave(self) -> None:
@@ -197,33 +204,32 @@
     ) -> work.LoadReport:
         return work.LoadReport(tuple(self.loads()))
 
-    async def _follow_changes(
-        self,
-        changed: changes.ChangeSignal,
-        version: int,
-        nursery: trio.Nursery,
-    ) -> None:
-        assert self._upstreams is not None
-        assert self._handing is not None
-        while True:
-            version = await changed.wait_beyond(version)
-            self._upstreams.refresh()
-            self._handing.follow_moved(nursery)
-            await trio.sleep(_BURST_S)
-
-    async def _sweep(self) -> None:
+    async def _sweep(self, upstreams: upstream_sets.KeptUpstreams) -> None:
         """Does what only time brings about."""
-        assert self._upstreams is not None
         forget_at = trio.current_time()
         while True:
             await trio.sleep(_TIDY_INTERVAL_S)
-            self._upstreams.tidy()
+            upstreams.tidy()
             if trio.current_time() >= forget_at:
                 self._executed.forget_all_expired()
                 self._inheritance.forget_old()
                 forget_at = trio.current_time() + _FORGET_INTERVAL_S
 
 
+async def _follow_changes(
+    changed: changes.ChangeSignal,
+    version: int,
+    upstreams: upstream_sets.KeptUpstreams,
+    handing: handing_parts.Handing,
+    nursery: trio.Nursery,
+) -> None:
+    while True:
+        version = await changed.wait_beyond(version)
+        upstreams.refresh()
+        handing.follow_moved(nursery)
+        await trio.sleep(_BURST_S)
+
+
 def _name_fully(
     key: ids.UpstreamId, load: work.UpstreamLoad
 ) -> work.UpstreamLoad:
