Make the parts of a host in a module of their own

The module of the entry program made all parts of a host and also ran them, with one function of 70 lines that made everything. parts.py now makes them, in steps that share what most parts are made with; application.py starts and stops them. Nothing outside the module used what moved. The order in which parts are made and what they are given stay as they were.

--- a/persimmonhinge/application.py
+++ b/persimmonhinge/application.py
@@ -1,40 +1,15 @@
-"""The entry program: makes the parts of a host and runs them together."""
+"""The entry program: runs the parts of a host, from start to stop."""
 
 from __future__ import annotations
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
 import logging
-import random
-import time
 
 import trio
 
-from persimmonhinge import ids
-from persimmonhinge.contracts import control as controls
-from persimmonhinge.contracts import drains as drain_stores
-from persimmonhinge.contracts import host_list as host_lists
-from persimmonhinge.contracts import store as contract_stores
-from persimmonhinge.flows import chooser as choosers
-from persimmonhinge.flows import front as fronts
-from persimmonhinge.flows import home as homes
-from persimmonhinge.flows import router as routers
-from persimmonhinge.flows import tickets
-from persimmonhinge.flows.feeds import service as feed_parts
-from persimmonhinge.keys import store as key_stores
-from persimmonhinge.membership import member as members
-from persimmonhinge.membership import placement as placements
-from persimmonhinge.membership import service as memberships
-from persimmonhinge.membership import view as views
-from persimmonhinge.metrics import counts as host_counts
-from persimmonhinge.metrics import page
-from persimmonhinge.peers import streams
-from persimmonhinge.platform import client as platform_client
+from persimmonhinge import parts as host_parts
 from persimmonhinge.settings import entry as settings_entry
-from persimmonhinge.status import document
-from persimmonhinge.status import page as status_pages
-from persimmonhinge.upstreams import keeper as keepers
 
 logger = logging.getLogger(__name__)
 
@@ -47,28 +22,6 @@
 Leave = Callable[[], Awaitable[None]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Parts:
-    """All parts of a host, in the order in which they are started."""
-
-    counts: host_counts.Counts
-    view: views.View
-    placement: placements.Placement
-    contracts: contract_stores.ContractStore
-    keys: key_stores.KeyStore
-    drains: drain_stores.DrainStore
-    network: streams.StreamNetwork
-    membership: memberships.Membership
-    control: controls.Control
-    chooser: choosers.UpstreamChooser
-    keepers: keepers.Keepers
-    feeds: feed_parts.Feeds
-    home: homes.Home
-    front: fronts.Front
-    router: routers.Router
-    pages: page.PageServer
-
-
 class EntryApplication:
     """One entry host, from start to planned stop.
 
@@ -79,7 +32,7 @@
     def __init__(self, settings: settings_entry.EntrySettings) -> None:
         self._settings = settings
         self._stopping = trio.Event()
-        self.parts = make_parts(settings)
+        self.parts = host_parts.make_parts(settings)
 
     def stop(self) -> None:
         """Begins a planned stop; a second call changes nothing."""
@@ -189,107 +142,3 @@
     began = trio.current_time()
     await leave()
     logger.info("%s: done after %.1f s.", name, trio.current_time() - began)
-
-
-def make_parts(settings: settings_entry.EntrySettings) -> Parts:
-    """Makes the parts of a host, not yet started."""
-    counts = host_counts.Counts()
-    randomness = random.Random()
-    view = views.View(make_self_member(settings))
-    placement = placements.Placement(view)
-    contracts = contract_stores.ContractStore()
-    keys = key_stores.KeyStore()
-    drains = drain_stores.DrainStore()
-    network = streams.StreamNetwork(settings, view, counts)
-    platform = platform_client.EtcdPlatform(settings.platform)
-    host_list = host_lists.HostList(settings.platform.prefix)
-    membership = memberships.Membership(settings, view, counts, host_list.hosts)
-    control = controls.Control(
-        settings,
-        view,
-        placement,
-        contracts,
-        keys,
-        drains,
-        network,
-        platform,
-        counts,
-        host_list=host_list,
-    )
-    chooser = choosers.UpstreamChooser(
-        view, placement, contracts, network, randomness
-    )
-    keeper_part = keepers.Keepers(
-        settings, view, placement, contracts, network, counts
-    )
-    front = fronts.Front(settings, contracts, counts)
-    feeds = feed_parts.Feeds(
-        settings, view, placement, contracts, network, front, chooser, counts
-    )
-    home = homes.Home(
-        settings,
-        view,
-        placement,
-        contracts,
-        keys,
-        network,
-        front,
-        chooser,
-        feeds,
-        counts,
-    )
-    mint = tickets.TicketMint(settings, keys, view)
-    router = routers.Router(view, placement, mint, network, home, counts)
-    pages = page.PageServer(settings.metrics)
-    parts = Parts(
-        counts,
-        view,
-        placement,
-        contracts,
-        keys,
-        drains,
-        network,
-        membership,
-        control,
-        chooser,
-        keeper_part,
-        feeds,
-        home,
-        front,
-        router,
-        pages,
-    )
-    enter_pages(parts)
-    return parts
-
-
-def enter_pages(parts: Parts) -> None:
-    """Enters the status pages of a host."""
-    status = document.StatusDocument(
-        parts.view,
-        parts.placement,
-        parts.contracts,
-        parts.keys,
-        parts.chooser,
-        parts.counts,
-        parts.control,
-    )
-    status_pages.StatusPages(
-        parts.pages,
-        status,
-        parts.counts,
-        lambda: parts.view.self_member.takes_roles,
-    )
-
-
-def make_self_member(settings: settings_entry.EntrySettings) -> members.Member:
-    """Returns this host as a member that takes no roles yet."""
-    return members.Member(
-        host=ids.HostId(settings.host),
-        domain=ids.DomainId(settings.domain),
-        address=settings.peers.address,
-        peer_port=settings.peers.port,
-        heartbeat_port=settings.peers.heartbeat_port,
-        incarnation=ids.Incarnation(time.time_ns() // 1_000_000),
-        state=members.MemberState.LEAVING,
-    )
