--- a/persimmonhinge/ctl/host_client.py
+++ b/persimmonhinge/ctl/host_client.py
@@ -14,11 +14,12 @@
 from persimmonhinge import errors
 from persimmonhinge.ctl import host_directory
 from persimmonhinge.ctl import host_status
+from persimmonhinge.membership import member as members
 
 T = TypeVar("T", bound=pydantic.BaseModel)
 _NOT_FOUND = 404
 # States of members that serve callers.
-_SERVES = ("alive", "suspect")
+_SERVES = (members.MemberState.ALIVE.value, members.MemberState.SUSPECT.value)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/persimmonhinge/ctl/host_commands.py
+++ b/persimmonhinge/ctl/host_commands.py
@@ -15,7 +15,9 @@
 from persimmonhinge.ctl import options
 from persimmonhinge.ctl import session as sessions
 from persimmonhinge.ctl import waiting
+from persimmonhinge.membership import member as members
 
+_State = members.MemberState
 program = typer.Typer(help="Entry hosts of the system.", no_args_is_help=True)
 HostWait = Annotated[
     float | None,
@@ -23,8 +25,6 @@
         "--wait", min=0, help="Seconds to wait until the host shows it."
     ),
 ]
-_ALIVE = "alive"
-_LEAVING = "leaving"
 
 
 @program.command("list")
@@ -63,7 +63,9 @@
 
     Example: persimmonhinge-ctl host drain entry-2 --reason "new kernel"
     """
-    _set_state(context, (host, _LEAVING), wait, reason, request_id, output)
+    _set_state(
+        context, (host, _State.LEAVING), wait, reason, request_id, output
+    )
 
 
 @program.command("undrain")
@@ -79,12 +81,12 @@
 
     Example: persimmonhinge-ctl host undrain entry-2
     """
-    _set_state(context, (host, _ALIVE), wait, reason, request_id, output)
+    _set_state(context, (host, _State.ALIVE), wait, reason, request_id, output)
 
 
 def _set_state(
     context: typer.Context,
-    wanted: tuple[str, str],
+    wanted: tuple[str, members.MemberState],
     wait: float | None,
     reason: str,
     request_id: str | None,
@@ -94,11 +96,11 @@
 
     async def work(session: sessions.Session) -> exits.ExitCode:
         drains = session.drains
-        change = drains.drain if state == _LEAVING else drains.undrain
+        change = drains.drain if state is _State.LEAVING else drains.undrain
         record = await change(
             ids.HostId(host), session.make_request(request_id, reason)
         )
-        return await _report(session, host, record, wait, state)
+        return await _report(session, host, record, wait, state.value)
 
     sessions.run(context, output, work)
 
@@ -165,7 +167,7 @@
     status = report.status
     others = [r.status for r in reports if r.status and r is not report]
     seen = sum(
-        member.host == report.name and member.state == _ALIVE
+        member.host == report.name and member.state == _State.ALIVE.value
         for other in others
         for member in other.members
     )
--- a/persimmonhinge/ctl/status_commands.py
+++ b/persimmonhinge/ctl/status_commands.py
@@ -15,6 +15,7 @@
 from persimmonhinge.ctl import options
 from persimmonhinge.ctl import rollout as rollouts
 from persimmonhinge.ctl import session as sessions
+from persimmonhinge.membership import member as members
 
 
 def show_status(context: typer.Context, output: options.Output = None) -> None:
@@ -191,7 +192,8 @@
 
 def _to_document(report: host_client.HostReport) -> dict[str, object]:
     status = report.status
-    alive = [m for m in status.members if m.state == "alive"] if status else []
+    told = status.members if status else ()
+    alive = [m for m in told if m.state == members.MemberState.ALIVE.value]
     return {
         "host": report.name,
         "domain": report.domain,
