--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -20,7 +20,7 @@
 import trio
 import typer
 
-from benchmarks import packets
+from benchmarks import packet_deployment
 from benchmarks import slopes
 from benchmarks import usage
 from persimmonhinge.contracts import contract as contracts
@@ -58,7 +58,7 @@
 
 def make_plan(hosts: int) -> plans.DeploymentPlan:
     """Returns hosts that forget nothing while they are measured."""
-    plan = packets.make_plan(hosts)
+    plan = packet_deployment.make_plan(hosts)
     service = dataclasses.replace(
         plan.services[0],
         call_classes=(plans.FEED_CLASS, plans.READ_CLASS, plans.LOT_CLASS),
@@ -100,7 +100,7 @@
     async with processes.run_deployment(make_plan(1)) as deployment:
         await _serve(deployment, echo)
         host = deployment.plan.hosts[0]
-        address = packets.find_address(deployment, host)
+        address = packet_deployment.find_address(deployment, host)
         pid = deployment.hosts[host.name].pid
         await trio.sleep(_SETTLE_S)
         points.append(Point(0, usage.read_memory(pid), 0, 0))
@@ -123,16 +123,16 @@
     async with processes.run_deployment(make_plan(2)) as deployment:
         await _serve(deployment, echo)
         host = deployment.plan.hosts[0]
-        address = packets.find_address(deployment, host)
+        address = packet_deployment.find_address(deployment, host)
         held = 0
         for size in sizes:
             if size > held:
                 await add_callers(address, size - held, observe=False)
                 held = size
             await trio.sleep(_SETTLE_S)
-            before = await packets.read_counts(deployment, host)
+            before = await packet_deployment.read_counts(deployment, host)
             await trio.sleep(_LOOK_S)
-            after = await packets.read_counts(deployment, host)
+            after = await packet_deployment.read_counts(deployment, host)
             sent = sum(after.get(n, 0) - before.get(n, 0) for n in _CONTROL)
             values.append(sent / _LOOK_S)
             print(f"{size:7} flows: control sends {values[-1]:.0f} octets/s")
@@ -142,7 +142,9 @@
 
 async def _serve(deployment: processes.Deployment, echo: str) -> None:
     limits = contracts.Limits(slow_start_s=0, queue=10_000, silent_feed_s=3600)
-    await packets.give_upstream(deployment, echo, limits, _CONNECTIONS)
+    await packet_deployment.give_upstream(
+        deployment, echo, limits, _CONNECTIONS
+    )
 
 
 def print_growth(title: str, points: list[Point]) -> None:
