--- a/benchmarks/unknown.py
+++ b/benchmarks/unknown.py
@@ -17,7 +17,7 @@
 import trio
 
 from persimmonhinge.settings import entry
-from tests.standins import buyers
+from tests.standins import load_callers
 from tests.standins import once_scene
 
 _HOSTS = 6
@@ -62,7 +62,7 @@
     shares = Shares(recovery)
     source = random.Random(seed)
     async with once_scene.run_scene(plan) as scene:
-        background = buyers.run_buyers(
+        background = load_callers.run_callers(
             scene.deployment, once_scene.SERVICE, _BACKGROUND_CALLERS
         )
         async with background as others:
--- a/tests/standins/buyers.py
+++ b/tests/standins/load_callers.py
@@ -28,7 +28,7 @@
 )
 
 
-class Buyers:
+class LoadCallers:
     """Sends reservations, one after the other from each caller.
 
     Attributes:
@@ -53,7 +53,7 @@
         """Sends until cancelled."""
         async with trio.open_nursery() as nursery:
             for number in range(self._callers):
-                nursery.start_soon(self._buy, number)
+                nursery.start_soon(self._send_all, number)
 
     async def wait_answered(self, more: int) -> None:
         """Waits until so many more requests have had success.
@@ -103,7 +103,7 @@
         assert verdict.clean, verdict
         return verdict
 
-    async def _buy(self, caller: int) -> None:
+    async def _send_all(self, caller: int) -> None:
         address = self._deployment.layout.service_address(self._service)
         source = random.Random(f"{self._service}/{caller}")
         async with clients.open_client(
@@ -140,21 +140,21 @@
 
 
 @contextlib.asynccontextmanager
-async def run_buyers(
+async def run_callers(
     deployment: processes.Deployment,
     service: str,
     callers: int = 6,
     ticket_use_s: float = 60.0,
-) -> AsyncIterator[Buyers]:
+) -> AsyncIterator[LoadCallers]:
     """Runs callers; judges what they saw when the block has ended.
 
     Requests under way at the end are given up and not judged, but for the
     log of upstreams, which shows what ran twice.
     """
     settings = _SETTINGS.model_copy(update={"ticket_use_s": ticket_use_s})
-    buyers = Buyers(deployment, service, callers, settings)
+    running = LoadCallers(deployment, service, callers, settings)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(buyers.run)
-        yield buyers
+        nursery.start_soon(running.run)
+        yield running
         nursery.cancel_scope.cancel()
-    buyers.check()
+    running.check()
--- a/tests/test_integration/test_integration_control_credentials.py
+++ b/tests/test_integration/test_integration_control_credentials.py
@@ -6,10 +6,10 @@
 
 import trio
 
-from tests.standins import buyers
 from tests.standins import credentials
 from tests.standins import cut_deployment
 from tests.standins import host_pages
+from tests.standins import load_callers
 from tests.standins import plan as plans
 from tests.support import trios
 from tests.test_integration import control_plans
@@ -38,7 +38,7 @@
         theirs = credentials.Credentials(folder)
         deployment.layout.other_credentials[_STRANGER.name] = theirs
         await deployment.plan_host(_STRANGER)
-        async with buyers.run_buyers(deployment, _SERVICE) as callers:
+        async with load_callers.run_callers(deployment, _SERVICE) as callers:
             await deployment.cut_platform(_STRANGER.domain)
             await deployment.start_unlisted(_STRANGER.name, wait=False)
             await deployment.hosts[_STRANGER.name].find_text("Started in")
@@ -78,7 +78,7 @@
             deployment.folder
         )
         await deployment.plan_host(_STRANGER)
-        async with buyers.run_buyers(deployment, _SERVICE) as callers:
+        async with load_callers.run_callers(deployment, _SERVICE) as callers:
             await callers.wait_answered(20)
             await deployment.cut_platform(_STRANGER.domain)
             await deployment.start_unlisted(_STRANGER.name, wait=False)
--- a/tests/test_integration/test_integration_control_cuts.py
+++ b/tests/test_integration/test_integration_control_cuts.py
@@ -9,9 +9,9 @@
 import trio
 
 from persimmonhinge.load import executions as execution_logs
-from tests.standins import buyers
 from tests.standins import cut_deployment
 from tests.standins import host_pages
+from tests.standins import load_callers
 from tests.standins import revision_watch
 from tests.support import trios
 from tests.test_integration import control_plans
@@ -39,7 +39,10 @@
         others = deployment.names("middle", "south")
         await deployment.pages.wait_sees(hosts, hosts)
         watched = revision_watch.watch_revisions(deployment.pages, hosts)
-        async with watched, buyers.run_buyers(deployment, _SERVICE) as callers:
+        async with (
+            watched,
+            load_callers.run_callers(deployment, _SERVICE) as callers,
+        ):
             await callers.wait_answered(30)
             await deployment.cut_both_ways(north, others)
             await deployment.cut_platform("north")
@@ -58,7 +61,7 @@
 
 async def _serve_alone(
     deployment: cut_deployment.CutDeployment,
-    callers: buyers.Buyers,
+    callers: load_callers.LoadCallers,
     side: Collection[str],
     far: Collection[str],
 ) -> None:
--- a/tests/test_integration/test_integration_control_keys.py
+++ b/tests/test_integration/test_integration_control_keys.py
@@ -16,8 +16,8 @@
 from persimmonhinge.load import executions as execution_logs
 from persimmonhinge.platform import client as platform_clients
 from persimmonhinge.platform import keys
-from tests.standins import buyers
 from tests.standins import cut_deployment
+from tests.standins import load_callers
 from tests.support import trios
 from tests.test_integration import control_plans
 
@@ -51,7 +51,7 @@
             async with trio.open_nursery() as nursery:
                 for number in range(_FEEDS):
                     nursery.start_soon(_follow, address, number, ticks)
-                async with buyers.run_buyers(
+                async with load_callers.run_callers(
                     deployment, _SERVICE, ticket_use_s=_TICKET_LIFE_S / 4
                 ) as callers:
                     await callers.wait_answered(20)
@@ -96,7 +96,7 @@
         await deployment.heal()
         await deployment.ctl("keys", "rotate")
         later = await control_plans.read_json(deployment, "keys", "list")
-        async with buyers.run_buyers(deployment, _SERVICE) as callers:
+        async with load_callers.run_callers(deployment, _SERVICE) as callers:
             await callers.wait_answered(30)
     assert held.returncode == exits.ExitCode.NOT_IN_FORCE, held
     assert all(name in held.stderr.decode() for name in north)
@@ -117,7 +117,7 @@
         control_plans.make_plan()
     ) as deployment:
         deployment.ctl_ticket_life_s = _TICKET_LIFE_S
-        async with buyers.run_buyers(deployment, _SERVICE) as callers:
+        async with load_callers.run_callers(deployment, _SERVICE) as callers:
             await callers.wait_answered(20)
             await _rotate(deployment)
         secrets = await _read_secrets(deployment)
--- a/tests/test_integration/test_integration_control_membership.py
+++ b/tests/test_integration/test_integration_control_membership.py
@@ -8,9 +8,9 @@
 
 import trio
 
-from tests.standins import buyers
 from tests.standins import cut_deployment
 from tests.standins import host_pages
+from tests.standins import load_callers
 from tests.standins import plan as plans
 from tests.support import trios
 from tests.test_integration import control_plans
@@ -46,7 +46,7 @@
         hosts = deployment.names()
         paused, *others = hosts
         former = (await deployment.pages.status(paused))["incarnation"]
-        async with buyers.run_buyers(deployment, _SERVICE) as callers:
+        async with load_callers.run_callers(deployment, _SERVICE) as callers:
             await callers.wait_answered(30)
             deployment.pause_host(paused)
             await deployment.pages.wait_sees(others, others)
@@ -72,7 +72,7 @@
         hosts = deployment.names()
         host, *others = hosts
         former = (await deployment.pages.status(host))["incarnation"]
-        async with buyers.run_buyers(deployment, _SERVICE) as callers:
+        async with load_callers.run_callers(deployment, _SERVICE) as callers:
             await callers.wait_answered(30)
             await deployment.kill_host(host)
             await deployment.start_host(host)
--- a/tests/test_integration/test_integration_control_outage.py
+++ b/tests/test_integration/test_integration_control_outage.py
@@ -7,8 +7,8 @@
 
 import trio
 
-from tests.standins import buyers
 from tests.standins import cut_deployment
+from tests.standins import load_callers
 from tests.standins import plan as plans
 from tests.support import trios
 from tests.test_integration import control_plans
@@ -37,7 +37,7 @@
         control_plans.make_plan()
     ) as deployment:
         hosts = deployment.names()
-        async with buyers.run_buyers(deployment, _SERVICE) as callers:
+        async with load_callers.run_callers(deployment, _SERVICE) as callers:
             await callers.wait_answered(20)
             await deployment.platform.set_faults(down=True)
             await callers.wait_answered(50)
@@ -75,7 +75,7 @@
         await deployment.start_unlisted(north[0])
         await _check_same(deployment, others[0], north[0])
         await deployment.pages.wait_sees(others, [*others, north[0]])
-        async with buyers.run_buyers(deployment, _SERVICE) as callers:
+        async with load_callers.run_callers(deployment, _SERVICE) as callers:
             await callers.wait_answered(30)
 
 
--- a/tests/test_integration/test_integration_drain_upstreams.py
+++ b/tests/test_integration/test_integration_drain_upstreams.py
@@ -12,8 +12,8 @@
 import trio
 
 from persimmonhinge.load import executions as execution_logs
-from tests.standins import buyers
 from tests.standins import cut_deployment
+from tests.standins import load_callers
 from tests.standins import new_feeds
 from tests.standins import plan as plans
 from tests.standins import processes
@@ -107,12 +107,12 @@
         [plans.DeploymentPlan],
         contextlib.AbstractAsyncContextManager[processes.Deployment],
     ],
-) -> AsyncIterator[tuple[processes.Deployment, buyers.Buyers]]:
+) -> AsyncIterator[tuple[processes.Deployment, load_callers.LoadCallers]]:
     """Runs a deployment under reservations and new feeds."""
     async with (
         run(feed_plans.make_plan(upstreams=(2, 1, 1))) as deployment,
         new_feeds.run_new_feeds(deployment, _SERVICE),
-        buyers.run_buyers(deployment, _SERVICE, _CALLERS) as callers,
+        load_callers.run_callers(deployment, _SERVICE, _CALLERS) as callers,
     ):
         yield deployment, callers
 
--- a/tests/test_integration/test_integration_feeds_silent.py
+++ b/tests/test_integration/test_integration_feeds_silent.py
@@ -8,7 +8,7 @@
 
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.load import executions as execution_logs
-from tests.standins import buyers
+from tests.standins import load_callers
 from tests.standins import processes
 from tests.standins import upstream_control
 from tests.standins import watchers
@@ -36,7 +36,7 @@
     plan = feed_plans.make_plan(limits=limits)
     async with (
         feed_plans.run_settled(plan) as deployment,
-        buyers.run_buyers(deployment, _SERVICE) as callers,
+        load_callers.run_callers(deployment, _SERVICE) as callers,
         watchers.run_watchers(deployment, _SERVICE, _FEEDS) as watching,
     ):
         upstream = "floor-north-1"
--- a/tests/test_integration/test_integration_load_faults.py
+++ b/tests/test_integration/test_integration_load_faults.py
@@ -6,7 +6,7 @@
 import time
 from typing import Any
 
-from tests.standins import buyers
+from tests.standins import load_callers
 from tests.standins import upstream_control
 from tests.support import trios
 from tests.test_integration import load_plans
@@ -31,7 +31,7 @@
     plan = load_plans.make_plan(_DOMAINS)
     async with load_plans.run_settled(plan) as deployment:
         good, *bad = deployment.upstreams
-        async with buyers.run_buyers(
+        async with load_callers.run_callers(
             deployment, load_plans.SERVICE, _CALLERS
         ) as callers:
             await callers.wait_answered(150)
@@ -64,7 +64,9 @@
     bad go on getting work, so that callers are served once it works again.
     """
     async with load_plans.run_settled(load_plans.make_plan()) as deployment:
-        async with buyers.run_buyers(deployment, load_plans.SERVICE) as callers:
+        async with load_callers.run_callers(
+            deployment, load_plans.SERVICE
+        ) as callers:
             await callers.wait_answered(30)
             for name in deployment.upstreams:
                 await upstream_control.set_faults(deployment, name, errors=True)
@@ -93,7 +95,7 @@
         load_plans.make_plan((2, 2, 2))
     ) as deployment:
         north = [h.name for h in deployment.plan.hosts if h.domain == "north"]
-        async with buyers.run_buyers(
+        async with load_callers.run_callers(
             deployment, load_plans.SERVICE, _CALLERS
         ) as callers:
             await callers.wait_answered(100)
--- a/tests/test_integration/test_integration_load_slots.py
+++ b/tests/test_integration/test_integration_load_slots.py
@@ -8,7 +8,7 @@
 
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.load import executions as execution_logs
-from tests.standins import buyers
+from tests.standins import load_callers
 from tests.standins import plan as plans
 from tests.standins import processes
 from tests.standins import upstream_control
@@ -45,7 +45,7 @@
     async with load_plans.run_settled(load_plans.make_plan()) as deployment:
         pages = load_plans.open_pages(deployment)
         changes = []
-        async with buyers.run_buyers(
+        async with load_callers.run_callers(
             deployment, load_plans.SERVICE, _CALLERS
         ) as callers:
             await callers.wait_answered(150)
@@ -87,7 +87,7 @@
     )
     new = plans.UpstreamPlan("floor-new", "south", _COLD_SLOTS)
     async with load_plans.run_settled(plan) as deployment:
-        async with buyers.run_buyers(
+        async with load_callers.run_callers(
             deployment, load_plans.SERVICE, _CALLERS
         ) as callers:
             await callers.wait_answered(10)
--- a/tests/test_integration/test_integration_once_cut.py
+++ b/tests/test_integration/test_integration_once_cut.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from tests.standins import buyers
+from tests.standins import load_callers
 from tests.standins import once_scene
 from tests.support import trios
 
@@ -137,7 +137,9 @@
         deployment = scene.deployment
         north = deployment.names("north")
         others = deployment.names("middle", "south")
-        async with buyers.run_buyers(deployment, once_scene.SERVICE) as callers:
+        async with load_callers.run_callers(
+            deployment, once_scene.SERVICE
+        ) as callers:
             await callers.wait_answered(10)
             await deployment.cut_both_ways(north, others)
             await deployment.pages.wait_sees(north, north)
--- a/tests/test_integration/test_integration_stop_requests.py
+++ b/tests/test_integration/test_integration_stop_requests.py
@@ -11,7 +11,7 @@
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.platform import client as platform_clients
 from persimmonhinge.platform import keys
-from tests.standins import buyers
+from tests.standins import load_callers
 from tests.standins import plan as plans
 from tests.standins import processes
 from tests.standins import raw_caller
@@ -50,7 +50,9 @@
     process that ends with requests in its tables.
     """
     async with feed_plans.run_settled(_make_plan()) as deployment:
-        async with buyers.run_buyers(deployment, _SERVICE, _CALLERS) as callers:
+        async with load_callers.run_callers(
+            deployment, _SERVICE, _CALLERS
+        ) as callers:
             for host in ("entry-1", "entry-2"):
                 await callers.wait_answered(_CALLERS)
                 began = trio.current_time()
@@ -74,7 +76,7 @@
     async with feed_plans.run_settled(_make_plan()) as deployment:
         address = _find_address(deployment, host)
         async with (
-            buyers.run_buyers(deployment, _SERVICE, _CALLERS) as callers,
+            load_callers.run_callers(deployment, _SERVICE, _CALLERS) as callers,
             raw_caller.open_raw_caller(seed=1) as direct,
         ):
             await callers.wait_answered(_CALLERS)
@@ -101,7 +103,9 @@
     stop that waits until the platform's list shows it.
     """
     async with feed_plans.run_settled(_make_plan()) as deployment:
-        async with buyers.run_buyers(deployment, _SERVICE, _CALLERS) as callers:
+        async with load_callers.run_callers(
+            deployment, _SERVICE, _CALLERS
+        ) as callers:
             await callers.wait_answered(_CALLERS)
             await deployment.platform.set_faults(down=True)
             process = deployment.hosts["entry-1"]
