Name what issues tickets and what serves feeds by what they do

TicketDesk and FeedDesk were figures of speech that a reader had to look up. They are TicketIssuer (in ticket_issuer.py) and FeedServer now, as next to them RequestServer serves requests. No test used the old names. Behaviour stays as it was.

--- a/persimmonhinge/flows/home.py
+++ b/persimmonhinge/flows/home.py
@@ -19,7 +19,7 @@
 from persimmonhinge.flows import recovery as recoveries
 from persimmonhinge.flows import request as requests
 from persimmonhinge.flows import server as servers
-from persimmonhinge.flows import ticket_desk
+from persimmonhinge.flows import ticket_issuer
 from persimmonhinge.flows import tickets
 from persimmonhinge.keys import store as key_stores
 from persimmonhinge.membership import placement as placements
@@ -47,7 +47,7 @@
         network: networks.PeerNetwork,
         answers: port.Answers,
         chooser: port.Chooser,
-        feeds: home_port.FeedDesk,
+        feeds: home_port.FeedServer,
         counts: host_counts.Counts,
     ) -> None:
         self._contracts = contract_store
@@ -61,14 +61,22 @@
         dispatcher = dispatchers.Dispatcher(
             contract_store, chooser, network, mint, recovery, counts
         )
-        desk = ticket_desk.TicketDesk(settings, view, mint, chooser, counts)
+        issuer = ticket_issuer.TicketIssuer(
+            settings, view, mint, chooser, counts
+        )
         self._once = once.Once(
-            settings, view, mint, desk, dispatcher, recovery, counts
+            settings, view, mint, issuer, dispatcher, recovery, counts
         )
         life_s = settings.flows.answer_life_s
         self._exchanges = exchanges.Exchanges(answers, counts, life_s)
         self._server = servers.RequestServer(
-            self._exchanges, dispatcher, self._once, desk, feeds, counts, life_s
+            self._exchanges,
+            dispatcher,
+            self._once,
+            issuer,
+            feeds,
+            counts,
+            life_s,
         )
 
     def in_progress(self) -> int:
--- a/persimmonhinge/flows/home_port.py
+++ b/persimmonhinge/flows/home_port.py
@@ -10,7 +10,7 @@
 from persimmonhinge.flows import port
 
 
-class FeedDesk(Protocol):
+class FeedServer(Protocol):
     """Opens and closes the feeds of callers."""
 
     def open(
--- a/persimmonhinge/flows/once.py
+++ b/persimmonhinge/flows/once.py
@@ -19,7 +19,7 @@
 from persimmonhinge.flows import replies
 from persimmonhinge.flows import row as rows
 from persimmonhinge.flows import table as tables
-from persimmonhinge.flows import ticket_desk
+from persimmonhinge.flows import ticket_issuer
 from persimmonhinge.flows import tickets
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as host_counts
@@ -52,7 +52,7 @@
         settings: settings_entry.EntrySettings,
         view: views.View,
         mint: tickets.TicketMint,
-        desk: ticket_desk.TicketDesk,
+        issuer: ticket_issuer.TicketIssuer,
         dispatcher: dispatchers.Dispatcher,
         recovery: recoveries.Recovery,
         counts: host_counts.Counts,
@@ -60,7 +60,7 @@
         self._settings = settings.flows
         self._view = view
         self._mint = mint
-        self._desk = desk
+        self._issuer = issuer
         self._dispatcher = dispatcher
         self._recovery = recovery
         self._counts = counts
@@ -70,7 +70,7 @@
 
     def leave(self) -> None:
         """Mints no more tickets and begins nothing new."""
-        self._desk.leaving = True
+        self._issuer.leaving = True
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -100,7 +100,7 @@
             has_room: False if the host can begin no more work.
         """
         if not echo:
-            return self._desk.ask(order.flow, entry, "none")
+            return self._issuer.ask(order.flow, entry, "none")
         try:
             ticket = self._mint.read(echo, order.flow)
         except tickets.RefusedTicketError as error:
@@ -126,13 +126,13 @@
             None if it may be kept.
         """
         if not echo:
-            return self._desk.ask(flow, entry, "none")
+            return self._issuer.ask(flow, entry, "none")
         try:
             ticket = self._mint.read(echo, flow)
         except tickets.RefusedTicketError as error:
             if error.fault in _FOREIGN_FAULTS:
-                return self._desk.ask(flow, entry, error.fault.value)
-            return self._desk.report_unverified(flow, entry, error.fault)
+                return self._issuer.ask(flow, entry, error.fault.value)
+            return self._issuer.report_unverified(flow, entry, error.fault)
         return self._find_elsewhere(ticket)
 
     def find_answer(
@@ -146,7 +146,9 @@
         try:
             ticket = self._mint.read(echo, order.flow)
         except tickets.RefusedTicketError as error:
-            return self._desk.report_unverified(order.flow, entry, error.fault)
+            return self._issuer.report_unverified(
+                order.flow, entry, error.fault
+            )
         order = dataclasses.replace(order, ticket=ticket, digest=b"")
         return self._recover(order)
 
@@ -166,13 +168,13 @@
         this host hasn't learned its key yet.
         """
         if fault in _FOREIGN_FAULTS:
-            return self._desk.ask(order.flow, entry, fault.value)
+            return self._issuer.ask(order.flow, entry, fault.value)
         home = tickets.peek_home(echo)
         if home is not None and self._mint.is_own(home):
             key = order.make_key(home, tickets.peek_id(echo))
             if self._table.find(key) is None:
-                return self._desk.ask(order.flow, entry, fault.value)
-        return self._desk.report_unverified(order.flow, entry, fault)
+                return self._issuer.ask(order.flow, entry, fault.value)
+        return self._issuer.report_unverified(order.flow, entry, fault)
 
     def _begin(
         self,
@@ -183,8 +185,8 @@
     ) -> Admission:
         ticket = order.held_ticket
         if not self._mint.begins(ticket):
-            return self._desk.ask(order.flow, entry, "expired")
-        if self._desk.leaving:
+            return self._issuer.ask(order.flow, entry, "expired")
+        if self._issuer.leaving:
             # Never undone, so a late copy of it is refused as well.
             return replies.refuse(0, "host leaves")
         row = None
@@ -193,7 +195,7 @@
         if row is None:
             self._counts.add("home_refused_total", cause="table-full")
             self._mint.close_issued()
-            echo = self._desk.renew(order.flow, entry)
+            echo = self._issuer.renew(order.flow, entry)
             return replies.refuse(_RETRY_AFTER_S, "host is full", echo)
         self._start(self._run_row, row, order)
         return row
--- a/persimmonhinge/flows/server.py
+++ b/persimmonhinge/flows/server.py
@@ -23,7 +23,7 @@
 from persimmonhinge.flows import row as rows
 from persimmonhinge.flows import shape as shapes
 from persimmonhinge.flows import slices
-from persimmonhinge.flows import ticket_desk
+from persimmonhinge.flows import ticket_issuer
 from persimmonhinge.flows import upload as upload_types
 from persimmonhinge.flows import uploads
 from persimmonhinge.metrics import counts as host_counts
@@ -49,15 +49,15 @@
         message_layer: exchanges.Exchanges,
         dispatcher: dispatchers.Dispatcher,
         at_most_once: once.Once,
-        desk: ticket_desk.TicketDesk,
-        feeds: home_port.FeedDesk,
+        issuer: ticket_issuer.TicketIssuer,
+        feeds: home_port.FeedServer,
         counts: host_counts.Counts,
         answer_life_s: float,
     ) -> None:
         self._exchanges = message_layer
         self._dispatcher = dispatcher
         self._once = at_most_once
-        self._desk = desk
+        self._issuer = issuer
         self._feeds = feeds
         self._counts = counts
         self._uploads = uploads.Uploads(counts, answer_life_s)
@@ -235,7 +235,7 @@
         row: rows.Row,
     ) -> Served:
         if row.result is not None:
-            echo = self._desk.renew(order.flow, entry)
+            echo = self._issuer.renew(order.flow, entry)
             return replies.forward(row.result, echo)
         if not self._has_room():
             # It runs, so "not run" would be wrong; a later copy finds it.
@@ -297,7 +297,7 @@
         if row is None:
             return replies.forward(await self._dispatcher.run(order))
         result = await row.wait()
-        return replies.forward(result, self._desk.renew(order.flow, entry))
+        return replies.forward(result, self._issuer.renew(order.flow, entry))
 
 
 def _refuse_without_contract(message: codec.Message) -> codec.Message:
--- a/persimmonhinge/flows/ticket_desk.py
+++ b/persimmonhinge/flows/ticket_issuer.py
@@ -16,7 +16,7 @@
 _RETRY_AFTER_S = 1
 
 
-class TicketDesk:
+class TicketIssuer:
     """Mints tickets with the keepers of the moment.
 
     Attributes:
