Start fleets of the control tests in one place

A fixture, run_fleet, does it; six that set something before the start or start otherwise keep their own.

--- a/tests/test_contracts/fleet.py
+++ b/tests/test_contracts/fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
+import contextlib
 import dataclasses
 import json
 import random
@@ -148,6 +150,16 @@
         return set(self.revisions(service)) == {revision}
 
 
+@contextlib.asynccontextmanager
+async def run_fleet(count: int, seed: int = 1) -> AsyncIterator[Fleet]:
+    """Runs a fleet that has settled, until the block ends."""
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, count, seed)
+        await fleet.start()
+        yield fleet
+        nursery.cancel_scope.cancel()
+
+
 def make_body(service: str, *, port: int = 7000) -> dict[str, object]:
     """Returns a contract as operators write it."""
     return {
--- a/tests/test_contracts/test_contracts_control.py
+++ b/tests/test_contracts/test_contracts_control.py
@@ -16,14 +16,11 @@
 
 @trios.clock_test
 async def test_contract_is_in_force_everywhere_within_the_limit() -> None:
-    async with trio.open_nursery() as nursery:
-        fleet = fleets.Fleet(nursery, 24)
-        await fleet.start()
+    async with fleets.run_fleet(24) as fleet:
         revision = fleet.apply("floor")
         await trio.sleep(_LIMIT_S)
         assert fleet.knows("floor", revision), fleet.revisions("floor")
         assert all(h.control.ready() for h in fleet.hosts.values())
-        nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
@@ -51,9 +48,7 @@
 
     Its links drop just while the news goes round, and no more news comes.
     """
-    async with trio.open_nursery() as nursery:
-        fleet = fleets.Fleet(nursery, 12)
-        await fleet.start()
+    async with fleets.run_fleet(12) as fleet:
         idle = [h for h in fleet.hosts.values() if h not in fleet.watchers()]
         missing = {str(host.member.host) for host in idle}
         assert missing
@@ -64,19 +59,15 @@
         fleet.links.heal()
         await trio.sleep(_LIMIT_S)
         assert fleet.knows("floor", revision)
-        nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
 async def test_domain_cut_off_from_the_platform_learns_from_others() -> None:
-    async with trio.open_nursery() as nursery:
-        fleet = fleets.Fleet(nursery, 12)
-        await fleet.start()
+    async with fleets.run_fleet(12) as fleet:
         fleet.platform.unreachable = fleet.names(0)
         revision = fleet.apply("floor")
         await trio.sleep(_LIMIT_S)
         assert fleet.knows("floor", revision)
-        nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
@@ -86,9 +77,7 @@
     It can open no link, as in a cut that is one-way, and the news passed it
     by.
     """
-    async with trio.open_nursery() as nursery:
-        fleet = fleets.Fleet(nursery, 6)
-        await fleet.start()
+    async with fleets.run_fleet(6) as fleet:
         fleet.platform.unreachable = {"h0"}
         others = set(fleet.hosts) - {"h0"}
         fleet.links.cut({"h0"}, others)
@@ -97,7 +86,6 @@
         fleet.links.cuts -= {(other, "h0") for other in others}
         await trio.sleep(_LIMIT_S)
         assert fleet.knows("floor", revision)
-        nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
@@ -108,9 +96,7 @@
     contract is deleted and another one changed. Its hosts come back with
     what they knew before.
     """
-    async with trio.open_nursery() as nursery:
-        fleet = fleets.Fleet(nursery, 12)
-        await fleet.start()
+    async with fleets.run_fleet(12) as fleet:
         former = fleet.apply("floor", port=7001)
         fleet.apply("intake", port=8001)
         await trio.sleep(_LIMIT_S)
@@ -129,14 +115,11 @@
         await trio.sleep(60)
         assert fleet.knows("floor", changed)
         assert fleet.knows("intake", deleted)
-        nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
 async def test_peer_that_spreads_old_revisions_changes_nothing() -> None:
-    async with trio.open_nursery() as nursery:
-        fleet = fleets.Fleet(nursery, 6)
-        await fleet.start()
+    async with fleets.run_fleet(6) as fleet:
         fleet.apply("floor", port=7001)
         revision = fleet.apply("floor", port=7002)
         await trio.sleep(_LIMIT_S)
@@ -148,7 +131,6 @@
         await trio.sleep(_LIMIT_S)
         assert fleet.knows("floor", revision)
         assert _count_older(fleet) - before == len(fleet.hosts)
-        nursery.cancel_scope.cancel()
 
 
 def _count_older(fleet: fleets.Fleet) -> int:
@@ -197,28 +179,22 @@
 
 @trios.clock_test
 async def test_contract_can_be_deleted_and_made_again() -> None:
-    async with trio.open_nursery() as nursery:
-        fleet = fleets.Fleet(nursery, 6)
-        await fleet.start()
+    async with fleets.run_fleet(6) as fleet:
         for change in (fleet.apply, fleet.delete, fleet.apply, fleet.delete):
             revision = change("floor")
             await trio.sleep(_LIMIT_S)
             assert fleet.knows("floor", revision)
         assert all(not h.contracts.entries() for h in fleet.hosts.values())
-        nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
 async def test_drain_is_known_everywhere_and_taken_back() -> None:
-    async with trio.open_nursery() as nursery:
-        fleet = fleets.Fleet(nursery, 6)
-        await fleet.start()
+    async with fleets.run_fleet(6) as fleet:
         for value, drained in ((b"{}", ["h2"]), (None, [])):
             fleet.platform.put(_DRAIN_KEY, value)
             await trio.sleep(_LIMIT_S)
             for host in fleet.hosts.values():
                 assert host.drains.drained() == drained
-        nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
@@ -228,9 +204,7 @@
     Something other than `persimmonhinge-ctl` wrote the contract's key, or a
     newer version of it wrote what these hosts can't read.
     """
-    async with trio.open_nursery() as nursery:
-        fleet = fleets.Fleet(nursery, 6)
-        await fleet.start()
+    async with fleets.run_fleet(6) as fleet:
         revision = fleet.apply("floor")
         await trio.sleep(_LIMIT_S)
         key = fleets.PREFIX + keys.CONTRACTS + "floor"
@@ -245,4 +219,3 @@
         await trio.sleep(_LIMIT_S)
         assert fleet.knows("floor", revision)
         assert not fleet.watchers()[0].control.report().refused
-        nursery.cancel_scope.cancel()
--- a/tests/test_contracts/test_contracts_watcher.py
+++ b/tests/test_contracts/test_contracts_watcher.py
@@ -76,9 +76,7 @@
     All hosts had waited for it and call it in the same moment, and those
     that fail call again at once.
     """
-    async with trio.open_nursery() as nursery:
-        fleet = fleets.Fleet(nursery, 48)
-        await fleet.start()
+    async with fleets.run_fleet(48) as fleet:
         fleet.platform.down = True
         await trio.sleep(60)
         before = fleet.platform.calls.total()
@@ -96,23 +94,19 @@
         revision = fleet.apply("floor")
         await trio.sleep(_LIMIT_S)
         assert fleet.knows("floor", revision)
-        nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
 async def test_contract_accepted_at_the_end_of_an_outage_comes_in_force() -> (
     None
 ):
-    async with trio.open_nursery() as nursery:
-        fleet = fleets.Fleet(nursery, 12)
-        await fleet.start()
+    async with fleets.run_fleet(12) as fleet:
         fleet.platform.down = True
         await trio.sleep(300)
         fleet.platform.down = False
         revision = fleet.apply("floor")
         await trio.sleep(_LIMIT_S)
         assert fleet.knows("floor", revision)
-        nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
@@ -124,9 +118,7 @@
     the event of the delete.
     """
     for compacts in (False, True):
-        async with trio.open_nursery() as nursery:
-            fleet = fleets.Fleet(nursery, 6)
-            await fleet.start()
+        async with fleets.run_fleet(6) as fleet:
             fleet.apply("floor")
             fleet.apply("intake")
             await trio.sleep(_LIMIT_S)
@@ -145,7 +137,6 @@
             revision = fleet.apply("floor")
             await trio.sleep(_LIMIT_S)
             assert fleet.knows("floor", revision)
-            nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
@@ -155,9 +146,7 @@
     The platform was restored from a copy made before the contract was
     written. The watches of the hosts stay open, in silence.
     """
-    async with trio.open_nursery() as nursery:
-        fleet = fleets.Fleet(nursery, 6)
-        await fleet.start()
+    async with fleets.run_fleet(6) as fleet:
         fleet.apply("intake")
         copy = fleet.platform.copy()
         floor = fleet.apply("floor")
@@ -169,7 +158,6 @@
         assert fleet.knows("intake", intake)
         states = {h.control.report().platform for h in fleet.watchers()}
         assert states == {"went-back"}
-        nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
@@ -181,9 +169,7 @@
     hosts can't see that the absent contract was never deleted there.
     """
     for compacts in (False, True):
-        async with trio.open_nursery() as nursery:
-            fleet = fleets.Fleet(nursery, 6)
-            await fleet.start()
+        async with fleets.run_fleet(6) as fleet:
             fleet.apply("intake")
             copy = fleet.platform.copy()
             floor = fleet.apply("floor")
@@ -205,7 +191,6 @@
             await trio.sleep(_LIMIT_S)
             assert fleet.knows("floor", again)
             assert not fleet.watchers()[0].control.report().lacking
-            nursery.cancel_scope.cancel()
 
 
 @trios.clock_test
@@ -215,9 +200,7 @@
     The platform has lost its ticket keys. The new host holds the watch, and
     makes new ones before a peer has told it of those in force.
     """
-    async with trio.open_nursery() as nursery:
-        fleet = fleets.Fleet(nursery, 6)
-        await fleet.start()
+    async with fleets.run_fleet(6) as fleet:
         body = fleet.platform.values[_RINGS].value
         fleet.platform.put(_RINGS, None)
         await trio.sleep(30)
@@ -229,4 +212,3 @@
         assert host in fleet.watchers()
         assert host.keys.record.body == body
         assert _RINGS not in fleet.platform.values
-        nursery.cancel_scope.cancel()
