Summarize times in force in one place for both benchmarks

control and in_force each held the same dataclass and summary. After the change one case of control ran; in_force is checked by mypy and was not run.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -24,6 +24,7 @@
 import trio
 import trio.testing
 
+from benchmarks import in_force_delays
 from tests.test_contracts import fleet as fleets
 
 P = ParamSpec("P")
@@ -65,18 +66,6 @@
     change_octets: float = 0.0
 
 
-@dataclasses.dataclass
-class Delay:
-    """Time from accepted to in force on all hosts, seconds."""
-
-    case: str
-    hosts: int
-    changes: int
-    p50_s: float
-    p99_s: float
-    max_s: float
-
-
 async def measure_load(hosts: int) -> Load:
     """Measures a fleet of a size."""
     async with trio.open_nursery() as nursery:
@@ -103,7 +92,7 @@
 
 async def measure_delay(
     hosts: int, loss: float, changes: int = _CHANGES
-) -> Delay:
+) -> in_force_delays.Delay:
     """Measures changes one after another."""
     delays: list[float] = []
     async with trio.open_nursery() as nursery:
@@ -114,10 +103,10 @@
             delays.append(await _wait_in_force(fleet, revision))
             await trio.sleep(_CHANGE_GAP_S)
         nursery.cancel_scope.cancel()
-    return _summarize(f"{loss:.0%} loss", hosts, delays)
+    return in_force_delays.summarize(f"{loss:.0%} loss", hosts, delays)
 
 
-async def measure_healed_cut(hosts: int) -> Delay:
+async def measure_healed_cut(hosts: int) -> in_force_delays.Delay:
     """Measures from the end of a cut to agreement of both sides."""
     delays: list[float] = []
     async with trio.open_nursery() as nursery:
@@ -133,7 +122,7 @@
             delays.append(await _wait_in_force(fleet, revision))
             await trio.sleep(_CHANGE_GAP_S)
         nursery.cancel_scope.cancel()
-    return _summarize("healed cut", hosts, delays)
+    return in_force_delays.summarize("healed cut", hosts, delays)
 
 
 def fit_slope(sizes: list[int], values: list[float]) -> float:
@@ -179,18 +168,6 @@
     return now[0] - before[0], now[1] - before[1]
 
 
-def _summarize(case: str, hosts: int, delays: list[float]) -> Delay:
-    ordered = sorted(delays)
-    return Delay(
-        case=case,
-        hosts=hosts,
-        changes=len(ordered),
-        p50_s=round(ordered[len(ordered) // 2], 3),
-        p99_s=round(ordered[int(len(ordered) * 0.99)], 3),
-        max_s=round(ordered[-1], 3),
-    )
-
-
 def _print_loads(loads: list[Load]) -> None:
     sizes = [load.hosts for load in loads]
     for load in loads:
--- a/benchmarks/in_force.py
+++ b/benchmarks/in_force.py
@@ -17,6 +17,7 @@
 
 import trio
 
+from benchmarks import in_force_delays
 from benchmarks import usage
 from persimmonhinge import ids
 from persimmonhinge.contracts import audit_trail
@@ -38,18 +39,6 @@
 _AUDIT_ENTRIES = 1000
 
 
-@dataclasses.dataclass
-class Delay:
-    """Times of one case, seconds."""
-
-    case: str
-    hosts: int
-    changes: int
-    p50_s: float
-    p99_s: float
-    max_s: float
-
-
 class Operator:
     """Changes the contract by writes to the platform."""
 
@@ -101,7 +90,7 @@
         await trio.sleep(_LOOK_S)
 
 
-async def measure(hosts: int) -> list[Delay]:
+async def measure(hosts: int) -> list[in_force_delays.Delay]:
     """Measures all cases at one size."""
     plan = control_plans.make_plan(hosts)
     async with cut_deployment.run_cut_deployment(plan) as deployment:
@@ -117,9 +106,9 @@
             await deployment.heal()
             healed = await _measure_cuts(deployment, operator)
     return [
-        _summarize("all well", hosts, well),
-        _summarize("10% loss", hosts, lossy),
-        _summarize("healed cut", hosts, healed),
+        in_force_delays.summarize("all well", hosts, well),
+        in_force_delays.summarize("10% loss", hosts, lossy),
+        in_force_delays.summarize("healed cut", hosts, healed),
     ]
 
 
@@ -159,25 +148,13 @@
     return delays
 
 
-def _summarize(case: str, hosts: int, delays: list[float]) -> Delay:
-    ordered = sorted(delays)
-    return Delay(
-        case=case,
-        hosts=hosts,
-        changes=len(ordered),
-        p50_s=round(ordered[len(ordered) // 2], 3),
-        p99_s=round(ordered[int(len(ordered) * 0.99)], 3),
-        max_s=round(ordered[-1], 3),
-    )
-
-
 def main() -> None:
     """Prints all measurements, and as the last line a JSON object."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", type=int, nargs="+", default=_SIZES)
     options = parser.parse_args()
     print(usage.describe_load())
-    delays: list[Delay] = []
+    delays: list[in_force_delays.Delay] = []
     for size in options.sizes:
         delays += trio.run(measure, size)
     for delay in delays:
