--- a/tests/test_peers/memory_links.py
+++ b/tests/test_peers/memory_links.py
@@ -37,6 +37,11 @@
     counts: metrics.Counts
     streams: tuple[trio.abc.Stream, trio.abc.Stream]
 
+    def start(self, nursery: trio.Nursery) -> None:
+        """Runs both ends."""
+        nursery.start_soon(self.dialed.run)
+        nursery.start_soon(self.accepted.run)
+
     def lose_octets(self) -> None:
         """Lets octets vanish from now on, as behind a middle box."""
 
--- a/tests/test_peers/test_peers_connection.py
+++ b/tests/test_peers/test_peers_connection.py
@@ -45,8 +45,7 @@
     async with trio.open_nursery() as nursery:
         link = memory_links.make_link(nursery)
         link.table.set(work.LoadQuery, _wait)
-        nursery.start_soon(link.dialed.run)
-        nursery.start_soon(link.accepted.run)
+        link.start(nursery)
         call = await link.dialed.open_call(work.LoadQuery())
         await trio.sleep(_LONG_S)
         assert not call.closed
@@ -75,8 +74,7 @@
             nursery, heartbeat_interval_s=1.0, suspicion_s=0.5
         )
         link.table.set(work.LoadQuery, _wait)
-        nursery.start_soon(link.dialed.run)
-        nursery.start_soon(link.accepted.run)
+        link.start(nursery)
         call = await link.dialed.open_call(work.LoadQuery())
         await trio.sleep(_LONG_S)
         assert not call.closed
@@ -88,8 +86,7 @@
     async with trio.open_nursery() as nursery:
         link = memory_links.make_link(nursery)
         link.table.set(work.LoadQuery, _answer)
-        nursery.start_soon(link.dialed.run)
-        nursery.start_soon(link.accepted.run)
+        link.start(nursery)
         call = await link.dialed.open_call(work.LoadQuery())
         assert await call.receive() == work.LoadReport(())
         await trio.sleep(30)
@@ -111,8 +108,7 @@
     async with trio.open_nursery() as nursery:
         link = memory_links.make_link(nursery, links=609)
         link.table.set(work.LoadQuery, _wait)
-        nursery.start_soon(link.dialed.run)
-        nursery.start_soon(link.accepted.run)
+        link.start(nursery)
         await link.dialed.open_call(work.LoadQuery())
         writes = link.count_writes()
         await trio.sleep(_LONG_S)
@@ -150,8 +146,7 @@
         assert call.frame.state is outbox.FrameState.WAITING
         call.leave()
         assert call.frame.state is outbox.FrameState.DROPPED
-        nursery.start_soon(link.dialed.run)
-        nursery.start_soon(link.accepted.run)
+        link.start(nursery)
         await trio.sleep(5)
         # A withdrawn call must not be written later: it was reported as not
         # delivered, and its caller may have gone elsewhere.
@@ -164,8 +159,7 @@
     async with trio.open_nursery() as nursery:
         link = memory_links.make_link(nursery)
         link.table.set(work.LoadQuery, _wait)
-        nursery.start_soon(link.dialed.run)
-        nursery.start_soon(link.accepted.run)
+        link.start(nursery)
         slow = await link.dialed.open_call(work.LoadQuery())
         other = await link.dialed.open_call(work.LoadQuery())
         try:
