--- a/persimmonhinge/cmd/entry.py
+++ b/persimmonhinge/cmd/entry.py
@@ -97,7 +97,9 @@
         return
     logs.configure(fresh.host, fresh.log_level)
     if fresh.model_copy(update={"log_level": settings.log_level}) != settings:
-        logger.warning("Only the log level changed; all else needs a restart.")
+        logger.warning(
+            "Took over log level and credential; restart for the rest."
+        )
     else:
         logger.info("Read the settings again.")
 
