Catch the log of the package itself in the test of secrets

Cause: the test failed in a run of all unit tests by name, after a test that runs a program in the same process: that program's logging ends the propagation to the root logger, where this test listened. In the order of make test it passed.

Before: the assertion that a refusal was logged fails after logs.configure. After: it passes; what is asserted is unchanged.

--- a/tests/test_keys/test_keys_store.py
+++ b/tests/test_keys/test_keys_store.py
@@ -76,7 +76,10 @@
     """
     output = io.StringIO()
     handler = logging.StreamHandler(output)
-    logging.getLogger().addHandler(handler)
+    # Not at the root: a program that another test ran in this process may
+    # have ended the propagation to it.
+    logger = logging.getLogger("persimmonhinge")
+    logger.addHandler(handler)
     try:
         records = _make_records()
         for body in (_BODY, *_list_bad_bodies()):
@@ -86,7 +89,7 @@
             records.take_in(control.Knowledge(keys=record), "peer")
             output.write(_read_failing(body))
     finally:
-        logging.getLogger().removeHandler(handler)
+        logger.removeHandler(handler)
     output.write(repr(records.keys.ring) + str(records.keys.ring))
     output.write(records.keys.ring.model_dump_json())
     status = report.make_report(records, watcher_stub.make_watcher(), True)
