Make old news come late for sure, in the test of it

Cause: the slow host's streams were held up for 3 s, longer than the 2.4 s after which a silent link is closed and the 1 s in which a new one has to open. So its news was lost more often than late, and trying again could not help: the test failed with 'no old news came' in one of two runs beside three other suites.

Before: two commands, a delay of 3 s, up to four rounds. Without the refusal of older records it fails, as before.

--- a/tests/test_integration/test_integration_control_contracts.py
+++ b/tests/test_integration/test_integration_control_contracts.py
@@ -4,8 +4,11 @@
 
 import trio
 
+from persimmonhinge import ids
+from persimmonhinge.contracts import stored
 from persimmonhinge.ctl import exits
 from persimmonhinge.platform import client as platform_clients
+from persimmonhinge.platform import keys
 from persimmonhinge.platform import port
 from tests.standins import cut_deployment
 from tests.standins import load_callers
@@ -15,9 +18,12 @@
 
 _SERVICE = control_plans.SERVICE
 _OLDER = "control_records_refused_total{cause=older}"
-# Longer than the time between two changes.
-_DELAY_S = 3.0
-_ROUNDS = 4
+# Longer than the time between two changes that are written without a command,
+# and shorter than the time after which a silent link is closed (2.4 s): news
+# that waits on a link that is closed never comes.
+_GAP_S = 0.3
+_DELAY_S = 0.9
+_ROUNDS = 8
 
 
 async def _apply(deployment: cut_deployment.CutDeployment, queue: int) -> int:
@@ -27,6 +33,23 @@
     return await control_plans.find_revision(deployment)
 
 
+async def _write(deployment: cut_deployment.CutDeployment, queue: int) -> int:
+    """Writes the contract at once; returns its revision."""
+    value = stored.StoredContract(
+        contract=control_plans.make_contract(deployment, queue),
+        request_id=f"request-{queue}",
+        operator="test",
+        written_at="",
+    )
+    settings = deployment.platform.settings()
+    key = keys.contract_key(settings.prefix, ids.ServiceName(_SERVICE))
+    write = port.Write(key, value.model_dump_json().encode())
+    async with platform_clients.EtcdPlatform(settings) as client:
+        revision = await client.write_if((), (write,))
+    assert revision is not None
+    return revision
+
+
 async def _count_older(
     deployment: cut_deployment.CutDeployment, hosts: list[str]
 ) -> int:
@@ -93,11 +116,12 @@
         await deployment.pages.wait_sees(hosts, hosts)
         async with revision_watch.watch_revisions(deployment.pages, hosts):
             await deployment.delay_streams(slow, _DELAY_S)
-            # Whether the slow host has the first change before the second
-            # is made, and passes it on, is up to chance.
+            # Whether the slow host passes the first change on to a host that
+            # has the second by then is up to chance.
             for queue in range(11, 11 + 2 * _ROUNDS, 2):
-                await _apply(deployment, queue)
-                newest = await _apply(deployment, queue + 1)
+                await _write(deployment, queue)
+                await trio.sleep(_GAP_S)
+                newest = await _write(deployment, queue + 1)
                 await deployment.pages.wait_holds(hosts, _SERVICE, newest)
                 await trio.sleep(2 * _DELAY_S)
                 refused = await _count_older(deployment, others)
