Let a host know the loads of what it keeps itself at once

Cause: since keepers that are not in use are asked every 2 s, the status of a host could miss a queue that lasted less; the test of cancelled requests read it at a host chosen by chance, and failed once beside three other suites.

Before: each host, the keeper included, hears of its own upstreams after up to 2 s when idle. The queries to others stay at one in 2 s, for each of them, which the test now asks of each.

--- a/persimmonhinge/flows/chooser.py
+++ b/persimmonhinge/flows/chooser.py
@@ -162,7 +162,10 @@
     async def _wait_to_ask(self, host: ids.HostId, least_s: float) -> None:
         """Waits a short time if the keeper is in use, else a longer one."""
         self._used.discard(host)
-        idle_until = trio.current_time() + _IDLE_QUERY_INTERVAL_S
+        idle_until = trio.current_time()
+        # What this host keeps it asks without a link, and shows to operators.
+        if host != self._view.me:
+            idle_until += _IDLE_QUERY_INTERVAL_S
         interval_s = max(_QUERY_INTERVAL_S, least_s)
         while True:
             # Hosts that started together would ask together.
--- a/tests/test_flows/test_flows_chooser.py
+++ b/tests/test_flows/test_flows_chooser.py
@@ -235,10 +235,11 @@
 
     for member in bench.view.role_takers():
         bench.network.keep[member.host] = report
-    keepers = len(bench.network.keep)
     with trio.move_on_after(60):
         await bench.chooser.run()
-    assert len(bench.network.calls) <= keepers * 60 / 1.5
+    asked = [host for host, _ in bench.network.calls]
+    for host in set(asked) - {home_fakes.ME}:
+        assert asked.count(host) <= 60 / 1.5
 
 
 @trios.clock_test
--- a/tests/test_integration/test_integration_load_classes.py
+++ b/tests/test_integration/test_integration_load_classes.py
@@ -177,10 +177,15 @@
 
 
 async def _wait_queued(deployment: processes.Deployment, count: int) -> None:
-    """Waits until the keepers report so much as waiting."""
+    """Waits until the keeper of the one upstream has so much waiting.
+
+    Other hosts hear of it too late: the queue changes within 2 s.
+    """
     pages = load_plans.open_pages(deployment)
+    status = await pages.status(next(iter(deployment.hosts)))
+    (upstream,) = status["upstreams"]
     await pages.wait(
-        list(deployment.hosts)[:1],
+        [upstream["keeper"]],
         lambda status: (
             sum(u["queued"] or 0 for u in status["upstreams"]) == count
         ),
