Look a ticket's home up by an index in place of a hash of every member

Cause: each packet with a ticket asked the view for the member of a ref, and the view hashed name and incarnation of every member to find it. It is worked out once for each change of the view now; every write to the members announces one.

--- a/persimmonhinge/membership/view.py
+++ b/persimmonhinge/membership/view.py
@@ -24,6 +24,10 @@
         self.me = me.host
         self.changed = changes.ChangeSignal()
         self._members: dict[ids.HostId, members.Member] = {me.host: me}
+        # Each packet with a ticket asks for one: it is worked out once for
+        # each change, as a hash of every member for each packet is not.
+        self._refs: dict[ids.HostRef, members.Member | None] = {}
+        self._refs_version = -1
 
     @property
     def self_member(self) -> members.Member:
@@ -40,10 +44,11 @@
         Two incarnations with the same ref (chance about 4e-5 at 610 hosts)
         count as none: the outcome is then unknown rather than wrong.
         """
-        found = [m for m in self._members.values() if m.ref == ref]
-        if len(found) != 1 or not found[0].answers:
-            return None
-        return found[0]
+        if self._refs_version != self.changed.version:
+            self._refs_version = self.changed.version
+            self._refs = _index_refs(self._members.values())
+        found = self._refs.get(ref)
+        return found if found is not None and found.answers else None
 
     def all(self) -> Iterable[members.Member]:
         """Returns all members, dead ones included."""
@@ -66,3 +71,14 @@
             return
         del self._members[host]
         self.changed.announce()
+
+
+def _index_refs(
+    all_members: Iterable[members.Member],
+) -> dict[ids.HostRef, members.Member | None]:
+    """Returns the member of each ref; None where two share it."""
+    found: dict[ids.HostRef, members.Member | None] = {}
+    for member in all_members:
+        ref = member.ref
+        found[ref] = None if ref in found else member
+    return found
