--- a/benchmarks/in_force.py
+++ b/benchmarks/in_force.py
@@ -24,7 +24,7 @@
 from persimmonhinge.contracts import change_writer
 from persimmonhinge.contracts import repository as repositories
 from persimmonhinge.contracts import request as requests
-from persimmonhinge.platform import client as platform_clients
+from persimmonhinge.store import client as platform_clients
 from tests.standins import cut_deployment
 from tests.test_integration import control_plans
 
--- a/persimmonhinge/contracts/audit_trail.py
+++ b/persimmonhinge/contracts/audit_trail.py
@@ -10,8 +10,8 @@
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.contracts import audit
-from persimmonhinge.platform import keys
-from persimmonhinge.platform import port
+from persimmonhinge.store import keys
+from persimmonhinge.store import port
 
 # Entries that one read of the platform brings.
 PAGE_ENTRIES = 100
--- a/persimmonhinge/contracts/change_writer.py
+++ b/persimmonhinge/contracts/change_writer.py
@@ -17,7 +17,7 @@
 from persimmonhinge.contracts import outcome
 from persimmonhinge.contracts import plan as plans
 from persimmonhinge.contracts import request as requests
-from persimmonhinge.platform import port
+from persimmonhinge.store import port
 
 logger = logging.getLogger(__name__)
 
--- a/persimmonhinge/contracts/control.py
+++ b/persimmonhinge/contracts/control.py
@@ -23,8 +23,8 @@
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.peers import network as networks
 from persimmonhinge.peers.messages import control
-from persimmonhinge.platform import port
 from persimmonhinge.settings import entry
+from persimmonhinge.store import port
 
 logger = logging.getLogger(__name__)
 
--- a/persimmonhinge/contracts/host_drains.py
+++ b/persimmonhinge/contracts/host_drains.py
@@ -11,8 +11,8 @@
 from persimmonhinge.contracts import change_writer
 from persimmonhinge.contracts import plan as plans
 from persimmonhinge.contracts import request as requests
-from persimmonhinge.platform import keys
-from persimmonhinge.platform import port
+from persimmonhinge.store import keys
+from persimmonhinge.store import port
 
 
 class HostDrain(pydantic.BaseModel):
--- a/persimmonhinge/contracts/host_list.py
+++ b/persimmonhinge/contracts/host_list.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from persimmonhinge.platform import keys
-from persimmonhinge.platform import port
 from persimmonhinge.settings import entry
+from persimmonhinge.store import keys
+from persimmonhinge.store import port
 
 logger = logging.getLogger(__name__)
 
--- a/persimmonhinge/contracts/hosts.py
+++ b/persimmonhinge/contracts/hosts.py
@@ -6,8 +6,8 @@
 
 from persimmonhinge import errors
 from persimmonhinge import ids
-from persimmonhinge.platform import keys
-from persimmonhinge.platform import port
+from persimmonhinge.store import keys
+from persimmonhinge.store import port
 
 _STEP = "announce leaving"
 _STATE = "state"
--- a/persimmonhinge/contracts/plan.py
+++ b/persimmonhinge/contracts/plan.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from persimmonhinge.contracts import audit
-from persimmonhinge.platform import port
+from persimmonhinge.store import port
 
 
 @dataclasses.dataclass(frozen=True)
--- a/persimmonhinge/contracts/reading.py
+++ b/persimmonhinge/contracts/reading.py
@@ -8,8 +8,8 @@
 from persimmonhinge import ids
 from persimmonhinge.contracts import records as record_sets
 from persimmonhinge.peers.messages import control
-from persimmonhinge.platform import keys
-from persimmonhinge.platform import port
+from persimmonhinge.store import keys
+from persimmonhinge.store import port
 
 
 class _StoredContract(msgspec.Struct):
--- a/persimmonhinge/contracts/records.py
+++ b/persimmonhinge/contracts/records.py
@@ -14,7 +14,7 @@
 from persimmonhinge.keys import store as key_stores
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.peers.messages import control
-from persimmonhinge.platform import keys as platform_keys
+from persimmonhinge.store import keys as platform_keys
 
 logger = logging.getLogger(__name__)
 
--- a/persimmonhinge/contracts/repository.py
+++ b/persimmonhinge/contracts/repository.py
@@ -18,8 +18,8 @@
 from persimmonhinge.contracts import request as requests
 from persimmonhinge.contracts import stored as stored_contracts
 from persimmonhinge.contracts import version as versions
-from persimmonhinge.platform import keys
-from persimmonhinge.platform import port
+from persimmonhinge.store import keys
+from persimmonhinge.store import port
 
 Live = dict[ids.ServiceName, versions.ContractVersion]
 _STEP = "change contract"
--- a/persimmonhinge/contracts/ring_changes.py
+++ b/persimmonhinge/contracts/ring_changes.py
@@ -12,8 +12,8 @@
 from persimmonhinge.keys import repository
 from persimmonhinge.keys import ring as rings
 from persimmonhinge.keys import rotation
-from persimmonhinge.platform import keys
-from persimmonhinge.platform import port
+from persimmonhinge.store import keys
+from persimmonhinge.store import port
 
 TARGET = "ticket-keys"
 Step = Callable[[repository.StoredRing], rings.KeyRing]
--- a/persimmonhinge/contracts/version.py
+++ b/persimmonhinge/contracts/version.py
@@ -14,7 +14,7 @@
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.contracts import reading
 from persimmonhinge.contracts import stored as stored_contracts
-from persimmonhinge.platform import port
+from persimmonhinge.store import port
 
 
 @dataclasses.dataclass(frozen=True)
--- a/persimmonhinge/contracts/watcher.py
+++ b/persimmonhinge/contracts/watcher.py
@@ -19,9 +19,9 @@
 from persimmonhinge.keys import rotation
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.peers.messages import control
-from persimmonhinge.platform import keys
-from persimmonhinge.platform import port
 from persimmonhinge.settings import entry
+from persimmonhinge.store import keys
+from persimmonhinge.store import port
 
 logger = logging.getLogger(__name__)
 
--- a/persimmonhinge/ctl/host_directory.py
+++ b/persimmonhinge/ctl/host_directory.py
@@ -8,9 +8,9 @@
 import pydantic
 
 from persimmonhinge import errors
-from persimmonhinge.platform import keys
-from persimmonhinge.platform import port
 from persimmonhinge.settings import ctl
+from persimmonhinge.store import keys
+from persimmonhinge.store import port
 
 logger = logging.getLogger(__name__)
 
--- a/persimmonhinge/ctl/session.py
+++ b/persimmonhinge/ctl/session.py
@@ -27,8 +27,8 @@
 from persimmonhinge.ctl import host_client
 from persimmonhinge.ctl import host_directory
 from persimmonhinge.ctl import printer as printers
-from persimmonhinge.platform import client
 from persimmonhinge.settings import ctl
+from persimmonhinge.store import client
 
 
 @dataclasses.dataclass(frozen=True)
--- a/persimmonhinge/errors.py
+++ b/persimmonhinge/errors.py
@@ -37,6 +37,14 @@
     """A datagram is not a CoAP message."""
 
 
+class MalformedPacketError(PersimmonhingeError):
+    """A datagram is not a packet of a flow."""
+
+
+class UnreadableEntryError(PersimmonhingeError):
+    """An entry of the platform can't be read; the former stays in force."""
+
+
 class TicketError(PersimmonhingeError):
     """A ticket is forged, expired, or of another flow or service."""
 
@@ -77,5 +85,9 @@
     """The platform shows an earlier state than one that was in force."""
 
 
+class PlatformHistoryGoneError(PlatformError):
+    """The platform has dropped the changes since a revision: read anew."""
+
+
 class ConflictError(PersimmonhingeError):
     """Another operator changed the same contract first."""
--- /dev/null
+++ b/persimmonhinge/forwarding/chooser.py
@@ -0,0 +1,107 @@
+"""Chooses the upstream of a new flow."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Sequence
+
+import xxhash
+
+from persimmonhinge import ids
+from persimmonhinge.forwarding import flow as flows
+from persimmonhinge.forwarding import knowledge as knowledge_parts
+from persimmonhinge.forwarding import loads as load_books
+from persimmonhinge.forwarding import route as routes
+from persimmonhinge.forwarding import suspicions as suspicion_lists
+from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.policies import choice
+
+# A cold upstream works about 1.6 times as long on a request at both users'
+# sites, so it has so much less room.
+_COLD_ROOM = 0.6
+
+
+class UpstreamChooser:
+    """Chooses among the upstreams that may take a new flow."""
+
+    def __init__(
+        self,
+        domain: ids.DomainId,
+        knowledge: knowledge_parts.Knowledge,
+        loads: load_books.LoadBook,
+        suspicions: suspicion_lists.Suspicions,
+        policy: choice.ChoicePolicy,
+    ) -> None:
+        self._domain = domain
+        self._knowledge = knowledge
+        self._loads = loads
+        self._suspicions = suspicions
+        self._policy = policy
+
+    def choose(
+        self,
+        route: routes.Route,
+        flow: flows.FlowId,
+        now: float,
+        without: Collection[ids.UpstreamId] = (),
+    ) -> upstreams.Upstream | None:
+        """Returns the upstream for a new flow, None if there is none.
+
+        Args:
+            route: The flow's route.
+            flow: The flow.
+            now: The time.
+            without: Upstreams that have left an opening packet of this flow
+                unanswered; taken only where there is no other.
+        """
+        service = choose_share(route, flow)
+        usable = self._list_usable(service, now, without)
+        if not usable:
+            return None
+        found = {upstream.id: upstream for upstream in usable}
+        candidates = [self._make_candidate(u, now) for u in usable]
+        return found[self._policy.choose(candidates).upstream]
+
+    def _list_usable(
+        self,
+        service: ids.ServiceName,
+        now: float,
+        without: Collection[ids.UpstreamId],
+    ) -> Sequence[upstreams.Upstream]:
+        directory = self._knowledge.directory
+        ready = directory.select(service, upstreams.UpstreamState.READY)
+        ready = [u for u in ready if directory.is_unique(u)]
+        fresh = [u for u in ready if u.id not in without]
+        good = [u for u in fresh if not self._suspicions.holds(u.id, now)]
+        missing = upstreams.UpstreamState.MISSING
+        return good or fresh or ready or directory.select(service, missing)
+
+    def _make_candidate(
+        self, upstream: upstreams.Upstream, now: float
+    ) -> choice.Candidate:
+        cold = self._knowledge.directory.is_cold(upstream.id, now)
+        room = _COLD_ROOM if cold else 1.0
+        load = self._loads.get(upstream.id, now)
+        return choice.Candidate(
+            upstream=upstream.id,
+            capacity=upstream.slots * room,
+            load=load,
+            own=load,
+            near=upstream.domain == self._domain,
+        )
+
+
+def choose_share(route: routes.Route, flow: flows.FlowId) -> ids.ServiceName:
+    """Returns the service of a flow by the weights of its route.
+
+    It follows from the flow, so that copies of an opening packet go to one
+    service, whichever host they come to.
+    """
+    total = sum(share.weight for share in route.shares)
+    text = ",".join(map(str, flow))
+    at = xxhash.xxh32_intdigest(text.encode()) / 2**32 * total
+    for share in route.shares:
+        at -= share.weight
+        if at < 0:
+            return share.service
+    return route.shares[-1].service
--- /dev/null
+++ b/persimmonhinge/forwarding/desired_state.py
@@ -0,0 +1,22 @@
+"""The newest state that the operators want, as one version."""
+
+from __future__ import annotations
+
+import msgspec
+
+from persimmonhinge.forwarding import route as routes
+
+
+class DesiredState(msgspec.Struct, frozen=True):
+    """All routes of one version.
+
+    Attributes:
+        version: Number of the version; grows with each change.
+        routes: The routes by what callers address.
+        idle_timeout_s: Time after which an idle flow may be forgotten,
+            seconds.
+    """
+
+    version: int
+    routes: dict[routes.RouteAddress, routes.Route]
+    idle_timeout_s: float
--- /dev/null
+++ b/persimmonhinge/forwarding/directory.py
@@ -0,0 +1,117 @@
+"""The upstreams that a host knows, by id, by service and by token."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from persimmonhinge import ids
+from persimmonhinge.forwarding import upstream as upstreams
+
+_LIVE = (
+    upstreams.UpstreamState.READY,
+    upstreams.UpstreamState.DRAINING,
+    upstreams.UpstreamState.MISSING,
+)
+
+
+class Directory:
+    """Holds the upstreams as their newest entries describe them.
+
+    One that has gone stays known for as long as a flow may last, so that
+    packets of its flows are told apart from those of upstreams that this
+    host has not heard of yet.
+    """
+
+    def __init__(self, keep_s: float) -> None:
+        """Makes an empty directory.
+
+        Args:
+            keep_s: How long upstreams that have gone are remembered, seconds.
+        """
+        self._keep_s = keep_s
+        self._by_id: dict[ids.UpstreamId, upstreams.Upstream] = {}
+        self._by_token: dict[int, list[ids.UpstreamId]] = {}
+        self._by_service: dict[ids.ServiceName, list[ids.UpstreamId]] = {}
+        self._gone_at: dict[ids.UpstreamId, float] = {}
+        self._warm_at: dict[ids.UpstreamId, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def put(self, upstream: upstreams.Upstream, now: float) -> None:
+        """Takes in an entry."""
+        former = self._by_id.get(upstream.id)
+        if former is None:
+            self._by_token.setdefault(upstream.token, []).append(upstream.id)
+        if former is None or former.service != upstream.service:
+            self._leave_service(former)
+            named = self._by_service.setdefault(upstream.service, [])
+            named.append(upstream.id)
+        self._by_id[upstream.id] = upstream
+        self._gone_at.pop(upstream.id, None)
+        self._warm_at[upstream.id] = now + upstream.cold_s
+
+    def mark(
+        self, upstream: ids.UpstreamId, state: upstreams.UpstreamState
+    ) -> None:
+        """Sets the state of a known upstream whose entry is not there."""
+        known = self._by_id[upstream]
+        self._by_id[upstream] = msgspec.structs.replace(known, state=state)
+
+    def remove(self, upstream: ids.UpstreamId, now: float) -> None:
+        """Marks an upstream as gone; forgets those that went long ago."""
+        if upstream in self._by_id:
+            self.mark(upstream, upstreams.UpstreamState.GONE)
+            self._gone_at[upstream] = now
+        for old, gone_at in list(self._gone_at.items()):
+            if gone_at + self._keep_s < now:
+                self._forget(old)
+
+    def get(self, upstream: ids.UpstreamId) -> upstreams.Upstream | None:
+        """Returns an upstream, None if it is not known."""
+        return self._by_id.get(upstream)
+
+    def find(self, token: int) -> upstreams.Upstream | None:
+        """Returns the upstream of a token.
+
+        Returns None also where two upstreams share the token and both may
+        live: a packet at the wrong one would break a flow that is whole.
+        """
+        found = [self._by_id[i] for i in self._by_token.get(token, ())]
+        live = [u for u in found if u.state in _LIVE]
+        candidates = live or found
+        return candidates[0] if len(candidates) == 1 else None
+
+    def is_unique(self, upstream: upstreams.Upstream) -> bool:
+        """Tells whether the token of a live upstream finds it."""
+        return self.find(upstream.token) is upstream
+
+    def select(
+        self, service: ids.ServiceName, state: upstreams.UpstreamState
+    ) -> list[upstreams.Upstream]:
+        """Returns the upstreams of a service that are in a state."""
+        known = (self._by_id[i] for i in self._by_service.get(service, ()))
+        return [u for u in known if u.state is state]
+
+    def all(self) -> Iterable[upstreams.Upstream]:
+        """Returns all upstreams, those that have gone included."""
+        return list(self._by_id.values())
+
+    def is_cold(self, upstream: ids.UpstreamId, now: float) -> bool:
+        """Tells whether an upstream is still slow after its start."""
+        return now < self._warm_at.get(upstream, 0.0)
+
+    def _leave_service(self, upstream: upstreams.Upstream | None) -> None:
+        if upstream is not None:
+            self._by_service[upstream.service].remove(upstream.id)
+
+    def _forget(self, upstream: ids.UpstreamId) -> None:
+        known = self._by_id.pop(upstream)
+        self._leave_service(known)
+        self._by_token[known.token].remove(upstream)
+        if not self._by_token[known.token]:
+            del self._by_token[known.token]
+        del self._gone_at[upstream]
+        del self._warm_at[upstream]
--- /dev/null
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -0,0 +1,262 @@
+"""Decides where each packet goes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import logging
+from typing import Protocol
+
+import trio
+
+from persimmonhinge import errors
+from persimmonhinge import ids
+from persimmonhinge.forwarding import chooser as choosers
+from persimmonhinge.forwarding import flow as flows
+from persimmonhinge.forwarding import flow_table as flow_tables
+from persimmonhinge.forwarding import knowledge as knowledge_parts
+from persimmonhinge.forwarding import loads as load_books
+from persimmonhinge.forwarding import openings as opening_lists
+from persimmonhinge.forwarding import packet as packets
+from persimmonhinge.forwarding import route as routes
+from persimmonhinge.forwarding import suspicions as suspicion_lists
+from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.metrics import counts as host_counts
+
+logger = logging.getLogger(__name__)
+
+
+class PacketCodec(Protocol):
+    """The format of packets; the adapter implements it."""
+
+    def decode(self, octets: bytes) -> packets.Packet:
+        """Reads a packet."""
+
+    def encode_for_upstream(
+        self, packet: packets.Packet, number: int, token: int
+    ) -> bytes:
+        """Returns the datagram that takes a packet to an upstream."""
+
+    def encode_reset(self, packet: packets.Packet) -> bytes:
+        """Returns the packet that resets a flow."""
+
+
+class Output(Protocol):
+    """Where datagrams are sent."""
+
+    def send_to_upstream(self, octets: bytes, address: flows.Endpoint) -> None:
+        """Sends a datagram to an upstream."""
+
+    def send_to_caller(self, octets: bytes, caller: int) -> None:
+        """Sends a datagram to a caller's address."""
+
+
+class Forwarder:
+    """Sends each packet to the upstream of its flow.
+
+    The first packet of a flow goes to an upstream that is chosen; later ones
+    go where their token says, whichever host they come to.
+    """
+
+    def __init__(
+        self,
+        codec: PacketCodec,
+        output: Output,
+        knowledge: knowledge_parts.Knowledge,
+        chooser: choosers.UpstreamChooser,
+        flow_table: flow_tables.FlowTable,
+        openings: opening_lists.Openings,
+        loads: load_books.LoadBook,
+        suspicions: suspicion_lists.Suspicions,
+        counts: host_counts.Counts,
+        clock: Callable[[], float] = trio.current_time,
+    ) -> None:
+        self._codec = codec
+        self._output = output
+        self._knowledge = knowledge
+        self._chooser = chooser
+        self._flows = flow_table
+        self._openings = openings
+        self._loads = loads
+        self._suspicions = suspicions
+        self._counts = counts
+        self._clock = clock
+
+    def receive(self, octets: bytes) -> None:
+        """Takes one datagram of the fabric."""
+        try:
+            packet = self._codec.decode(octets)
+        except errors.MalformedPacketError as error:
+            self._counts.add("packets_dropped_total", reason="malformed")
+            logger.warning("Dropped a datagram: %s.", error)
+            return
+        if packet.opens:
+            self._open(packet)
+        else:
+            self._continue(packet)
+
+    def open_elsewhere(self, opening: opening_lists.Opening) -> None:
+        """Sends an opening packet that was not answered to another upstream.
+
+        Guards against the wait of a caller whose new flow met a dead
+        upstream: it sends a copy only after 200 ms, longer than the whole
+        latency target of most requests.
+        """
+        now = self._clock()
+        self._suspicions.record_miss(opening.tried[-1], now)
+        self._send_opening(opening.packet, opening.tried, now)
+
+    def _open(self, packet: packets.Packet) -> None:
+        now = self._clock()
+        record = self._flows.get(packet.flow)
+        if record is not None:
+            self._repeat_opening(packet, record, now)
+            return
+        self._send_opening(packet, [], now)
+
+    def _repeat_opening(
+        self,
+        packet: packets.Packet,
+        record: flow_tables.FlowRecord,
+        now: float,
+    ) -> None:
+        """Forwards a copy of an opening packet that this host knows."""
+        opening = self._openings.remove(packet.flow)
+        if record.established or opening is None:
+            upstream = self._knowledge.directory.get(record.upstream)
+            if upstream is not None:
+                self._forward(packet, upstream)
+            return
+        self._send_opening(packet, opening.tried, now)
+
+    def _send_opening(
+        self,
+        packet: packets.Packet,
+        tried: list[ids.UpstreamId],
+        now: float,
+    ) -> None:
+        route = self._find_route(packet)
+        if route is None:
+            return
+        upstream = self._chooser.choose(route, packet.flow, now, tried)
+        if upstream is None:
+            self._drop(packet, "no-upstream")
+            return
+        record = flow_tables.FlowRecord(upstream.id, now)
+        self._flows.put(packet.flow, record)
+        self._loads.add(upstream.id, now)
+        self._openings.add(packet, [*tried, upstream.id])
+        self._counts.add("flows_opened_total", upstream=upstream.id)
+        self._log_opening(packet, route, upstream, tried, now)
+        self._forward(packet, upstream)
+
+    def _find_route(self, packet: packets.Packet) -> routes.Route | None:
+        state = self._knowledge.state
+        if state is None:
+            self._drop(packet, "no-desired-state")
+            return None
+        flow = packet.flow
+        at = routes.RouteAddress(flow.service, flow.service_port)
+        route = state.routes.get(at)
+        if route is None:
+            self._reset(packet, "no-route")
+        return route
+
+    def _continue(self, packet: packets.Packet) -> None:
+        if self._find_route(packet) is None:
+            self._flows.remove(packet.flow)
+            return
+        upstream = self._knowledge.directory.find(packet.token)
+        if upstream is None:
+            self._drop(packet, "unknown-token")
+            return
+        if upstream.state is upstreams.UpstreamState.GONE:
+            self._reset(packet, "upstream-gone")
+            self._flows.remove(packet.flow)
+            return
+        self._observe(packet, upstream)
+        self._forward(packet, upstream)
+
+    def _observe(
+        self, packet: packets.Packet, upstream: upstreams.Upstream
+    ) -> None:
+        """Learns from a packet of an open flow."""
+        now = self._clock()
+        record = self._flows.get(packet.flow)
+        if record is None:
+            record = flow_tables.FlowRecord(upstream.id, now)
+            self._flows.put(packet.flow, record)
+        if not record.established:
+            record.established = True
+            record.upstream = upstream.id
+            self._openings.remove(packet.flow)
+            self._suspicions.record_answer(upstream.id)
+        self._flows.touch(packet.flow, record, now)
+        if packet.aborts:
+            self._flows.remove(packet.flow)
+
+    def _forward(
+        self, packet: packets.Packet, upstream: upstreams.Upstream
+    ) -> None:
+        octets = self._codec.encode_for_upstream(
+            packet, upstream.number, upstream.token
+        )
+        self._output.send_to_upstream(octets, upstream.address)
+
+    def _reset(self, packet: packets.Packet, reason: str) -> None:
+        if packet.aborts:
+            self._drop(packet, reason)
+            return
+        self._counts.add("flows_reset_total", reason=reason)
+        logger.info(
+            "Reset a flow.",
+            extra={
+                "flow": str(packet.flow),
+                "reason": reason,
+                "token": packet.token,
+                **self._describe_knowledge(),
+            },
+        )
+        octets = self._codec.encode_reset(packet)
+        self._output.send_to_caller(octets, packet.flow.caller)
+
+    def _drop(self, packet: packets.Packet, reason: str) -> None:
+        self._counts.add("packets_dropped_total", reason=reason)
+        logger.info(
+            "Dropped a packet.",
+            extra={
+                "flow": str(packet.flow),
+                "reason": reason,
+                "token": packet.token,
+                **self._describe_knowledge(),
+            },
+        )
+
+    def _log_opening(
+        self,
+        packet: packets.Packet,
+        route: routes.Route,
+        upstream: upstreams.Upstream,
+        tried: list[ids.UpstreamId],
+        now: float,
+    ) -> None:
+        logger.info(
+            "Chose an upstream.",
+            extra={
+                "flow": str(packet.flow),
+                "copy": packet.copy,
+                "route": route.name,
+                "upstream": upstream.id,
+                "load": round(self._loads.get(upstream.id, now), 2),
+                "tried": tried,
+                **self._describe_knowledge(),
+            },
+        )
+
+    def _describe_knowledge(self) -> dict[str, object]:
+        state = self._knowledge.state
+        confirmed_at = self._knowledge.confirmed_at
+        age_s = None
+        if confirmed_at is not None:
+            age_s = round(self._clock() - confirmed_at, 3)
+        version = state.version if state is not None else None
+        return {"version": version, "age_s": age_s}
--- /dev/null
+++ b/persimmonhinge/forwarding/knowledge.py
@@ -0,0 +1,120 @@
+"""What a host believes of the platform, and since when."""
+
+from __future__ import annotations
+
+import logging
+
+from persimmonhinge import ids
+from persimmonhinge.forwarding import desired_state as desired_states
+from persimmonhinge.forwarding import directory as directories
+from persimmonhinge.forwarding import trust as trusts
+from persimmonhinge.forwarding import upstream as upstreams
+
+logger = logging.getLogger(__name__)
+
+
+class Knowledge:
+    """The desired state and the upstreams, as they were last heard of.
+
+    Attributes:
+        directory: The upstreams.
+        trust: Whether what the store leaves out can be relied on.
+        confirmed_at: When the store last said that nothing is newer; None
+            if it never did.
+    """
+
+    def __init__(self, flow_life_s: float) -> None:
+        self.directory = directories.Directory(flow_life_s)
+        self.trust = trusts.StoreTrust()
+        self.confirmed_at: float | None = None
+        self._state: desired_states.DesiredState | None = None
+
+    @property
+    def state(self) -> desired_states.DesiredState | None:
+        """The desired state in force; None if none is known yet."""
+        return self._state
+
+    def is_complete(self) -> bool:
+        """Tells whether this host knows enough to serve."""
+        return self._state is not None and len(self.directory) > 0
+
+    def take_state(
+        self, state: desired_states.DesiredState, source: str
+    ) -> bool:
+        """Puts a version in force if it is newer.
+
+        Guards against going back: a read that was answered late, or a peer
+        that was cut off, brings an old version after a newer one was in
+        force. Versions only grow, so older ones are refused.
+
+        Returns:
+            True if it is in force now.
+        """
+        former = self._state.version if self._state is not None else None
+        if former is not None and former >= state.version:
+            return False
+        self._state = state
+        logger.info(
+            "Desired state in force.",
+            extra={
+                "version": state.version,
+                "former": former,
+                "routes": len(state.routes),
+                "source": source,
+            },
+        )
+        return True
+
+    def take_upstream(
+        self, upstream: upstreams.Upstream, now: float, source: str
+    ) -> None:
+        """Takes in the entry of an upstream."""
+        former = self.directory.get(upstream.id)
+        self.directory.put(upstream, now)
+        if former is not None and former.state is upstream.state:
+            return
+        logger.info(
+            "Upstream changed.",
+            extra={
+                "upstream": upstream.id,
+                "service": upstream.service,
+                "state": upstream.state.value,
+                "former": former.state.value if former else None,
+                "source": source,
+            },
+        )
+
+    def miss_upstream(
+        self, upstream: ids.UpstreamId, now: float, source: str
+    ) -> None:
+        """Takes in that the entry of an upstream is not there.
+
+        Guards against taking all upstreams for dead after an outage of the
+        store in which their entries expired: while the store can't be relied
+        on, they are kept as missing, and judged later by `settle`.
+        """
+        known = self.directory.get(upstream)
+        if known is None or known.state is upstreams.UpstreamState.GONE:
+            return
+        if self.trust.holds(now):
+            self.directory.remove(upstream, now)
+        else:
+            self.directory.mark(upstream, upstreams.UpstreamState.MISSING)
+        present = self.directory.get(upstream)
+        logger.info(
+            "Entry of an upstream ended.",
+            extra={
+                "upstream": upstream,
+                "state": present.state.value if present else None,
+                "former": known.state.value,
+                "source": source,
+            },
+        )
+
+    def settle(self, now: float) -> None:
+        """Takes missing upstreams for gone once the store can be relied on."""
+        if not self.trust.holds(now):
+            return
+        for upstream in self.directory.all():
+            if upstream.state is upstreams.UpstreamState.MISSING:
+                self.miss_upstream(upstream.id, now, "settle")
--- /dev/null
+++ b/persimmonhinge/forwarding/pages.py
@@ -0,0 +1,42 @@
+"""The HTTP pages of a host that forwards packets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.metrics import page
+
+_NOT_READY = 503
+
+
+class ForwardPages:
+    """Enters readiness and metrics into a page server."""
+
+    def __init__(
+        self,
+        server: page.PageServer,
+        counts: host_counts.Counts,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._counts = counts
+        self._is_ready = is_ready
+        server.pages.register("/ready")(self.show_readiness)
+        server.pages.register("/metrics")(self.show_metrics)
+
+    async def show_readiness(
+        self, request: page.PageRequest
+    ) -> page.PageAnswer:
+        """Says whether the fabric should send packets here."""
+        if self._is_ready():
+            return page.PageAnswer(b"ready\n")
+        return page.PageAnswer(b"not ready\n", status=_NOT_READY)
+
+    async def show_metrics(self, request: page.PageRequest) -> page.PageAnswer:
+        """Shows all counts in the Prometheus text format."""
+        # The library takes 0.1 s of processor time to import, which a host
+        # must not spend before it serves.
+        from persimmonhinge.metrics import render
+
+        body, content_type = render.render(self._counts, request.accept)
+        return page.PageAnswer(body, content_type)
--- /dev/null
+++ b/persimmonhinge/forwarding/route.py
@@ -0,0 +1,59 @@
+"""Where the desired state leads new flows."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+import msgspec
+
+from persimmonhinge import ids
+
+
+class Repetition(enum.Enum):
+    """What may be done twice."""
+
+    IDEMPOTENT = "idempotent"
+    AT_MOST_ONCE = "at-most-once"
+
+
+class RouteAddress(NamedTuple):
+    """Address and port that callers of a route use.
+
+    Attributes:
+        address: IPv4 address, 32 bits.
+        port: The port.
+    """
+
+    address: int
+    port: int
+
+
+class Share(msgspec.Struct, frozen=True):
+    """A service of a route, and its share of the new flows.
+
+    Attributes:
+        service: The service.
+        weight: Its weight among the shares of the route; not negative.
+    """
+
+    service: ids.ServiceName
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True):
+    """A route of the desired state.
+
+    Attributes:
+        name: Its name.
+        at: What callers address.
+        shares: Services that new flows go to, by weight.
+        priority: Rank of its requests; 0 is the most important.
+        repetition: Whether its requests may run twice.
+    """
+
+    name: str
+    at: RouteAddress
+    shares: tuple[Share, ...]
+    priority: int
+    repetition: Repetition
--- /dev/null
+++ b/persimmonhinge/forwarding/settings.py
@@ -0,0 +1,112 @@
+"""Settings of `persimmonhinge-forward`."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Annotated
+
+import msgspec
+
+from persimmonhinge import errors
+from persimmonhinge.forwarding import flow as flows
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+_STEP = "read settings"
+
+
+class StoreAddress(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The platform's store.
+
+    Attributes:
+        address: IP address and port.
+    """
+
+    address: str
+
+
+class ForwardSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All settings of one host that forwards packets.
+
+    Attributes:
+        host: Name of this host.
+        domain: Its failure domain.
+        packets: IP address and UDP port of packets.
+        pages: IP address and TCP port of the readiness page.
+        peer_ports: First and last port that hosts may use among themselves.
+        store: The platform's store.
+        drain_limit_ms: Time in which an upstream that leaves must get no new
+            flow any more, milliseconds.
+        change_limit_ms: Time in which a change must be in force,
+            milliseconds.
+        stop_limit_s: Time between SIGTERM and SIGKILL, seconds.
+        flow_life_s: Age after which a flow may be forgotten, seconds.
+        choice: Policy that chooses the upstream of a new flow.
+        log_level: Name of the lowest level that is logged.
+    """
+
+    host: Name
+    domain: Name
+    packets: str
+    pages: str
+    peer_ports: tuple[Port, Port]
+    store: StoreAddress
+    drain_limit_ms: Positive = 3000
+    change_limit_ms: Positive = 3000
+    stop_limit_s: Positive = 6
+    flow_life_s: Positive = 60
+    choice: str = "near-first"
+    log_level: str = "INFO"
+
+    def __post_init__(self) -> None:
+        """Checks the addresses.
+
+        Raises:
+            ValueError: One of them is not an address and a port.
+        """
+        for text in (self.packets, self.pages, self.store.address):
+            parse_endpoint(text)
+
+
+def parse_endpoint(text: str) -> flows.Endpoint:
+    """Reads an address and a port, as in `10.0.0.1:80`.
+
+    Raises:
+        ValueError: It is something else.
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) <= 65_535:
+        raise ValueError(f"{text!r} is not an address and a port")
+    return flows.Endpoint(host, int(port))
+
+
+def load(path: pathlib.Path) -> ForwardSettings:
+    """Reads the settings file.
+
+    Raises:
+        SettingsError: It can't be read or holds a value that is not allowed.
+    """
+    try:
+        return parse(path.read_bytes())
+    except (OSError, msgspec.MsgspecError, ValueError) as error:
+        raise errors.SettingsError(
+            str(error), step=_STEP, peer=str(path)
+        ) from error
+
+
+def parse(text: bytes) -> ForwardSettings:
+    """Reads settings in YAML.
+
+    Raises:
+        msgspec.MsgspecError: It is not YAML, or a value is not allowed.
+        ValueError: The same.
+    """
+    try:
+        # All JSON is YAML. Reading it as JSON spares the import of a YAML
+        # parser, 30 ms of processor time at each start.
+        document = msgspec.json.decode(text)
+    except msgspec.DecodeError:
+        document = msgspec.yaml.decode(text)
+    return msgspec.convert(document, ForwardSettings)
--- /dev/null
+++ b/persimmonhinge/forwarding/sockets.py
@@ -0,0 +1,88 @@
+"""The socket that packets come in and go out by."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import logging
+import socket
+
+import trio
+
+from persimmonhinge.forwarding import flow as flows
+from persimmonhinge.metrics import counts as host_counts
+
+logger = logging.getLogger(__name__)
+
+_MOST_OCTETS = 2048
+# Datagrams that are read in a row before other tasks get a turn.
+_MOST_IN_A_ROW = 64
+_RECEIVE_BUFFER_OCTETS = 1 << 20
+
+
+def bind(address: flows.Endpoint) -> socket.socket:
+    """Binds the socket of packets; they wait in it until they are read.
+
+    Raises:
+        OSError: The address can't be had.
+    """
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    bound.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_OCTETS
+    )
+    bound.bind(address)
+    return bound
+
+
+class PacketSocket:
+    """Reads packets in batches and sends without waiting.
+
+    Datagrams may be lost anyway: one that the kernel does not take at once
+    is counted and dropped, so that no packet holds up the next.
+    """
+
+    def __init__(
+        self, bound: socket.socket, counts: host_counts.Counts
+    ) -> None:
+        """Takes over a bound socket that does not block."""
+        self._socket = bound
+        self._port = bound.getsockname()[1]
+        self._counts = counts
+
+    async def run(self, receive: Callable[[bytes], None]) -> None:
+        """Hands on each datagram until cancelled."""
+        while True:
+            await trio.lowlevel.wait_readable(self._socket)
+            self._receive_batch(receive)
+
+    def send_to_upstream(self, octets: bytes, address: flows.Endpoint) -> None:
+        """Sends a datagram to an upstream."""
+        self._send(octets, address)
+
+    def send_to_caller(self, octets: bytes, caller: int) -> None:
+        """Sends a datagram to a caller's address.
+
+        The fabric takes packets for all callers at the port of packets.
+        """
+        self._send(octets, (flows.format_address(caller), self._port))
+
+    def _receive_batch(self, receive: Callable[[bytes], None]) -> None:
+        for _ in range(_MOST_IN_A_ROW):
+            try:
+                octets = self._socket.recv(_MOST_OCTETS)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._counts.add("receive_errors_total")
+                logger.warning("Can't read a datagram: %s.", error)
+                return
+            receive(octets)
+
+    def _send(self, octets: bytes, address: tuple[str, int]) -> None:
+        try:
+            self._socket.sendto(octets, address)
+        except OSError as error:
+            self._counts.add("send_errors_total")
+            logger.warning(
+                "Can't send a datagram: %s.", error, extra={"peer": address}
+            )
--- a/persimmonhinge/keys/repository.py
+++ b/persimmonhinge/keys/repository.py
@@ -7,8 +7,8 @@
 from persimmonhinge import ids
 from persimmonhinge.keys import ring as rings
 from persimmonhinge.keys import store
-from persimmonhinge.platform import keys as platform_keys
-from persimmonhinge.platform import port
+from persimmonhinge.store import keys as platform_keys
+from persimmonhinge.store import port
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/persimmonhinge/metrics/page.py
+++ b/persimmonhinge/metrics/page.py
@@ -17,7 +17,6 @@
 import trio
 
 from persimmonhinge import registry
-from persimmonhinge.settings import entry as settings_entry
 
 logger = logging.getLogger(__name__)
 
@@ -72,17 +71,24 @@
         pages: The pages by path.
     """
 
-    def __init__(self, settings: settings_entry.MetricsSettings) -> None:
-        self._settings = settings
+    def __init__(self, address: str, port: int) -> None:
+        """Makes a server without pages.
+
+        Args:
+            address: IP address to listen on.
+            port: TCP port; 0 lets the kernel choose.
+        """
+        self._address = address
+        self._port = port
         self.pages: registry.Registry[Page] = registry.Registry("page")
 
     async def run(self, task_status: trio.TaskStatus[int]) -> None:
         """Serves; starts with the port that it listens on."""
         listeners = await trio.open_tcp_listeners(
-            self._settings.port, host=self._settings.address
+            self._port, host=self._address
         )
         port = listeners[0].socket.getsockname()[1]
-        logger.info("Serves pages on %s:%d.", self._settings.address, port)
+        logger.info("Serves pages on %s:%d.", self._address, port)
         async with trio.open_nursery() as nursery:
             await nursery.start(trio.serve_listeners, self._serve, listeners)
             task_status.started(port)
--- a/persimmonhinge/parts.py
+++ b/persimmonhinge/parts.py
@@ -25,10 +25,10 @@
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.metrics import page
 from persimmonhinge.peers import streams
-from persimmonhinge.platform import client as platform_client
 from persimmonhinge.settings import entry as settings_entry
 from persimmonhinge.status import document
 from persimmonhinge.status import page as status_pages
+from persimmonhinge.store import client as platform_client
 from persimmonhinge.upstreams import keeper as keepers
 
 
@@ -105,7 +105,7 @@
         home,
         front,
         _make_router(settings, base, home),
-        page.PageServer(settings.metrics),
+        page.PageServer(settings.metrics.address, settings.metrics.port),
     )
     enter_pages(parts)
     return parts
--- a/persimmonhinge/platform/__init__.py
+++ b/persimmonhinge/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Client of the platform's key-value service."""
+"""Names, formats and calls of the users' platform; decides nothing."""
--- /dev/null
+++ b/persimmonhinge/platform/adapter.py
@@ -0,0 +1,63 @@
+"""The platform's formats behind the interfaces of the product."""
+
+from __future__ import annotations
+
+from persimmonhinge import ids
+from persimmonhinge.forwarding import desired_state as desired_states
+from persimmonhinge.forwarding import packet as packets
+from persimmonhinge.forwarding import settings as forward_settings
+from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.platform import entries
+from persimmonhinge.platform import packets as packet_format
+from persimmonhinge.platform import store
+from persimmonhinge.store import port
+
+_TIMEOUT_S = 1.0
+_WATCH_WAIT_S = 1.5
+
+
+class PacketFormat:
+    """Implements `forwarder.PacketCodec`."""
+
+    def decode(self, octets: bytes) -> packets.Packet:
+        """See `packets.decode`."""
+        return packet_format.decode(octets)
+
+    def encode_for_upstream(
+        self, packet: packets.Packet, number: int, token: int
+    ) -> bytes:
+        """See `packets.encode_for_upstream`."""
+        return packet_format.encode_for_upstream(packet, number, token)
+
+    def encode_reset(self, packet: packets.Packet) -> bytes:
+        """See `packets.encode_reset`."""
+        return packet_format.encode_reset(packet)
+
+
+class EntryFormat:
+    """Implements `follower.EntryReader`."""
+
+    state_key = entries.DESIRED_STATE
+    upstreams_prefix = entries.UPSTREAMS
+
+    def read_state(self, value: bytes) -> desired_states.DesiredState:
+        """See `entries.decode_desired_state`."""
+        return entries.decode_desired_state(value)
+
+    def read_upstream(self, key: str, value: bytes) -> upstreams.Upstream:
+        """See `entries.decode_upstream`."""
+        return entries.decode_upstream(key, value)
+
+    def name_upstream(self, key: str) -> ids.UpstreamId:
+        """See `entries.upstream_of`."""
+        return entries.upstream_of(key)
+
+
+def make_store(
+    settings: forward_settings.ForwardSettings,
+) -> store.MetadataStore:
+    """Returns a client of the store that the settings name."""
+    host, number = forward_settings.parse_endpoint(settings.store.address)
+    return store.MetadataStore(
+        port.StoreSettings(host, number, _TIMEOUT_S, _WATCH_WAIT_S)
+    )
--- a/persimmonhinge/platform/messages.py
+++ b/persimmonhinge/platform/messages.py
@@ -1,157 +1,127 @@
-"""Messages of the published etcd v3 JSON gateway, as far as they are used.
+"""Messages of the platform's store and its entries, as they are on the wire.
 
-Octets travel as base64 text, which msgspec does for `bytes`. Numbers of 64
-bits travel as text: requests declare them as `str`, answers are decoded
-leniently into `int`. Members with default values may be left out.
+Members bear the platform's names by `rename`; inside, the project's own.
 """
 
 from __future__ import annotations
 
 import msgspec
 
-_MAX_OCTET = 255
 
+class Item(msgspec.Struct):
+    """A key as the store shows it, or the notice that it was deleted."""
 
-class Header(msgspec.Struct):
-    """Head of each answer: the revision of the store."""
-
-    revision: int = 0
-
-
-class GatewayKeyValue(msgspec.Struct):
-    """A key in an answer."""
-
-    key: bytes = b""
-    value: bytes = b""
-    mod_revision: int = 0
-
-
-class RangeRequest(msgspec.Struct, omit_defaults=True):
-    """Reads a key, or all from `key` up to but without `range_end`."""
-
-    key: bytes
-    range_end: bytes = b""
-    limit: str = "0"
+    key: str = msgspec.field(name="Key")
+    revision: int = msgspec.field(name="Revision")
+    value: bytes = msgspec.field(name="Value", default=b"")
+    deleted: bool = msgspec.field(name="Tombstone", default=False)
 
 
 class RangeAnswer(msgspec.Struct):
-    """The keys, in order."""
-
-    header: Header
-    kvs: list[GatewayKeyValue] = []
-
+    """A page of items, in order of their keys."""
 
-class CompareRequest(msgspec.Struct):
-    """A condition: the key was last written at a revision, 0 for never."""
+    items: list[Item]
+    # Revision of the whole store, not that of any item.
+    revision: int = msgspec.field(name="CurrentRev")
+    has_more: bool = msgspec.field(name="HasMore", default=False)
 
-    key: bytes
-    mod_revision: str
-    target: str = "MOD"
-    result: str = "EQUAL"
 
+class WatchAnswer(msgspec.Struct):
+    """Changes since the revision that was asked for."""
 
-class PutRequest(msgspec.Struct, omit_defaults=True):
-    """Writes a key."""
+    events: list[Item]
+    revision: int = msgspec.field(name="CurrentRev")
 
-    key: bytes
-    value: bytes
-    lease: str = "0"
 
+class Condition(msgspec.Struct):
+    """A key was last changed at this revision; 0 means that it is absent."""
 
-class DeleteRequest(msgspec.Struct):
-    """Deletes a key."""
+    key: str = msgspec.field(name="Key")
+    revision: int = msgspec.field(name="Revision")
 
-    key: bytes
 
+class Put(msgspec.Struct):
+    """Writes a key; lease 0 is none."""
 
-class Operation(msgspec.Struct, omit_defaults=True):
-    """One write of a transaction: exactly one member is set."""
+    key: str = msgspec.field(name="Key")
+    value: bytes = msgspec.field(name="Value")
+    lease: int = msgspec.field(name="Lease", default=0)
 
-    request_put: PutRequest | None = None
-    request_delete_range: DeleteRequest | None = None
 
+class Transaction(msgspec.Struct):
+    """Writes and deletes all if all conditions hold."""
 
-class TxnRequest(msgspec.Struct):
-    """Writes all of `success` if all of `compare` hold."""
+    conditions: list[Condition] = msgspec.field(name="Precondition")
+    puts: list[Put] = msgspec.field(name="Writes")
+    deletes: list[str] = msgspec.field(name="Deletes")
 
-    compare: list[CompareRequest]
-    success: list[Operation]
 
+class TransactionAnswer(msgspec.Struct):
+    """Revision of the store after the transaction."""
 
-class TxnAnswer(msgspec.Struct):
-    """Tells whether the conditions held."""
-
-    header: Header
-    succeeded: bool = False
-
-
-class LeaseGrantRequest(msgspec.Struct):
-    """Asks for a lease; its life is in seconds."""
-
-    TTL: str
+    revision: int = msgspec.field(name="Revision")
 
 
 class LeaseRequest(msgspec.Struct):
-    """Renews or revokes a lease."""
+    """Asks for a lease of a length, milliseconds."""
 
-    ID: str
+    length_ms: int = msgspec.field(name="TtlMs")
 
 
 class LeaseAnswer(msgspec.Struct):
-    """A lease; a life of 0 means that it has lapsed."""
-
-    ID: int = 0
-    TTL: int = 0
-
-
-class LeaseKeepAliveAnswer(msgspec.Struct):
-    """Frame of a stream that carries one `LeaseAnswer`."""
-
-    result: LeaseAnswer
-
+    """A new lease; its length may differ from the one asked for."""
 
-class WatchCreate(msgspec.Struct):
-    """What to watch and from which revision."""
+    lease: int = msgspec.field(name="Lease")
 
-    key: bytes
-    range_end: bytes
-    start_revision: str
 
+class ServerEntry(msgspec.Struct):
+    """What an upstream says of itself below `servers/`."""
 
-class WatchRequest(msgspec.Struct):
-    """Opens a watch."""
+    service: str = msgspec.field(name="Service")
+    address: str = msgspec.field(name="Addr")
+    domain: str = msgspec.field(name="Zone")
+    state: str = msgspec.field(name="State")
+    slots: int = msgspec.field(name="Slots", default=1)
+    # How much longer it is slow after its start, as of its last write.
+    cold_left_ms: int = msgspec.field(name="ColdLeftMs", default=0)
 
-    create_request: WatchCreate
 
+class Backend(msgspec.Struct):
+    """One of several services of a route: a share of its new flows."""
 
-class GatewayEvent(msgspec.Struct):
-    """A key was written (`PUT`, the default) or deleted (`DELETE`)."""
+    service: str = msgspec.field(name="Service")
+    weight: float = msgspec.field(name="Weight")
 
-    kv: GatewayKeyValue
-    type: str = "PUT"
 
+class RouteEntry(msgspec.Struct):
+    """A route of the desired state."""
 
-class WatchResult(msgspec.Struct):
-    """A batch of events, or a word about the watch itself."""
+    name: str = msgspec.field(name="Name")
+    # Here an address of the platform, not the name of a host.
+    address: str = msgspec.field(name="Host")
+    # Here a port between slashes, not the start of a path.
+    port: str = msgspec.field(name="Prefix")
+    kind: str = msgspec.field(name="Kind", default="")
+    priority: int = msgspec.field(name="Priority", default=0)
+    service: str = msgspec.field(name="Service", default="")
+    backends: list[Backend] = msgspec.field(
+        name="Backends", default_factory=list
+    )
 
-    header: Header = msgspec.field(default_factory=Header)
-    created: bool = False
-    canceled: bool = False
-    compact_revision: int = 0
-    cancel_reason: str = ""
-    events: list[GatewayEvent] = []
 
+class LimitsEntry(msgspec.Struct):
+    """Limits of the desired state; only one means something for flows."""
 
-class WatchFrame(msgspec.Struct):
-    """Frame of the stream of a watch."""
+    idle_timeout_ms: int = msgspec.field(name="IdleTimeoutMs", default=15_000)
 
-    result: WatchResult
 
+class DesiredStateEntry(msgspec.Struct):
+    """The whole desired state, under `op/config`."""
 
-def compute_range_end(prefix: str) -> bytes:
-    """Returns the first key after all keys that begin with a prefix."""
-    octets = prefix.encode().rstrip(bytes([_MAX_OCTET]))
-    if not octets:
-        # The gateway takes one zero octet for "no end".
-        return b"\x00"
-    return octets[:-1] + bytes([octets[-1] + 1])
+    version: int = msgspec.field(name="Version")
+    routes: list[RouteEntry] = msgspec.field(
+        name="Routes", default_factory=list
+    )
+    limits: LimitsEntry = msgspec.field(
+        name="Limits", default_factory=LimitsEntry
+    )
--- a/persimmonhinge/policies/__init__.py
+++ b/persimmonhinge/policies/__init__.py
@@ -3,6 +3,7 @@
 from persimmonhinge.policies import choice_free_slot
 from persimmonhinge.policies import choice_least_connections
 from persimmonhinge.policies import choice_least_loaded
+from persimmonhinge.policies import choice_near_first
 from persimmonhinge.policies import choice_power_of_two
 from persimmonhinge.policies import choice_random
 from persimmonhinge.policies import choice_round_robin
@@ -15,6 +16,7 @@
     "choice_free_slot",
     "choice_least_connections",
     "choice_least_loaded",
+    "choice_near_first",
     "choice_power_of_two",
     "choice_random",
     "choice_round_robin",
--- a/persimmonhinge/policies/choice.py
+++ b/persimmonhinge/policies/choice.py
@@ -24,6 +24,7 @@
             by what this host began and ended since.
         own: The part of the load that this host gave it.
         recent: Work that this host gave it lately, ended or not.
+        near: False if it is in another failure domain than this host.
     """
 
     upstream: ids.UpstreamId
@@ -31,6 +32,7 @@
     load: float
     own: float
     recent: float = 0.0
+    near: bool = True
 
     @property
     def relative_load(self) -> float:
--- /dev/null
+++ b/persimmonhinge/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service."""
--- a/persimmonhinge/platform/client.py
+++ b/persimmonhinge/store/client.py
@@ -7,11 +7,11 @@
 from typing import Self
 
 from persimmonhinge import errors
-from persimmonhinge.platform import channel as channels
-from persimmonhinge.platform import messages
-from persimmonhinge.platform import port
-from persimmonhinge.platform import watch as watches
 from persimmonhinge.settings import entry
+from persimmonhinge.store import channel as channels
+from persimmonhinge.store import messages
+from persimmonhinge.store import port
+from persimmonhinge.store import watch as watches
 
 
 class EtcdPlatform:
--- a/persimmonhinge/platform/port.py
+++ b/persimmonhinge/store/port.py
@@ -79,6 +79,24 @@
     lease: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """How the store is reached.
+
+    Attributes:
+        host: Its IP address.
+        port: Its TCP port.
+        timeout_s: Limit of a call, seconds.
+        watch_wait_s: How long a watch waits for a change before the store
+            answers that there is none, seconds.
+    """
+
+    host: str
+    port: int
+    timeout_s: float
+    watch_wait_s: float
+
+
 class Platform(Protocol):
     """The calls that the system makes; each counts at the platform.
 
--- a/persimmonhinge/platform/watch.py
+++ b/persimmonhinge/store/watch.py
@@ -10,9 +10,9 @@
 import trio
 
 from persimmonhinge import errors
-from persimmonhinge.platform import channel as channels
-from persimmonhinge.platform import messages
-from persimmonhinge.platform import port
+from persimmonhinge.store import channel as channels
+from persimmonhinge.store import messages
+from persimmonhinge.store import port
 
 _PATH = "/v3/watch"
 # Time after which a stream is replaced by a new one, seconds.
--- a/tests/standins/platform_ctl.py
+++ b/tests/standins/platform_ctl.py
@@ -19,10 +19,9 @@
 from persimmonhinge import ids
 from persimmonhinge.ctl import program
 from persimmonhinge.metrics import page
-from persimmonhinge.platform import client
-from persimmonhinge.platform import keys
-from persimmonhinge.platform import port
-from persimmonhinge.settings import entry
+from persimmonhinge.store import client
+from persimmonhinge.store import keys
+from persimmonhinge.store import port
 from tests.standins import platform_process
 
 _ROOT = pathlib.Path(__file__).parents[2]
@@ -154,7 +153,7 @@
 
     async def run(self, ctl: Ctl, nursery: trio.Nursery) -> None:
         """Serves pages and stands in the platform's host list."""
-        server = page.PageServer(entry.MetricsSettings())
+        server = page.PageServer("127.0.0.1", 0)
 
         async def show_status(request: page.PageRequest) -> page.PageAnswer:
             await self.before_status()
--- a/tests/standins/platform_memory.py
+++ b/tests/standins/platform_memory.py
@@ -12,7 +12,7 @@
 import trio
 
 from persimmonhinge import errors
-from persimmonhinge.platform import port
+from persimmonhinge.store import port
 from tests.standins import platform_store
 
 
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -17,10 +17,10 @@
 
 from persimmonhinge import ids
 from persimmonhinge.contracts import contract as contracts
-from persimmonhinge.platform import client as platform_clients
-from persimmonhinge.platform import keys
-from persimmonhinge.platform import port as platform_ports
 from persimmonhinge.settings import entry
+from persimmonhinge.store import client as platform_clients
+from persimmonhinge.store import keys
+from persimmonhinge.store import port as platform_ports
 from tests.standins import child as children
 from tests.standins import credentials as credential_files
 from tests.standins import fabric_control
--- a/tests/test_contracts/fake_platform.py
+++ b/tests/test_contracts/fake_platform.py
@@ -10,7 +10,7 @@
 
 from persimmonhinge import changes
 from persimmonhinge import errors
-from persimmonhinge.platform import port
+from persimmonhinge.store import port
 
 
 class FakePlatform:
--- a/tests/test_contracts/fleet.py
+++ b/tests/test_contracts/fleet.py
@@ -19,8 +19,8 @@
 from persimmonhinge.membership import placement as placements
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as host_counts
-from persimmonhinge.platform import keys
 from persimmonhinge.settings import entry
+from persimmonhinge.store import keys
 from tests.test_contracts import fake_network
 from tests.test_contracts import fake_platform
 
--- a/tests/test_contracts/test_contracts_control.py
+++ b/tests/test_contracts/test_contracts_control.py
@@ -5,7 +5,7 @@
 import trio
 
 from persimmonhinge.peers.messages import control
-from persimmonhinge.platform import keys
+from persimmonhinge.store import keys
 from tests.support import trios
 from tests.test_contracts import bodies
 from tests.test_contracts import fleet as fleets
--- a/tests/test_contracts/test_contracts_host_list.py
+++ b/tests/test_contracts/test_contracts_host_list.py
@@ -5,7 +5,7 @@
 import json
 
 from persimmonhinge.contracts import host_list
-from persimmonhinge.platform import port
+from persimmonhinge.store import port
 
 _KEY = "/test/hosts/h1"
 
--- a/tests/test_contracts/test_contracts_watcher.py
+++ b/tests/test_contracts/test_contracts_watcher.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from persimmonhinge.platform import keys
+from persimmonhinge.store import keys
 from tests.support import trios
 from tests.test_contracts import fleet as fleets
 
--- a/tests/test_integration/test_integration_control_contracts.py
+++ b/tests/test_integration/test_integration_control_contracts.py
@@ -7,9 +7,9 @@
 from persimmonhinge import ids
 from persimmonhinge.contracts import stored
 from persimmonhinge.ctl import exits
-from persimmonhinge.platform import client as platform_clients
-from persimmonhinge.platform import keys
-from persimmonhinge.platform import port
+from persimmonhinge.store import client as platform_clients
+from persimmonhinge.store import keys
+from persimmonhinge.store import port
 from tests.standins import cut_deployment
 from tests.standins import load_callers
 from tests.standins import revision_watch
--- a/tests/test_integration/test_integration_control_keys.py
+++ b/tests/test_integration/test_integration_control_keys.py
@@ -14,8 +14,8 @@
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.ctl import exits
 from persimmonhinge.load import executions as execution_logs
-from persimmonhinge.platform import client as platform_clients
-from persimmonhinge.platform import keys
+from persimmonhinge.store import client as platform_clients
+from persimmonhinge.store import keys
 from tests.standins import cut_deployment
 from tests.standins import load_callers
 from tests.support import trios
--- a/tests/test_integration/test_integration_stop_requests.py
+++ b/tests/test_integration/test_integration_stop_requests.py
@@ -9,8 +9,8 @@
 
 from persimmonhinge import ids
 from persimmonhinge.contracts import contract as contracts
-from persimmonhinge.platform import client as platform_clients
-from persimmonhinge.platform import keys
+from persimmonhinge.store import client as platform_clients
+from persimmonhinge.store import keys
 from tests.standins import load_callers
 from tests.standins import plan as plans
 from tests.standins import processes
--- a/tests/test_keys/test_keys_repository.py
+++ b/tests/test_keys/test_keys_repository.py
@@ -11,7 +11,7 @@
 from persimmonhinge.keys import repository
 from persimmonhinge.keys import ring as rings
 from persimmonhinge.keys import rotation
-from persimmonhinge.platform import keys
+from persimmonhinge.store import keys
 from tests.support import trios
 from tests.test_contracts import fake_platform
 
--- a/tests/test_platform/test_platform_client.py
+++ b/tests/test_store/test_store_client.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from persimmonhinge import errors
-from persimmonhinge.platform import client
-from persimmonhinge.platform import port
 from persimmonhinge.settings import entry
+from persimmonhinge.store import client
+from persimmonhinge.store import port
 from tests.standins import platform_process
 from tests.support import trios
 
--- a/tests/test_platform/test_platform_watch.py
+++ b/tests/test_store/test_store_watch.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from persimmonhinge import errors
-from persimmonhinge.platform import client
-from persimmonhinge.platform import port
+from persimmonhinge.store import client
+from persimmonhinge.store import port
 from tests.standins import platform_process
 from tests.support import trios
 
