--- a/persimmonhinge/cmd/forward.py
+++ b/persimmonhinge/cmd/forward.py
@@ -10,8 +10,8 @@
 import sys
 
 from persimmonhinge import errors
+from persimmonhinge.forwarding import binding
 from persimmonhinge.forwarding import settings as forward_settings
-from persimmonhinge.forwarding import sockets
 
 logger = logging.getLogger(__name__)
 
@@ -30,7 +30,7 @@
     )
     try:
         settings = forward_settings.load(path)
-        bound = sockets.bind(forward_settings.parse_endpoint(settings.packets))
+        bound = binding.bind(forward_settings.parse_endpoint(settings.packets))
     except (errors.SettingsError, OSError) as error:
         print(f"error: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -21,6 +21,7 @@
 from persimmonhinge.forwarding import settings as forward_settings
 from persimmonhinge.forwarding import sockets
 from persimmonhinge.forwarding import suspicions as suspicion_lists
+from persimmonhinge.forwarding import tracker as trackers
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.metrics import page
 from persimmonhinge.policies import choice
@@ -62,10 +63,12 @@
         self._ready = False
         self.counts = host_counts.Counts()
         self._knowledge = knowledge_parts.Knowledge(settings.flow_life_s)
-        self._flows = flow_tables.FlowTable(_MOST_FLOWS)
         self._openings = opening_lists.Openings()
         self._socket = sockets.PacketSocket(bound, self.counts)
         loads = load_books.LoadBook()
+        self._tracker = trackers.FlowTracker(
+            flow_tables.FlowTable(_MOST_FLOWS), loads
+        )
         suspicions = suspicion_lists.Suspicions()
         policy = choice.choices.get(settings.choice)(random.Random())
         chooser = choosers.UpstreamChooser(
@@ -80,9 +83,8 @@
             self._socket,
             self._knowledge,
             chooser,
-            self._flows,
+            self._tracker,
             self._openings,
-            loads,
             suspicions,
             self.counts,
         )
@@ -144,4 +146,4 @@
             idle_s = self._settings.flow_life_s
             if state is not None:
                 idle_s = state.idle_timeout_s
-            self._flows.remove_idle(trio.current_time() - idle_s)
+            self._tracker.sweep(idle_s)
--- a/persimmonhinge/forwarding/chooser.py
+++ b/persimmonhinge/forwarding/chooser.py
@@ -81,12 +81,13 @@
     ) -> choice.Candidate:
         cold = self._knowledge.directory.is_cold(upstream.id, now)
         room = _COLD_ROOM if cold else 1.0
-        load = self._loads.get(upstream.id, now)
+        in_flight = self._loads.in_flight(upstream.id)
         return choice.Candidate(
             upstream=upstream.id,
             capacity=upstream.slots * room,
-            load=load,
-            own=load,
+            load=in_flight,
+            own=in_flight,
+            recent=self._loads.average(upstream.id),
             near=upstream.domain == self._domain,
         )
 
--- a/persimmonhinge/forwarding/flow_table.py
+++ b/persimmonhinge/forwarding/flow_table.py
@@ -8,6 +8,11 @@
 
 from persimmonhinge import ids
 from persimmonhinge.forwarding import flow as flows
+from persimmonhinge.forwarding import packet as packets
+
+# Positions are numbers of 32 bits that start anywhere and wrap around.
+_POSITIONS = 1 << 32
+_HALF = _POSITIONS // 2
 
 
 class FlowRecord(msgspec.Struct):
@@ -17,15 +22,48 @@
         upstream: Where its packets go.
         seen_at: When a packet of it last came.
         established: True once the caller went on after its opening packet.
-        sequence: Highest position of data that the caller sent.
-        acknowledged: Highest position of the answer that it confirmed.
+        waiting_since: When the request began that the caller has no answer
+            to; None if there is none.
+        sent_to: Position up to which the caller sent data.
+        answered_to: Position up to which it has the answer.
     """
 
     upstream: ids.UpstreamId
     seen_at: float
     established: bool = False
-    sequence: int = 0
-    acknowledged: int = 0
+    waiting_since: float | None = None
+    sent_to: int | None = None
+    answered_to: int | None = None
+
+    def advance_answer(self, packet: packets.Packet) -> bool:
+        """Takes in how much of the answer the caller has.
+
+        Returns:
+            True if it is more than before.
+        """
+        former = self.answered_to
+        if former is None or is_beyond(packet.acknowledged, former):
+            self.answered_to = packet.acknowledged
+            return former is not None
+        return False
+
+    def advance_request(self, packet: packets.Packet) -> bool:
+        """Takes in how much data the caller sent.
+
+        Returns:
+            True if the packet holds data that did not come before.
+        """
+        end = (packet.sequence + packet.length) % _POSITIONS
+        former = self.sent_to
+        if former is None or is_beyond(end, former):
+            self.sent_to = end
+            return packet.length > 0
+        return False
+
+
+def is_beyond(position: int, other: int) -> bool:
+    """Tells whether a position comes after another one."""
+    return 0 < (position - other) % _POSITIONS < _HALF
 
 
 class FlowTable:
@@ -79,3 +117,12 @@
             del self._records[flow]
             removed.append(record)
         return removed
+
+    def waiting(self, before: float) -> list[FlowRecord]:
+        """Returns the flows whose request began before a time."""
+        return [
+            record
+            for record in self._records.values()
+            if record.waiting_since is not None
+            and record.waiting_since < before
+        ]
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -12,13 +12,13 @@
 from persimmonhinge import ids
 from persimmonhinge.forwarding import chooser as choosers
 from persimmonhinge.forwarding import flow as flows
-from persimmonhinge.forwarding import flow_table as flow_tables
+from persimmonhinge.forwarding import flow_table
 from persimmonhinge.forwarding import knowledge as knowledge_parts
-from persimmonhinge.forwarding import loads as load_books
 from persimmonhinge.forwarding import openings as opening_lists
 from persimmonhinge.forwarding import packet as packets
 from persimmonhinge.forwarding import route as routes
 from persimmonhinge.forwarding import suspicions as suspicion_lists
+from persimmonhinge.forwarding import tracker as trackers
 from persimmonhinge.forwarding import upstream as upstreams
 from persimmonhinge.metrics import counts as host_counts
 
@@ -63,9 +63,8 @@
         output: Output,
         knowledge: knowledge_parts.Knowledge,
         chooser: choosers.UpstreamChooser,
-        flow_table: flow_tables.FlowTable,
+        tracker: trackers.FlowTracker,
         openings: opening_lists.Openings,
-        loads: load_books.LoadBook,
         suspicions: suspicion_lists.Suspicions,
         counts: host_counts.Counts,
         clock: Callable[[], float] = trio.current_time,
@@ -74,9 +73,8 @@
         self._output = output
         self._knowledge = knowledge
         self._chooser = chooser
-        self._flows = flow_table
+        self._tracker = tracker
         self._openings = openings
-        self._loads = loads
         self._suspicions = suspicions
         self._counts = counts
         self._clock = clock
@@ -107,7 +105,7 @@
 
     def _open(self, packet: packets.Packet) -> None:
         now = self._clock()
-        record = self._flows.get(packet.flow)
+        record = self._tracker.get(packet.flow)
         if record is not None:
             self._repeat_opening(packet, record, now)
             return
@@ -116,7 +114,7 @@
     def _repeat_opening(
         self,
         packet: packets.Packet,
-        record: flow_tables.FlowRecord,
+        record: flow_table.FlowRecord,
         now: float,
     ) -> None:
         """Forwards a copy of an opening packet that this host knows."""
@@ -141,12 +139,10 @@
         if upstream is None:
             self._drop(packet, "no-upstream")
             return
-        record = flow_tables.FlowRecord(upstream.id, now)
-        self._flows.put(packet.flow, record)
-        self._loads.add(upstream.id, now)
+        self._tracker.open(packet.flow, upstream.id)
         self._openings.add(packet, [*tried, upstream.id])
         self._counts.add("flows_opened_total", upstream=upstream.id)
-        self._log_opening(packet, route, upstream, tried, now)
+        self._log_opening(packet, route, upstream, tried)
         self._forward(packet, upstream)
 
     def _find_route(self, packet: packets.Packet) -> routes.Route | None:
@@ -163,7 +159,7 @@
 
     def _continue(self, packet: packets.Packet) -> None:
         if self._find_route(packet) is None:
-            self._flows.remove(packet.flow)
+            self._tracker.forget(packet.flow)
             return
         upstream = self._knowledge.directory.find(packet.token)
         if upstream is None:
@@ -171,7 +167,7 @@
             return
         if upstream.state is upstreams.UpstreamState.GONE:
             self._reset(packet, "upstream-gone")
-            self._flows.remove(packet.flow)
+            self._tracker.forget(packet.flow)
             return
         self._observe(packet, upstream)
         self._forward(packet, upstream)
@@ -180,19 +176,9 @@
         self, packet: packets.Packet, upstream: upstreams.Upstream
     ) -> None:
         """Learns from a packet of an open flow."""
-        now = self._clock()
-        record = self._flows.get(packet.flow)
-        if record is None:
-            record = flow_tables.FlowRecord(upstream.id, now)
-            self._flows.put(packet.flow, record)
-        if not record.established:
-            record.established = True
-            record.upstream = upstream.id
+        if self._tracker.observe(packet, upstream.id):
             self._openings.remove(packet.flow)
             self._suspicions.record_answer(upstream.id)
-        self._flows.touch(packet.flow, record, now)
-        if packet.aborts:
-            self._flows.remove(packet.flow)
 
     def _forward(
         self, packet: packets.Packet, upstream: upstreams.Upstream
@@ -237,7 +223,6 @@
         route: routes.Route,
         upstream: upstreams.Upstream,
         tried: list[ids.UpstreamId],
-        now: float,
     ) -> None:
         logger.info(
             "Chose an upstream.",
@@ -246,7 +231,6 @@
                 "copy": packet.copy,
                 "route": route.name,
                 "upstream": upstream.id,
-                "load": round(self._loads.get(upstream.id, now), 2),
                 "tried": tried,
                 **self._describe_knowledge(),
             },
--- a/persimmonhinge/forwarding/loads.py
+++ b/persimmonhinge/forwarding/loads.py
@@ -2,27 +2,69 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import math
 
+import msgspec
+import trio
+
 from persimmonhinge import ids
 
-# Time in which the count of past openings falls to 37%, seconds.
-_DECAY_S = 2.0
+# Time in which the average of past work follows a step by 63%, seconds. Callers
+# of long flows pause about 2 s between requests: so the first request of a
+# new flow weighs in the average as much as the flow will in the long run.
+_FOLLOW_S = 2.0
+
+
+class Load(msgspec.Struct):
+    """Work of one upstream.
+
+    Attributes:
+        in_flight: Requests that it has now.
+        average: Average of `in_flight`, recent times more, at `averaged_at`.
+        averaged_at: Time of the last change.
+    """
+
+    in_flight: int = 0
+    average: float = 0.0
+    averaged_at: float = 0.0
+
+    def average_at(self, now: float) -> float:
+        """Returns the average at a time."""
+        kept = math.exp((self.averaged_at - now) / _FOLLOW_S)
+        return self.in_flight + (self.average - self.in_flight) * kept
 
 
 class LoadBook:
-    """Counts openings of flows at each upstream, recent ones more."""
+    """Counts requests in flight at each upstream, by this host's own sight."""
+
+    def __init__(self, clock: Callable[[], float] = trio.current_time) -> None:
+        self._clock = clock
+        self._loads: dict[ids.UpstreamId, Load] = {}
+
+    def begin(self, upstream: ids.UpstreamId) -> None:
+        """Counts a request that begins."""
+        self._change(upstream, 1)
+
+    def end(self, upstream: ids.UpstreamId) -> None:
+        """Counts a request that ended."""
+        self._change(upstream, -1)
 
-    def __init__(self) -> None:
-        self._counts: dict[ids.UpstreamId, float] = {}
-        self._counted_at: dict[ids.UpstreamId, float] = {}
+    def in_flight(self, upstream: ids.UpstreamId) -> int:
+        """Returns the requests that an upstream has now."""
+        load = self._loads.get(upstream)
+        return load.in_flight if load is not None else 0
 
-    def add(self, upstream: ids.UpstreamId, now: float) -> None:
-        """Counts an opening."""
-        self._counts[upstream] = self.get(upstream, now) + 1.0
-        self._counted_at[upstream] = now
+    def average(self, upstream: ids.UpstreamId) -> float:
+        """Returns the average of the requests that an upstream has."""
+        load = self._loads.get(upstream)
+        return load.average_at(self._clock()) if load is not None else 0.0
 
-    def get(self, upstream: ids.UpstreamId, now: float) -> float:
-        """Returns the decayed count of an upstream."""
-        age_s = now - self._counted_at.get(upstream, now)
-        return self._counts.get(upstream, 0.0) * math.exp(-age_s / _DECAY_S)
+    def _change(self, upstream: ids.UpstreamId, step: int) -> None:
+        now = self._clock()
+        load = self._loads.get(upstream)
+        if load is None:
+            load = self._loads[upstream] = Load(averaged_at=now)
+        load.average = load.average_at(now)
+        load.averaged_at = now
+        load.in_flight = max(0, load.in_flight + step)
--- a/persimmonhinge/forwarding/sockets.py
+++ b/persimmonhinge/forwarding/sockets.py
@@ -16,22 +16,6 @@
 _MOST_OCTETS = 2048
 # Datagrams that are read in a row before other tasks get a turn.
 _MOST_IN_A_ROW = 64
-_RECEIVE_BUFFER_OCTETS = 1 << 20
-
-
-def bind(address: flows.Endpoint) -> socket.socket:
-    """Binds the socket of packets; they wait in it until they are read.
-
-    Raises:
-        OSError: The address can't be had.
-    """
-    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    bound.setblocking(False)
-    bound.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_OCTETS
-    )
-    bound.bind(address)
-    return bound
 
 
 class PacketSocket:
--- /dev/null
+++ b/persimmonhinge/forwarding/tracker.py
@@ -0,0 +1,104 @@
+"""Follows flows by their packets: which requests are in flight, and where."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from persimmonhinge import ids
+from persimmonhinge.forwarding import flow as flows
+from persimmonhinge.forwarding import flow_table as flow_tables
+from persimmonhinge.forwarding import loads as load_books
+from persimmonhinge.forwarding import packet as packets
+
+# A request without an answer for so long is no longer counted as work of its
+# upstream, seconds: callers of the shortest requests give up after 1 s, and
+# their packets may have gone on through another host since.
+_STALE_S = 3.0
+
+
+class FlowTracker:
+    """Keeps the flow table and the load book in step."""
+
+    def __init__(
+        self,
+        flow_table: flow_tables.FlowTable,
+        loads: load_books.LoadBook,
+        clock: Callable[[], float] = trio.current_time,
+    ) -> None:
+        self._flows = flow_table
+        self._loads = loads
+        self._clock = clock
+
+    def get(self, flow: flows.FlowId) -> flow_tables.FlowRecord | None:
+        """Returns what is known of a flow."""
+        return self._flows.get(flow)
+
+    def open(self, flow: flows.FlowId, upstream: ids.UpstreamId) -> None:
+        """Records where an opening packet was sent.
+
+        The request that follows counts at once, so that openings that come
+        in a row do not all go to the upstream that was idle before them.
+        """
+        self.forget(flow)
+        now = self._clock()
+        record = flow_tables.FlowRecord(upstream, now)
+        self._keep(flow, record)
+        self._begin(record, now)
+
+    def observe(self, packet: packets.Packet, upstream: ids.UpstreamId) -> bool:
+        """Learns from a packet of an open flow.
+
+        Returns:
+            True if it is the first since the flow's opening packet.
+        """
+        now = self._clock()
+        record = self._flows.get(packet.flow)
+        if record is None:
+            record = flow_tables.FlowRecord(upstream, now)
+            self._keep(packet.flow, record)
+        if record.upstream != upstream:
+            self._end(record)
+            record.upstream = upstream
+        first = not record.established
+        record.established = True
+        self._flows.touch(packet.flow, record, now)
+        if record.advance_answer(packet) or packet.ends or packet.aborts:
+            self._end(record)
+        if record.advance_request(packet):
+            self._begin(record, now)
+        return first
+
+    def forget(self, flow: flows.FlowId) -> None:
+        """Forgets a flow."""
+        record = self._flows.remove(flow)
+        if record is not None:
+            self._end(record)
+
+    def sweep(self, idle_s: float) -> None:
+        """Forgets idle flows, and requests whose end was not seen.
+
+        Args:
+            idle_s: Time without a packet after which a flow is idle, seconds.
+        """
+        now = self._clock()
+        for record in self._flows.remove_idle(now - idle_s):
+            self._end(record)
+        for record in self._flows.waiting(now - _STALE_S):
+            self._end(record)
+
+    def _keep(self, flow: flows.FlowId, record: flow_tables.FlowRecord) -> None:
+        dropped = self._flows.put(flow, record)
+        if dropped is not None:
+            self._end(dropped)
+
+    def _begin(self, record: flow_tables.FlowRecord, now: float) -> None:
+        if record.waiting_since is None:
+            record.waiting_since = now
+            self._loads.begin(record.upstream)
+
+    def _end(self, record: flow_tables.FlowRecord) -> None:
+        if record.waiting_since is not None:
+            record.waiting_since = None
+            self._loads.end(record.upstream)
