Forward packets while the event loop is still imported

Cause: after a restart of all hosts a small host was dark for 1.3 s, of which its own imports took 1.0 s (trio 0.6 s at 0.236 cores); opening packets of that time were lost. The socket is bound first, the parts that decide need no event loop, the entries are read by the same client on blocking transports, and packets get a turn before each further import. Ruled out: imports in a thread (the thread keeps the interpreter for whole turns; the state came in force 0.5 s later than with imports in the main thread).

--- a/benchmarks/balance.py
+++ b/benchmarks/balance.py
@@ -19,6 +19,7 @@
 from benchmarks import policy_runs
 from persimmonhinge import ids
 from persimmonhinge.load import balance
+from persimmonhinge.policies import builtin  # noqa: F401
 from persimmonhinge.policies import choice
 from tests.standins import plan as plans
 from tests.standins import processes
--- a/persimmonhinge/contracts/checks.py
+++ b/persimmonhinge/contracts/checks.py
@@ -9,6 +9,7 @@
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.contracts import version as versions
 from persimmonhinge.policies import admission
+from persimmonhinge.policies import builtin  # noqa: F401
 from persimmonhinge.policies import choice
 from persimmonhinge.policies import order
 
--- a/persimmonhinge/flows/chooser.py
+++ b/persimmonhinge/flows/chooser.py
@@ -21,6 +21,7 @@
 from persimmonhinge.membership import view as views
 from persimmonhinge.peers import network as networks
 from persimmonhinge.peers.messages import work
+from persimmonhinge.policies import builtin  # noqa: F401
 from persimmonhinge.policies import choice as policies
 
 logger = logging.getLogger(__name__)
--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -3,98 +3,48 @@
 from __future__ import annotations
 
 import logging
-import random
-import socket
+import time
 
 import trio
 
-from persimmonhinge import ids
-from persimmonhinge import policies  # noqa: F401
-from persimmonhinge.forwarding import chooser as choosers
-from persimmonhinge.forwarding import flow_table as flow_tables
+from persimmonhinge.forwarding import core as cores
 from persimmonhinge.forwarding import follower as followers
-from persimmonhinge.forwarding import forwarder as forwarders
-from persimmonhinge.forwarding import knowledge as knowledge_parts
-from persimmonhinge.forwarding import loads as load_books
 from persimmonhinge.forwarding import openings as opening_lists
 from persimmonhinge.forwarding import pages as forward_pages
 from persimmonhinge.forwarding import settings as forward_settings
-from persimmonhinge.forwarding import sockets
-from persimmonhinge.forwarding import suspicions as suspicion_lists
-from persimmonhinge.forwarding import tracker as trackers
-from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.metrics import page
-from persimmonhinge.policies import choice
 from persimmonhinge.store import port
 
 logger = logging.getLogger(__name__)
 
-_MOST_FLOWS = 50_000
 # How much earlier than the platform's limit a planned stop ends, seconds.
 _STOP_MARGIN_S = 1.0
 # A planned stop ends once no packet has come for so long, seconds.
 _QUIET_S = 0.7
 _QUIET_CHECK_S = 0.1
 _SWEEP_S = 1.0
+_START_CHECK_S = 0.002
 
 
 class ForwardApplication:
     """One host that forwards packets."""
 
-    def __init__(
-        self,
-        settings: forward_settings.ForwardSettings,
-        bound: socket.socket,
-        codec: forwarders.PacketCodec,
-        reader: followers.EntryReader,
-        store: port.Platform,
-    ) -> None:
-        """Makes the parts of the host.
+    def __init__(self, core: cores.ForwardCore, store: port.Platform) -> None:
+        """Makes the application.
 
         Args:
-            settings: Settings of the host.
-            bound: Socket of packets.
-            codec: Format of packets.
-            reader: Format of the store's entries.
-            store: The store.
+            core: The parts that need no event loop.
+            store: Client of the store.
         """
-        self._settings = settings
+        self._core = core
+        self._settings = core.settings
         self._stopping = trio.Event()
-        self._ready = False
-        self.counts = host_counts.Counts()
-        self._knowledge = knowledge_parts.Knowledge(settings.flow_life_s)
-        self._openings = opening_lists.Openings()
-        self._socket = sockets.PacketSocket(bound, self.counts)
-        loads = load_books.LoadBook()
-        self._tracker = trackers.FlowTracker(
-            flow_tables.FlowTable(_MOST_FLOWS), loads
-        )
-        suspicions = suspicion_lists.Suspicions()
-        policy = choice.choices.get(settings.choice)(random.Random())
-        chooser = choosers.UpstreamChooser(
-            ids.DomainId(settings.domain),
-            self._knowledge,
-            loads,
-            suspicions,
-            policy,
-        )
-        self._forwarder = forwarders.Forwarder(
-            codec,
-            self._socket,
-            self._knowledge,
-            chooser,
-            self._tracker,
-            self._openings,
-            suspicions,
-            self.counts,
-        )
-        self._follower = followers.Follower(
-            store, reader, self._knowledge, self.counts
-        )
+        self._received_at = 0.0
+        self._follower = followers.Follower(store, core.entries)
         self._pages = page.PageServer(
-            *forward_settings.parse_endpoint(settings.pages)
+            *forward_settings.parse_endpoint(self._settings.pages)
         )
-        forward_pages.ForwardPages(self._pages, self.counts, self.is_ready)
+        forward_pages.ForwardPages(self._pages, core.counts, self.is_ready)
 
     def stop(self) -> None:
         """Begins a planned stop; a second call changes nothing."""
@@ -102,33 +52,49 @@
 
     def is_ready(self) -> bool:
         """Tells whether the fabric should send packets here."""
-        return self._knowledge.is_complete() and not self._stopping.is_set()
+        complete = self._core.knowledge.is_complete()
+        return complete and not self._stopping.is_set()
 
     async def run(self) -> None:
         """Runs until a planned stop has ended."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._follower.run)
-            await nursery.start(self._pages.run)
+            nursery.start_soon(self._receive)
+            nursery.start_soon(self._handle_openings)
             nursery.start_soon(self._sweep)
-            nursery.start_soon(
-                self._openings.run, self._forwarder.open_elsewhere
-            )
-            await self._wait_until_complete()
-            nursery.start_soon(self._socket.run, self._receive)
+            await nursery.start(self._pages.run)
             logger.info("Started.", extra={"domain": self._settings.domain})
             await self._stopping.wait()
             await self._leave()
             nursery.cancel_scope.cancel()
         logger.info("Stopped.")
 
-    def _receive(self, octets: bytes) -> None:
-        self._received_at = trio.current_time()
-        self._forwarder.receive(octets)
+    async def _receive(self) -> None:
+        # Until this host knows where to, packets stay in their socket.
+        while not self._core.knowledge.is_complete():
+            await trio.sleep(_START_CHECK_S)
+        while True:
+            await trio.lowlevel.wait_readable(self._core.socket.socket)
+            if self._core.receive_batch():
+                self._received_at = trio.current_time()
+
+    async def _handle_openings(self) -> None:
+        """Sends opening packets that are not answered in time elsewhere.
 
-    async def _wait_until_complete(self) -> None:
-        """Leaves packets in their socket until this host knows where to."""
-        while not self._knowledge.is_complete():
-            await trio.sleep(0.002)
+        Guards against taking upstreams for dead after this process itself
+        stood still: the answers may lie unread in the socket by then. So the
+        packets that have come are read first.
+        """
+        while True:
+            due_at = self._core.openings.next_due()
+            wait_s = opening_lists.ANSWER_S
+            if due_at is not None:
+                wait_s = due_at - time.monotonic()
+            if wait_s > 0:
+                await trio.sleep(wait_s)
+                continue
+            self._core.receive_batch()
+            self._core.handle_due_openings()
 
     async def _leave(self) -> None:
         """Forwards until the fabric has stopped sending packets here."""
@@ -142,8 +108,8 @@
     async def _sweep(self) -> None:
         while True:
             await trio.sleep(_SWEEP_S)
-            state = self._knowledge.state
+            state = self._core.knowledge.state
             idle_s = self._settings.flow_life_s
             if state is not None:
                 idle_s = state.idle_timeout_s
-            self._tracker.sweep(idle_s)
+            self._core.tracker.sweep(idle_s)
--- /dev/null
+++ b/persimmonhinge/forwarding/core.py
@@ -0,0 +1,92 @@
+"""The parts of a host that need no event loop."""
+
+from __future__ import annotations
+
+import random
+import socket
+
+from persimmonhinge import ids
+from persimmonhinge.forwarding import chooser as choosers
+from persimmonhinge.forwarding import flow_table as flow_tables
+from persimmonhinge.forwarding import forwarder as forwarders
+from persimmonhinge.forwarding import knowledge as knowledge_parts
+from persimmonhinge.forwarding import loads as load_books
+from persimmonhinge.forwarding import openings as opening_lists
+from persimmonhinge.forwarding import reading
+from persimmonhinge.forwarding import settings as forward_settings
+from persimmonhinge.forwarding import sockets
+from persimmonhinge.forwarding import suspicions as suspicion_lists
+from persimmonhinge.forwarding import tracker as trackers
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.policies import choice
+from persimmonhinge.policies import choice_near_first  # noqa: F401
+
+_MOST_FLOWS = 50_000
+
+
+class ForwardCore:
+    """Knowledge and decisions of one host.
+
+    Attributes:
+        settings: Settings of the host.
+        counts: Its counters.
+        knowledge: What it believes of the platform.
+        entries: Reads the store's entries into the knowledge.
+        tracker: Flows and their requests.
+        openings: Opening packets that wait.
+        socket: The socket of packets.
+        forwarder: Decides where packets go.
+    """
+
+    def __init__(
+        self,
+        settings: forward_settings.ForwardSettings,
+        bound: socket.socket,
+        codec: forwarders.PacketCodec,
+        reader: reading.EntryReader,
+    ) -> None:
+        """Makes the parts.
+
+        Args:
+            settings: Settings of the host.
+            bound: Socket of packets.
+            codec: Format of packets.
+            reader: Format of the store's entries.
+        """
+        self.settings = settings
+        self.counts = host_counts.Counts()
+        self.knowledge = knowledge_parts.Knowledge(settings.flow_life_s)
+        self.entries = reading.Entries(reader, self.knowledge, self.counts)
+        self.openings = opening_lists.Openings()
+        self.socket = sockets.PacketSocket(bound, self.counts)
+        loads = load_books.LoadBook()
+        self.tracker = trackers.FlowTracker(
+            flow_tables.FlowTable(_MOST_FLOWS), loads
+        )
+        suspicions = suspicion_lists.Suspicions()
+        chooser = choosers.UpstreamChooser(
+            ids.DomainId(settings.domain),
+            self.knowledge,
+            loads,
+            suspicions,
+            choice.choices.get(settings.choice)(random.Random()),
+        )
+        self.forwarder = forwarders.Forwarder(
+            codec,
+            self.socket,
+            self.knowledge,
+            chooser,
+            self.tracker,
+            self.openings,
+            suspicions,
+            self.counts,
+        )
+
+    def receive_batch(self) -> int:
+        """Forwards the packets that have come; returns their number."""
+        return self.socket.receive_batch(self.forwarder.receive)
+
+    def handle_due_openings(self) -> None:
+        """Sends opening packets that were not answered elsewhere."""
+        for opening in self.openings.take_due():
+            self.forwarder.open_elsewhere(opening)
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -4,10 +4,9 @@
 
 from collections.abc import Callable
 import logging
+import time
 from typing import Protocol
 
-import trio
-
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.forwarding import chooser as choosers
@@ -67,7 +66,7 @@
         openings: opening_lists.Openings,
         suspicions: suspicion_lists.Suspicions,
         counts: host_counts.Counts,
-        clock: Callable[[], float] = trio.current_time,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._codec = codec
         self._output = output
--- a/persimmonhinge/forwarding/loads.py
+++ b/persimmonhinge/forwarding/loads.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Callable
 import math
+import time
 
 import msgspec
-import trio
 
 from persimmonhinge import ids
 
@@ -38,7 +38,7 @@
 class LoadBook:
     """Counts requests in flight at each upstream, by this host's own sight."""
 
-    def __init__(self, clock: Callable[[], float] = trio.current_time) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._loads: dict[ids.UpstreamId, Load] = {}
 
--- a/persimmonhinge/forwarding/openings.py
+++ b/persimmonhinge/forwarding/openings.py
@@ -4,9 +4,9 @@
 
 import collections
 from collections.abc import Callable
-import dataclasses
+import time
 
-import trio
+import msgspec
 
 from persimmonhinge import ids
 from persimmonhinge.forwarding import flow as flows
@@ -18,8 +18,7 @@
 ANSWER_S = 0.03
 
 
-@dataclasses.dataclass(slots=True)
-class Opening:
+class Opening(msgspec.Struct, eq=False):
     """An opening packet that was forwarded.
 
     Attributes:
@@ -36,40 +35,37 @@
 class Openings:
     """Waits for each opening packet, and hands on those left unanswered."""
 
-    def __init__(self, clock: Callable[[], float] = trio.current_time) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._waiting: dict[flows.FlowId, Opening] = {}
         self._order: collections.deque[Opening] = collections.deque()
-        self._added = trio.Event()
 
     def add(self, packet: packets.Packet, tried: list[ids.UpstreamId]) -> None:
         """Waits for the caller of a packet that was just sent on."""
         opening = Opening(packet, tried, self._clock() + ANSWER_S)
         self._waiting[packet.flow] = opening
         self._order.append(opening)
-        self._added.set()
 
     def remove(self, flow: flows.FlowId) -> Opening | None:
         """Stops waiting for a flow; returns its opening."""
         return self._waiting.pop(flow, None)
 
-    async def run(self, handle: Callable[[Opening], None]) -> None:
-        """Hands on what is not answered in time, until cancelled.
-
-        Guards against taking upstreams for dead after this process itself
-        stood still: the answers may lie unread in the socket by then. A timer
-        that fires late gives the packets one more turn to be read.
-        """
-        while True:
-            if not self._order:
-                self._added = trio.Event()
-                await self._added.wait()
-            opening = self._order[0]
-            await trio.sleep_until(opening.due_at)
-            late_s = self._clock() - opening.due_at
-            if late_s > ANSWER_S / 3:
-                await trio.sleep(ANSWER_S / 3)
+    def next_due(self) -> float | None:
+        """Returns when the next one may be due, None if none waits."""
+        while self._order and not self._waits(self._order[0]):
             self._order.popleft()
-            if self._waiting.get(opening.packet.flow) is opening:
+        return self._order[0].due_at if self._order else None
+
+    def take_due(self) -> list[Opening]:
+        """Returns those that are left unanswered, and stops waiting."""
+        now = self._clock()
+        due: list[Opening] = []
+        while self._order and self._order[0].due_at <= now:
+            opening = self._order.popleft()
+            if self._waits(opening):
                 del self._waiting[opening.packet.flow]
-                handle(opening)
+                due.append(opening)
+        return due
+
+    def _waits(self, opening: Opening) -> bool:
+        return self._waiting.get(opening.packet.flow) is opening
--- /dev/null
+++ b/persimmonhinge/forwarding/program.py
@@ -0,0 +1,56 @@
+"""Runs the application under trio, with its signals."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import logging
+import signal
+
+import trio
+
+from persimmonhinge import collector
+from persimmonhinge.forwarding import application
+from persimmonhinge.forwarding import core as cores
+from persimmonhinge.forwarding import settings as forward_settings
+from persimmonhinge.store import port
+from persimmonhinge.store import transport as transports
+from persimmonhinge.store import trio_transport
+
+logger = logging.getLogger(__name__)
+
+MakeStore = Callable[
+    [
+        forward_settings.ForwardSettings,
+        Callable[[str, int], transports.Transport],
+    ],
+    port.Platform,
+]
+
+
+def run(core: cores.ForwardCore, make_store: MakeStore) -> None:
+    """Runs a host until a planned stop has ended.
+
+    Args:
+        core: The parts that need no event loop.
+        make_store: Makes a client of the store.
+    """
+    collector.relax()
+    store = make_store(core.settings, trio_transport.TrioTransport)
+    trio.run(_run, application.ForwardApplication(core, store))
+
+
+async def _run(host: application.ForwardApplication) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow_signals, host)
+        await host.run()
+        nursery.cancel_scope.cancel()
+
+
+async def _follow_signals(host: application.ForwardApplication) -> None:
+    watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*watched) as received:
+        async for number in received:
+            if number == signal.SIGHUP:
+                logger.info("Reload.")
+            else:
+                host.stop()
--- /dev/null
+++ b/persimmonhinge/forwarding/reading.py
@@ -0,0 +1,124 @@
+"""Reads all entries of the store into the knowledge of a host."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import Protocol
+
+from persimmonhinge import errors
+from persimmonhinge import ids
+from persimmonhinge.forwarding import desired_state as desired_states
+from persimmonhinge.forwarding import knowledge as knowledge_parts
+from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.store import port
+
+logger = logging.getLogger(__name__)
+
+_SOURCE = "store"
+
+
+class EntryReader(Protocol):
+    """Reads the platform's entries; the adapter implements it.
+
+    Attributes:
+        state_key: Key of the desired state.
+        upstreams_prefix: Prefix of the keys of upstreams.
+    """
+
+    state_key: str
+    upstreams_prefix: str
+
+    def read_state(self, value: bytes) -> desired_states.DesiredState:
+        """Reads the desired state."""
+
+    def read_upstream(self, key: str, value: bytes) -> upstreams.Upstream:
+        """Reads an upstream."""
+
+    def name_upstream(self, key: str) -> ids.UpstreamId:
+        """Returns whose entry is under a key."""
+
+
+class Entries:
+    """Takes entries of the store into the knowledge of a host."""
+
+    def __init__(
+        self,
+        reader: EntryReader,
+        knowledge: knowledge_parts.Knowledge,
+        counts: host_counts.Counts,
+    ) -> None:
+        self._reader = reader
+        self._knowledge = knowledge
+        self._counts = counts
+
+    async def read_all(self, store: port.Platform) -> int:
+        """Reads all entries.
+
+        Upstreams are read after the desired state, so both are as new as the
+        earlier of the two revisions.
+
+        Returns:
+            A revision that they are all at least of.
+
+        Raises:
+            PlatformError: The store gave no answer or a refusal.
+        """
+        state = await store.get_prefix(self._reader.state_key)
+        self.record_answer()
+        for pair in state.values:
+            self.take(pair.key, pair.value)
+        found = await store.get_prefix(self._reader.upstreams_prefix)
+        self.record_answer()
+        for pair in found.values:
+            self.take(pair.key, pair.value)
+        self._miss_others({pair.key for pair in found.values})
+        return min(state.revision, found.revision)
+
+    def take(self, key: str, value: bytes | None) -> None:
+        """Takes in an entry, or that it is not there."""
+        reader = self._reader
+        try:
+            if key == reader.state_key and value is not None:
+                self._knowledge.take_state(reader.read_state(value), _SOURCE)
+            elif key.startswith(reader.upstreams_prefix):
+                self._take_upstream(key, value)
+        except errors.UnreadableEntryError as error:
+            self._counts.add("unreadable_entries_total")
+            logger.error("Keeps the former entry: %s.", error)
+
+    def record_answer(self) -> None:
+        """Records that the store answered."""
+        now = time.monotonic()
+        self._knowledge.confirmed_at = now
+        self._knowledge.settle(now)
+        if self._knowledge.trust.record_answer(now):
+            logger.warning("Store is back.", extra={"dependency": "store"})
+
+    def record_failure(self, error: errors.PlatformError) -> None:
+        """Records that the store failed to answer."""
+        trust = self._knowledge.trust
+        self._counts.add("store_failures_total")
+        if not trust.failing:
+            logger.warning(
+                "Store is lost.",
+                extra={"dependency": "store", "error": str(error)},
+            )
+        trust.record_failure()
+
+    def _take_upstream(self, key: str, value: bytes | None) -> None:
+        now = time.monotonic()
+        if value is None:
+            name = self._reader.name_upstream(key)
+            self._knowledge.miss_upstream(name, now, _SOURCE)
+        else:
+            upstream = self._reader.read_upstream(key, value)
+            self._knowledge.take_upstream(upstream, now, _SOURCE)
+
+    def _miss_others(self, keys: set[str]) -> None:
+        present = {self._reader.name_upstream(key) for key in keys}
+        now = time.monotonic()
+        for upstream in self._knowledge.directory.all():
+            if upstream.id not in present:
+                self._knowledge.miss_upstream(upstream.id, now, _SOURCE)
--- a/persimmonhinge/forwarding/settings.py
+++ b/persimmonhinge/forwarding/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import pathlib
 from typing import Annotated
 
 import msgspec
@@ -82,18 +81,17 @@
     return flows.Endpoint(host, int(port))
 
 
-def load(path: pathlib.Path) -> ForwardSettings:
+def load(path: str) -> ForwardSettings:
     """Reads the settings file.
 
     Raises:
         SettingsError: It can't be read or holds a value that is not allowed.
     """
     try:
-        return parse(path.read_bytes())
+        with open(path, "rb") as file:
+            return parse(file.read())
     except (OSError, msgspec.MsgspecError, ValueError) as error:
-        raise errors.SettingsError(
-            str(error), step=_STEP, peer=str(path)
-        ) from error
+        raise errors.SettingsError(str(error), step=_STEP, peer=path) from error
 
 
 def parse(text: bytes) -> ForwardSettings:
--- a/persimmonhinge/forwarding/sockets.py
+++ b/persimmonhinge/forwarding/sockets.py
@@ -6,8 +6,6 @@
 import logging
 import socket
 
-import trio
-
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.metrics import counts as host_counts
 
@@ -29,15 +27,23 @@
         self, bound: socket.socket, counts: host_counts.Counts
     ) -> None:
         """Takes over a bound socket that does not block."""
-        self._socket = bound
+        self.socket = bound
         self._port = bound.getsockname()[1]
         self._counts = counts
 
-    async def run(self, receive: Callable[[bytes], None]) -> None:
-        """Hands on each datagram until cancelled."""
-        while True:
-            await trio.lowlevel.wait_readable(self._socket)
-            self._receive_batch(receive)
+    def receive_batch(self, receive: Callable[[bytes], None]) -> int:
+        """Hands on the datagrams that have come; returns their number."""
+        for number in range(_MOST_IN_A_ROW):
+            try:
+                octets = self.socket.recv(_MOST_OCTETS)
+            except BlockingIOError:
+                return number
+            except OSError as error:
+                self._counts.add("receive_errors_total")
+                logger.warning("Can't read a datagram: %s.", error)
+                return number
+            receive(octets)
+        return _MOST_IN_A_ROW
 
     def send_to_upstream(self, octets: bytes, address: flows.Endpoint) -> None:
         """Sends a datagram to an upstream."""
@@ -50,21 +56,9 @@
         """
         self._send(octets, (flows.format_address(caller), self._port))
 
-    def _receive_batch(self, receive: Callable[[bytes], None]) -> None:
-        for _ in range(_MOST_IN_A_ROW):
-            try:
-                octets = self._socket.recv(_MOST_OCTETS)
-            except BlockingIOError:
-                return
-            except OSError as error:
-                self._counts.add("receive_errors_total")
-                logger.warning("Can't read a datagram: %s.", error)
-                return
-            receive(octets)
-
     def _send(self, octets: bytes, address: tuple[str, int]) -> None:
         try:
-            self._socket.sendto(octets, address)
+            self.socket.sendto(octets, address)
         except OSError as error:
             self._counts.add("send_errors_total")
             logger.warning(
--- /dev/null
+++ b/persimmonhinge/forwarding/startup.py
@@ -0,0 +1,66 @@
+"""Forwards packets while the rest of the program is still imported."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import importlib.abc
+import importlib.machinery
+import logging
+import sys
+import types
+
+from persimmonhinge import errors
+from persimmonhinge.forwarding import core as cores
+from persimmonhinge.store import blocking_transport
+from persimmonhinge.store import port
+
+logger = logging.getLogger(__name__)
+
+
+class _TurnFinder(importlib.abc.MetaPathFinder):
+    """Finds no module, but gives packets a turn before each import."""
+
+    def __init__(self, core: cores.ForwardCore) -> None:
+        self._core = core
+
+    def find_spec(
+        self,
+        fullname: str,
+        path: Sequence[str] | None,
+        target: types.ModuleType | None = None,
+    ) -> importlib.machinery.ModuleSpec | None:
+        """Forwards the packets that have come; leaves the import to others."""
+        self._core.receive_batch()
+        self._core.handle_due_openings()
+        return None
+
+
+def forward_during(
+    work: Callable[[], None], core: cores.ForwardCore, store: port.Platform
+) -> None:
+    """Runs imports, and forwards packets between one and the next.
+
+    Guards against the dark time after a restart of all hosts: the import of
+    the event loop and all that needs it takes about 0.6 s of a small host's
+    time, in which callers' opening packets would be lost one by one. A single
+    import takes some milliseconds. A thread for the imports is no way: it
+    keeps the interpreter for whole turns of the scheduler.
+
+    Args:
+        work: Imports modules.
+        core: The parts of the host.
+        store: Client of the store on blocking transports.
+    """
+    try:
+        blocking_transport.run(core.entries.read_all(store))
+    except errors.PlatformError as error:
+        core.entries.record_failure(error)
+    finder = _TurnFinder(core)
+    if core.knowledge.is_complete():
+        sys.meta_path.insert(0, finder)
+    try:
+        work()
+    finally:
+        if finder in sys.meta_path:
+            sys.meta_path.remove(finder)
--- a/persimmonhinge/forwarding/tracker.py
+++ b/persimmonhinge/forwarding/tracker.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-
-import trio
+import time
 
 from persimmonhinge import ids
 from persimmonhinge.forwarding import flow as flows
@@ -25,7 +24,7 @@
         self,
         flow_table: flow_tables.FlowTable,
         loads: load_books.LoadBook,
-        clock: Callable[[], float] = trio.current_time,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._flows = flow_table
         self._loads = loads
--- a/persimmonhinge/platform/adapter.py
+++ b/persimmonhinge/platform/adapter.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from persimmonhinge import ids
 from persimmonhinge.forwarding import desired_state as desired_states
 from persimmonhinge.forwarding import packet as packets
@@ -11,7 +13,9 @@
 from persimmonhinge.platform import packets as packet_format
 from persimmonhinge.platform import store
 from persimmonhinge.store import port
+from persimmonhinge.store import transport as transports
 
+SETTINGS_VARIABLE = "PERSIMMONHINGE_NODE_FILE"
 _TIMEOUT_S = 1.0
 _WATCH_WAIT_S = 1.5
 
@@ -55,9 +59,11 @@
 
 def make_store(
     settings: forward_settings.ForwardSettings,
+    make_transport: Callable[[str, int], transports.Transport],
 ) -> store.MetadataStore:
     """Returns a client of the store that the settings name."""
     host, number = forward_settings.parse_endpoint(settings.store.address)
     return store.MetadataStore(
-        port.StoreSettings(host, number, _TIMEOUT_S, _WATCH_WAIT_S)
+        port.StoreSettings(host, number, _TIMEOUT_S, _WATCH_WAIT_S),
+        make_transport,
     )
--- a/persimmonhinge/platform/entries.py
+++ b/persimmonhinge/platform/entries.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import ipaddress
+import socket
 
 import msgspec
 
@@ -32,7 +32,7 @@
     try:
         entry = msgspec.json.decode(value, type=messages.DesiredStateEntry)
         found = [_convert_route(route) for route in entry.routes]
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, OSError) as error:
         raise _make_error(DESIRED_STATE, error) from error
     return desired_states.DesiredState(
         version=entry.version,
@@ -50,7 +50,7 @@
     try:
         entry = msgspec.json.decode(value, type=messages.ServerEntry)
         return _convert_upstream(upstream_of(key), entry)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, OSError) as error:
         raise _make_error(key, error) from error
 
 
@@ -69,7 +69,7 @@
     repetition = routes.Repetition.AT_MOST_ONCE
     if entry.kind == _IDEMPOTENT:
         repetition = routes.Repetition.IDEMPOTENT
-    address = int(ipaddress.IPv4Address(entry.address))
+    address = int.from_bytes(socket.inet_aton(entry.address))
     return routes.Route(
         name=entry.name,
         at=routes.RouteAddress(address, int(entry.port.strip("/"))),
--- a/persimmonhinge/platform/store.py
+++ b/persimmonhinge/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 from typing import TypeVar
 import urllib.parse
@@ -13,6 +14,7 @@
 from persimmonhinge.platform import messages
 from persimmonhinge.store import http
 from persimmonhinge.store import port
+from persimmonhinge.store import transport as transports
 
 T = TypeVar("T")
 
@@ -33,8 +35,13 @@
     Calls go over one connection and each watch over one of its own.
     """
 
-    def __init__(self, settings: port.StoreSettings) -> None:
+    def __init__(
+        self,
+        settings: port.StoreSettings,
+        make_transport: Callable[[str, int], transports.Transport],
+    ) -> None:
         self._settings = settings
+        self._make_transport = make_transport
         self._calls = self._connect()
 
     async def close(self) -> None:
@@ -149,7 +156,9 @@
         return response
 
     def _connect(self) -> http.HttpConnection:
-        return http.HttpConnection(self._settings.host, self._settings.port)
+        host, number = self._settings.host, self._settings.port
+        transport = self._make_transport(host, number)
+        return http.HttpConnection(transport, f"{host}:{number}")
 
 
 def _make_target(path: str, **parameters: str) -> str:
--- a/persimmonhinge/policies/choice.py
+++ b/persimmonhinge/policies/choice.py
@@ -4,17 +4,17 @@
 
 import abc
 from collections.abc import Sequence
-import dataclasses
 import math
 import random
 from typing import ClassVar
 
+import msgspec
+
 from persimmonhinge import ids
 from persimmonhinge import registry
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(msgspec.Struct, frozen=True):
     """An upstream that could take the work, as this host sees it.
 
     Attributes:
--- /dev/null
+++ b/persimmonhinge/store/blocking_transport.py
@@ -0,0 +1,75 @@
+"""A connection that blocks, for the time before trio is imported."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+import socket
+import time
+from typing import Any
+from typing import TypeVar
+
+T = TypeVar("T")
+
+_RECEIVE_OCTETS = 65_536
+
+
+class BlockingTransport:
+    """Implements `transport.Transport` without ever suspending its caller."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._address = (host, port)
+        self._socket: socket.socket | None = None
+        self._deadline = 0.0
+
+    async def open(self) -> None:
+        """See `transport.Transport`."""
+        if self._socket is None:
+            self._socket = socket.create_connection(
+                self._address, self._compute_rest()
+            )
+
+    async def send_all(self, octets: bytes) -> None:
+        """See `transport.Transport`."""
+        self._get_socket().sendall(octets)
+
+    async def receive_some(self) -> bytes:
+        """See `transport.Transport`."""
+        return self._get_socket().recv(_RECEIVE_OCTETS)
+
+    async def run_within(
+        self, limit_s: float, work: Callable[[], Awaitable[T]]
+    ) -> T:
+        """See `transport.Transport`."""
+        self._deadline = time.monotonic() + limit_s
+        return await work()
+
+    def close(self) -> None:
+        """See `transport.Transport`."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def _get_socket(self) -> socket.socket:
+        if self._socket is None:
+            raise ConnectionError("connection is closed")
+        self._socket.settimeout(self._compute_rest())
+        return self._socket
+
+    def _compute_rest(self) -> float:
+        rest_s = self._deadline - time.monotonic()
+        if rest_s <= 0:
+            raise TimeoutError("time limit has passed")
+        return rest_s
+
+
+def run(coroutine: Coroutine[Any, Any, T]) -> T:
+    """Runs a coroutine that uses only blocking transports to its end."""
+    try:
+        coroutine.send(None)
+    except StopIteration as end:
+        result: T = end.value
+        return result
+    coroutine.close()
+    raise RuntimeError("the coroutine waits for an event loop")
--- a/persimmonhinge/store/http.py
+++ b/persimmonhinge/store/http.py
@@ -1,22 +1,19 @@
-"""A connection that carries one HTTP call after the other, on trio."""
+"""A connection that carries one HTTP call after the other."""
 
 from __future__ import annotations
 
-import dataclasses
-
 import h11
-import trio
+import msgspec
 
 from persimmonhinge import errors
+from persimmonhinge.store import transport as transports
 
-_RECEIVE_OCTETS = 65_536
 # Largest body that is read. A page of the store holds at most 1 MB of values,
 # which base64 makes a third longer, and a little around them.
 _MOST_BODY_OCTETS = 4 * 1024 * 1024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Response:
+class Response(msgspec.Struct, frozen=True):
     """An answer to a call.
 
     Attributes:
@@ -35,11 +32,15 @@
     answer that comes late on the old one can't be taken for another call's.
     """
 
-    def __init__(self, host: str, port: int) -> None:
-        self._host = host
-        self._port = port
-        self._peer = f"{host}:{port}"
-        self._stream: trio.SocketStream | None = None
+    def __init__(self, transport: transports.Transport, peer: str) -> None:
+        """Makes a closed connection.
+
+        Args:
+            transport: What carries its octets.
+            peer: Address and port of the other side.
+        """
+        self._transport = transport
+        self._peer = peer
         self._parser = h11.Connection(h11.CLIENT)
 
     async def call(
@@ -57,17 +58,18 @@
             PlatformUnavailableError: No answer in time, or the connection
                 failed; the call may have taken effect.
         """
-        step = f"store {method} {target.partition('?')[0]}"
+        request = self._make_request(method, target, body)
+
+        async def exchange() -> Response:
+            return await self._exchange(request, body)
+
         try:
-            with trio.fail_after(timeout_s):
-                return await self._exchange(method, target, body)
-        except trio.TooSlowError as error:
+            return await self._transport.run_within(timeout_s, exchange)
+        except (OSError, h11.ProtocolError) as error:
             raise errors.PlatformUnavailableError(
-                f"no answer in {timeout_s} s", step=step, peer=self._peer
-            ) from error
-        except (OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
-            raise errors.PlatformUnavailableError(
-                str(error) or type(error).__name__, step=step, peer=self._peer
+                str(error) or type(error).__name__,
+                step=f"store {method} {target.partition('?')[0]}",
+                peer=self._peer,
             ) from error
         finally:
             if self._parser.our_state is not h11.IDLE:
@@ -75,25 +77,25 @@
 
     def close(self) -> None:
         """Closes the connection at once."""
-        if self._stream is not None:
-            self._stream.socket.close()
-            self._stream = None
+        self._transport.close()
         self._parser = h11.Connection(h11.CLIENT)
 
-    async def _exchange(
+    def _make_request(
         self, method: str, target: str, body: bytes
-    ) -> Response:
-        stream = await self._open()
+    ) -> h11.Request:
         headers = [("Host", self._peer), ("Content-Length", str(len(body)))]
         if body:
             headers.append(("Content-Type", "application/json"))
-        request = h11.Request(method=method, target=target, headers=headers)
+        return h11.Request(method=method, target=target, headers=headers)
+
+    async def _exchange(self, request: h11.Request, body: bytes) -> Response:
+        await self._transport.open()
         octets = self._parser.send(request) or b""
         if body:
             octets += self._parser.send(h11.Data(data=body)) or b""
         octets += self._parser.send(h11.EndOfMessage()) or b""
-        await stream.send_all(octets)
-        response = await self._receive(stream)
+        await self._transport.send_all(octets)
+        response = await self._receive()
         if (
             self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE
@@ -101,19 +103,13 @@
             self._parser.start_next_cycle()
         return response
 
-    async def _open(self) -> trio.SocketStream:
-        if self._stream is None:
-            self._stream = await trio.open_tcp_stream(self._host, self._port)
-        return self._stream
-
-    async def _receive(self, stream: trio.SocketStream) -> Response:
+    async def _receive(self) -> Response:
         status = 0
         body = bytearray()
         while True:
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
-                data = await stream.receive_some(_RECEIVE_OCTETS)
-                self._parser.receive_data(data)
+                self._parser.receive_data(await self._transport.receive_some())
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
--- a/persimmonhinge/store/port.py
+++ b/persimmonhinge/store/port.py
@@ -4,12 +4,12 @@
 
 from collections.abc import AsyncIterator
 import contextlib
-import dataclasses
 from typing import Protocol
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyValue:
+
+class KeyValue(msgspec.Struct, frozen=True):
     """A key as it stands.
 
     Attributes:
@@ -23,8 +23,7 @@
     mod_revision: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PrefixState:
+class PrefixState(msgspec.Struct, frozen=True):
     """All keys of a prefix at one revision.
 
     Attributes:
@@ -36,8 +35,7 @@
     values: tuple[KeyValue, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WatchEvent:
+class WatchEvent(msgspec.Struct, frozen=True):
     """A key was written or deleted.
 
     Attributes:
@@ -51,8 +49,7 @@
     mod_revision: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Compare:
+class Compare(msgspec.Struct, frozen=True):
     """A condition: the key was last written at a revision.
 
     Attributes:
@@ -64,8 +61,7 @@
     mod_revision: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Write:
+class Write(msgspec.Struct, frozen=True):
     """A write of one key.
 
     Attributes:
@@ -79,8 +75,7 @@
     lease: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreSettings:
+class StoreSettings(msgspec.Struct, frozen=True):
     """How the store is reached.
 
     Attributes:
--- /dev/null
+++ b/persimmonhinge/store/trio_transport.py
@@ -0,0 +1,62 @@
+"""A connection on trio."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TypeVar
+
+import trio
+
+T = TypeVar("T")
+
+_RECEIVE_OCTETS = 65_536
+
+
+class TrioTransport:
+    """Implements `transport.Transport` for tasks of trio."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host = host
+        self._port = port
+        self._stream: trio.SocketStream | None = None
+
+    async def open(self) -> None:
+        """See `transport.Transport`."""
+        if self._stream is None:
+            self._stream = await trio.open_tcp_stream(self._host, self._port)
+
+    async def send_all(self, octets: bytes) -> None:
+        """See `transport.Transport`."""
+        try:
+            await self._get_stream().send_all(octets)
+        except trio.BrokenResourceError as error:
+            raise ConnectionError("connection broke") from error
+
+    async def receive_some(self) -> bytes:
+        """See `transport.Transport`."""
+        try:
+            return await self._get_stream().receive_some(_RECEIVE_OCTETS)
+        except trio.BrokenResourceError as error:
+            raise ConnectionError("connection broke") from error
+
+    async def run_within(
+        self, limit_s: float, work: Callable[[], Awaitable[T]]
+    ) -> T:
+        """See `transport.Transport`."""
+        try:
+            with trio.fail_after(limit_s):
+                return await work()
+        except trio.TooSlowError as error:
+            raise TimeoutError(f"no answer in {limit_s} s") from error
+
+    def close(self) -> None:
+        """See `transport.Transport`."""
+        if self._stream is not None:
+            self._stream.socket.close()
+            self._stream = None
+
+    def _get_stream(self) -> trio.SocketStream:
+        if self._stream is None:
+            raise ConnectionError("connection is closed")
+        return self._stream
--- a/persimmonhinge/upstreams/slots.py
+++ b/persimmonhinge/upstreams/slots.py
@@ -12,6 +12,7 @@
 from persimmonhinge import ids
 from persimmonhinge.peers.messages import work
 from persimmonhinge.policies import admission as admissions
+from persimmonhinge.policies import builtin  # noqa: F401
 from persimmonhinge.policies import order as orders
 from persimmonhinge.upstreams import costs as run_costs
 from persimmonhinge.upstreams import job as jobs
--- a/tests/test_policies/test_policies_admission.py
+++ b/tests/test_policies/test_policies_admission.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from persimmonhinge.policies import admission
+from persimmonhinge.policies import builtin  # noqa: F401
 
 _SECONDS = strategies.floats(0, 100)
 
--- a/tests/test_policies/test_policies_choice.py
+++ b/tests/test_policies/test_policies_choice.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 
 from persimmonhinge import ids
+from persimmonhinge.policies import builtin  # noqa: F401
 from persimmonhinge.policies import choice
 
 _LOADS = strategies.integers(0, 6)
--- a/tests/test_policies/test_policies_order.py
+++ b/tests/test_policies/test_policies_order.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from persimmonhinge import ids
+from persimmonhinge.policies import builtin  # noqa: F401
 from persimmonhinge.policies import order
 
 
--- a/tests/test_upstreams/test_upstreams_message_layer.py
+++ b/tests/test_upstreams/test_upstreams_message_layer.py
@@ -11,6 +11,7 @@
 from persimmonhinge.coap import codec
 from persimmonhinge.peers.messages import work
 from persimmonhinge.policies import admission
+from persimmonhinge.policies import builtin  # noqa: F401
 from persimmonhinge.policies import order
 from persimmonhinge.upstreams import freshness
 from persimmonhinge.upstreams import message_ids
