Let hosts tell each other loads, doubts and entries; log in JSON

Cause: each host saw a seventh of the requests in flight, so hosts filled the same upstream; a host whose watch is silent or refused knew nothing of what others know; an opening packet that no caller went on with was sent to one upstream after the other without end (29,000 times at one host). Entries carry revisions, so nothing goes back. An opening packet is sent to three upstreams at most before the caller's next copy.

--- a/persimmonhinge/cmd/forward.py
+++ b/persimmonhinge/cmd/forward.py
@@ -8,7 +8,7 @@
 import sys
 
 from persimmonhinge import errors
-from persimmonhinge import logs
+from persimmonhinge import structured_logs
 from persimmonhinge.forwarding import binding
 from persimmonhinge.forwarding import core as cores
 from persimmonhinge.forwarding import settings as forward_settings
@@ -37,7 +37,7 @@
     except (errors.SettingsError, OSError) as error:
         print(f"error: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    logs.configure(settings.host, settings.log_level)
+    structured_logs.configure(settings.host, settings.log_level)
     core = cores.ForwardCore(
         settings, bound, adapter.PacketFormat(), adapter.EntryFormat()
     )
--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -12,6 +12,7 @@
 from persimmonhinge.forwarding import openings as opening_lists
 from persimmonhinge.forwarding import pages as forward_pages
 from persimmonhinge.forwarding import settings as forward_settings
+from persimmonhinge.forwarding.peers import service as peer_services
 from persimmonhinge.metrics import page
 from persimmonhinge.store import port
 
@@ -40,6 +41,7 @@
         self._settings = core.settings
         self._stopping = trio.Event()
         self._received_at = 0.0
+        self._peers = peer_services.PeerService(core)
         self._follower = followers.Follower(store, core.entries)
         self._pages = page.PageServer(
             *forward_settings.parse_endpoint(self._settings.pages)
@@ -63,6 +65,7 @@
             nursery.start_soon(self._handle_openings)
             nursery.start_soon(self._sweep)
             await nursery.start(self._pages.run)
+            await nursery.start(self._peers.run)
             logger.info("Started.", extra={"domain": self._settings.domain})
             await self._stopping.wait()
             await self._leave()
@@ -98,6 +101,7 @@
 
     async def _leave(self) -> None:
         """Forwards until the fabric has stopped sending packets here."""
+        self._peers.leaving = True
         logger.info("Planned stop begins.")
         limit_s = self._settings.stop_limit_s - _STOP_MARGIN_S
         self._received_at = trio.current_time()
--- a/persimmonhinge/forwarding/chooser.py
+++ b/persimmonhinge/forwarding/chooser.py
@@ -72,7 +72,9 @@
         ready = directory.select(service, upstreams.UpstreamState.READY)
         ready = [u for u in ready if directory.is_unique(u)]
         fresh = [u for u in ready if u.id not in without]
-        good = [u for u in fresh if not self._suspicions.holds(u.id, now)]
+        good = [
+            u for u in fresh if not self._suspicions.holds(u.id, u.token, now)
+        ]
         missing = upstreams.UpstreamState.MISSING
         return good or fresh or ready or directory.select(service, missing)
 
@@ -85,9 +87,10 @@
         return choice.Candidate(
             upstream=upstream.id,
             capacity=upstream.slots * room,
-            load=in_flight,
+            load=in_flight + self._loads.others_in_flight(upstream.token),
             own=in_flight,
-            recent=self._loads.average(upstream.id),
+            recent=self._loads.average(upstream.id)
+            + self._loads.others_average(upstream.token),
             near=upstream.domain == self._domain,
         )
 
--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -7,6 +7,7 @@
 
 from persimmonhinge import ids
 from persimmonhinge.forwarding import chooser as choosers
+from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import flow_table as flow_tables
 from persimmonhinge.forwarding import forwarder as forwarders
 from persimmonhinge.forwarding import knowledge as knowledge_parts
@@ -17,6 +18,8 @@
 from persimmonhinge.forwarding import sockets
 from persimmonhinge.forwarding import suspicions as suspicion_lists
 from persimmonhinge.forwarding import tracker as trackers
+from persimmonhinge.forwarding.peers import book as peer_books
+from persimmonhinge.forwarding.peers import messages as peer_messages
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.policies import choice
 from persimmonhinge.policies import choice_near_first  # noqa: F401
@@ -36,6 +39,7 @@
         openings: Opening packets that wait.
         socket: The socket of packets.
         forwarder: Decides where packets go.
+        peers: The other hosts and what they told.
     """
 
     def __init__(
@@ -60,10 +64,17 @@
         self.openings = opening_lists.Openings()
         self.socket = sockets.PacketSocket(bound, self.counts)
         loads = load_books.LoadBook()
+        self._loads = loads
         self.tracker = trackers.FlowTracker(
             flow_tables.FlowTable(_MOST_FLOWS), loads
         )
         suspicions = suspicion_lists.Suspicions()
+        self._suspicions = suspicions
+        self.peers = peer_books.PeerBook(
+            flows.Endpoint(settings.own_address, settings.report_port),
+            loads,
+            suspicions,
+        )
         chooser = choosers.UpstreamChooser(
             ids.DomainId(settings.domain),
             self.knowledge,
@@ -90,3 +101,22 @@
         """Sends opening packets that were not answered elsewhere."""
         for opening in self.openings.take_due():
             self.forwarder.open_elsewhere(opening)
+
+    def list_load_lines(self) -> list[peer_messages.LoadLine]:
+        """Returns what this host sees of its upstreams, for other hosts."""
+        lines = []
+        for upstream in self._loads.active():
+            known = self.knowledge.directory.get(upstream)
+            if known is None:
+                self._loads.forget(upstream)
+                self._suspicions.forget(upstream)
+                continue
+            line = peer_messages.LoadLine(
+                known.token,
+                self._loads.in_flight(upstream),
+                round(self._loads.average(upstream) * 100),
+                self._suspicions.missed(upstream),
+            )
+            if line.in_flight or line.average or line.missed:
+                lines.append(line)
+        return lines
--- a/persimmonhinge/forwarding/follower.py
+++ b/persimmonhinge/forwarding/follower.py
@@ -51,4 +51,6 @@
             async for batch in batches:
                 self._entries.record_answer()
                 for event in batch:
-                    self._entries.take(event.key, event.value)
+                    self._entries.take(
+                        event.key, event.value, event.mod_revision
+                    )
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -23,6 +23,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Upstreams that one opening packet is sent to before its caller sends the next
+# copy: a caller that has left goes on with none of them.
+_MOST_TRIES = 3
+
 
 class PacketCodec(Protocol):
     """The format of packets; the adapter implements it."""
@@ -100,7 +104,8 @@
         """
         now = self._clock()
         self._suspicions.record_miss(opening.tried[-1], now)
-        self._send_opening(opening.packet, opening.tried, now)
+        if len(opening.tried) < _MOST_TRIES:
+            self._send_opening(opening.packet, opening.tried, now)
 
     def _open(self, packet: packets.Packet) -> None:
         now = self._clock()
@@ -177,7 +182,7 @@
         """Learns from a packet of an open flow."""
         if self._tracker.observe(packet, upstream.id):
             self._openings.remove(packet.flow)
-            self._suspicions.record_answer(upstream.id)
+            self._suspicions.record_answer(upstream.id, self._clock())
 
     def _forward(
         self, packet: packets.Packet, upstream: upstreams.Upstream
--- a/persimmonhinge/forwarding/knowledge.py
+++ b/persimmonhinge/forwarding/knowledge.py
@@ -34,6 +34,12 @@
         """The desired state in force; None if none is known yet."""
         return self._state
 
+    def compute_age_ms(self, now: float) -> int:
+        """Returns how long ago the store confirmed this, -1 if never."""
+        if self.confirmed_at is None:
+            return -1
+        return int((now - self.confirmed_at) * 1000)
+
     def is_complete(self) -> bool:
         """Tells whether this host knows enough to serve."""
         return self._state is not None and len(self.directory) > 0
--- a/persimmonhinge/forwarding/loads.py
+++ b/persimmonhinge/forwarding/loads.py
@@ -14,6 +14,7 @@
 # of long flows pause about 2 s between requests: so the first request of a
 # new flow weighs in the average as much as the flow will in the long run.
 _FOLLOW_S = 2.0
+_NOTHING = (0, 0)
 
 
 class Load(msgspec.Struct):
@@ -36,11 +37,16 @@
 
 
 class LoadBook:
-    """Counts requests in flight at each upstream, by this host's own sight."""
+    """Counts requests in flight at each upstream.
+
+    Those of this host's own flows are counted as they begin and end; those
+    of other hosts are as old as their last reports.
+    """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._loads: dict[ids.UpstreamId, Load] = {}
+        self._others: dict[int, list[int]] = {}
 
     def begin(self, upstream: ids.UpstreamId) -> None:
         """Counts a request that begins."""
@@ -51,15 +57,45 @@
         self._change(upstream, -1)
 
     def in_flight(self, upstream: ids.UpstreamId) -> int:
-        """Returns the requests that an upstream has now."""
+        """Returns the requests of this host that an upstream has now."""
         load = self._loads.get(upstream)
         return load.in_flight if load is not None else 0
 
     def average(self, upstream: ids.UpstreamId) -> float:
-        """Returns the average of the requests that an upstream has."""
+        """Returns the average of this host's requests at an upstream."""
         load = self._loads.get(upstream)
         return load.average_at(self._clock()) if load is not None else 0.0
 
+    def add_others(self, token: int, in_flight: int, average: int) -> None:
+        """Adds what another host reports, or takes it back if negative.
+
+        Args:
+            token: Routing token of the upstream.
+            in_flight: Requests that it has from that host.
+            average: Average of that, in hundredths.
+        """
+        sums = self._others.setdefault(token, [0, 0])
+        sums[0] += in_flight
+        sums[1] += average
+        if sums == [0, 0]:
+            del self._others[token]
+
+    def others_in_flight(self, token: int) -> int:
+        """Returns the requests of other hosts that an upstream has."""
+        return self._others.get(token, _NOTHING)[0]
+
+    def others_average(self, token: int) -> float:
+        """Returns the average of other hosts' requests at an upstream."""
+        return self._others.get(token, _NOTHING)[1] / 100
+
+    def active(self) -> list[ids.UpstreamId]:
+        """Returns the upstreams that have or lately had own requests."""
+        return list(self._loads)
+
+    def forget(self, upstream: ids.UpstreamId) -> None:
+        """Drops what is known of an upstream that is no more."""
+        self._loads.pop(upstream, None)
+
     def _change(self, upstream: ids.UpstreamId, step: int) -> None:
         now = self._clock()
         load = self._loads.get(upstream)
--- /dev/null
+++ b/persimmonhinge/forwarding/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What hosts that forward packets tell each other."""
--- /dev/null
+++ b/persimmonhinge/forwarding/peers/book.py
@@ -0,0 +1,123 @@
+"""The hosts that a host hears, and what they last told."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from persimmonhinge.forwarding import flow as flows
+from persimmonhinge.forwarding import loads as load_books
+from persimmonhinge.forwarding import suspicions as suspicion_lists
+from persimmonhinge.forwarding.peers import messages
+
+# A host that told nothing for so long counts as silent, seconds: ten of the
+# shortest intervals between reports.
+SILENT_S = 1.0
+# A silent host is told no more after this time, seconds; one that lives is
+# heard again, since it goes on telling.
+_FORGET_S = 30.0
+
+
+class Peer(msgspec.Struct):
+    """Another host.
+
+    Attributes:
+        address: Where it receives reports.
+        known_since: When this host first heard of it.
+        heard_at: When its newest report came; None if none did.
+        report: Its newest report.
+    """
+
+    address: flows.Endpoint
+    known_since: float
+    heard_at: float | None = None
+    report: messages.Report | None = None
+
+
+class PeerBook:
+    """Keeps the newest report of each host, and what they say together."""
+
+    def __init__(
+        self,
+        own: flows.Endpoint,
+        loads: load_books.LoadBook,
+        suspicions: suspicion_lists.Suspicions,
+    ) -> None:
+        """Makes an empty book.
+
+        Args:
+            own: Where this host receives reports.
+            loads: Where the work that others see is entered.
+            suspicions: Where the doubts of others are entered.
+        """
+        self._own = own
+        self._loads = loads
+        self._suspicions = suspicions
+        self._peers: dict[flows.Endpoint, Peer] = {}
+
+    def add(self, address: flows.Endpoint, now: float) -> None:
+        """Adds a host that was named by somebody."""
+        if address != self._own and address not in self._peers:
+            self._peers[address] = Peer(address, now)
+
+    def take(
+        self, address: flows.Endpoint, report: messages.Report, now: float
+    ) -> bool:
+        """Takes in a report unless a newer one has come.
+
+        Returns:
+            True if it was taken in.
+        """
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = Peer(address, now)
+        former = peer.report
+        if former is not None and _is_newer(former, report):
+            return False
+        self._withdraw(peer)
+        peer.report = report
+        peer.heard_at = now
+        for line in report.loads:
+            self._loads.add_others(line.token, line.in_flight, line.average)
+            self._suspicions.add_others(line.token, line.missed)
+        return True
+
+    def drop_silent(self, now: float) -> list[flows.Endpoint]:
+        """Forgets what silent hosts told; returns those that fell silent."""
+        silent = []
+        for peer in list(self._peers.values()):
+            heard_at = peer.heard_at or peer.known_since
+            if peer.report is not None and now - heard_at > SILENT_S:
+                self._withdraw(peer)
+                peer.report = None
+                silent.append(peer.address)
+            if now - heard_at > _FORGET_S:
+                del self._peers[peer.address]
+        return silent
+
+    def heard(self) -> list[Peer]:
+        """Returns the hosts whose reports count."""
+        return [p for p in self._peers.values() if p.report is not None]
+
+    def addresses(self) -> list[flows.Endpoint]:
+        """Returns where reports are sent to."""
+        return list(self._peers)
+
+    def pick_addresses(self, most: int) -> tuple[flows.Endpoint, ...]:
+        """Returns some of the hosts that are heard."""
+        heard = [peer.address for peer in self.heard()]
+        return tuple(random.sample(heard, min(most, len(heard))))
+
+    def _withdraw(self, peer: Peer) -> None:
+        if peer.report is None:
+            return
+        for line in peer.report.loads:
+            self._loads.add_others(line.token, -line.in_flight, -line.average)
+            self._suspicions.add_others(line.token, -line.missed)
+
+
+def _is_newer(former: messages.Report, report: messages.Report) -> bool:
+    if former.incarnation != report.incarnation:
+        return former.incarnation > report.incarnation
+    return former.sequence >= report.sequence
--- a/persimmonhinge/forwarding/reading.py
+++ b/persimmonhinge/forwarding/reading.py
@@ -9,8 +9,10 @@
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.forwarding import desired_state as desired_states
+from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import knowledge as knowledge_parts
 from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.store import port
 
@@ -41,7 +43,11 @@
 
 
 class Entries:
-    """Takes entries of the store into the knowledge of a host."""
+    """Takes entries of the store into the knowledge of a host.
+
+    Attributes:
+        revision: The newest revision of an entry that is known.
+    """
 
     def __init__(
         self,
@@ -52,6 +58,8 @@
         self._reader = reader
         self._knowledge = knowledge
         self._counts = counts
+        self._latest: dict[str, messages.EntryLine] = {}
+        self.revision = 0
 
     async def read_all(self, store: port.Platform) -> int:
         """Reads all entries.
@@ -68,26 +76,57 @@
         state = await store.get_prefix(self._reader.state_key)
         self.record_answer()
         for pair in state.values:
-            self.take(pair.key, pair.value)
+            self.take(pair.key, pair.value, pair.mod_revision)
         found = await store.get_prefix(self._reader.upstreams_prefix)
         self.record_answer()
         for pair in found.values:
-            self.take(pair.key, pair.value)
-        self._miss_others({pair.key for pair in found.values})
+            self.take(pair.key, pair.value, pair.mod_revision)
+        self._miss_others({pair.key for pair in found.values}, found.revision)
         return min(state.revision, found.revision)
 
-    def take(self, key: str, value: bytes | None) -> None:
-        """Takes in an entry, or that it is not there."""
-        reader = self._reader
+    def take(
+        self,
+        key: str,
+        value: bytes | None,
+        revision: int,
+        source: str = _SOURCE,
+    ) -> None:
+        """Takes in an entry, or that it was deleted, if it is newer.
+
+        Guards against going back: a peer that was cut off, or an answer that
+        comes late, brings an entry as it was before.
+
+        Args:
+            key: Key of the entry.
+            value: Its value; None if it was deleted.
+            revision: Revision of the store of the change.
+            source: Who told it, for the log.
+        """
+        known = self._latest.get(key)
+        if known is not None and known.revision >= revision:
+            return
+        if not key.startswith(self._prefixes()):
+            return
+        self._latest[key] = messages.EntryLine(key, value, revision)
+        self.revision = max(self.revision, revision)
         try:
-            if key == reader.state_key and value is not None:
-                self._knowledge.take_state(reader.read_state(value), _SOURCE)
-            elif key.startswith(reader.upstreams_prefix):
-                self._take_upstream(key, value)
+            self._apply(key, value, source)
         except errors.UnreadableEntryError as error:
             self._counts.add("unreadable_entries_total")
             logger.error("Keeps the former entry: %s.", error)
 
+    def make_snapshot(
+        self, peers: tuple[flows.Endpoint, ...]
+    ) -> messages.Snapshot:
+        """Returns all entries that are known, for another host."""
+        entries = tuple(self._latest.values())
+        return messages.Snapshot(self.revision, entries, peers)
+
+    def take_snapshot(self, snapshot: messages.Snapshot, source: str) -> None:
+        """Takes in what another host knows."""
+        for entry in snapshot.entries:
+            self.take(entry.key, entry.value, entry.revision, source)
+
     def record_answer(self) -> None:
         """Records that the store answered."""
         now = time.monotonic()
@@ -107,18 +146,31 @@
             )
         trust.record_failure()
 
-    def _take_upstream(self, key: str, value: bytes | None) -> None:
+    def _prefixes(self) -> tuple[str, ...]:
+        return (self._reader.state_key, self._reader.upstreams_prefix)
+
+    def _apply(self, key: str, value: bytes | None, source: str) -> None:
+        reader = self._reader
+        if key == reader.state_key and value is not None:
+            self._knowledge.take_state(reader.read_state(value), source)
+        elif key.startswith(reader.upstreams_prefix):
+            self._apply_upstream(key, value, source)
+
+    def _apply_upstream(
+        self, key: str, value: bytes | None, source: str
+    ) -> None:
         now = time.monotonic()
         if value is None:
             name = self._reader.name_upstream(key)
-            self._knowledge.miss_upstream(name, now, _SOURCE)
+            self._knowledge.miss_upstream(name, now, source)
         else:
             upstream = self._reader.read_upstream(key, value)
-            self._knowledge.take_upstream(upstream, now, _SOURCE)
-
-    def _miss_others(self, keys: set[str]) -> None:
-        present = {self._reader.name_upstream(key) for key in keys}
-        now = time.monotonic()
-        for upstream in self._knowledge.directory.all():
-            if upstream.id not in present:
-                self._knowledge.miss_upstream(upstream.id, now, _SOURCE)
+            self._knowledge.take_upstream(upstream, now, source)
+
+    def _miss_others(self, keys: set[str], revision: int) -> None:
+        """Takes all upstreams for deleted that a reading does not show."""
+        for entry in list(self._latest.values()):
+            if entry.key in keys or entry.value is None:
+                continue
+            if entry.key.startswith(self._reader.upstreams_prefix):
+                self.take(entry.key, None, revision)
--- a/persimmonhinge/forwarding/settings.py
+++ b/persimmonhinge/forwarding/settings.py
@@ -34,7 +34,10 @@
         domain: Its failure domain.
         packets: IP address and UDP port of packets.
         pages: IP address and TCP port of the readiness page.
-        peer_ports: First and last port that hosts may use among themselves.
+        peer_ports: First and last port that hosts may use among themselves;
+            the first is for reports, the next for snapshots.
+        seeds: Addresses and ports of hosts to tell first; the ports are not
+            used.
         store: The platform's store.
         drain_limit_ms: Time in which an upstream that leaves must get no new
             flow any more, milliseconds.
@@ -52,6 +55,7 @@
     pages: str
     peer_ports: tuple[Port, Port]
     store: StoreAddress
+    seeds: tuple[str, ...] = ()
     drain_limit_ms: Positive = 3000
     change_limit_ms: Positive = 3000
     stop_limit_s: Positive = 6
@@ -65,9 +69,33 @@
         Raises:
             ValueError: One of them is not an address and a port.
         """
-        for text in (self.packets, self.pages, self.store.address):
+        for text in (
+            self.packets,
+            self.pages,
+            self.store.address,
+            *self.seeds,
+        ):
             parse_endpoint(text)
 
+    @property
+    def own_address(self) -> str:
+        """IP address of this host."""
+        return parse_endpoint(self.packets).host
+
+    @property
+    def report_port(self) -> int:
+        """UDP port of reports, the same at all hosts."""
+        return self.peer_ports[0]
+
+    @property
+    def snapshot_port(self) -> int:
+        """TCP port of snapshots, the same at all hosts."""
+        return self.peer_ports[0] + 1
+
+    def seed_addresses(self) -> list[str]:
+        """Returns IP addresses of hosts to tell first."""
+        return [parse_endpoint(seed).host for seed in self.seeds]
+
 
 def parse_endpoint(text: str) -> flows.Endpoint:
     """Reads an address and a port, as in `10.0.0.1:80`.
--- a/persimmonhinge/forwarding/startup.py
+++ b/persimmonhinge/forwarding/startup.py
@@ -4,22 +4,28 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-import importlib.abc
-import importlib.machinery
 import logging
 import sys
 import types
+from typing import TYPE_CHECKING
 
 from persimmonhinge import errors
 from persimmonhinge.forwarding import core as cores
 from persimmonhinge.store import blocking_transport
 from persimmonhinge.store import port
 
+if TYPE_CHECKING:
+    import importlib.machinery
+
 logger = logging.getLogger(__name__)
 
 
-class _TurnFinder(importlib.abc.MetaPathFinder):
-    """Finds no module, but gives packets a turn before each import."""
+class _TurnFinder:
+    """Finds no module, but gives packets a turn before each import.
+
+    It is a meta path finder by its method alone: the module of the abstract
+    class takes 15 ms of processor time to import.
+    """
 
     def __init__(self, core: cores.ForwardCore) -> None:
         self._core = core
--- a/persimmonhinge/forwarding/suspicions.py
+++ b/persimmonhinge/forwarding/suspicions.py
@@ -15,12 +15,21 @@
 _PAUSES_S = (0.25, 0.5, 1.0, 2.0)
 
 
+# An upstream that answered this host itself so lately is not held back by what
+# other hosts say, seconds.
+_OWN_SIGHT_S = 0.5
+# Opening packets in a row that other hosts, all together, must have missed.
+_OTHERS_MISSED = 2
+
+
 class Suspicions:
     """Counts unanswered opening packets in a row, and pauses upstreams."""
 
     def __init__(self) -> None:
         self._missed: dict[ids.UpstreamId, int] = {}
         self._until: dict[ids.UpstreamId, float] = {}
+        self._answered_at: dict[ids.UpstreamId, float] = {}
+        self._others: dict[int, int] = {}
 
     def record_miss(self, upstream: ids.UpstreamId, now: float) -> None:
         """Records that an opening packet was not answered."""
@@ -33,12 +42,41 @@
             extra={"upstream": upstream, "missed": missed, "pause_s": pause_s},
         )
 
-    def record_answer(self, upstream: ids.UpstreamId) -> None:
+    def record_answer(self, upstream: ids.UpstreamId, now: float) -> None:
         """Records that an upstream answered."""
+        self._answered_at[upstream] = now
         if self._missed.pop(upstream, 0):
             del self._until[upstream]
             logger.info("Upstream answers again.", extra={"upstream": upstream})
 
-    def holds(self, upstream: ids.UpstreamId, now: float) -> bool:
-        """Tells whether an upstream is to get no new flow."""
-        return now < self._until.get(upstream, 0.0)
+    def holds(self, upstream: ids.UpstreamId, token: int, now: float) -> bool:
+        """Tells whether an upstream is to get no new flow.
+
+        Args:
+            upstream: The upstream.
+            token: Its routing token, by which other hosts name it.
+            now: The time.
+        """
+        if now < self._until.get(upstream, 0.0):
+            return True
+        if self._others.get(token, 0) < _OTHERS_MISSED:
+            return False
+        return now - self._answered_at.get(upstream, 0.0) > _OWN_SIGHT_S
+
+    def missed(self, upstream: ids.UpstreamId) -> int:
+        """Returns the opening packets in a row that were not answered."""
+        return self._missed.get(upstream, 0)
+
+    def add_others(self, token: int, missed: int) -> None:
+        """Adds what another host missed, or takes it back if negative."""
+        total = self._others.get(token, 0) + missed
+        if total:
+            self._others[token] = total
+        else:
+            self._others.pop(token, None)
+
+    def forget(self, upstream: ids.UpstreamId) -> None:
+        """Drops what is known of an upstream that is no more."""
+        self._missed.pop(upstream, None)
+        self._until.pop(upstream, None)
+        self._answered_at.pop(upstream, None)
--- a/persimmonhinge/logs.py
+++ b/persimmonhinge/logs.py
@@ -21,9 +21,7 @@
         self._name = name
 
     def filter(self, record: logging.LogRecord) -> bool:
-        parts = record.name.split(".")
-        part = parts[1] if len(parts) > 1 else "cmd"
-        record.prefix = f"[{self._name}/{part}]"
+        record.prefix = f"[{self._name}/{name_part(record.name)}]"
         return True
 
 
@@ -39,6 +37,22 @@
     formatter.converter = time.gmtime
     handler.setFormatter(formatter)
     handler.addFilter(_PartFilter(name))
+    install(handler, level)
+
+
+def name_part(logger_name: str) -> str:
+    """Returns the part of the package that a logger belongs to."""
+    parts = logger_name.split(".")
+    return parts[1] if len(parts) > 1 else "cmd"
+
+
+def install(handler: logging.Handler, level: str) -> None:
+    """Makes a handler the only one of this package.
+
+    Args:
+        handler: The handler.
+        level: Name of the lowest level that is written.
+    """
     for logger_name in (_PACKAGE, _MAIN):
         logger = logging.getLogger(logger_name)
         logger.handlers = [handler]
