Reset open flows only of routes that a known version dropped; read early in 0.3 s

Cause: a host that had not heard of a new route would have reset flows that a better informed host opened; a silent store would have held up the start for two seconds; reports of a restarted host were refused after a clock step.

--- a/persimmonhinge/cmd/forward.py
+++ b/persimmonhinge/cmd/forward.py
@@ -41,7 +41,11 @@
     core = cores.ForwardCore(
         settings, bound, adapter.PacketFormat(), adapter.EntryFormat()
     )
-    store = adapter.make_store(settings, blocking_transport.BlockingTransport)
+    store = adapter.make_store(
+        settings,
+        blocking_transport.BlockingTransport,
+        settings.first_call_limit_s,
+    )
     startup.forward_during(_import_rest, core, store)
     _run(core)
 
--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -98,7 +98,14 @@
         return self.socket.receive_batch(self.forwarder.receive)
 
     def handle_due_openings(self) -> None:
-        """Sends opening packets that were not answered elsewhere."""
+        """Sends opening packets that were not answered elsewhere.
+
+        Guards against taking upstreams for dead after this process itself
+        stood still: the answers may lie unread in the socket by then. So all
+        packets that have come are read first.
+        """
+        while self.receive_batch() == sockets.MOST_IN_A_ROW:
+            pass
         for opening in self.openings.take_due():
             self.forwarder.open_elsewhere(opening)
 
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -121,14 +121,18 @@
         record: flow_table.FlowRecord,
         now: float,
     ) -> None:
-        """Forwards a copy of an opening packet that this host knows."""
-        opening = self._openings.remove(packet.flow)
-        if record.established or opening is None:
+        """Forwards a copy of an opening packet that this host knows.
+
+        Guards against a second upstream for a flow that is open: it would
+        answer the copy, and the caller would take its token for the flow's.
+        """
+        if record.established:
             upstream = self._knowledge.directory.get(record.upstream)
             if upstream is not None:
                 self._forward(packet, upstream)
             return
-        self._send_opening(packet, opening.tried, now)
+        self._openings.remove(packet.flow)
+        self._send_opening(packet, [], now)
 
     def _send_opening(
         self,
@@ -150,19 +154,18 @@
         self._forward(packet, upstream)
 
     def _find_route(self, packet: packets.Packet) -> routes.Route | None:
-        state = self._knowledge.state
-        if state is None:
-            self._drop(packet, "no-desired-state")
-            return None
-        flow = packet.flow
-        at = routes.RouteAddress(flow.service, flow.service_port)
-        route = state.routes.get(at)
-        if route is None:
+        route = self._knowledge.find_route(packet.flow)
+        if route is not None:
+            return route
+        if self._knowledge.is_current(self._clock()):
             self._reset(packet, "no-route")
-        return route
+        else:
+            self._drop(packet, "no-route-in-old-state")
+        return None
 
     def _continue(self, packet: packets.Packet) -> None:
-        if self._find_route(packet) is None:
+        if self._knowledge.is_dropped(packet.flow):
+            self._reset(packet, "route-dropped")
             self._tracker.forget(packet.flow)
             return
         upstream = self._knowledge.directory.find(packet.token)
--- a/persimmonhinge/forwarding/knowledge.py
+++ b/persimmonhinge/forwarding/knowledge.py
@@ -7,9 +7,15 @@
 from persimmonhinge import ids
 from persimmonhinge.forwarding import desired_state as desired_states
 from persimmonhinge.forwarding import directory as directories
+from persimmonhinge.forwarding import flow as flows
+from persimmonhinge.forwarding import route as routes
 from persimmonhinge.forwarding import trust as trusts
 from persimmonhinge.forwarding import upstream as upstreams
 
+# A watch is answered at least every 1.5 s, and a little later by a slow store;
+# older knowledge may lack something, seconds.
+CURRENT_S = 2.2
+
 logger = logging.getLogger(__name__)
 
 
@@ -28,12 +34,42 @@
         self.trust = trusts.StoreTrust()
         self.confirmed_at: float | None = None
         self._state: desired_states.DesiredState | None = None
+        self._dropped: set[routes.RouteAddress] = set()
 
     @property
     def state(self) -> desired_states.DesiredState | None:
         """The desired state in force; None if none is known yet."""
         return self._state
 
+    def find_route(self, flow: flows.FlowId) -> routes.Route | None:
+        """Returns the route of a flow, None if there is none."""
+        if self._state is None:
+            return None
+        at = routes.RouteAddress(flow.service, flow.service_port)
+        return self._state.routes.get(at)
+
+    def is_dropped(self, flow: flows.FlowId) -> bool:
+        """Tells whether a version that is in force took the flow's route away.
+
+        A route that this host never heard of is another matter: one that was
+        just added may be known to the host that opened the flow, but not
+        here yet.
+        """
+        at = routes.RouteAddress(flow.service, flow.service_port)
+        return at in self._dropped
+
+    def is_current(self, now: float) -> bool:
+        """Tells whether what is not known here does not exist.
+
+        Guards against refusing flows of a route that was just added, at a
+        host that the store does not answer: the caller's next copy may come
+        to a host that knows more.
+        """
+        confirmed_at = self.confirmed_at
+        if self._state is None or confirmed_at is None or self.trust.failing:
+            return False
+        return now - confirmed_at < CURRENT_S
+
     def compute_age_ms(self, now: float) -> int:
         """Returns how long ago the store confirmed this, -1 if never."""
         if self.confirmed_at is None:
@@ -59,6 +95,9 @@
         former = self._state.version if self._state is not None else None
         if former is not None and former >= state.version:
             return False
+        if self._state is not None:
+            self._dropped |= self._state.routes.keys()
+        self._dropped -= state.routes.keys()
         self._state = state
         logger.info(
             "Desired state in force.",
--- a/persimmonhinge/forwarding/peers/book.py
+++ b/persimmonhinge/forwarding/peers/book.py
@@ -119,5 +119,5 @@
 
 def _is_newer(former: messages.Report, report: messages.Report) -> bool:
     if former.incarnation != report.incarnation:
-        return former.incarnation > report.incarnation
+        return False
     return former.sequence >= report.sequence
--- a/persimmonhinge/forwarding/peers/messages.py
+++ b/persimmonhinge/forwarding/peers/messages.py
@@ -28,7 +28,7 @@
 
     Attributes:
         host: Name of the host.
-        incarnation: Number of its process.
+        incarnation: Number of its process, drawn at its start.
         sequence: Number of the report within the process.
         domain: Its failure domain.
         revision: Revision of the store that its knowledge is complete to.
--- a/persimmonhinge/forwarding/peers/service.py
+++ b/persimmonhinge/forwarding/peers/service.py
@@ -44,7 +44,7 @@
         self._snapshot_port = settings.snapshot_port
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(messages.Report)
-        self._incarnation = time.time_ns() // 1_000_000
+        self._incarnation = random.getrandbits(63)
         self._sequence = 0
         self._behind_since: float | None = None
         self.leaving = False
--- a/persimmonhinge/forwarding/program.py
+++ b/persimmonhinge/forwarding/program.py
@@ -22,6 +22,7 @@
     [
         forward_settings.ForwardSettings,
         Callable[[str, int], transports.Transport],
+        float,
     ],
     port.Platform,
 ]
@@ -35,7 +36,10 @@
         make_store: Makes a client of the store.
     """
     collector.relax()
-    store = make_store(core.settings, trio_transport.TrioTransport)
+    settings = core.settings
+    store = make_store(
+        settings, trio_transport.TrioTransport, settings.call_limit_s
+    )
     trio.run(_run, application.ForwardApplication(core, store))
 
 
--- a/persimmonhinge/forwarding/settings.py
+++ b/persimmonhinge/forwarding/settings.py
@@ -45,6 +45,13 @@
             milliseconds.
         stop_limit_s: Time between SIGTERM and SIGKILL, seconds.
         flow_life_s: Age after which a flow may be forgotten, seconds.
+        call_limit_s: Limit of a call to the store, seconds. A slow store
+            answers in 0.4 s.
+        first_call_limit_s: The same while packets wait for the first answer,
+            seconds.
+        watch_wait_s: How long a watch waits for a change, seconds: with the
+            time for a new reading it must stay below the time in which an
+            upstream that leaves must get no new flow.
         choice: Policy that chooses the upstream of a new flow.
         log_level: Name of the lowest level that is logged.
     """
@@ -60,6 +67,9 @@
     change_limit_ms: Positive = 3000
     stop_limit_s: Positive = 6
     flow_life_s: Positive = 60
+    call_limit_s: Positive = 1.0
+    first_call_limit_s: Positive = 0.3
+    watch_wait_s: Positive = 1.5
     choice: str = "near-first"
     log_level: str = "INFO"
 
