Speak the users' store everywhere; run test files side by side

Cause: two clients for two stores stood side by side, and the guess of an etcd gateway served only its own stand-in. The stand-in now speaks the users' store, one client serves all programs, and its tests moved over unchanged but for the step named in an error.

--- a/benchmarks/in_force.py
+++ b/benchmarks/in_force.py
@@ -24,7 +24,8 @@
 from persimmonhinge.contracts import change_writer
 from persimmonhinge.contracts import repository as repositories
 from persimmonhinge.contracts import request as requests
-from persimmonhinge.store import client as platform_clients
+from persimmonhinge.platform import opening as platform_opening
+from persimmonhinge.store import port as store_ports
 from tests.standins import cut_deployment
 from tests.test_integration import control_plans
 
@@ -45,7 +46,7 @@
     def __init__(
         self,
         deployment: cut_deployment.CutDeployment,
-        platform: platform_clients.EtcdPlatform,
+        platform: store_ports.Platform,
     ) -> None:
         prefix = deployment.platform.settings().prefix
         trail = audit_trail.AuditTrail(platform, prefix, _AUDIT_ENTRIES)
@@ -95,7 +96,7 @@
     plan = control_plans.make_plan(hosts)
     async with cut_deployment.run_cut_deployment(plan) as deployment:
         settings = deployment.platform.settings()
-        async with platform_clients.EtcdPlatform(settings) as platform:
+        async with platform_opening.open_store(settings) as platform:
             operator = Operator(deployment, platform)
             names = deployment.names()
             await deployment.pages.wait_sees(names, names)
--- a/persimmonhinge/cmd/forward.py
+++ b/persimmonhinge/cmd/forward.py
@@ -42,7 +42,7 @@
         settings, bound, adapter.PacketFormat(), adapter.EntryFormat()
     )
     store = adapter.make_store(
-        settings,
+        (settings.store.address,),
         blocking_transport.BlockingTransport,
         settings.first_call_limit_s,
     )
--- a/persimmonhinge/ctl/session.py
+++ b/persimmonhinge/ctl/session.py
@@ -27,8 +27,9 @@
 from persimmonhinge.ctl import host_client
 from persimmonhinge.ctl import host_directory
 from persimmonhinge.ctl import printer as printers
+from persimmonhinge.platform import opening as platform_opening
 from persimmonhinge.settings import ctl
-from persimmonhinge.store import client
+from persimmonhinge.store import port
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,7 +68,7 @@
         settings: ctl.CtlSettings,
         invocation: Invocation,
         printer: printers.Printer,
-        platform: client.EtcdPlatform,
+        platform: port.Platform,
         hosts: host_client.HostClient,
     ) -> None:
         self.settings = settings
@@ -155,6 +156,6 @@
     invocation: Invocation,
     printer: printers.Printer,
 ) -> AsyncIterator[Session]:
-    async with client.EtcdPlatform(settings.platform) as platform:
+    async with platform_opening.open_store(settings.platform) as platform:
         async with host_client.HostClient(settings.host_timeout_s) as hosts:
             yield Session(settings, invocation, printer, platform, hosts)
--- a/persimmonhinge/errors.py
+++ b/persimmonhinge/errors.py
@@ -81,6 +81,10 @@
     """The platform gave no answer; a write may have taken effect."""
 
 
+class PlatformUnreachableError(PlatformUnavailableError):
+    """No connection to the platform could be opened: nothing was done."""
+
+
 class PlatformWentBackError(PlatformError):
     """The platform shows an earlier state than one that was in force."""
 
--- a/persimmonhinge/parts.py
+++ b/persimmonhinge/parts.py
@@ -25,10 +25,10 @@
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.metrics import page
 from persimmonhinge.peers import streams
+from persimmonhinge.platform import opening as platform_opening
 from persimmonhinge.settings import entry as settings_entry
 from persimmonhinge.status import document
 from persimmonhinge.status import page as status_pages
-from persimmonhinge.store import client as platform_client
 from persimmonhinge.upstreams import keeper as keepers
 
 
@@ -128,7 +128,7 @@
 def _make_control(
     settings: settings_entry.EntrySettings, base: _Base
 ) -> tuple[memberships.Membership, controls.Control]:
-    platform = platform_client.EtcdPlatform(settings.platform)
+    platform = platform_opening.open_store(settings.platform)
     host_list = host_lists.HostList(settings.platform.prefix)
     membership = memberships.Membership(
         settings, base.view, base.counts, host_list.hosts
--- a/persimmonhinge/platform/adapter.py
+++ b/persimmonhinge/platform/adapter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from persimmonhinge import ids
 from persimmonhinge.forwarding import desired_state as desired_states
@@ -16,6 +17,9 @@
 from persimmonhinge.store import transport as transports
 
 SETTINGS_VARIABLE = "PERSIMMONHINGE_NODE_FILE"
+# How long a watch of the operators' contracts waits, seconds. They are to be in
+# force within 7 s, also when a watch has gone silent.
+WATCH_WAIT_S = 2.0
 
 
 class PacketFormat:
@@ -56,19 +60,19 @@
 
 
 def make_store(
-    settings: forward_settings.ForwardSettings,
+    addresses: Iterable[str],
     make_transport: Callable[[str, int], transports.Transport],
     timeout_s: float,
+    watch_wait_s: float = WATCH_WAIT_S,
 ) -> store.MetadataStore:
-    """Returns a client of the store that the settings name.
+    """Returns a client of the store.
 
     Args:
-        settings: Settings of the host.
+        addresses: IP addresses and ports of the store, tried in turn.
         make_transport: Makes a connection.
         timeout_s: Limit of a call, seconds.
+        watch_wait_s: How long a watch waits for a change, seconds.
     """
-    host, number = forward_settings.parse_endpoint(settings.store.address)
-    return store.MetadataStore(
-        port.StoreSettings(host, number, timeout_s, settings.watch_wait_s),
-        make_transport,
-    )
+    parsed = tuple(forward_settings.parse_endpoint(a) for a in addresses)
+    settings = port.StoreSettings(parsed, timeout_s, watch_wait_s)
+    return store.MetadataStore(settings, make_transport)
--- /dev/null
+++ b/persimmonhinge/platform/opening.py
@@ -0,0 +1,17 @@
+"""Opens the store for programs that run on trio."""
+
+from __future__ import annotations
+
+from persimmonhinge.platform import adapter
+from persimmonhinge.platform import store
+from persimmonhinge.settings import entry
+from persimmonhinge.store import trio_transport
+
+
+def open_store(settings: entry.PlatformSettings) -> store.MetadataStore:
+    """Returns a client of the store that the settings name."""
+    return adapter.make_store(
+        (url.removeprefix("http://").rstrip("/") for url in settings.endpoints),
+        trio_transport.TrioTransport,
+        settings.timeout_s,
+    )
--- a/persimmonhinge/platform/store.py
+++ b/persimmonhinge/platform/store.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import contextlib
 import re
+from typing import Self
 from typing import TypeVar
 
 import msgspec
@@ -13,6 +14,7 @@
 from persimmonhinge import errors
 from persimmonhinge.platform import messages
 from persimmonhinge.store import http
+from persimmonhinge.store import pool as pools
 from persimmonhinge.store import port
 from persimmonhinge.store import transport as transports
 
@@ -31,9 +33,10 @@
 
 
 class MetadataStore:
-    """Implements `port.Platform`; each method is one call, none retries.
+    """Implements `port.Platform`; each method is one call at the platform.
 
-    Calls go over one connection and each watch over one of its own.
+    Calls share some connections, and each watch has one of its own. Close it,
+    or use it in `async with`.
     """
 
     def __init__(
@@ -42,12 +45,19 @@
         make_transport: Callable[[str, int], transports.Transport],
     ) -> None:
         self._settings = settings
-        self._make_transport = make_transport
-        self._calls = self._connect()
+        self._pool = pools.ConnectionPool(settings, make_transport)
+
+    async def __aenter__(self) -> Self:
+        """Returns itself."""
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Closes the connections of calls."""
+        await self.close()
 
     async def close(self) -> None:
-        """Closes the connection of calls."""
-        self._calls.close()
+        """Closes the connections of calls."""
+        self._pool.close()
 
     async def get(self, key: str) -> port.KeyValue | None:
         """See `port.Platform`."""
@@ -94,7 +104,9 @@
         )
         body = msgspec.json.encode(transaction)
         accepted = {_OK, _CONDITION_FAILED}
-        response = await self._call("POST", "/kv-txn", body, accepted)
+        response = await self._call(
+            "POST", "/kv-txn", body, accepted, repeatable=False
+        )
         if response.status == _CONDITION_FAILED:
             return None
         answer = _decode(response.body, messages.TransactionAnswer, "/kv-txn")
@@ -122,7 +134,7 @@
         self, prefix: str, start_revision: int
     ) -> AsyncIterator[AsyncIterator[tuple[port.WatchEvent, ...]]]:
         """See `port.Platform`."""
-        connection = self._connect()
+        connection = self._pool.connect()
         events = self._poll(connection, prefix, start_revision - 1)
         try:
             yield events
@@ -149,18 +161,20 @@
             yield tuple(_convert_event(item) for item in answer.events)
 
     async def _call(
-        self, method: str, target: str, body: bytes, accepted: set[int]
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        accepted: set[int],
+        *,
+        repeatable: bool = True,
     ) -> http.Response:
-        timeout_s = self._settings.timeout_s
-        response = await self._calls.call(method, target, body, timeout_s)
+        response = await self._pool.call(
+            method, target, body, repeatable=repeatable
+        )
         _check(response, target, accepted)
         return response
 
-    def _connect(self) -> http.HttpConnection:
-        host, number = self._settings.host, self._settings.port
-        transport = self._make_transport(host, number)
-        return http.HttpConnection(transport, f"{host}:{number}")
-
 
 def _make_target(path: str, **parameters: str) -> str:
     pairs = (f"{name}={_quote(text)}" for name, text in parameters.items())
--- a/persimmonhinge/store/http.py
+++ b/persimmonhinge/store/http.py
@@ -46,6 +46,9 @@
 
     After any failure it is closed, and the next call opens a new one: an
     answer that comes late on the old one can't be taken for another call's.
+
+    Attributes:
+        is_used: True if it is open and has carried a call.
     """
 
     def __init__(self, transport: transports.Transport, peer: str) -> None:
@@ -57,6 +60,8 @@
         """
         self._transport = transport
         self._peer = peer
+        self._opened = False
+        self.is_used = False
 
     async def call(
         self, method: str, target: str, body: bytes, timeout_s: float
@@ -70,6 +75,7 @@
             timeout_s: Limit for the whole call, seconds.
 
         Raises:
+            PlatformUnreachableError: No connection could be opened.
             PlatformUnavailableError: No answer in time, or the connection
                 failed; the call may have taken effect.
         """
@@ -82,18 +88,24 @@
         try:
             response = await self._transport.run_within(timeout_s, exchange)
         except (OSError, httptools.HttpParserError) as error:
-            raise errors.PlatformUnavailableError(
+            kind = errors.PlatformUnavailableError
+            if not self._opened:
+                kind = errors.PlatformUnreachableError
+            raise kind(
                 str(error) or type(error).__name__,
                 step=f"store {method} {target.partition('?')[0]}",
                 peer=self._peer,
             ) from error
         finally:
-            if response is None or not response.keeps:
+            self.is_used = response is not None and response.keeps
+            if not self.is_used:
                 self.close()
         return response
 
     def close(self) -> None:
         """Closes the connection at once."""
+        self._opened = False
+        self.is_used = False
         self._transport.close()
 
     def _encode(self, method: str, target: str, body: bytes) -> bytes:
@@ -108,6 +120,7 @@
 
     async def _exchange(self, octets: bytes) -> Response:
         await self._transport.open()
+        self._opened = True
         await self._transport.send_all(octets)
         collector = _Collector()
         parser = httptools.HttpResponseParser(collector)
--- /dev/null
+++ b/tests/test_forwarding/test_forwarding_openings.py
@@ -0,0 +1,87 @@
+"""Tests of opening packets that meet a dead upstream."""
+
+from __future__ import annotations
+
+from persimmonhinge.forwarding import openings
+from tests.test_forwarding import scene as scenes
+
+
+def test_unanswered_opening_is_sent_elsewhere_before_the_callers_copy() -> None:
+    """Each new flow to a dead upstream costs its caller 200 ms.
+
+    An upstream goes dark; a new flow is sent there; its caller sends a copy
+    only after 200 ms, longer than its latency target. Cause: the host waits
+    for the copy though the answer is due after 4 ms.
+    """
+    scene = scenes.Scene()
+    scene.add(scenes.make_upstream(1))
+    scene.add(scenes.make_upstream(2))
+    first = scene.open()
+    scene.clock.sleep(openings.ANSWER_S + 0.001)
+    scene.handle_due()
+    second = scene.last_upstream()
+    assert second != first
+    assert scene.count_sent() == (2, 0)
+
+
+def test_answered_opening_is_sent_once() -> None:
+    scene = scenes.Scene()
+    scene.add(scenes.make_upstream(1))
+    scene.add(scenes.make_upstream(2))
+    chosen = scene.open()
+    scene.go_on(chosen)
+    scene.clock.sleep(1.0)
+    scene.handle_due()
+    assert scene.count_sent() == (2, 0)
+
+
+def test_opening_of_a_caller_that_left_is_not_sent_without_end() -> None:
+    """Hosts spend all their time on flows that nobody waits for.
+
+    A caller leaves after its opening packet; the host sends the packet from
+    one upstream to the next every 30 ms. Cause: no end to the tries.
+    """
+    scene = scenes.Scene()
+    for number in range(1, 9):
+        scene.add(scenes.make_upstream(number))
+    scene.open()
+    for _ in range(50):
+        scene.clock.sleep(openings.ANSWER_S + 0.001)
+        scene.handle_due()
+    assert scene.count_sent() == (3, 0)
+
+
+def test_copy_of_an_open_flow_goes_to_its_upstream() -> None:
+    """A feed is led astray by a copy of its first packet that came late.
+
+    The flow is open; the copy goes to a second upstream, whose answer brings
+    the caller another token. Cause: the copy was taken for a new flow.
+    """
+    scene = scenes.Scene()
+    for number in range(1, 9):
+        scene.add(scenes.make_upstream(number))
+    chosen = scene.open()
+    scene.go_on(chosen, data=10)
+    for _ in range(20):
+        scene.open(acknowledged=1)
+        assert scene.last_upstream() == chosen
+
+
+def test_dead_upstream_gets_few_openings_and_is_taken_back() -> None:
+    scene = scenes.Scene()
+    dead = scene.add(scenes.make_upstream(1))
+    live = scene.add(scenes.make_upstream(2))
+    sent_to_dead = 0
+    for port in range(1000, 1100):
+        chosen = scene.open(port=port)
+        if chosen == dead:
+            sent_to_dead += 1
+            scene.clock.sleep(openings.ANSWER_S)
+            scene.handle_due()
+        scene.go_on(live, port=port)
+        scene.go_on(live, port=port, acknowledged=1)
+        scene.clock.sleep(0.02)
+    assert 1 <= sent_to_dead <= 5
+    scene.clock.sleep(2.0)
+    scene.go_on(dead, port=2000)
+    assert dead in {scene.open(port=port) for port in range(3000, 3010)}
--- /dev/null
+++ b/tests/test_forwarding/test_forwarding_peers_book.py
@@ -0,0 +1,111 @@
+"""Tests of what hosts are told by each other."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from persimmonhinge.forwarding import flow as flows
+from persimmonhinge.forwarding import loads as load_books
+from persimmonhinge.forwarding import suspicions as suspicion_lists
+from persimmonhinge.forwarding.peers import book as books
+from persimmonhinge.forwarding.peers import messages
+
+OWN = flows.Endpoint("10.0.0.1", 7720)
+PEER = flows.Endpoint("10.0.0.2", 7720)
+TOKEN = 77
+
+
+class Told:
+    """A host that is told."""
+
+    def __init__(self) -> None:
+        self.loads = load_books.LoadBook()
+        self.suspicions = suspicion_lists.Suspicions()
+        self.book = books.PeerBook(OWN, self.loads, self.suspicions)
+
+    def take(
+        self,
+        sequence: int,
+        *,
+        in_flight: int = 0,
+        incarnation: int = 1,
+        missed: int = 0,
+        now: float = 10.0,
+    ) -> bool:
+        """Has a report come from the peer."""
+        line = messages.LoadLine(TOKEN, in_flight, in_flight * 100, missed)
+        report = messages.Report(
+            "b", incarnation, sequence, "north", 1, 0, False, (line,), ()
+        )
+        return self.book.take(PEER, report, now)
+
+
+def test_newest_report_replaces_the_one_before() -> None:
+    told = Told()
+    told.take(1, in_flight=3)
+    told.take(2, in_flight=5)
+    assert told.loads.others_in_flight(TOKEN) == 5
+    assert told.loads.others_average(TOKEN) == 5.0
+
+
+def test_report_that_comes_late_is_not_taken() -> None:
+    told = Told()
+    told.take(2, in_flight=5)
+    assert not told.take(1, in_flight=3)
+    assert told.loads.others_in_flight(TOKEN) == 5
+
+
+def test_restarted_host_is_heard_at_once() -> None:
+    """A host's work is not seen for a while after its restart.
+
+    Its time of day jumped back, or it counts its reports from 1 again. Cause:
+    reports of two processes compared with each other.
+    """
+    told = Told()
+    told.take(900, in_flight=5)
+    assert told.take(1, in_flight=2, incarnation=0)
+    assert told.loads.others_in_flight(TOKEN) == 2
+
+
+def test_silent_host_has_no_work() -> None:
+    """An upstream is passed over though a dead host's flows have ended.
+
+    A host is killed; what it reported last counts on. Cause: reports without
+    an age.
+    """
+    told = Told()
+    told.take(1, in_flight=5, now=10.0)
+    assert told.book.drop_silent(10.5) == []
+    assert told.book.drop_silent(11.5) == [PEER]
+    assert told.loads.others_in_flight(TOKEN) == 0
+
+
+def test_doubts_of_several_hosts_hold_an_upstream_back() -> None:
+    told = Told()
+    name = suspicion_lists.ids.UpstreamId("i-1")
+    told.take(1, missed=1)
+    assert not told.suspicions.holds(name, TOKEN, 10.0)
+    told.take(2, missed=2)
+    assert told.suspicions.holds(name, TOKEN, 10.0)
+    told.suspicions.record_answer(name, 10.0)
+    assert not told.suspicions.holds(name, TOKEN, 10.1)
+    told.take(3, missed=0)
+    assert not told.suspicions.holds(name, TOKEN, 20.0)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.integers(0, 50), strategies.integers(0, 9))
+    )
+)
+def test_sums_are_those_of_the_newest_report(
+    reports: list[tuple[int, int]],
+) -> None:
+    told = Told()
+    newest = (-1, 0)
+    for sequence, in_flight in reports:
+        told.take(sequence, in_flight=in_flight)
+        if sequence > newest[0]:
+            newest = (sequence, in_flight)
+    assert told.loads.others_in_flight(TOKEN) == newest[1]
--- /dev/null
+++ b/tests/test_forwarding/test_forwarding_reading.py
@@ -0,0 +1,153 @@
+"""Tests of what a host takes in from the store and from other hosts."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from persimmonhinge.forwarding import knowledge as knowledge_parts
+from persimmonhinge.forwarding import reading
+from persimmonhinge.forwarding import trust
+from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.platform import adapter
+from persimmonhinge.platform import entries as formats
+
+
+class Reader:
+    """Entries of one host, without a store."""
+
+    def __init__(self) -> None:
+        self.knowledge = knowledge_parts.Knowledge(60.0)
+        self.counts = host_counts.Counts()
+        self.entries = reading.Entries(
+            adapter.EntryFormat(), self.knowledge, self.counts
+        )
+
+    def state(self, name: str) -> upstreams.UpstreamState | None:
+        """Returns the state of an upstream."""
+        found = self.knowledge.directory.get(
+            formats.upstream_of(make_key(name))
+        )
+        return found.state if found else None
+
+
+def make_key(name: str) -> str:
+    return f"servers/i-{name}"
+
+
+def make_entry(state: str = "ready") -> bytes:
+    return msgspec.json.encode(
+        {
+            "Service": "floor",
+            "Addr": "10.0.0.9:8080",
+            "Zone": "north",
+            "Slots": 2,
+            "State": state,
+        }
+    )
+
+
+def make_state(version: int) -> bytes:
+    return msgspec.json.encode({"Version": version, "Routes": []})
+
+
+def test_versions_never_go_back() -> None:
+    """A dropped route is served again after it was refused.
+
+    Version 8 is in force; a host that was cut off tells of version 7. Cause:
+    the news that came last counted, not the newest.
+    """
+    reader = Reader()
+    reader.entries.take("op/config", make_state(8), 20)
+    reader.entries.take("op/config", make_state(7), 21, "peer")
+    reader.entries.take("op/config", make_state(9), 19, "peer")
+    assert reader.knowledge.state is not None
+    assert reader.knowledge.state.version == 8
+
+
+def test_older_entry_does_not_undo_a_drain() -> None:
+    """An upstream that leaves gets new flows again.
+
+    The store says that it drains; a host that was cut off tells that it is
+    ready, as it was before. Cause: entries without an order.
+    """
+    reader = Reader()
+    reader.entries.take(make_key("1"), make_entry("draining"), 30)
+    reader.entries.take(make_key("1"), make_entry("ready"), 29, "peer")
+    assert reader.state("1") is upstreams.UpstreamState.DRAINING
+    reader.entries.take(make_key("1"), None, 31)
+    reader.entries.take(make_key("1"), make_entry("draining"), 30, "peer")
+    assert reader.state("1") is upstreams.UpstreamState.GONE
+
+
+def test_unreadable_entries_leave_the_former_in_force() -> None:
+    reader = Reader()
+    reader.entries.take("op/config", make_state(3), 1)
+    reader.entries.take("op/config", b"{", 2)
+    reader.entries.take(make_key("1"), make_entry(), 3)
+    reader.entries.take(make_key("1"), b'{"Service": 4}', 4)
+    assert reader.knowledge.state is not None
+    assert reader.state("1") is upstreams.UpstreamState.READY
+    assert reader.counts.get("unreadable_entries_total") == 2
+
+
+def test_entries_lost_in_an_outage_count_as_missing_until_it_is_over() -> None:
+    """Hosts find no upstream for any service when the store comes back.
+
+    Leases ran out while the store was down, so all entries are gone at once;
+    they are back two seconds later. Cause: see the reset of their flows.
+    """
+    reader = Reader()
+    reader.entries.take(make_key("1"), make_entry(), 5)
+    reader.knowledge.trust.record_failure()
+    reader.entries.take(make_key("1"), None, 6)
+    assert reader.state("1") is upstreams.UpstreamState.MISSING
+    reader.entries.record_answer()
+    assert reader.state("1") is upstreams.UpstreamState.MISSING
+    assert reader.knowledge.confirmed_at is not None
+    reader.knowledge.settle(reader.knowledge.confirmed_at + trust.RETURN_S)
+    assert reader.state("1") is upstreams.UpstreamState.GONE
+
+
+def test_snapshot_brings_all_that_another_host_knows() -> None:
+    """A host that starts while the store is down serves nobody.
+
+    Its neighbours know all that it needs. Cause: the store was the only
+    source.
+    """
+    knowing, started = Reader(), Reader()
+    knowing.entries.take("op/config", make_state(4), 7)
+    knowing.entries.take(make_key("1"), make_entry(), 8)
+    knowing.entries.take(make_key("2"), make_entry(), 9)
+    knowing.entries.take(make_key("2"), None, 10)
+    started.entries.take_snapshot(knowing.entries.make_snapshot(()), "peer")
+    assert started.knowledge.is_complete()
+    assert started.state("1") is upstreams.UpstreamState.READY
+    assert started.state("2") is None
+    assert started.entries.revision == 10
+
+
+@hypothesis.given(strategies.permutations(range(1, 7)))
+def test_order_of_news_does_not_matter(order: list[int]) -> None:
+    reader = Reader()
+    news = {
+        1: make_entry("ready"),
+        2: make_entry("draining"),
+        3: None,
+        4: make_entry("ready"),
+        5: make_entry("draining"),
+        6: make_entry("ready"),
+    }
+    for revision in order:
+        reader.entries.take(make_key("1"), news[revision], revision)
+    assert reader.state("1") is upstreams.UpstreamState.READY
+
+
+@hypothesis.given(strategies.text(max_size=20), strategies.binary(max_size=80))
+def test_no_entry_ends_the_host(name: str, value: bytes) -> None:
+    reader = Reader()
+    reader.entries.take("op/config", value, 1)
+    reader.entries.take(f"servers/{name}", value, 2)
+    reader.entries.take(f"servers/{name}", make_entry(), 3)
--- /dev/null
+++ b/tests/test_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform's formats."""
--- /dev/null
+++ b/tests/test_structured_logs.py
@@ -0,0 +1,97 @@
+"""Tests of the structured log."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+
+from persimmonhinge import structured_logs
+
+
+class Clock:
+    """A clock that is moved by hand."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        """Returns the time."""
+        return self.now
+
+
+def make_record(text: str, **fields: object) -> logging.LogRecord:
+    record = logging.makeLogRecord(
+        {"name": "persimmonhinge.forwarding.x", "msg": text, **fields}
+    )
+    record.levelname = "INFO"
+    return record
+
+
+def read_lines(file: int) -> list[dict[str, object]]:
+    try:
+        octets = os.read(file, 1 << 20)
+    except BlockingIOError:
+        return []
+    return [json.loads(line) for line in octets.splitlines()]
+
+
+def test_line_holds_part_event_and_fields() -> None:
+    near, far = os.pipe()
+    handler = structured_logs.StructuredHandler("h-1", far)
+    handler.emit(make_record("Chose.", flow="a>b", age_s=0.5))
+    (line,) = read_lines(near)
+    assert line["part"] == "forwarding"
+    assert line["event"] == "Chose."
+    assert line["host"] == "h-1"
+    assert (line["flow"], line["age_s"]) == ("a>b", 0.5)
+    os.close(near)
+    os.close(far)
+
+
+def test_log_that_nobody_reads_does_not_hold_up_the_host() -> None:
+    """A host stops forwarding because its log is not read.
+
+    The pipe to the log collector is full; the next line waits for room, and
+    with it all packets. Cause: a write that blocks.
+    """
+    near, far = os.pipe()
+    clock = Clock()
+    handler = structured_logs.StructuredHandler("h-1", far, clock)
+    for _ in range(200):
+        clock.now += 1.0
+        handler.emit(make_record("x" * 2000))
+    os.set_blocking(near, False)
+    while read_lines_raw(near):
+        pass
+    clock.now += 10.0
+    handler.emit(make_record("After."))
+    events = [line["event"] for line in read_lines(near)]
+    assert events == ["Lines were left out.", "After."]
+    os.close(near)
+    os.close(far)
+
+
+def read_lines_raw(file: int) -> bytes:
+    try:
+        return os.read(file, 1 << 20)
+    except BlockingIOError:
+        return b""
+
+
+def test_lines_beyond_the_budget_are_counted() -> None:
+    near, far = os.pipe()
+    os.set_blocking(near, False)
+    clock = Clock()
+    handler = structured_logs.StructuredHandler("h-1", far, clock)
+    written = 0
+    for number in range(1500):
+        handler.emit(make_record(str(number)))
+        written += len(read_lines(near))
+    clock.now += 2.0
+    handler.emit(make_record("later"))
+    told, later = read_lines(near)
+    assert written + int(str(told["lines"])) == 1500
+    assert later["event"] == "later"
+    os.close(near)
+    os.close(far)
