Let one host of each failure domain follow the store

One host of each domain follows, the first by a hash of its name that can, and tells the others at once; all see by reports when they are behind, and pull. Doubt about entries that expired in an outage travels with the news.

--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -12,6 +12,7 @@
 from persimmonhinge.forwarding import openings as opening_lists
 from persimmonhinge.forwarding import pages as forward_pages
 from persimmonhinge.forwarding import settings as forward_settings
+from persimmonhinge.forwarding.peers import following as following_parts
 from persimmonhinge.forwarding.peers import service as peer_services
 from persimmonhinge.metrics import page
 from persimmonhinge.store import port
@@ -41,8 +42,19 @@
         self._settings = core.settings
         self._stopping = trio.Event()
         self._received_at = 0.0
-        self._peers = peer_services.PeerService(core)
-        self._follower = followers.Follower(store, core.entries)
+        self._following = following_parts.Following(
+            self._settings.host,
+            self._settings.domain,
+            core.peers,
+            core.knowledge,
+        )
+        self._peers = peer_services.PeerService(core, self._following)
+        self._follower = followers.Follower(
+            store,
+            core.entries,
+            self._following,
+            is_read=core.knowledge.is_complete(),
+        )
         self._pages = page.PageServer(
             *forward_settings.parse_endpoint(self._settings.pages)
         )
@@ -94,7 +106,7 @@
 
     async def _leave(self) -> None:
         """Forwards until the fabric has stopped sending packets here."""
-        self._peers.leaving = True
+        self._following.leaving = True
         logger.info("Planned stop begins.")
         limit_s = self._settings.stop_limit_s - _STOP_MARGIN_S
         self._received_at = trio.current_time()
@@ -105,6 +117,7 @@
     async def _sweep(self) -> None:
         while True:
             await trio.sleep(_SWEEP_S)
+            self._core.knowledge.settle(time.monotonic())
             state = self._core.knowledge.state
             idle_s = self._settings.flow_life_s
             if state is not None:
--- a/persimmonhinge/forwarding/knowledge.py
+++ b/persimmonhinge/forwarding/knowledge.py
@@ -66,10 +66,15 @@
         to a host that knows more.
         """
         confirmed_at = self.confirmed_at
-        if self._state is None or confirmed_at is None or self.trust.failing:
+        if self._state is None or confirmed_at is None:
             return False
         return now - confirmed_at < CURRENT_S
 
+    def confirm(self, at: float) -> None:
+        """Takes in that the store said at a time that nothing is newer."""
+        if self.confirmed_at is None or at > self.confirmed_at:
+            self.confirmed_at = at
+
     def compute_age_ms(self, now: float) -> int:
         """Returns how long ago the store confirmed this, -1 if never."""
         if self.confirmed_at is None:
--- /dev/null
+++ b/persimmonhinge/forwarding/peers/following.py
@@ -0,0 +1,74 @@
+"""Which hosts follow the store for the others of their failure domain."""
+
+from __future__ import annotations
+
+import xxhash
+
+from persimmonhinge.forwarding import knowledge as knowledge_parts
+from persimmonhinge.forwarding.peers import book as books
+
+
+class Following:
+    """Tells a host whether it is to follow the store itself.
+
+    One host of each failure domain does, the first by a hash of its name, and
+    tells the others; nobody has to agree on it. Calls to the store grow with
+    failure domains, not with hosts. The hosts of the domains see by each
+    other's reports who is behind, so no second one is needed.
+
+    Attributes:
+        reaches_store: False after a failed call, until one is answered.
+        leaving: True once a planned stop has begun.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        domain: str,
+        book: books.PeerBook,
+        knowledge: knowledge_parts.Knowledge,
+    ) -> None:
+        """Makes the part of one host.
+
+        Args:
+            host: Its name.
+            domain: Its failure domain.
+            book: The other hosts.
+            knowledge: What it believes, and since when.
+        """
+        self._host = host
+        self._domain = domain
+        self._book = book
+        self._knowledge = knowledge
+        self.reaches_store = True
+        self.leaving = False
+
+    def is_due(self, now: float) -> bool:
+        """Tells whether this host is to follow the store.
+
+        Guards against a failure domain where nobody does though each host
+        thinks that another one will: a host whose knowledge was confirmed by
+        nobody for too long follows, whatever its place.
+        """
+        if not self._knowledge.is_current(now):
+            return True
+        if self.leaving or not self.reaches_store:
+            return False
+        return all(
+            _rank(self._host) < _rank(rival) for rival in self._list_rivals()
+        )
+
+    def _list_rivals(self) -> list[str]:
+        reports = [peer.report for peer in self._book.heard()]
+        return [
+            report.host
+            for report in reports
+            if report is not None
+            and report.domain == self._domain
+            and report.reaches_store
+            and not report.leaving
+        ]
+
+
+def _rank(host: str) -> tuple[int, str]:
+    return xxhash.xxh32_intdigest(host.encode()), host
--- /dev/null
+++ b/persimmonhinge/forwarding/peers/news.py
@@ -0,0 +1,35 @@
+"""Divides news into datagrams."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from persimmonhinge.forwarding.peers import messages
+
+# Entries in a datagram: an upstream takes about 250 octets.
+_MOST_ENTRIES = 8
+
+
+def split_news(
+    after: int, settled: bool, entries: Sequence[messages.EntryLine]
+) -> list[messages.News]:
+    """Returns news in which each names the one before by its revision.
+
+    Args:
+        after: Revision to which the sender was complete before.
+        settled: See `messages.News`.
+        entries: The entries in the order of their changes.
+    """
+    found = []
+    for first in range(0, len(entries), _MOST_ENTRIES):
+        chunk = entries[first : first + _MOST_ENTRIES]
+        upto = chunk[-1].revision
+        rest = entries[first + _MOST_ENTRIES :]
+        if rest and rest[0].revision == upto:
+            # Entries of one change stand in two datagrams: only the second
+            # completes it.
+            upto -= 1
+        upto = max(upto, after)
+        found.append(messages.News(after, upto, settled, tuple(chunk)))
+        after = upto
+    return found
--- a/persimmonhinge/forwarding/trust.py
+++ b/persimmonhinge/forwarding/trust.py
@@ -36,6 +36,10 @@
             self._failing = False
         return returned
 
+    def doubt(self, now: float) -> None:
+        """Records that another host saw the store return lately."""
+        self._returned_at = now
+
     def holds(self, now: float) -> bool:
         """Tells whether an entry that is not there is really gone."""
         if self._failing:
