Take changed settings over while running; test the hosts as real processes

Cause: SIGHUP and a changed file did nothing, the waiting time of a watch did not follow the limits of the site, and no test ran the real program. Ruled out: ending on a bad file (the former settings stay in force).

--- a/persimmonhinge/cmd/forward.py
+++ b/persimmonhinge/cmd/forward.py
@@ -19,20 +19,27 @@
 logger = logging.getLogger(__name__)
 
 EXIT_BAD_SETTINGS = 2
+CHECK_OPTION = "--check"
 
 
 def main() -> None:
     """Runs a host until SIGTERM, which is a planned stop.
 
-    The settings file is named by the first argument or by the variable
-    `PERSIMMONHINGE_NODE_FILE`.
+    The settings file is named by the first argument or, without one, by a
+    variable of the platform. With `--check` the settings are checked only.
+    The words are read without a library for command lines: to import one takes
+    0.1 s of processor time, which a small host must not spend on its start.
     """
     # The default action would end a host that is told of new settings before
     # it follows signals.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    named = sys.argv[1:2] or [os.environ.get(adapter.SETTINGS_VARIABLE, "")]
+    words = [word for word in sys.argv[1:] if word != CHECK_OPTION]
+    path = words[0] if words else os.environ.get(adapter.SETTINGS_VARIABLE, "")
     try:
-        settings = forward_settings.load(named[0])
+        settings = forward_settings.load(path)
+        if CHECK_OPTION in sys.argv:
+            print(f"{path}: settings are good")
+            return
         bound = binding.bind(forward_settings.parse_endpoint(settings.packets))
     except (errors.SettingsError, OSError) as error:
         print(f"error: {error}", file=sys.stderr)
@@ -47,17 +54,17 @@
         settings.first_call_limit_s,
     )
     startup.forward_during(_import_rest, core, store)
-    _run(core)
+    _run(core, path)
 
 
 def _import_rest() -> None:
     from persimmonhinge.forwarding import program  # noqa: F401
 
 
-def _run(core: cores.ForwardCore) -> None:
+def _run(core: cores.ForwardCore, path: str) -> None:
     from persimmonhinge.forwarding import program
 
-    program.run(core, adapter.make_store)
+    program.run(core, adapter.make_store, path)
 
 
 if __name__ == "__main__":
--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -59,7 +59,9 @@
         """
         self.settings = settings
         self.counts = host_counts.Counts()
-        self.knowledge = knowledge_parts.Knowledge(settings.flow_life_s)
+        self.knowledge = knowledge_parts.Knowledge(
+            settings.flow_life_s, settings.current_s
+        )
         self.entries = reading.Entries(reader, self.knowledge, self.counts)
         self.openings = opening_lists.Openings()
         self.socket = sockets.PacketSocket(bound, self.counts)
--- a/persimmonhinge/forwarding/knowledge.py
+++ b/persimmonhinge/forwarding/knowledge.py
@@ -12,10 +12,6 @@
 from persimmonhinge.forwarding import trust as trusts
 from persimmonhinge.forwarding import upstream as upstreams
 
-# A watch is answered at least every 1.5 s, and a little later by a slow store;
-# older knowledge may lack something, seconds.
-CURRENT_S = 2.2
-
 logger = logging.getLogger(__name__)
 
 
@@ -29,7 +25,15 @@
             if it never did.
     """
 
-    def __init__(self, flow_life_s: float) -> None:
+    def __init__(self, flow_life_s: float, current_s: float) -> None:
+        """Makes the knowledge of a host that has just started.
+
+        Args:
+            flow_life_s: How long upstreams that have gone are remembered,
+                seconds.
+            current_s: Age up to which it is current, seconds.
+        """
+        self._current_s = current_s
         self.directory = directories.Directory(flow_life_s)
         self.trust = trusts.StoreTrust()
         self.confirmed_at: float | None = None
@@ -68,7 +72,7 @@
         confirmed_at = self.confirmed_at
         if self._state is None or confirmed_at is None:
             return False
-        return now - confirmed_at < CURRENT_S
+        return now - confirmed_at < self._current_s
 
     def confirm(self, at: float) -> None:
         """Takes in that the store said at a time that nothing is newer."""
--- a/persimmonhinge/forwarding/program.py
+++ b/persimmonhinge/forwarding/program.py
@@ -12,12 +12,15 @@
 from persimmonhinge import collector
 from persimmonhinge.forwarding import application
 from persimmonhinge.forwarding import core as cores
+from persimmonhinge.forwarding import reloading
 from persimmonhinge.store import port
 from persimmonhinge.store import transport as transports
 from persimmonhinge.store import trio_transport
 
 logger = logging.getLogger(__name__)
 
+_SETTINGS_CHECK_S = 2.0
+
 MakeStore = Callable[
     [
         Iterable[str],
@@ -29,12 +32,13 @@
 ]
 
 
-def run(core: cores.ForwardCore, make_store: MakeStore) -> None:
+def run(core: cores.ForwardCore, make_store: MakeStore, path: str) -> None:
     """Runs a host until a planned stop has ended.
 
     Args:
         core: The parts that need no event loop.
         make_store: Makes a client of the store.
+        path: The settings file.
     """
     collector.relax()
     settings = core.settings
@@ -44,21 +48,35 @@
         settings.call_limit_s,
         settings.watch_wait_s,
     )
-    trio.run(_run, application.ForwardApplication(core, store))
+    reloader = reloading.Reloader(path, settings, core.peers)
+    trio.run(_run, application.ForwardApplication(core, store), reloader)
 
 
-async def _run(host: application.ForwardApplication) -> None:
+async def _run(
+    host: application.ForwardApplication, reloader: reloading.Reloader
+) -> None:
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_follow_signals, host)
+        nursery.start_soon(_follow_signals, host, reloader)
+        nursery.start_soon(_follow_settings, reloader)
         await host.run()
         nursery.cancel_scope.cancel()
 
 
-async def _follow_signals(host: application.ForwardApplication) -> None:
+async def _follow_signals(
+    host: application.ForwardApplication, reloader: reloading.Reloader
+) -> None:
     watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*watched) as received:
         async for number in received:
             if number == signal.SIGHUP:
-                logger.info("Reload.")
+                reloader.reload()
             else:
                 host.stop()
+
+
+async def _follow_settings(reloader: reloading.Reloader) -> None:
+    """Reads the settings file again when it changed without a signal."""
+    while True:
+        await trio.sleep(_SETTINGS_CHECK_S)
+        if reloader.is_changed():
+            reloader.reload()
--- a/persimmonhinge/forwarding/settings.py
+++ b/persimmonhinge/forwarding/settings.py
@@ -14,6 +14,10 @@
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 _STEP = "read settings"
+# Share of the shortest limit that a watch may wait.
+_WATCH_SHARE = 0.5
+# A slow store answers within 0.4 s; news take two reports, 0.2 s, to all hosts.
+_ANSWER_S = 0.7
 
 
 class StoreAddress(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -49,9 +53,6 @@
             answers in 0.4 s.
         first_call_limit_s: The same while packets wait for the first answer,
             seconds.
-        watch_wait_s: How long a watch waits for a change, seconds: with the
-            time for a new reading it must stay below the time in which an
-            upstream that leaves must get no new flow.
         choice: Policy that chooses the upstream of a new flow.
         log_level: Name of the lowest level that is logged.
     """
@@ -69,7 +70,6 @@
     flow_life_s: Positive = 60
     call_limit_s: Positive = 1.0
     first_call_limit_s: Positive = 0.3
-    watch_wait_s: Positive = 1.5
     choice: str = "near-first"
     log_level: str = "INFO"
 
@@ -87,6 +87,24 @@
         ):
             parse_endpoint(text)
 
+    @property
+    def watch_wait_s(self) -> float:
+        """How long a watch waits for a change, seconds.
+
+        A watch that has gone silent is noticed a little later; with the time
+        for a new reading that must stay within both limits.
+        """
+        limit_ms = min(self.drain_limit_ms, self.change_limit_ms)
+        return limit_ms / 1000 * _WATCH_SHARE
+
+    @property
+    def current_s(self) -> float:
+        """Age up to which knowledge that the store confirmed is current.
+
+        The store answers a watch within its waiting time and a little more.
+        """
+        return self.watch_wait_s + _ANSWER_S
+
     @property
     def own_address(self) -> str:
         """IP address of this host."""
--- /dev/null
+++ b/tests/standins/forwarding_deployment.py
@@ -0,0 +1,192 @@
+"""Hosts that forward packets, as processes, with a store and upstreams."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+from typing import Any
+
+import httpx
+import trio
+
+from tests.standins import packet_upstream
+from tests.standins import platform_process
+from tests.standins import ports
+
+_ROOT = pathlib.Path(__file__).parents[2]
+SERVICE = "floor"
+ADDRESS = "198.18.0.1"
+PORT = 443
+_WAIT_S = 10.0
+_CHECK_S = 0.02
+
+
+class ForwardHost:
+    """A host that forwards packets.
+
+    Attributes:
+        address: Its loopback address.
+        process: Its process; None while it is stopped.
+    """
+
+    def __init__(self, name: str, address: str, settings: pathlib.Path) -> None:
+        self.name = name
+        self.address = address
+        self.settings = settings
+        self.process: trio.Process | None = None
+
+    async def start(self) -> None:
+        """Starts its process."""
+        with self.settings.with_suffix(".log").open("ab") as log:
+            self.process = await trio.lowlevel.open_process(
+                [
+                    sys.executable,
+                    "-m",
+                    "persimmonhinge.cmd.forward",
+                    str(self.settings),
+                ],
+                cwd=_ROOT,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    async def stop(self, number: int = signal.SIGTERM) -> int:
+        """Sends a signal and waits for the end; returns the exit code."""
+        assert self.process is not None
+        process, self.process = self.process, None
+        process.send_signal(number)
+        with trio.CancelScope(shield=True):
+            await process.wait()
+        assert process.returncode is not None
+        return process.returncode
+
+    def read_log(self) -> list[dict[str, Any]]:
+        """Returns the lines of its log."""
+        text = self.settings.with_suffix(".log").read_text()
+        return [json.loads(line) for line in text.splitlines()]
+
+
+class ForwardingDeployment:
+    """Some hosts, the store, and what callers and upstreams see.
+
+    Attributes:
+        store: The store's stand-in.
+        hosts: The hosts, started or not.
+        packet_port: UDP port of packets, the same everywhere.
+        peer_port: UDP port of reports, the same at all hosts.
+    """
+
+    def __init__(
+        self,
+        store: platform_process.PlatformProcess,
+        folder: pathlib.Path,
+        count: int,
+    ) -> None:
+        self.store = store
+        self._folder = folder
+        addresses = [f"127.0.0.{11 + number}" for number in range(count)]
+        self.packet_port = ports.find_udp_port([*addresses, "127.0.0.7"])
+        self._page_port = ports.find_tcp_port(addresses[0])
+        self.peer_port = ports.find_udp_port(addresses)
+        self.hosts = [
+            self._make_host(number, address, addresses)
+            for number, address in enumerate(addresses)
+        ]
+
+    def _make_host(
+        self, number: int, address: str, addresses: list[str]
+    ) -> ForwardHost:
+        name = f"host-{number}"
+        settings = {
+            "host": name,
+            "domain": "north",
+            "packets": f"{address}:{self.packet_port}",
+            "pages": f"{address}:{self._page_port}",
+            "peer_ports": [self.peer_port, self.peer_port + 15],
+            "seeds": [f"{other}:1" for other in addresses],
+            "store": {"address": self.store.url.removeprefix("http://")},
+            "stop_limit_s": 3,
+        }
+        path = self._folder / f"{name}.yaml"
+        path.write_text(json.dumps(settings))
+        return ForwardHost(name, address, path)
+
+    async def put_state(self, version: int, *routes: int) -> None:
+        """Writes a desired state with routes at the ports given."""
+        state = {
+            "Version": version,
+            "Routes": [
+                {
+                    "Name": f"r-{port}",
+                    "Host": ADDRESS,
+                    "Prefix": f"/{port}/",
+                    "Kind": "idempotent",
+                    "Service": SERVICE,
+                }
+                for port in routes or (PORT,)
+            ],
+            "Limits": {"IdleTimeoutMs": 15_000},
+        }
+        await self.store.put("op/config", json.dumps(state))
+
+    async def put_upstream(
+        self, upstream: packet_upstream.PacketUpstream, state: str = "ready"
+    ) -> None:
+        """Writes the entry of an upstream."""
+        entry = {
+            "Service": SERVICE,
+            "Addr": upstream.address,
+            "Zone": "north",
+            "Slots": 2,
+            "State": state,
+        }
+        await self.store.put(f"servers/{upstream.id}", json.dumps(entry))
+
+    async def is_ready(self, host: ForwardHost) -> bool:
+        """Tells whether a host says that it is ready."""
+        url = f"http://{host.address}:{self._page_port}/ready"
+        try:
+            async with httpx.AsyncClient() as client:
+                return (await client.get(url)).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    async def wait_ready(self, host: ForwardHost) -> None:
+        """Waits until a host is ready."""
+        with trio.fail_after(_WAIT_S):
+            while not await self.is_ready(host):
+                await trio.sleep(_CHECK_S)
+
+
+async def wait_until(holds: Callable[[], bool], limit_s: float) -> None:
+    """Waits until something holds.
+
+    Raises:
+        trio.TooSlowError: It does not within the limit.
+    """
+    with trio.fail_after(limit_s):
+        while not holds():
+            await trio.sleep(_CHECK_S)
+
+
+@contextlib.asynccontextmanager
+async def run_deployment(count: int) -> AsyncIterator[ForwardingDeployment]:
+    """Gives a deployment whose hosts are not yet started."""
+    async with platform_process.run_platform() as store:
+        with tempfile.TemporaryDirectory() as folder:
+            deployment = ForwardingDeployment(
+                store, pathlib.Path(folder), count
+            )
+            try:
+                yield deployment
+            finally:
+                for host in deployment.hosts:
+                    if host.process is not None:
+                        await host.stop(signal.SIGKILL)
--- a/tests/standins/platform_process.py
+++ b/tests/standins/platform_process.py
@@ -53,6 +53,10 @@
         """Forgets changes up to a revision."""
         await self._call("POST", "compact", {"revision": revision})
 
+    async def put(self, key: str, value: str | None) -> None:
+        """Writes a key as operators and upstreams do; None deletes it."""
+        await self._call("POST", "put", {"key": key, "value": value})
+
     async def _call(self, method: str, name: str, body: Any) -> dict[str, Any]:
         async with httpx.AsyncClient() as client:
             url = f"{self.url}/standin/{name}"
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -113,6 +113,8 @@
                 gateway.store.take_copy()
             case "/standin/restore":
                 gateway.store.restore()
+            case "/standin/put":
+                self._put_as_operator(exchange.body)
             case "/standin/compact":
                 gateway.store.compact(exchange.body["revision"])
             case "/standin/faults":
@@ -126,6 +128,17 @@
                 self._fault_changed = trio.Event()
         return {"revision": gateway.store.revision}
 
+    def _put_as_operator(self, body: Body) -> None:
+        """Writes or deletes a key that the system itself may not write."""
+        store = self._gateway.store
+        revision = store.begin()
+        key = body["key"].encode()
+        if body["value"] is None:
+            store.delete(revision, key)
+        else:
+            store.put(revision, key, body["value"].encode(), 0)
+        store.end()
+
     async def _wait_for_events(self, exchange: Exchange) -> Body:
         """Answers a watch once there is a change or its time is over.
 
--- a/tests/test_forwarding/scene.py
+++ b/tests/test_forwarding/scene.py
@@ -77,7 +77,7 @@
         self.clock = clock or Clock()
         self.output = Output()
         self.counts = host_counts.Counts()
-        self.knowledge = knowledge_parts.Knowledge(60.0)
+        self.knowledge = knowledge_parts.Knowledge(60.0, 2.2)
         self.loads = load_books.LoadBook(self.clock)
         self.suspicions = suspicion_lists.Suspicions()
         self.openings = opening_lists.Openings(self.clock)
--- a/tests/test_forwarding/test_forwarding_peers_following.py
+++ b/tests/test_forwarding/test_forwarding_peers_following.py
@@ -107,7 +107,7 @@
     members = make_members()
     tell_all(members)
     for member in members:
-        member.clock.sleep(knowledge_parts.CURRENT_S + 0.1)
+        member.clock.sleep(2.3)
     assert all(member.is_due() for member in members)
 
 
--- a/tests/test_forwarding/test_forwarding_reading.py
+++ b/tests/test_forwarding/test_forwarding_reading.py
@@ -21,7 +21,7 @@
     """Entries of one host, without a store."""
 
     def __init__(self) -> None:
-        self.knowledge = knowledge_parts.Knowledge(60.0)
+        self.knowledge = knowledge_parts.Knowledge(60.0, 2.2)
         self.counts = host_counts.Counts()
         self.entries = reading.Entries(
             adapter.EntryFormat(), self.knowledge, self.counts
