--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -58,7 +58,11 @@
         self._pages = page.PageServer(
             *forward_settings.parse_endpoint(self._settings.pages)
         )
-        forward_pages.ForwardPages(self._pages, core.counts, self.is_ready)
+        self._metrics = page.PageServer(
+            self._settings.own_address, self._settings.metrics_port
+        )
+        for server in (self._pages, self._metrics):
+            forward_pages.ForwardPages(server, core.counts, self.is_ready)
 
     def stop(self) -> None:
         """Begins a planned stop; a second call changes nothing."""
@@ -78,12 +82,23 @@
             nursery.start_soon(self._sweep)
             await nursery.start(self._pages.run)
             await nursery.start(self._peers.run)
+            if self._settings.metrics_port:
+                nursery.start_soon(self._serve_metrics)
             logger.info("Started.", extra={"domain": self._settings.domain})
             await self._stopping.wait()
             await self._leave()
             nursery.cancel_scope.cancel()
         logger.info("Stopped.")
 
+    async def _serve_metrics(self) -> None:
+        try:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self._metrics.run)
+        except* OSError as group:
+            logger.error(
+                "No metrics page.", extra={"error": str(group.exceptions[0])}
+            )
+
     async def _receive(self) -> None:
         # Until this host knows where to, packets stay in their socket.
         while not self._core.knowledge.is_complete():
--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -68,7 +68,7 @@
         loads = load_books.LoadBook()
         self._loads = loads
         self.tracker = trackers.FlowTracker(
-            flow_tables.FlowTable(_MOST_FLOWS), loads
+            flow_tables.FlowTable(_MOST_FLOWS), loads, self.counts
         )
         suspicions = suspicion_lists.Suspicions()
         self._suspicions = suspicions
--- a/persimmonhinge/forwarding/settings.py
+++ b/persimmonhinge/forwarding/settings.py
@@ -38,6 +38,7 @@
         domain: Its failure domain.
         packets: IP address and UDP port of packets.
         pages: IP address and TCP port of the readiness page.
+        metrics_port: TCP port of the metrics page; 0 for none.
         peer_ports: First and last port that hosts may use among themselves;
             the first is for reports, the next for snapshots.
         seeds: Addresses and ports of hosts to tell first; the ports are not
@@ -64,6 +65,7 @@
     peer_ports: tuple[Port, Port]
     store: StoreAddress
     seeds: tuple[str, ...] = ()
+    metrics_port: Annotated[int, msgspec.Meta(ge=0, le=65_535)] = 0
     drain_limit_ms: Positive = 3000
     change_limit_ms: Positive = 3000
     stop_limit_s: Positive = 6
--- a/persimmonhinge/forwarding/tracker.py
+++ b/persimmonhinge/forwarding/tracker.py
@@ -10,6 +10,7 @@
 from persimmonhinge.forwarding import flow_table as flow_tables
 from persimmonhinge.forwarding import loads as load_books
 from persimmonhinge.forwarding import packet as packets
+from persimmonhinge.metrics import counts as host_counts
 
 # A request without an answer for so long is no longer counted as work of its
 # upstream, seconds: callers of the shortest requests give up after 1 s, and
@@ -24,10 +25,12 @@
         self,
         flow_table: flow_tables.FlowTable,
         loads: load_books.LoadBook,
+        counts: host_counts.Counts,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._flows = flow_table
         self._loads = loads
+        self._counts = counts
         self._clock = clock
 
     def get(self, flow: flows.FlowId) -> flow_tables.FlowRecord | None:
@@ -61,9 +64,14 @@
             self._end(record)
             record.upstream = upstream
         first = not record.established
+        if first and record.waiting_since is not None:
+            self._counts.observe("opening_seconds", now - record.waiting_since)
         record.established = True
         self._flows.touch(packet.flow, record, now)
-        if record.advance_answer(packet) or packet.ends or packet.aborts:
+        if record.advance_answer(packet):
+            self._observe_answer(record, now)
+            self._end(record)
+        if packet.ends or packet.aborts:
             self._end(record)
         if record.advance_request(packet):
             self._begin(record, now)
@@ -92,6 +100,13 @@
         if dropped is not None:
             self._end(dropped)
 
+    def _observe_answer(
+        self, record: flow_tables.FlowRecord, now: float
+    ) -> None:
+        if record.waiting_since is not None:
+            waited_s = now - record.waiting_since
+            self._counts.observe("answer_seconds", waited_s)
+
     def _begin(self, record: flow_tables.FlowRecord, now: float) -> None:
         if record.waiting_since is None:
             record.waiting_since = now
--- a/persimmonhinge/metrics/counts.py
+++ b/persimmonhinge/metrics/counts.py
@@ -2,12 +2,36 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 from collections.abc import Callable
 
 Labels = tuple[tuple[str, str], ...]
 
 
+# Upper bounds of the buckets of a histogram, seconds: from the time of an
+# opening (4 ms) to the longest that a caller waits.
+BUCKETS_S = (0.005, 0.01, 0.03, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+
+
+class Histogram:
+    """Counts durations by buckets.
+
+    Attributes:
+        counts: Durations in each bucket of `BUCKETS_S`, and above all.
+        total_s: Sum of all durations, seconds.
+    """
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.total_s = 0.0
+
+    def add(self, duration_s: float) -> None:
+        """Counts a duration."""
+        self.counts[bisect.bisect_left(BUCKETS_S, duration_s)] += 1
+        self.total_s += duration_s
+
+
 class Counts:
     """Counts events by name and labels.
 
@@ -21,11 +45,23 @@
             collections.Counter()
         )
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._histograms: dict[str, Histogram] = {}
 
     def add(self, name: str, amount: int = 1, **labels: str) -> None:
         """Adds to a counter; the name ends in `_total`."""
         self._counters[(name, tuple(labels.items()))] += amount
 
+    def observe(self, name: str, duration_s: float) -> None:
+        """Adds a duration to a histogram; the name ends in `_seconds`."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = self._histograms[name] = Histogram()
+        histogram.add(duration_s)
+
+    def histograms(self) -> dict[str, Histogram]:
+        """Returns all histograms."""
+        return dict(self._histograms)
+
     def watch(self, name: str, read: Callable[[], float]) -> None:
         """Sets a function that reads a gauge when the page is asked for."""
         self._gauges[name] = read
--- a/persimmonhinge/metrics/render.py
+++ b/persimmonhinge/metrics/render.py
@@ -20,6 +20,7 @@
     registry = aioprometheus.Registry()
     _add_counters(registry, counts)
     _add_gauges(registry, counts)
+    _add_histograms(registry, counts)
     body, headers = renderer.render(registry, [accept])
     return body, headers["Content-Type"]
 
@@ -44,3 +45,35 @@
             PREFIX + name, name.replace("_", " "), registry=registry
         )
         gauge.set({}, value)
+
+
+def _add_histograms(
+    registry: aioprometheus.Registry, counts: host_counts.Counts
+) -> None:
+    """Adds histograms by the series that Prometheus keeps of them.
+
+    The library's own histogram takes single durations only, and the packet
+    path counts them itself.
+    """
+    for name, histogram in counts.histograms().items():
+        buckets = aioprometheus.Counter(
+            f"{PREFIX}{name}_bucket",
+            f"{name.replace('_', ' ')}, cumulative",
+            registry=registry,
+        )
+        seen = 0
+        bounds = [*(str(b) for b in host_counts.BUCKETS_S), "+Inf"]
+        for bound, count in zip(bounds, histogram.counts, strict=True):
+            seen += count
+            buckets.set({"le": bound}, seen)
+        _add_value(registry, f"{name}_count", seen)
+        _add_value(registry, f"{name}_sum", histogram.total_s)
+
+
+def _add_value(
+    registry: aioprometheus.Registry, name: str, value: float
+) -> None:
+    counter = aioprometheus.Counter(
+        PREFIX + name, name.replace("_", " "), registry=registry
+    )
+    counter.set({}, value)
--- a/tests/test_forwarding/scene.py
+++ b/tests/test_forwarding/scene.py
@@ -82,7 +82,7 @@
         self.suspicions = suspicion_lists.Suspicions()
         self.openings = opening_lists.Openings(self.clock)
         self.tracker = trackers.FlowTracker(
-            flow_tables.FlowTable(1000), self.loads, self.clock
+            flow_tables.FlowTable(1000), self.loads, self.counts, self.clock
         )
         self.chooser = choosers.UpstreamChooser(
             HERE,
