Prefer the own failure domain until it is fuller by 0.8 of its slots

Cause: with 0.3 long flows went to other domains for small differences and hung when these were cut off.

--- a/persimmonhinge/policies/choice_near_first.py
+++ b/persimmonhinge/policies/choice_near_first.py
@@ -8,7 +8,7 @@
 
 # How much fuller, as a share of its slots, a candidate of the own failure
 # domain may be than one elsewhere and still be preferred.
-_FAR_PENALTY = 0.3
+_FAR_PENALTY = 0.8
 _NOW = 0.5
 
 
