--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -47,13 +47,14 @@
             self._settings.domain,
             core.peers,
             core.knowledge,
+            self._settings.current_s,
+            time.monotonic(),
         )
         self._peers = peer_services.PeerService(core, self._following)
         self._follower = followers.Follower(
             store,
             core.entries,
             self._following,
-            is_read=core.knowledge.is_complete(),
         )
         self._pages = page.PageServer(
             *forward_settings.parse_endpoint(self._settings.pages)
--- a/persimmonhinge/forwarding/peers/messages.py
+++ b/persimmonhinge/forwarding/peers/messages.py
@@ -30,6 +30,7 @@
         host: Name of the host.
         incarnation: Number of its process, drawn at its start.
         sequence: Number of the report within the process.
+        interval_ms: Time until its next report to the same host, milliseconds.
         domain: Its failure domain.
         revision: Revision of the store that its knowledge is complete to.
         age_ms: How long ago the store last confirmed that, milliseconds; -1
@@ -43,6 +44,7 @@
     host: str
     incarnation: int
     sequence: int
+    interval_ms: int
     domain: str
     revision: int
     age_ms: int
--- /dev/null
+++ b/persimmonhinge/forwarding/peers/pulls.py
@@ -0,0 +1,140 @@
+"""Snapshots of entries, as streams between hosts."""
+
+from __future__ import annotations
+
+import functools
+import logging
+import time
+
+import msgspec
+import trio
+
+from persimmonhinge.forwarding import core as cores
+from persimmonhinge.forwarding.peers import book as books
+from persimmonhinge.forwarding.peers import messages
+
+logger = logging.getLogger(__name__)
+
+_PULL_LIMIT_S = 1.0
+_REQUEST_OCTETS = 64
+# How far behind a host may be before it pulls from one that is ahead: news
+# bring the same within some milliseconds, seconds.
+_BEHIND_S = 0.25
+_AHEAD_CHECK_S = 0.05
+
+
+class SnapshotPuller:
+    """Pulls what this host lacks from one that is ahead."""
+
+    def __init__(self, core: cores.ForwardCore) -> None:
+        """Makes the part; nothing is pulled before `run`."""
+        self._core = core
+        self._book = core.peers
+        self._port = core.settings.snapshot_port
+        self._behind_since: float | None = None
+
+    async def run(self) -> None:
+        """Pulls a snapshot when another host has newer entries.
+
+        Guards against a watch that has gone silent, and against a store that
+        refuses this host alone: upstreams that have left would go on getting
+        flows. A peer that is ahead shows it at its next report.
+        """
+        while True:
+            await trio.sleep(_AHEAD_CHECK_S)
+            ahead = self._find_ahead()
+            now = time.monotonic()
+            if ahead is None:
+                self._behind_since = None
+            elif self._behind_since is None:
+                self._behind_since = now
+            if ahead is not None and self._is_due(now):
+                await self._pull(ahead)
+                self._behind_since = time.monotonic()
+
+    def _is_due(self, now: float) -> bool:
+        if not self._core.knowledge.is_complete():
+            return True
+        behind_since = self._behind_since
+        return behind_since is not None and now - behind_since > _BEHIND_S
+
+    def _find_ahead(self) -> books.Peer | None:
+        heard = [p for p in self._book.heard() if p.report is not None]
+        if not heard:
+            return None
+        best = max(heard, key=lambda p: p.report.revision if p.report else 0)
+        report = best.report
+        if report is None or report.revision <= self._core.entries.revision:
+            return None
+        return best
+
+    async def _pull(self, peer: books.Peer) -> None:
+        host = peer.address.host
+        octets = bytearray()
+        try:
+            with trio.fail_after(_PULL_LIMIT_S):
+                stream = await trio.open_tcp_stream(host, self._port)
+                async with stream:
+                    request = messages.PullRequest(self._core.entries.revision)
+                    await stream.send_all(msgspec.msgpack.encode(request))
+                    async for data in stream:
+                        octets += data
+            snapshot = msgspec.msgpack.decode(octets, type=messages.Snapshot)
+        except (
+            OSError,
+            trio.BrokenResourceError,
+            trio.TooSlowError,
+            msgspec.MsgspecError,
+        ) as error:
+            self._core.counts.add("snapshot_errors_total")
+            logger.warning(
+                "Can't pull a snapshot: %s.", error, extra={"peer": host}
+            )
+            return
+        logger.info(
+            "Pulled a snapshot.",
+            extra={
+                "peer": host,
+                "revision": snapshot.revision,
+                "former": self._core.entries.revision,
+            },
+        )
+        self._core.entries.take_snapshot(snapshot, host)
+        now = time.monotonic()
+        for named in snapshot.peers:
+            self._book.add(named, now)
+
+
+async def serve_snapshots(
+    core: cores.ForwardCore,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Gives snapshots to other hosts until cancelled.
+
+    Raises:
+        OSError: The port can't be had.
+    """
+    settings = core.settings
+    listeners = await trio.open_tcp_listeners(
+        settings.snapshot_port, host=settings.own_address
+    )
+    task_status.started()
+    serve = functools.partial(_serve, core)
+    await trio.serve_listeners(serve, listeners)
+
+
+async def _serve(core: cores.ForwardCore, stream: trio.SocketStream) -> None:
+    try:
+        with trio.fail_after(_PULL_LIMIT_S):
+            octets = await stream.receive_some(_REQUEST_OCTETS)
+            request = msgspec.msgpack.decode(octets, type=messages.PullRequest)
+            heard = tuple(peer.address for peer in core.peers.heard())
+            snapshot = core.entries.make_snapshot(request.since, heard)
+            await stream.send_all(msgspec.msgpack.encode(snapshot))
+    except (
+        trio.BrokenResourceError,
+        trio.TooSlowError,
+        msgspec.MsgspecError,
+    ) as error:
+        logger.info("A peer did not get its snapshot: %s.", error)
+    await trio.aclose_forcefully(stream)
--- /dev/null
+++ b/persimmonhinge/forwarding/peers/reporter.py
@@ -0,0 +1,103 @@
+"""Reports to other hosts, within a budget of octets."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import random
+import time
+
+import msgspec
+import trio
+
+from persimmonhinge.forwarding import core as cores
+from persimmonhinge.forwarding.peers import channel as channels
+from persimmonhinge.forwarding.peers import following as following_parts
+from persimmonhinge.forwarding.peers import messages
+
+# Shortest time between two reports to a host of the own failure domain,
+# seconds. Requests of the users' shortest kind take 15 ms, so what is told is
+# some requests old; a shorter time costs more processor time than it gains.
+_NEAR_S = 0.1
+# The same for other domains: octets between them are priced, and the work of
+# upstreams elsewhere matters only where the own ones are full.
+_FAR_S = 0.5
+# Octets a second for reports, of the 16 KB that a host may spend for control.
+# With more hosts reports come more seldom.
+_NEAR_OCTETS_PER_S = 10_000
+_FAR_OCTETS_PER_S = 3_000
+# With more hosts than this elsewhere, reports to them say no loads: they would
+# be seconds old, and new flows hardly ever go there.
+_MOST_FAR_HOSTS = 16
+# Upstreams in a report, those with most work and doubt first.
+_MOST_LINES = 32
+_NAMED_PEERS = 3
+
+
+class Reporter:
+    """Tells other hosts at intervals what this one sees."""
+
+    def __init__(
+        self, core: cores.ForwardCore, following: following_parts.Following
+    ) -> None:
+        """Makes the part of a process that has just started.
+
+        Args:
+            core: The parts of the host that need no event loop.
+            following: Whether this host follows the store.
+        """
+        self._core = core
+        self._following = following
+        self._incarnation = random.getrandbits(63)
+        self._sequence = 0
+
+    async def tell_near(self, channel: channels.PeerChannel) -> None:
+        """Tells hosts of the own failure domain until cancelled."""
+        interval_s = _NEAR_S
+        while True:
+            near, _ = self._core.peers.divide(self._core.settings.domain)
+            octets = self._encode_report(self._list_lines(), interval_s)
+            await channel.send_all(octets, near)
+            budgeted_s = len(near) * len(octets) / _NEAR_OCTETS_PER_S
+            interval_s = max(_NEAR_S, budgeted_s)
+            await _sleep_about(interval_s)
+
+    async def tell_far(self, channel: channels.PeerChannel) -> None:
+        """Tells hosts of other failure domains until cancelled."""
+        interval_s = _FAR_S
+        while True:
+            _, far = self._core.peers.divide(self._core.settings.domain)
+            lines = self._list_lines() if len(far) <= _MOST_FAR_HOSTS else []
+            octets = self._encode_report(lines, interval_s)
+            await channel.send_all(octets, far)
+            budgeted_s = len(far) * len(octets) / _FAR_OCTETS_PER_S
+            interval_s = max(_FAR_S, budgeted_s)
+            await _sleep_about(interval_s)
+
+    def _list_lines(self) -> list[messages.LoadLine]:
+        lines = self._core.list_load_lines()
+        lines.sort(key=lambda line: (line.missed, line.average), reverse=True)
+        return lines[:_MOST_LINES]
+
+    def _encode_report(
+        self, lines: Sequence[messages.LoadLine], interval_s: float
+    ) -> bytes:
+        core = self._core
+        self._sequence += 1
+        report = messages.Report(
+            host=core.settings.host,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            interval_ms=int(interval_s * 1000),
+            domain=core.settings.domain,
+            revision=core.entries.revision,
+            age_ms=core.knowledge.compute_age_ms(time.monotonic()),
+            leaving=self._following.leaving,
+            reaches_store=self._following.reaches_store,
+            loads=tuple(lines),
+            peers=core.peers.pick_addresses(_NAMED_PEERS),
+        )
+        return msgspec.msgpack.encode(report)
+
+
+async def _sleep_about(time_s: float) -> None:
+    await trio.sleep(time_s * random.uniform(0.9, 1.1))
--- a/persimmonhinge/forwarding/reading.py
+++ b/persimmonhinge/forwarding/reading.py
@@ -109,6 +109,10 @@
         if told and self.tell is not None:
             self.tell(after, told)
 
+    def is_read(self) -> bool:
+        """Tells whether the store has answered this host or another one."""
+        return self._knowledge.confirmed_at is not None
+
     def is_settled(self) -> bool:
         """Tells whether entries that are not there are gone."""
         return self._knowledge.trust.holds(time.monotonic())
