Test the store's client and the hosts against refusals, freezes and reuse

One test was wrong at first: it opened a flow before the host could have heard that the other upstream had ended; it waits for the host's own log line now.

--- a/tests/standins/forwarding_deployment.py
+++ b/tests/standins/forwarding_deployment.py
@@ -8,6 +8,7 @@
 import json
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -36,9 +37,10 @@
         process: Its process; None while it is stopped.
     """
 
-    def __init__(self, name: str, address: str, settings: pathlib.Path) -> None:
+    def __init__(self, name: str, packets: str, settings: pathlib.Path) -> None:
         self.name = name
-        self.address = address
+        self.address = packets.rpartition(":")[0]
+        self._packets = packets
         self.settings = settings
         self.process: trio.Process | None = None
 
@@ -67,6 +69,16 @@
         assert process.returncode is not None
         return process.returncode
 
+    def is_bound(self) -> bool:
+        """Tells whether its socket of packets is bound."""
+        address, _, number = self._packets.rpartition(":")
+        with socket.socket(type=socket.SOCK_DGRAM) as probe:
+            try:
+                probe.bind((address, int(number)))
+            except OSError:
+                return True
+        return False
+
     def read_log(self) -> list[dict[str, Any]]:
         """Returns the lines of its log."""
         text = self.settings.with_suffix(".log").read_text()
@@ -116,7 +128,7 @@
         }
         path = self._folder / f"{name}.yaml"
         path.write_text(json.dumps(settings))
-        return ForwardHost(name, address, path)
+        return ForwardHost(name, str(settings["packets"]), path)
 
     async def put_state(self, version: int, *routes: int) -> None:
         """Writes a desired state with routes at the ports given."""
@@ -137,11 +149,14 @@
         await self.store.put("op/config", json.dumps(state))
 
     async def put_upstream(
-        self, upstream: packet_upstream.PacketUpstream, state: str = "ready"
+        self,
+        upstream: packet_upstream.PacketUpstream | packet_upstream.Renamed,
+        state: str = "ready",
+        service: str = SERVICE,
     ) -> None:
         """Writes the entry of an upstream."""
         entry = {
-            "Service": SERVICE,
+            "Service": service,
             "Addr": upstream.address,
             "Zone": "north",
             "Slots": 2,
--- a/tests/standins/packet_upstream.py
+++ b/tests/standins/packet_upstream.py
@@ -50,6 +50,14 @@
             self.received.append((int.from_bytes(octets[:8]), octets[8:]))
 
 
+class Renamed:
+    """Another upstream at the address of one that has ended."""
+
+    def __init__(self, former: PacketUpstream, number: int) -> None:
+        self.id = f"i-{number:010x}"
+        self.address = former.address
+
+
 class PacketCaller:
     """Sends packets of flows, and keeps the resets that come back."""
 
--- a/tests/standins/platform_faults.py
+++ b/tests/standins/platform_faults.py
@@ -11,6 +11,7 @@
     Attributes:
         down: Connections close without an answer; watches break.
         delay_s: Each call waits first, seconds.
+        refuse_status: Each call is refused with this HTTP status; 0 for none.
         drop_answers: So many writes take effect but get no answer.
         down_after_write: The next write takes effect and gets no answer,
             and with it the service goes down.
@@ -24,6 +25,7 @@
 
     down: bool = False
     delay_s: float = 0.0
+    refuse_status: int = 0
     drop_answers: int = 0
     down_after_write: bool = False
     drop_writes: int = 0
@@ -42,6 +44,7 @@
 
     down: bool | None = None
     delay_s: float | None = None
+    refuse_status: int | None = None
     drop_answers: int | None = None
     down_after_write: bool | None = None
     drop_writes: int | None = None
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -61,6 +61,10 @@
             raise ConnectionDropped
         if self._faults.delay_s:
             await trio.sleep(self._faults.delay_s)
+        if self._faults.refuse_status:
+            refusal = {"Error": "refused by a test"}
+            await exchange.send_answer(self._faults.refuse_status, refusal)
+            return
         try:
             if exchange.path == "/kv-watch":
                 answer = await self._wait_for_events(exchange)
--- a/tests/test_integration/test_integration_forwarding.py
+++ b/tests/test_integration/test_integration_forwarding.py
@@ -53,6 +53,10 @@
             )
             await trio.sleep(0.005)
 
+    def takes_packets(self) -> bool:
+        """Tells whether the packet sockets of all hosts are bound."""
+        return all(host.is_bound() for host in self.hosts)
+
     def count_openings(self) -> list[int]:
         """Returns the opening packets at each upstream."""
         return [upstream.count_openings() for upstream in self.upstreams]
@@ -76,6 +80,13 @@
         yield Scene(deployment, upstreams, caller)
 
 
+async def wait_openings(scene: Scene, count: int) -> None:
+    """Waits until the upstreams have so many opening packets together."""
+    await deployments.wait_until(
+        lambda: sum(scene.count_openings()) >= count, 5.0
+    )
+
+
 async def wait_longer(kept: list[Any], length: int) -> None:
     """Waits until a list is longer than a length."""
     await deployments.wait_until(lambda: len(kept) > length, 5.0)
@@ -153,6 +164,121 @@
         assert leaving.count_openings() == before
 
 
+@trios.trio_test
+async def test_drain_is_in_force_in_time_after_the_history_was_dropped() -> (
+    None
+):
+    """An upstream that leaves gets new flows though the store answers.
+
+    The store forgets its history, and the drain with it, while the watches
+    wait. Cause: a watch goes on from where there is nothing to go on from.
+    """
+    async with run_scene(2) as scene:
+        await scene.start(0, 1)
+        await scene.store.set_faults(refuse_status=503)
+        leaving, staying = scene.upstreams
+        await scene.deployment.put_upstream(leaving, "draining")
+        await scene.store.compact(1000)
+        await scene.store.set_faults(refuse_status=0)
+        await trio.sleep(_DRAIN_LIMIT_S)
+        before = leaving.count_openings()
+        for number in (0, 1):
+            await scene.open_flows(number, 10)
+        await deployments.wait_until(
+            lambda: staying.count_openings() >= 20, 5.0
+        )
+        assert leaving.count_openings() == before
+
+
+@trios.trio_test
+async def test_hosts_serve_on_while_the_store_refuses_them() -> None:
+    async with run_scene(2) as scene:
+        await scene.start(0, 1)
+        for status in (429, 503):
+            await scene.store.set_faults(refuse_status=status)
+            await trio.sleep(1.0)
+            before = sum(scene.count_openings())
+            await scene.open_flows(0, 5)
+            await scene.open_flows(1, 5)
+            await wait_openings(scene, before + 10)
+
+
+@trios.trio_test
+async def test_frozen_host_goes_on_when_it_wakes() -> None:
+    async with run_scene(2) as scene:
+        await scene.start(0, 1)
+        process = scene.hosts[0].process
+        assert process is not None
+        process.send_signal(signal.SIGSTOP)
+        leaving, staying = scene.upstreams
+        await scene.deployment.put_upstream(leaving, "draining")
+        await trio.sleep(2.0)
+        process.send_signal(signal.SIGCONT)
+        await trio.sleep(_DRAIN_LIMIT_S)
+        before = leaving.count_openings()
+        await scene.open_flows(0, 10)
+        await deployments.wait_until(
+            lambda: staying.count_openings() >= 10, 5.0
+        )
+        assert leaving.count_openings() == before
+
+
+@trios.trio_test
+async def test_all_hosts_killed_at_once_serve_again() -> None:
+    """Nobody is served for seconds after a loss of power.
+
+    All hosts are killed at once and start again; packets come meanwhile.
+    Cause: packets that come before a host is ready are lost.
+    """
+    async with run_scene(2) as scene:
+        await scene.start(0, 1)
+        for host in scene.hosts:
+            await host.stop(signal.SIGKILL)
+        for host in scene.hosts:
+            await host.start()
+        await deployments.wait_until(scene.takes_packets, 5.0)
+        before = sum(scene.count_openings())
+        await scene.open_flows(0, 3)
+        await scene.open_flows(1, 3)
+        await wait_openings(scene, before + 6)
+
+
+@trios.trio_test
+async def test_address_of_another_service_gets_no_flow_of_the_former() -> None:
+    """A reservation reaches the intake service.
+
+    An upstream ends; its address goes to an upstream of another service.
+    Cause: flows that follow an address.
+    """
+    async with run_scene(1) as scene:
+        await scene.start(0)
+        first, second = scene.upstreams
+        await scene.store.put(f"servers/{second.id}", None)
+        await deployments.wait_until(
+            lambda: _has_event(scene.hosts[0], "Entry of an upstream ended."),
+            5.0,
+        )
+        await scene.open_flows(0, 1)
+        await wait_openings(scene, 1)
+        token = first.last_token()
+        await scene.store.put(f"servers/{first.id}", None)
+        await scene.deployment.put_upstream(
+            packet_upstream.Renamed(first, 99), service="intake"
+        )
+        await trio.sleep(0.5)
+        seen = len(first.received)
+        for flags in (packet_upstream.ACK, packet_upstream.SYN):
+            await scene.caller.send(
+                scene.hosts[0].address,
+                2001 + flags,
+                flags,
+                token=token,
+                data=b"x",
+            )
+        await trio.sleep(0.5)
+        assert len(first.received) == seen
+
+
 @trios.trio_test
 async def test_versions_in_quick_succession_are_in_force_at_all_hosts() -> None:
     async with run_scene(2) as scene:
