--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -10,10 +10,10 @@
 from persimmonhinge.forwarding import core as cores
 from persimmonhinge.forwarding import follower as followers
 from persimmonhinge.forwarding import openings as opening_lists
-from persimmonhinge.forwarding import pages as forward_pages
 from persimmonhinge.forwarding import settings as forward_settings
 from persimmonhinge.forwarding.peers import following as following_parts
 from persimmonhinge.forwarding.peers import service as peer_services
+from persimmonhinge.metrics import host_pages
 from persimmonhinge.metrics import page
 from persimmonhinge.store import port
 
@@ -25,6 +25,7 @@
 _QUIET_S = 0.7
 _QUIET_CHECK_S = 0.1
 _SWEEP_S = 1.0
+_READINESS_PATH = "/ready"
 _START_CHECK_S = 0.002
 
 
@@ -63,7 +64,9 @@
             self._settings.own_address, self._settings.metrics_port
         )
         for server in (self._pages, self._metrics):
-            forward_pages.ForwardPages(server, core.counts, self.is_ready)
+            host_pages.HostPages(
+                server, core.counts, self.is_ready, _READINESS_PATH
+            )
 
     def stop(self) -> None:
         """Begins a planned stop; a second call changes nothing."""
--- a/persimmonhinge/forwarding/chooser.py
+++ b/persimmonhinge/forwarding/chooser.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 from collections.abc import Sequence
 
+import msgspec
 import xxhash
 
 from persimmonhinge import ids
@@ -21,6 +22,20 @@
 _COLD_ROOM = 0.6
 
 
+class Chosen(msgspec.Struct, frozen=True):
+    """An upstream that was chosen, and what decided.
+
+    Attributes:
+        upstream: The upstream.
+        candidate: Its loads, as the policy saw them.
+        among: Number of upstreams that could have been chosen.
+    """
+
+    upstream: upstreams.Upstream
+    candidate: choice.Candidate
+    among: int
+
+
 class UpstreamChooser:
     """Chooses among the upstreams that may take a new flow."""
 
@@ -44,7 +59,7 @@
         flow: flows.FlowId,
         now: float,
         without: Collection[ids.UpstreamId] = (),
-    ) -> upstreams.Upstream | None:
+    ) -> Chosen | None:
         """Returns the upstream for a new flow, None if there is none.
 
         Args:
@@ -60,7 +75,8 @@
             return None
         found = {upstream.id: upstream for upstream in usable}
         candidates = [self._make_candidate(u, now) for u in usable]
-        return found[self._policy.choose(candidates).upstream]
+        candidate = self._policy.choose(candidates)
+        return Chosen(found[candidate.upstream], candidate, len(candidates))
 
     def _list_usable(
         self,
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -143,14 +143,15 @@
         route = self._find_route(packet)
         if route is None:
             return
-        upstream = self._chooser.choose(route, packet.flow, now, tried)
-        if upstream is None:
+        chosen = self._chooser.choose(route, packet.flow, now, tried)
+        if chosen is None:
             self._drop(packet, "no-upstream")
             return
+        upstream = chosen.upstream
         self._tracker.open(packet.flow, upstream.id)
         self._openings.add(packet, [*tried, upstream.id])
         self._counts.add("flows_opened_total", upstream=upstream.id)
-        self._log_opening(packet, route, upstream, tried)
+        self._log_opening(packet, route, chosen, tried)
         self._forward(packet, upstream)
 
     def _find_route(self, packet: packets.Packet) -> routes.Route | None:
@@ -200,22 +201,19 @@
             self._drop(packet, reason)
             return
         self._counts.add("flows_reset_total", reason=reason)
-        logger.info(
-            "Reset a flow.",
-            extra={
-                "flow": str(packet.flow),
-                "reason": reason,
-                "token": packet.token,
-                **self._describe_knowledge(),
-            },
-        )
+        self._log_refusal("Reset a flow.", packet, reason)
         octets = self._codec.encode_reset(packet)
         self._output.send_to_caller(octets, packet.flow.caller)
 
     def _drop(self, packet: packets.Packet, reason: str) -> None:
         self._counts.add("packets_dropped_total", reason=reason)
+        self._log_refusal("Dropped a packet.", packet, reason)
+
+    def _log_refusal(
+        self, event: str, packet: packets.Packet, reason: str
+    ) -> None:
         logger.info(
-            "Dropped a packet.",
+            event,
             extra={
                 "flow": str(packet.flow),
                 "reason": reason,
@@ -228,7 +226,7 @@
         self,
         packet: packets.Packet,
         route: routes.Route,
-        upstream: upstreams.Upstream,
+        chosen: choosers.Chosen,
         tried: list[ids.UpstreamId],
     ) -> None:
         logger.info(
@@ -237,7 +235,10 @@
                 "flow": str(packet.flow),
                 "copy": packet.copy,
                 "route": route.name,
-                "upstream": upstream.id,
+                "upstream": chosen.upstream.id,
+                "in_flight": chosen.candidate.load,
+                "average": round(chosen.candidate.recent, 2),
+                "among": chosen.among,
                 "tried": tried,
                 **self._describe_knowledge(),
             },
--- a/persimmonhinge/forwarding/pages.py
+++ b/persimmonhinge/metrics/host_pages.py
@@ -1,4 +1,4 @@
-"""The HTTP pages of a host that forwards packets."""
+"""The HTTP pages that hosts of all kinds have: readiness and metrics."""
 
 from __future__ import annotations
 
@@ -8,9 +8,10 @@
 from persimmonhinge.metrics import page
 
 _NOT_READY = 503
+METRICS_PATH = "/metrics"
 
 
-class ForwardPages:
+class HostPages:
     """Enters readiness and metrics into a page server."""
 
     def __init__(
@@ -18,11 +19,20 @@
         server: page.PageServer,
         counts: host_counts.Counts,
         is_ready: Callable[[], bool],
+        readiness_path: str,
     ) -> None:
+        """Enters the pages.
+
+        Args:
+            server: The server.
+            counts: Counters of the host.
+            is_ready: Tells whether the fabric should send packets here.
+            readiness_path: Where the host says so.
+        """
         self._counts = counts
         self._is_ready = is_ready
-        server.pages.register("/ready")(self.show_readiness)
-        server.pages.register("/metrics")(self.show_metrics)
+        server.pages.register(readiness_path)(self.show_readiness)
+        server.pages.register(METRICS_PATH)(self.show_metrics)
 
     async def show_readiness(
         self, request: page.PageRequest
--- a/persimmonhinge/status/page.py
+++ b/persimmonhinge/status/page.py
@@ -6,11 +6,10 @@
 
 from persimmonhinge import ids
 from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.metrics import host_pages
 from persimmonhinge.metrics import page
-from persimmonhinge.metrics import render
 from persimmonhinge.status import document
 
-_NOT_READY = 503
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 
@@ -26,11 +25,9 @@
         is_ready: Callable[[], bool],
     ) -> None:
         self._status = status
-        self._counts = counts
         self._is_ready = is_ready
         server.pages.register("/healthz")(self.show_health)
-        server.pages.register("/readyz")(self.show_readiness)
-        server.pages.register("/metrics")(self.show_metrics)
+        host_pages.HostPages(server, counts, is_ready, "/readyz")
         server.pages.register("/status")(self.show_status)
         server.pages.register("/explain")(self.explain)
 
@@ -38,19 +35,6 @@
         """Says that the process runs."""
         return page.PageAnswer(b"ok\n")
 
-    async def show_readiness(
-        self, request: page.PageRequest
-    ) -> page.PageAnswer:
-        """Says whether the host can serve what its contracts name."""
-        if self._is_ready():
-            return page.PageAnswer(b"ready\n")
-        return page.PageAnswer(b"not ready\n", status=_NOT_READY)
-
-    async def show_metrics(self, request: page.PageRequest) -> page.PageAnswer:
-        """Shows all counts in the Prometheus text format."""
-        body, content_type = render.render(self._counts, request.accept)
-        return page.PageAnswer(body, content_type)
-
     async def show_status(self, request: page.PageRequest) -> page.PageAnswer:
         """Shows the status as JSON."""
         return page.make_json(self._status.describe(ready=self._is_ready()))
--- a/tests/test_integration/test_integration_forwarding.py
+++ b/tests/test_integration/test_integration_forwarding.py
@@ -53,6 +53,23 @@
             )
             await trio.sleep(0.005)
 
+    async def check_drained(
+        self,
+        leaving: packet_upstream.PacketUpstream,
+        staying: packet_upstream.PacketUpstream,
+    ) -> None:
+        """Checks that no host opens flows at an upstream that drains."""
+        await trio.sleep(_DRAIN_LIMIT_S)
+        before = leaving.count_openings()
+        seen = staying.count_openings()
+        for number in range(len(self.hosts)):
+            await self.open_flows(number, 20)
+        expected = seen + 20 * len(self.hosts)
+        await deployments.wait_until(
+            lambda: staying.count_openings() >= expected, 5.0
+        )
+        assert leaving.count_openings() == before
+
     def takes_packets(self) -> bool:
         """Tells whether the packet sockets of all hosts are bound."""
         return all(host.is_bound() for host in self.hosts)
@@ -154,14 +171,7 @@
         await scene.store.set_faults(silence_watches=True)
         leaving, staying = scene.upstreams
         await scene.deployment.put_upstream(leaving, "draining")
-        await trio.sleep(_DRAIN_LIMIT_S)
-        before = leaving.count_openings()
-        for number in (0, 1):
-            await scene.open_flows(number, 20)
-        await deployments.wait_until(
-            lambda: staying.count_openings() >= 40, 5.0
-        )
-        assert leaving.count_openings() == before
+        await scene.check_drained(leaving, staying)
 
 
 @trios.trio_test
@@ -180,14 +190,7 @@
         await scene.deployment.put_upstream(leaving, "draining")
         await scene.store.compact(1000)
         await scene.store.set_faults(refuse_status=0)
-        await trio.sleep(_DRAIN_LIMIT_S)
-        before = leaving.count_openings()
-        for number in (0, 1):
-            await scene.open_flows(number, 10)
-        await deployments.wait_until(
-            lambda: staying.count_openings() >= 20, 5.0
-        )
-        assert leaving.count_openings() == before
+        await scene.check_drained(leaving, staying)
 
 
 @trios.trio_test
@@ -214,13 +217,7 @@
         await scene.deployment.put_upstream(leaving, "draining")
         await trio.sleep(2.0)
         process.send_signal(signal.SIGCONT)
-        await trio.sleep(_DRAIN_LIMIT_S)
-        before = leaving.count_openings()
-        await scene.open_flows(0, 10)
-        await deployments.wait_until(
-            lambda: staying.count_openings() >= 10, 5.0
-        )
-        assert leaving.count_openings() == before
+        await scene.check_drained(leaving, staying)
 
 
 @trios.trio_test
