--- a/tests/test_integration/test_integration_forwarding.py
+++ b/tests/test_integration/test_integration_forwarding.py
@@ -325,6 +325,26 @@
         )
 
 
+@trios.trio_test
+async def test_hangup_during_the_start_ends_nothing() -> None:
+    """A host is gone after its settings changed while it started.
+
+    It has bound its socket and imports the rest of the program; SIGHUP comes.
+    Cause: the default action until signals are followed.
+    """
+    async with run_scene(1) as scene:
+        host = scene.hosts[0]
+        await host.start()
+        await deployments.wait_until(host.is_bound, 5.0)
+        with trio.fail_after(10.0):
+            while not await scene.deployment.is_ready(host):
+                assert host.process is not None
+                host.process.send_signal(signal.SIGHUP)
+                await trio.sleep(0.01)
+        await scene.open_flows(0, 1)
+        await wait_openings(scene, 1)
+
+
 @trios.trio_test
 async def test_planned_stop_forwards_until_packets_stop() -> None:
     """A feed loses packets when its host is restarted on purpose.
