--- a/persimmonhinge/forwarding/directory.py
+++ b/persimmonhinge/forwarding/directory.py
@@ -86,6 +86,8 @@
 
     def is_unique(self, upstream: upstreams.Upstream) -> bool:
         """Tells whether the token of a live upstream finds it."""
+        if len(self._by_token[upstream.token]) == 1:
+            return True
         return self.find(upstream.token) is upstream
 
     def select(
--- a/persimmonhinge/forwarding/peers/pulls.py
+++ b/persimmonhinge/forwarding/peers/pulls.py
@@ -4,6 +4,7 @@
 
 import functools
 import logging
+import random
 import time
 
 import msgspec
@@ -59,14 +60,21 @@
         return behind_since is not None and now - behind_since > _BEHIND_S
 
     def _find_ahead(self) -> books.Peer | None:
-        heard = [p for p in self._book.heard() if p.report is not None]
-        if not heard:
-            return None
-        best = max(heard, key=lambda p: p.report.revision if p.report else 0)
-        report = best.report
-        if report is None or report.revision <= self._core.entries.revision:
+        """Returns a host that knows most, if it knows more than this one.
+
+        Guards against many hosts that pull a long desired state from the one
+        that heard of it first, over its thin link: any that has it will do.
+        """
+        ahead = [
+            (peer.report.revision, peer)
+            for peer in self._book.heard()
+            if peer.report is not None
+            and peer.report.revision > self._core.entries.revision
+        ]
+        if not ahead:
             return None
-        return best
+        newest = max(revision for revision, _ in ahead)
+        return random.choice([p for rev, p in ahead if rev == newest])
 
     async def _pull(self, peer: books.Peer) -> None:
         host = peer.address.host
--- a/persimmonhinge/forwarding/peers/reporter.py
+++ b/persimmonhinge/forwarding/peers/reporter.py
@@ -23,7 +23,7 @@
 _FAR_S = 0.5
 # Octets a second for reports, of the 16 KB that a host may spend for control.
 # With more hosts reports come more seldom.
-_NEAR_OCTETS_PER_S = 10_000
+_NEAR_OCTETS_PER_S = 8_000
 _FAR_OCTETS_PER_S = 3_000
 # With more hosts than this elsewhere, reports to them say no loads: they would
 # be seconds old, and new flows hardly ever go there.
--- a/tests/test_integration/test_integration_forwarding.py
+++ b/tests/test_integration/test_integration_forwarding.py
@@ -70,6 +70,12 @@
         )
         assert leaving.count_openings() == before
 
+    async def wait_for_watches(self, count: int) -> None:
+        """Waits until the store has had so many watches."""
+        with trio.fail_after(5.0):
+            while (await self.store.get_counts()).get("watch", 0) < count:
+                await trio.sleep(0.02)
+
     def takes_packets(self) -> bool:
         """Tells whether the packet sockets of all hosts are bound."""
         return all(host.is_bound() for host in self.hosts)
@@ -104,6 +110,11 @@
     )
 
 
+async def wait_event(host: deployments.ForwardHost, event: str) -> None:
+    """Waits until the log of a host tells of an event."""
+    await deployments.wait_until(lambda: _has_event(host, event), 6.0)
+
+
 async def wait_longer(kept: list[Any], length: int) -> None:
     """Waits until a list is longer than a length."""
     await deployments.wait_until(lambda: len(kept) > length, 5.0)
@@ -168,6 +179,9 @@
     """
     async with run_scene(2) as scene:
         await scene.start(0, 1)
+        for host in scene.hosts:
+            await wait_event(host, "Follows the store.")
+        await scene.wait_for_watches(2)
         await scene.store.set_faults(silence_watches=True)
         leaving, staying = scene.upstreams
         await scene.deployment.put_upstream(leaving, "draining")
@@ -251,10 +265,7 @@
         await scene.start(0)
         first, second = scene.upstreams
         await scene.store.put(f"servers/{second.id}", None)
-        await deployments.wait_until(
-            lambda: _has_event(scene.hosts[0], "Entry of an upstream ended."),
-            5.0,
-        )
+        await wait_event(scene.hosts[0], "Entry of an upstream ended.")
         await scene.open_flows(0, 1)
         await wait_openings(scene, 1)
         token = first.last_token()
@@ -309,16 +320,12 @@
         good = host.settings.read_text()
         host.settings.write_text("host: [")
         host.process.send_signal(signal.SIGHUP)
-        await deployments.wait_until(
-            lambda: _has_event(host, "Keeps the former settings"), 5.0
-        )
+        await wait_event(host, "Keeps the former settings")
         host.settings.write_text(
             good.replace('"seeds"', '"log_level": "DEBUG", "seeds"')
         )
         os.utime(host.settings, (1, 1))
-        await deployments.wait_until(
-            lambda: _has_event(host, "Read the settings again."), 6.0
-        )
+        await wait_event(host, "Read the settings again.")
         await scene.open_flows(0, 1)
         await deployments.wait_until(
             lambda: sum(scene.count_openings()) >= 1, 5.0
