--- a/benchmarks/broken_flows.py
+++ b/benchmarks/broken_flows.py
@@ -27,6 +27,7 @@
 from tests.standins import processes
 from tests.standins import watchers
 from tests.test_integration import feed_plans
+from tests.test_integration import settled
 
 _SERVICE = feed_plans.SERVICE
 _UPSTREAMS = (3, 2, 2)
@@ -106,7 +107,7 @@
     )
     settings = watchers.WATCHFUL.model_copy(update={"silent_s": silent_s})
     async with (
-        feed_plans.run_settled(plan) as deployment,
+        settled.run_settled(plan) as deployment,
         watchers.run_watchers(deployment, _SERVICE, feeds, settings) as callers,
     ):
         await callers.wait_more(_BEFORE_TICKS)
--- a/tests/test_flows/home_fakes.py
+++ b/tests/test_flows/home_fakes.py
@@ -353,3 +353,22 @@
         echo=echo,
     )
     world.home.handle(FLOW, message)
+
+
+def make_hanging_keeper(
+    cancelled: list[base.Message],
+) -> Callable[[base.Message], Awaitable[base.Message]]:
+    """Returns a keeper that never answers.
+
+    Args:
+        cancelled: Where it enters the messages whose work was cancelled.
+    """
+
+    async def hang(message: base.Message) -> base.Message:
+        try:
+            await trio.sleep_forever()
+        finally:
+            cancelled.append(message)
+        raise AssertionError
+
+    return hang
--- a/tests/test_flows/test_flows_home.py
+++ b/tests/test_flows/test_flows_home.py
@@ -145,16 +145,8 @@
 @trios.clock_test
 async def test_reset_of_the_empty_ack_cancels_the_work() -> None:
     world = home_fakes.HomeWorld()
-    cancelled = []
-
-    async def hang(message: base.Message) -> base.Message:
-        try:
-            await trio.sleep_forever()
-        finally:
-            cancelled.append(message)
-        raise AssertionError
-
-    world.keep_all(hang)
+    cancelled: list[base.Message] = []
+    world.keep_all(home_fakes.make_hanging_keeper(cancelled))
     async with world.running():
         await world.ask(Code.GET, "/lots", mid=5, mtype=types.CON)
         _send_empty(world, types.RST, 5)
--- a/tests/test_flows/test_flows_requests_ends.py
+++ b/tests/test_flows/test_flows_requests_ends.py
@@ -44,16 +44,8 @@
 @trios.clock_test
 async def test_last_caller_that_resets_cancels_the_work() -> None:
     world = home_fakes.HomeWorld()
-    cancelled = []
-
-    async def hang(message: base.Message) -> base.Message:
-        try:
-            await trio.sleep_forever()
-        finally:
-            cancelled.append(message)
-        raise AssertionError
-
-    world.keep_all(hang)
+    cancelled: list[base.Message] = []
+    world.keep_all(home_fakes.make_hanging_keeper(cancelled))
     async with world.running():
         echo = await world.get_ticket()
         for mid in (70, 71):
--- a/tests/test_integration/feed_plans.py
+++ b/tests/test_integration/feed_plans.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-import contextlib
-
 import trio
 
 from persimmonhinge.contracts import contract as contracts
-from tests.standins import host_pages
 from tests.standins import plan as plans
 from tests.standins import processes
+from tests.test_integration import settled
 
 SERVICE = "floor"
 _SLOTS = 2
@@ -39,27 +36,11 @@
     )
 
 
-@contextlib.asynccontextmanager
-async def run_settled(
-    plan: plans.DeploymentPlan,
-) -> AsyncIterator[processes.Deployment]:
-    """Runs a deployment in which each host sees all others."""
-    async with processes.run_deployment(plan) as deployment:
-        names = list(deployment.hosts)
-        await open_pages(deployment).wait_sees(names, names)
-        yield deployment
-
-
-def open_pages(deployment: processes.Deployment) -> host_pages.HostPages:
-    """Returns what the hosts of a deployment tell over HTTP."""
-    return host_pages.HostPages(deployment.metrics_url)
-
-
 async def count_feeds(
     deployment: processes.Deployment, host: str, gauge: str = "feeds_open"
 ) -> int:
     """Returns how many feeds a host is home of, or another of its gauges."""
-    text = await open_pages(deployment).read(host, "metrics")
+    text = await settled.open_pages(deployment).read(host, "metrics")
     for line in text.splitlines():
         name, _, value = line.rpartition(" ")
         if name.partition("{")[0] in (gauge, f"persimmonhinge_{gauge}"):
--- a/tests/test_integration/load_plans.py
+++ b/tests/test_integration/load_plans.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-import contextlib
-
 import trio
 
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.load import executions as execution_logs
-from tests.standins import host_pages
 from tests.standins import plan as plans
 from tests.standins import processes
+from tests.test_integration import settled
 
 SERVICE = "floor"
 _POLL_S = 0.1
@@ -41,26 +38,10 @@
     )
 
 
-@contextlib.asynccontextmanager
-async def run_settled(
-    plan: plans.DeploymentPlan,
-) -> AsyncIterator[processes.Deployment]:
-    """Runs a deployment in which each host sees all others."""
-    async with processes.run_deployment(plan) as deployment:
-        names = list(deployment.hosts)
-        await open_pages(deployment).wait_sees(names, names)
-        yield deployment
-
-
-def open_pages(deployment: processes.Deployment) -> host_pages.HostPages:
-    """Returns what the hosts of a deployment tell over HTTP."""
-    return host_pages.HostPages(deployment.metrics_url)
-
-
 async def find_keepers(deployment: processes.Deployment) -> dict[str, str]:
     """Returns the keeper of each upstream, as the first host sees it."""
     host = next(iter(deployment.hosts))
-    status = await open_pages(deployment).status(host)
+    status = await settled.open_pages(deployment).status(host)
     return {u["upstream"]: u["keeper"] for u in status["upstreams"]}
 
 
--- a/tests/test_integration/test_integration_drain_upstreams.py
+++ b/tests/test_integration/test_integration_drain_upstreams.py
@@ -20,6 +20,7 @@
 from tests.standins import upstream_control
 from tests.support import trios
 from tests.test_integration import feed_plans
+from tests.test_integration import settled
 
 _SERVICE = feed_plans.SERVICE
 _LEAVING = "floor-north-1"
@@ -61,7 +62,7 @@
     that no contract can tell of it. Of new work it may see only the requests
     that find out. Cause: a refusal taken for a passing shortage.
     """
-    async with _run_load(feed_plans.run_settled) as (deployment, callers):
+    async with _run_load(settled.run_settled) as (deployment, callers):
         await callers.wait_answered(30)
         await deployment.platform.set_faults(down=True)
         await upstream_control.drain(deployment, _LEAVING)
@@ -128,7 +129,7 @@
 
 
 async def _check_leaves(change: _Change) -> None:
-    async with _run_load(feed_plans.run_settled) as (deployment, callers):
+    async with _run_load(settled.run_settled) as (deployment, callers):
         await callers.wait_answered(30)
         await change(deployment)
         left_at = time.time()
--- a/tests/test_integration/test_integration_feeds_deaths.py
+++ b/tests/test_integration/test_integration_feeds_deaths.py
@@ -7,6 +7,7 @@
 from tests.standins import watchers
 from tests.support import trios
 from tests.test_integration import feed_plans
+from tests.test_integration import settled
 
 _SERVICE = feed_plans.SERVICE
 _FEEDS = 40
@@ -24,7 +25,7 @@
     that the caller has seen before. Cause: feeds that nobody but their home
     knew.
     """
-    async with feed_plans.run_settled(feed_plans.make_plan()) as deployment:
+    async with settled.run_settled(feed_plans.make_plan()) as deployment:
         async with watchers.run_watchers(
             deployment, _SERVICE, _FEEDS, watchers.WATCHFUL
         ) as callers:
@@ -48,7 +49,7 @@
     home was just sending may be missing. Cause: a keeper that ends a feed
     with its home.
     """
-    async with feed_plans.run_settled(feed_plans.make_plan()) as deployment:
+    async with settled.run_settled(feed_plans.make_plan()) as deployment:
         async with watchers.run_watchers(
             deployment, _SERVICE, _FEEDS
         ) as callers:
@@ -72,7 +73,7 @@
     that is only moved when somebody says so.
     """
     plan = feed_plans.make_plan(limits=feed_plans.QUICK_LIMITS)
-    async with feed_plans.run_settled(plan) as deployment:
+    async with settled.run_settled(plan) as deployment:
         async with watchers.run_watchers(
             deployment, _SERVICE, _FEEDS
         ) as callers:
--- a/tests/test_integration/test_integration_feeds_hosts.py
+++ b/tests/test_integration/test_integration_feeds_hosts.py
@@ -6,6 +6,7 @@
 from tests.standins import watchers
 from tests.support import trios
 from tests.test_integration import feed_plans
+from tests.test_integration import settled
 
 _SERVICE = feed_plans.SERVICE
 _FEEDS = 30
@@ -21,7 +22,7 @@
     and take it back. All of its feeds and upstreams move away and others
     come back. Cause: a feed that is closed before its successor has it.
     """
-    async with feed_plans.run_settled(feed_plans.make_plan()) as deployment:
+    async with settled.run_settled(feed_plans.make_plan()) as deployment:
         async with watchers.run_watchers(
             deployment, _SERVICE, _FEEDS
         ) as callers:
@@ -44,7 +45,7 @@
     they were opened. Cause: state that one host alone holds.
     """
     plan = feed_plans.make_plan(hosts=3)
-    async with feed_plans.run_settled(plan) as deployment:
+    async with settled.run_settled(plan) as deployment:
         async with watchers.run_watchers(
             deployment, _SERVICE, _FEEDS
         ) as callers:
@@ -65,7 +66,7 @@
     name and address, so that it is successor of its own successors. Cause:
     the new process taken for the old one, or feeds handed to it too early.
     """
-    async with feed_plans.run_settled(feed_plans.make_plan()) as deployment:
+    async with settled.run_settled(feed_plans.make_plan()) as deployment:
         async with watchers.run_watchers(
             deployment, _SERVICE, _FEEDS
         ) as callers:
--- a/tests/test_integration/test_integration_feeds_silent.py
+++ b/tests/test_integration/test_integration_feeds_silent.py
@@ -14,6 +14,7 @@
 from tests.standins import watchers
 from tests.support import trios
 from tests.test_integration import feed_plans
+from tests.test_integration import settled
 
 _SERVICE = feed_plans.SERVICE
 _FEEDS = 30
@@ -35,7 +36,7 @@
     limits = contracts.Limits(silent_feed_s=_SILENT_FEED_S)
     plan = feed_plans.make_plan(limits=limits)
     async with (
-        feed_plans.run_settled(plan) as deployment,
+        settled.run_settled(plan) as deployment,
         load_callers.run_callers(deployment, _SERVICE) as callers,
         watchers.run_watchers(deployment, _SERVICE, _FEEDS) as watching,
     ):
@@ -73,7 +74,7 @@
         upstream_options=("--feed-interval-ms", str(_QUIET_INTERVAL_MS)),
     )
     async with (
-        feed_plans.run_settled(plan) as deployment,
+        settled.run_settled(plan) as deployment,
         watchers.run_watchers(
             deployment, _SERVICE, _FEEDS, first_ticks=1
         ) as watching,
@@ -95,5 +96,5 @@
 
 
 async def _count(deployment: processes.Deployment, name: str) -> int:
-    pages = feed_plans.open_pages(deployment)
+    pages = settled.open_pages(deployment)
     return sum([await pages.count(host, name) for host in deployment.hosts])
--- a/tests/test_integration/test_integration_feeds_together.py
+++ b/tests/test_integration/test_integration_feeds_together.py
@@ -8,6 +8,7 @@
 from tests.standins import watchers
 from tests.support import trios
 from tests.test_integration import feed_plans
+from tests.test_integration import settled
 
 _SERVICE = feed_plans.SERVICE
 _FEEDS = 30
@@ -25,7 +26,7 @@
     Cause: a seam that holds only if the other side of the feed rests.
     """
     new = plans.HostPlan("entry-7", "north", "127.1.0.7")
-    async with feed_plans.run_settled(feed_plans.make_plan()) as deployment:
+    async with settled.run_settled(feed_plans.make_plan()) as deployment:
         async with watchers.run_watchers(
             deployment, _SERVICE, _FEEDS
         ) as callers:
@@ -48,7 +49,7 @@
     must learn that the other takes no feeds. Cause: a successor that leaves
     itself and loses what it was just given.
     """
-    async with feed_plans.run_settled(feed_plans.make_plan()) as deployment:
+    async with settled.run_settled(feed_plans.make_plan()) as deployment:
         async with watchers.run_watchers(
             deployment, _SERVICE, _FEEDS
         ) as callers:
@@ -67,7 +68,7 @@
     midway, once before and once while feeds move. Cause: a move that is
     begun anew or given up half way leaves a feed with two sources or none.
     """
-    async with feed_plans.run_settled(feed_plans.make_plan()) as deployment:
+    async with settled.run_settled(feed_plans.make_plan()) as deployment:
         async with watchers.run_watchers(
             deployment, _SERVICE, _FEEDS
         ) as callers:
--- a/tests/test_integration/test_integration_feeds_upstreams.py
+++ b/tests/test_integration/test_integration_feeds_upstreams.py
@@ -11,6 +11,7 @@
 from tests.standins import watchers
 from tests.support import trios
 from tests.test_integration import feed_plans
+from tests.test_integration import settled
 
 _SERVICE = feed_plans.SERVICE
 _FEEDS = 30
@@ -28,7 +29,7 @@
     tick may be lost or doubled at the seam. Cause: a feed that is closed
     and then opened elsewhere.
     """
-    async with feed_plans.run_settled(feed_plans.make_plan()) as deployment:
+    async with settled.run_settled(feed_plans.make_plan()) as deployment:
         upstream = next(iter(deployment.upstreams))
         async with watchers.run_watchers(
             deployment, _SERVICE, _FEEDS
@@ -51,7 +52,7 @@
     dropped together with its feeds.
     """
     plan = feed_plans.make_plan(hosts=3)
-    async with feed_plans.run_settled(plan) as deployment:
+    async with settled.run_settled(plan) as deployment:
         present = plan.services[0].upstreams
         async with watchers.run_watchers(
             deployment, _SERVICE, _FEEDS
--- a/tests/test_integration/test_integration_load_classes.py
+++ b/tests/test_integration/test_integration_load_classes.py
@@ -18,6 +18,7 @@
 from tests.standins import upstream_control
 from tests.support import trios
 from tests.test_integration import load_plans
+from tests.test_integration import settled
 
 _CLIENT = client_settings.ClientSettings(ack_timeout_s=0.5)
 _POST = contracts.Method.POST
@@ -61,7 +62,7 @@
     not have run.
     """
     plan = load_plans.make_plan(slots=2, run_time_ms=200.0)
-    async with load_plans.run_settled(plan) as deployment:
+    async with settled.run_settled(plan) as deployment:
         load = load_runs.LoadRun(_make_load(deployment))
         await load.run()
         executions = load_plans.read_log(deployment, "run")
@@ -88,7 +89,7 @@
     and must never run.
     """
     plan = load_plans.make_plan((1, 0, 0), slots=1)
-    async with load_plans.run_settled(plan) as deployment:
+    async with settled.run_settled(plan) as deployment:
         address = deployment.layout.service_address(load_plans.SERVICE)
         async with (
             trio.open_nursery() as nursery,
@@ -145,7 +146,7 @@
     comes after must run next, and none of the eight ever runs.
     """
     plan = load_plans.make_plan((1, 0, 0), slots=1, run_time_ms=2000.0)
-    async with load_plans.run_settled(plan) as deployment:
+    async with settled.run_settled(plan) as deployment:
         _, port = deployment.layout.service_address(load_plans.SERVICE)
         host = (deployment.plan.hosts[0].address, port)
         async with raw_caller.open_raw_caller(1) as caller:
@@ -181,7 +182,7 @@
 
     Other hosts hear of it too late: the queue changes within 2 s.
     """
-    pages = load_plans.open_pages(deployment)
+    pages = settled.open_pages(deployment)
     status = await pages.status(next(iter(deployment.hosts)))
     (upstream,) = status["upstreams"]
     await pages.wait(
--- a/tests/test_integration/test_integration_load_faults.py
+++ b/tests/test_integration/test_integration_load_faults.py
@@ -10,6 +10,7 @@
 from tests.standins import upstream_control
 from tests.support import trios
 from tests.test_integration import load_plans
+from tests.test_integration import settled
 
 _CALLERS = 18
 _DOMAINS = (2, 1, 1)
@@ -29,7 +30,7 @@
     have recovered they must get work again, without an operator.
     """
     plan = load_plans.make_plan(_DOMAINS)
-    async with load_plans.run_settled(plan) as deployment:
+    async with settled.run_settled(plan) as deployment:
         good, *bad = deployment.upstreams
         async with load_callers.run_callers(
             deployment, load_plans.SERVICE, _CALLERS
@@ -63,7 +64,7 @@
     None of them is trusted any more. With nothing better at hand the least
     bad go on getting work, so that callers are served once it works again.
     """
-    async with load_plans.run_settled(load_plans.make_plan()) as deployment:
+    async with settled.run_settled(load_plans.make_plan()) as deployment:
         async with load_callers.run_callers(
             deployment, load_plans.SERVICE
         ) as callers:
@@ -91,7 +92,7 @@
     Callers are spread over the upstreams that are left as evenly as before;
     the fabric goes on sending to the dead hosts for a while.
     """
-    async with load_plans.run_settled(
+    async with settled.run_settled(
         load_plans.make_plan((2, 2, 2))
     ) as deployment:
         north = [h.name for h in deployment.plan.hosts if h.domain == "north"]
@@ -105,7 +106,7 @@
                 if "north" in name:
                     await deployment.upstreams[name].kill()
             left = [h for h in deployment.hosts if h not in north]
-            pages = load_plans.open_pages(deployment)
+            pages = settled.open_pages(deployment)
             await pages.wait_sees(left, left)
             await callers.wait_each()
             settled_at = time.time()
--- a/tests/test_integration/test_integration_load_slots.py
+++ b/tests/test_integration/test_integration_load_slots.py
@@ -14,6 +14,7 @@
 from tests.standins import upstream_control
 from tests.support import trios
 from tests.test_integration import load_plans
+from tests.test_integration import settled
 
 _SLOTS = 2
 _EXCESS = "excess"
@@ -42,8 +43,8 @@
     in the moment of a change the upstream sheds it, the host counts it, and
     no request runs twice or is lost.
     """
-    async with load_plans.run_settled(load_plans.make_plan()) as deployment:
-        pages = load_plans.open_pages(deployment)
+    async with settled.run_settled(load_plans.make_plan()) as deployment:
+        pages = settled.open_pages(deployment)
         changes = []
         async with load_callers.run_callers(
             deployment, load_plans.SERVICE, _CALLERS
@@ -86,7 +87,7 @@
         (1, 1, 0), slots=1, run_time_ms=_RUN_S * 1000, limits=limits
     )
     new = plans.UpstreamPlan("floor-new", "south", _COLD_SLOTS)
-    async with load_plans.run_settled(plan) as deployment:
+    async with settled.run_settled(plan) as deployment:
         async with load_callers.run_callers(
             deployment, load_plans.SERVICE, _CALLERS
         ) as callers:
--- a/tests/test_integration/test_integration_stop_requests.py
+++ b/tests/test_integration/test_integration_stop_requests.py
@@ -18,6 +18,7 @@
 from tests.standins import upstream_control
 from tests.support import trios
 from tests.test_integration import feed_plans
+from tests.test_integration import settled
 
 _SERVICE = feed_plans.SERVICE
 _CALLERS = 9
@@ -49,7 +50,7 @@
     carried answered: no caller may hear "unknown" or "not run". Cause: a
     process that ends with requests in its tables.
     """
-    async with feed_plans.run_settled(_make_plan()) as deployment:
+    async with settled.run_settled(_make_plan()) as deployment:
         async with load_callers.run_callers(
             deployment, _SERVICE, _CALLERS
         ) as callers:
@@ -73,7 +74,7 @@
     closes its door first and tells of it afterwards.
     """
     host = "entry-1"
-    async with feed_plans.run_settled(_make_plan()) as deployment:
+    async with settled.run_settled(_make_plan()) as deployment:
         address = _find_address(deployment, host)
         async with (
             load_callers.run_callers(deployment, _SERVICE, _CALLERS) as callers,
@@ -102,7 +103,7 @@
     finish what it carries, hand the rest over and end as ever. Cause: a
     stop that waits until the platform's list shows it.
     """
-    async with feed_plans.run_settled(_make_plan()) as deployment:
+    async with settled.run_settled(_make_plan()) as deployment:
         async with load_callers.run_callers(
             deployment, _SERVICE, _CALLERS
         ) as callers:
@@ -126,7 +127,7 @@
     Cause: a graceful stop without a limit.
     """
     limits = contracts.Limits(upstream_timeout_s=600.0)
-    async with feed_plans.run_settled(_make_plan(limits)) as deployment:
+    async with settled.run_settled(_make_plan(limits)) as deployment:
         for upstream in deployment.upstreams:
             await upstream_control.set_faults(deployment, upstream, stall=True)
         async with raw_caller.open_raw_caller(seed=1) as direct:
@@ -167,7 +168,7 @@
 async def _wait_seen_as_leaving(
     deployment: processes.Deployment, host: str
 ) -> None:
-    pages = feed_plans.open_pages(deployment)
+    pages = settled.open_pages(deployment)
     await pages.wait(
         [name for name in deployment.hosts if name != host],
         lambda status: any(
