--- /dev/null
+++ b/tests/test_forwarding/test_forwarding_clock.py
@@ -0,0 +1,33 @@
+"""Tests that the time of day decides nothing."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+from persimmonhinge.forwarding import openings
+from tests.test_forwarding import scene as scenes
+from tests.test_forwarding import test_forwarding_reading as readers
+
+
+def test_no_decision_reads_the_time_of_day() -> None:
+    """Hosts take all upstreams for dead when their clocks are set right.
+
+    The time of day jumps by seconds, and back again. Cause: durations that
+    are taken as differences of it.
+    """
+    with (
+        mock.patch("time.time", side_effect=AssertionError("time of day")),
+        mock.patch("time.time_ns", side_effect=AssertionError("time of day")),
+    ):
+        scene = scenes.Scene()
+        for number in range(1, 4):
+            scene.add(scenes.make_upstream(number))
+        chosen = scene.open()
+        scene.clock.sleep(openings.ANSWER_S + 0.001)
+        scene.handle_due()
+        scene.go_on(chosen, data=5)
+        scene.tracker.sweep(15.0)
+        reader = readers.Reader()
+        reader.entries.take(readers.make_key("1"), readers.make_entry(), 5)
+        reader.entries.record_answer()
+        reader.entries.take(readers.make_key("1"), None, 6)
