--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -4,9 +4,9 @@
 
 Plays hosts, upstreams with slots and a queue, long flows with pauses and
 flows of a single request, as events on a clock of its own. All policies play
-the same seeds; as their choices differ, so do the later arrivals. `own` sees the
-requests of one host, `all` what the other hosts reported last as well. Prints one
-JSON object: means over the seeds.
+the same seeds; as their choices differ, so do the later arrivals. `own` sees
+the requests of one host, `all` what the other hosts reported last as well.
+Prints one JSON object: means over the seeds.
 """
 
 from __future__ import annotations
