Doubt missing entries when another host loses the store; check named addresses

Cause, found by reading: a host that takes over from one that saw an outage would take entries that expired in it for dead upstreams and reset their flows; a report that names no address would end the host (OverflowError from the socket). A host that waits for its first entries looked 500 times a second; 100 do.

--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -26,7 +26,7 @@
 _QUIET_CHECK_S = 0.1
 _SWEEP_S = 1.0
 _READINESS_PATH = "/ready"
-_START_CHECK_S = 0.002
+_START_CHECK_S = 0.01
 
 
 class ForwardApplication:
--- a/persimmonhinge/forwarding/peers/book.py
+++ b/persimmonhinge/forwarding/peers/book.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import logging
 import random
+import socket
 
 import msgspec
 
@@ -11,6 +13,8 @@
 from persimmonhinge.forwarding import suspicions as suspicion_lists
 from persimmonhinge.forwarding.peers import messages
 
+logger = logging.getLogger(__name__)
+
 # A host that told nothing for so long counts as silent, seconds, or for so many
 # of its own intervals between reports if that is longer.
 SILENT_S = 1.2
@@ -18,6 +22,7 @@
 # A silent host is told no more after this time, seconds; one that lives is
 # heard again, since it goes on telling.
 _FORGET_S = 30.0
+_LAST_PORT = 65_535
 
 
 class Peer(msgspec.Struct):
@@ -68,10 +73,24 @@
         self._peers: dict[flows.Endpoint, Peer] = {}
 
     def add(self, address: flows.Endpoint, now: float) -> None:
-        """Adds a host that was named by somebody."""
+        """Adds a host that was named by somebody.
+
+        Guards against a report that names what is no address: to send there
+        would end the host.
+        """
+        if not _is_usable(address):
+            logger.warning("Left out a host.", extra={"address": str(address)})
+            return
         if address != self._own and address not in self._peers:
             self._peers[address] = Peer(address, now)
 
+    def reaches_store(self, address: flows.Endpoint) -> bool:
+        """Tells whether a host said last that the store answers it."""
+        peer = self._peers.get(address)
+        if peer is None or peer.report is None:
+            return True
+        return peer.report.reaches_store
+
     def take(
         self, address: flows.Endpoint, report: messages.Report, now: float
     ) -> bool:
@@ -139,6 +158,14 @@
             self._suspicions.add_others(line.token, -line.missed)
 
 
+def _is_usable(address: flows.Endpoint) -> bool:
+    try:
+        socket.inet_aton(address.host)
+    except OSError:
+        return False
+    return 0 < address.port <= _LAST_PORT
+
+
 def _is_newer(former: messages.Report, report: messages.Report) -> bool:
     if former.incarnation != report.incarnation:
         return False
--- a/persimmonhinge/forwarding/peers/service.py
+++ b/persimmonhinge/forwarding/peers/service.py
@@ -115,17 +115,21 @@
             if isinstance(message, messages.News):
                 self._take_news(message, source[0])
             else:
-                self._take_report(message, flows.Endpoint(*source[:2]))
+                self.take_report(message, flows.Endpoint(*source[:2]))
 
     def _take_news(self, news: messages.News, source: str) -> None:
         self._core.entries.take_news(news, source)
 
-    def _take_report(
+    def take_report(
         self, report: messages.Report, address: flows.Endpoint
     ) -> None:
+        """Takes in a report of another host."""
         now = time.monotonic()
+        reached_store = self._book.reaches_store(address)
         if not self._book.take(address, report, now):
             return
+        if reached_store and not report.reaches_store:
+            self._core.entries.doubt()
         for named in report.peers:
             self._book.add(named, now)
         known = self._core.entries.revision
--- a/persimmonhinge/forwarding/reading.py
+++ b/persimmonhinge/forwarding/reading.py
@@ -200,14 +200,18 @@
             )
         trust.record_failure()
 
-    def _doubt_unless(self, settled: bool) -> None:
-        """Takes over the doubt of the host that told.
+    def doubt(self) -> None:
+        """Takes entries that are not there for missing, for some time.
 
         Guards against taking upstreams for dead whose entries expired in an
-        outage that only the host that follows the store has seen.
+        outage that only another host has seen: the one that follows the
+        store, or the one that did until a moment ago.
         """
+        self._knowledge.trust.doubt(time.monotonic())
+
+    def _doubt_unless(self, settled: bool) -> None:
         if not settled:
-            self._knowledge.trust.doubt(time.monotonic())
+            self.doubt()
 
     def _advance(self, revision: int) -> None:
         self.revision = max(self.revision, revision)
--- a/tests/test_forwarding/test_forwarding_peers_book.py
+++ b/tests/test_forwarding/test_forwarding_peers_book.py
@@ -91,6 +91,20 @@
     assert told.loads.others_in_flight(TOKEN) == 0
 
 
+def test_what_is_no_address_is_left_out() -> None:
+    """A host ends when a report names a host at port 99999.
+
+    The report is forged or broken; the next report is sent to that port.
+    Cause: an address that nobody checked.
+    """
+    told = Told()
+    for host, port in (("10.0.0.3", 99_999), ("nowhere", 5), ("10.0.0.3", 0)):
+        told.book.add(flows.Endpoint(host, port), 1.0)
+    told.book.add(flows.Endpoint("10.0.0.4", 7), 1.0)
+    near, far = told.book.divide("north")
+    assert (near, far) == ([flows.Endpoint("10.0.0.4", 7)], [])
+
+
 def test_doubts_of_several_hosts_hold_an_upstream_back() -> None:
     told = Told()
     name = suspicion_lists.ids.UpstreamId("i-1")
