Refuse endpoints of the store that it can't speak to; drop words of the old gateway

Cause: the settings took https URLs and such without a port, which the client of the users' store would not open; the error came at the first call.

--- a/persimmonhinge/settings/entry.py
+++ b/persimmonhinge/settings/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 from typing import Annotated
 
 import pydantic
@@ -10,6 +11,8 @@
 from persimmonhinge.contracts import contract as contracts
 
 Name = contracts.Name
+# The store speaks plain HTTP, and connections are opened by address or name.
+_ENDPOINT = re.compile(r"http://[^/:\s]+(:\d{1,5})/?")
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
 
 
@@ -113,7 +116,7 @@
     """The platform's key-value service.
 
     Attributes:
-        endpoints: Base URLs of its JSON gateway, tried in turn.
+        endpoints: Its base URLs, `http://ADDRESS:PORT`, tried in turn.
         timeout_s: Limit for one call, seconds.
         prefix: Beginning of all keys of this deployment.
         retry_interval_s: First wait after a failure, seconds; it doubles to
@@ -125,6 +128,14 @@
     prefix: str = "/persimmonhinge/"
     retry_interval_s: float = pydantic.Field(default=0.5, gt=0, le=60)
 
+    @pydantic.field_validator("endpoints")
+    @classmethod
+    def _check_endpoints(cls, value: tuple[str, ...]) -> tuple[str, ...]:
+        for url in value:
+            if not _ENDPOINT.fullmatch(url):
+                raise ValueError(f"{url!r} is not http://ADDRESS:PORT")
+        return value
+
 
 class MetricsSettings(IpAddressPart):
     """The HTTP page with metrics, `/healthz` and `/readyz`.
--- a/tests/test_contracts/fleet.py
+++ b/tests/test_contracts/fleet.py
@@ -208,6 +208,6 @@
             "domain": member.domain,
             "peers": ports,
             "seeds": [{"host": "h0", "domain": "d0", **ports}],
-            "platform": {"endpoints": ["http://none"], "prefix": PREFIX},
+            "platform": {"endpoints": ["http://none:1"], "prefix": PREFIX},
         }
     )
--- a/tests/test_keys/watcher_stub.py
+++ b/tests/test_keys/watcher_stub.py
@@ -24,7 +24,7 @@
         counts,
     )
     return watcher.Watcher(
-        entry.PlatformSettings(endpoints=("http://none",)),
+        entry.PlatformSettings(endpoints=("http://none:1",)),
         fake_platform.FakePlatform().client("test"),
         records,
         lambda news: None,
