--- a/tests/standins/forwarding_deployment.py
+++ b/tests/standins/forwarding_deployment.py
@@ -44,6 +44,11 @@
         self.settings = settings
         self.process: trio.Process | None = None
 
+    def change_settings(self, **fields: Any) -> None:
+        """Writes fields of its settings anew."""
+        settings = json.loads(self.settings.read_text())
+        self.settings.write_text(json.dumps({**settings, **fields}))
+
     async def start(self) -> None:
         """Starts its process."""
         with self.settings.with_suffix(".log").open("ab") as log:
--- /dev/null
+++ b/tests/test_forwarding/test_forwarding_settings.py
@@ -0,0 +1,134 @@
+"""Tests of the settings of hosts that forward packets."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+from typing import Any
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from persimmonhinge import errors
+from persimmonhinge.forwarding import settings as forward_settings
+
+_ROOT = pathlib.Path(__file__).parents[2]
+_GOOD: dict[str, Any] = {
+    "host": "h-1",
+    "domain": "north",
+    "packets": "127.0.0.1:1",
+    "pages": "127.0.0.1:2",
+    "peer_ports": [3, 18],
+    "store": {"address": "127.0.0.1:9"},
+}
+_BAD: tuple[dict[str, Any], ...] = (
+    {"packets": "somewhere"},
+    {"pages": "127.0.0.1:99999"},
+    {"peer_ports": [0, 18]},
+    {"store": {}},
+    {"drain_limit_ms": -1},
+    {"seeds": ["x"]},
+    {"unknown_field": 1},
+)
+
+json_values = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner)
+        | strategies.dictionaries(strategies.text(), inner)
+    ),
+)
+
+
+def run_program(text: str) -> subprocess.CompletedProcess[str]:
+    """Runs the program with a settings file that is bad."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "host.yaml"
+        path.write_text(text)
+        return subprocess.run(
+            [sys.executable, "-m", "persimmonhinge.cmd.forward", str(path)],
+            cwd=_ROOT,
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=20,
+        )
+
+
+def test_limits_decide_how_long_a_watch_waits() -> None:
+    text = json.dumps({**_GOOD, "drain_limit_ms": 2000}).encode()
+    settings = forward_settings.parse(text)
+    assert settings.watch_wait_s == 1.0
+    assert settings.current_s < 2.0
+
+
+def test_yaml_is_read_as_json_is() -> None:
+    text = b"""
+host: h-1
+domain: north
+packets: 127.0.0.1:1
+pages: 127.0.0.1:2
+peer_ports: [3, 18]
+store: {address: '127.0.0.1:9'}
+"""
+    as_json = json.dumps(_GOOD).encode()
+    assert forward_settings.parse(text) == forward_settings.parse(as_json)
+
+
+def test_bad_settings_are_refused_with_the_field() -> None:
+    for change in _BAD:
+        text = json.dumps({**_GOOD, **change}).encode()
+        try:
+            forward_settings.parse(text)
+        except (msgspec.MsgspecError, ValueError):
+            continue
+        raise AssertionError(f"{change} was taken")
+
+
+def test_program_ends_with_2_and_names_the_field() -> None:
+    for text, named in (
+        (json.dumps({**_GOOD, "peer_ports": [0, 18]}), "peer_ports"),
+        (json.dumps({**_GOOD, "packets": "somewhere"}), "'somewhere'"),
+        ("host: [", "host.yaml"),
+        ("{}", "host"),
+    ):
+        ended = run_program(text)
+        assert ended.returncode == 2
+        assert named in ended.stderr
+        assert "Traceback" not in ended.stderr
+
+
+def test_file_that_is_not_there_is_an_error_with_its_name() -> None:
+    try:
+        forward_settings.load("/nowhere/host.yaml")
+    except errors.SettingsError as error:
+        assert error.peer == "/nowhere/host.yaml"
+        return
+    raise AssertionError("a file that is not there was read")
+
+
+@hypothesis.given(strategies.dictionaries(strategies.text(), json_values))
+def test_no_settings_end_the_reader(document: dict[str, Any]) -> None:
+    text = json.dumps({**_GOOD, **document}).encode()
+    try:
+        forward_settings.parse(text)
+    except (msgspec.MsgspecError, ValueError):
+        return
+
+
+@hypothesis.given(strategies.binary())
+def test_no_octets_end_the_reader(text: bytes) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "host.yaml"
+        path.write_bytes(text)
+        try:
+            forward_settings.load(str(path))
+        except errors.SettingsError:
+            return
--- a/tests/test_integration/test_integration_forwarding.py
+++ b/tests/test_integration/test_integration_forwarding.py
@@ -207,6 +207,41 @@
         await scene.check_drained(leaving, staying)
 
 
+@trios.trio_test
+async def test_host_that_is_cut_off_from_the_store_hears_from_others() -> None:
+    """One host goes on with old news for as long as the store refuses it.
+
+    It alone can't reach the store, from its start on; an upstream drains and
+    hundreds of routes are added meanwhile. Cause: the store was the only
+    source, and news too long for a datagram were not told.
+    """
+    async with run_scene(2) as scene:
+        scene.hosts[1].change_settings(store={"address": "127.0.0.1:1"})
+        await scene.start(0, 1)
+        leaving, staying = scene.upstreams
+        await scene.deployment.put_state(2, 443, *range(1000, 1500))
+        await scene.deployment.put_upstream(leaving, "draining")
+        await scene.check_drained(leaving, staying)
+        before = staying.count_openings()
+        await scene.caller.send(
+            scene.hosts[1].address,
+            4000,
+            packet_upstream.SYN,
+            service_port=1499,
+        )
+        await wait_openings(scene, before + leaving.count_openings() + 1)
+
+
+@trios.trio_test
+async def test_drain_is_in_force_in_time_while_the_store_is_slow() -> None:
+    async with run_scene(2) as scene:
+        await scene.start(0, 1)
+        await scene.store.set_faults(delay_s=0.4)
+        leaving, staying = scene.upstreams
+        await scene.deployment.put_upstream(leaving, "draining")
+        await scene.check_drained(leaving, staying)
+
+
 @trios.trio_test
 async def test_hosts_serve_on_while_the_store_refuses_them() -> None:
     async with run_scene(2) as scene:
