Check log level and policy of forwarding hosts when the settings are read

Cause, found by a last read of the change: both were plain text, so a bad one was an unhandled error: a traceback at the start in place of exit code 2, and at a reload the end of a running host, though its page says that a bad file leaves the former settings in force.

--- a/persimmonhinge/forwarding/settings.py
+++ b/persimmonhinge/forwarding/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Annotated
+from typing import Literal
 
 import msgspec
 
@@ -11,6 +12,9 @@
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
+LogLevel = Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+# Policies that a forwarding host imports at its start.
+Choice = Literal["near-first"]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 _STEP = "read settings"
@@ -72,8 +76,8 @@
     flow_life_s: Positive = 60
     call_limit_s: Positive = 1.0
     first_call_limit_s: Positive = 0.3
-    choice: str = "near-first"
-    log_level: str = "INFO"
+    choice: Choice = "near-first"
+    log_level: LogLevel = "INFO"
 
     def __post_init__(self) -> None:
         """Checks the addresses.
--- a/tests/test_forwarding/test_forwarding_settings.py
+++ b/tests/test_forwarding/test_forwarding_settings.py
@@ -33,6 +33,8 @@
     {"drain_limit_ms": -1},
     {"seeds": ["x"]},
     {"unknown_field": 1},
+    {"log_level": "LOUD"},
+    {"choice": "no-such-policy"},
 )
 
 json_values = strategies.recursive(
@@ -96,6 +98,8 @@
     for text, named in (
         (json.dumps({**_GOOD, "peer_ports": [0, 18]}), "peer_ports"),
         (json.dumps({**_GOOD, "packets": "somewhere"}), "'somewhere'"),
+        (json.dumps({**_GOOD, "log_level": "LOUD"}), "log_level"),
+        (json.dumps({**_GOOD, "choice": "no-such-policy"}), "choice"),
         ("host: [", "host.yaml"),
         ("{}", "host"),
     ):
