Wait until hosts of a test deployment hold the contracts

A page of a host was read as JSON and was not: 'no contract for service'. A host that reads the platform before the contract is applied is ready, and hears of the contract only when its watch opens. The set-up waited for readiness, not for the contract.

Ruled out: a failure inside the page (nothing it calls raises), a connection that breaks (that is another error), a contract that is lost again (none is).

Error pages are now errors of the reader with their status, not of JSON.

The pages of a deployment are one attribute of it instead of three places.

--- a/tests/standins/cut_deployment.py
+++ b/tests/standins/cut_deployment.py
@@ -23,7 +23,6 @@
 from tests.standins import credentials as credential_files
 from tests.standins import faults_client
 from tests.standins import faults_rules as rules
-from tests.standins import host_pages
 from tests.standins import layout as layouts
 from tests.standins import plan as plans
 from tests.standins import processes
@@ -83,7 +82,6 @@
 
     Attributes:
         proxy: Commands to the proxy.
-        pages: What hosts tell over HTTP.
         ctl_ticket_life_s: Life of tickets as the operators have it, seconds.
     """
 
@@ -94,7 +92,6 @@
     ) -> None:
         super().__init__(plan, folder)
         self.layout = CutLayout(plan)
-        self.pages = host_pages.HostPages(self.metrics_url)
         self.ctl_ticket_life_s = plan.flows.ticket_life_s
         self.proxy: faults_client.FaultClient
 
@@ -259,5 +256,4 @@
             yield deployment
         finally:
             with trio.CancelScope(shield=True):
-                await deployment.pages.aclose()
                 await deployment.stop()
--- a/tests/standins/host_pages.py
+++ b/tests/standins/host_pages.py
@@ -40,10 +40,10 @@
         """Returns a page.
 
         Raises:
-            httpx.HTTPError: The host gave no answer.
+            httpx.HTTPError: The host gave no answer, or one of an error.
         """
-        url = f"{self._find_url(host)}/{page}"
-        return (await self._client.get(url)).text
+        response = await self._client.get(f"{self._find_url(host)}/{page}")
+        return response.raise_for_status().text
 
     async def status(self, host: str) -> Status:
         """Returns the status of a host."""
@@ -85,6 +85,17 @@
             limit_s,
         )
 
+    async def wait_serves(
+        self, hosts: Iterable[str], services: Iterable[str]
+    ) -> None:
+        """Waits until hosts hold a contract of each service."""
+        wanted = set(services)
+        await self.wait(
+            hosts,
+            lambda status: wanted <= set(status["contracts"]),
+            f"serving {sorted(wanted)}",
+        )
+
     async def wait_holds(
         self, hosts: Iterable[str], service: str, revision: int
     ) -> None:
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -24,6 +24,7 @@
 from tests.standins import child as children
 from tests.standins import credentials as credential_files
 from tests.standins import fabric_control
+from tests.standins import host_pages
 from tests.standins import layout as layouts
 from tests.standins import plan as plans
 from tests.standins import platform_process
@@ -46,6 +47,7 @@
         fabric: Commands to the fabric.
         hosts: Entry host processes by name.
         upstreams: Upstream processes by id.
+        pages: What hosts tell over HTTP.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         self.fabric: fabric_control.FabricControl
         self.hosts: dict[str, children.Child] = {}
         self.upstreams: dict[str, children.Child] = {}
+        self.pages = host_pages.HostPages(self.metrics_url)
         self._credentials = None
         if plan.secure:
             self._credentials = credential_files.Credentials(folder)
@@ -65,7 +68,11 @@
         self._others: list[children.Child] = []
 
     async def start(self) -> None:
-        """Starts all, applies the contracts, and waits until all is ready."""
+        """Starts all, applies the contracts, and waits until all is ready.
+
+        A host that read the platform before a contract was applied is ready
+        without it, and hears of it later: that is waited for, too.
+        """
         await self._start_platform()
         await self._start_fabric()
         for host in self.plan.hosts:
@@ -83,6 +90,8 @@
         async with trio.open_nursery() as nursery:
             for host in self.plan.hosts:
                 nursery.start_soon(self.wait_ready, host.name)
+        services = [service.name for service in self.plan.services]
+        await self.pages.wait_serves(list(self.hosts), services)
 
     async def stop(self) -> None:
         """Ends all processes, whatever their state."""
@@ -94,6 +103,7 @@
         async with trio.open_nursery() as nursery:
             for process in everything:
                 nursery.start_soon(process.kill)
+        await self.pages.aclose()
 
     async def start_host(self, name: str) -> None:
         """Starts an entry host, waits until ready, shows it to the fabric."""
--- a/tests/test_integration/feed_plans.py
+++ b/tests/test_integration/feed_plans.py
@@ -7,7 +7,6 @@
 from persimmonhinge.contracts import contract as contracts
 from tests.standins import plan as plans
 from tests.standins import processes
-from tests.test_integration import settled
 
 SERVICE = "floor"
 _SLOTS = 2
@@ -40,7 +39,7 @@
     deployment: processes.Deployment, host: str, gauge: str = "feeds_open"
 ) -> int:
     """Returns how many feeds a host is home of, or another of its gauges."""
-    text = await settled.open_pages(deployment).read(host, "metrics")
+    text = await deployment.pages.read(host, "metrics")
     for line in text.splitlines():
         name, _, value = line.rpartition(" ")
         if name.partition("{")[0] in (gauge, f"persimmonhinge_{gauge}"):
--- a/tests/test_integration/load_plans.py
+++ b/tests/test_integration/load_plans.py
@@ -8,7 +8,6 @@
 from persimmonhinge.load import executions as execution_logs
 from tests.standins import plan as plans
 from tests.standins import processes
-from tests.test_integration import settled
 
 SERVICE = "floor"
 _POLL_S = 0.1
@@ -41,7 +40,7 @@
 async def find_keepers(deployment: processes.Deployment) -> dict[str, str]:
     """Returns the keeper of each upstream, as the first host sees it."""
     host = next(iter(deployment.hosts))
-    status = await settled.open_pages(deployment).status(host)
+    status = await deployment.pages.status(host)
     return {u["upstream"]: u["keeper"] for u in status["upstreams"]}
 
 
--- a/tests/test_integration/settled.py
+++ b/tests/test_integration/settled.py
@@ -5,7 +5,6 @@
 from collections.abc import AsyncIterator
 import contextlib
 
-from tests.standins import host_pages
 from tests.standins import plan as plans
 from tests.standins import processes
 
@@ -17,10 +16,5 @@
     """Runs a deployment in which each host sees all others."""
     async with processes.run_deployment(plan) as deployment:
         names = list(deployment.hosts)
-        await open_pages(deployment).wait_sees(names, names)
+        await deployment.pages.wait_sees(names, names)
         yield deployment
-
-
-def open_pages(deployment: processes.Deployment) -> host_pages.HostPages:
-    """Returns what the hosts of a deployment tell over HTTP."""
-    return host_pages.HostPages(deployment.metrics_url)
--- a/tests/test_integration/test_integration_feeds_silent.py
+++ b/tests/test_integration/test_integration_feeds_silent.py
@@ -96,5 +96,5 @@
 
 
 async def _count(deployment: processes.Deployment, name: str) -> int:
-    pages = settled.open_pages(deployment)
+    pages = deployment.pages
     return sum([await pages.count(host, name) for host in deployment.hosts])
--- a/tests/test_integration/test_integration_load_classes.py
+++ b/tests/test_integration/test_integration_load_classes.py
@@ -182,7 +182,7 @@
 
     Other hosts hear of it too late: the queue changes within 2 s.
     """
-    pages = settled.open_pages(deployment)
+    pages = deployment.pages
     status = await pages.status(next(iter(deployment.hosts)))
     (upstream,) = status["upstreams"]
     await pages.wait(
--- a/tests/test_integration/test_integration_load_faults.py
+++ b/tests/test_integration/test_integration_load_faults.py
@@ -106,7 +106,7 @@
                 if "north" in name:
                     await deployment.upstreams[name].kill()
             left = [h for h in deployment.hosts if h not in north]
-            pages = settled.open_pages(deployment)
+            pages = deployment.pages
             await pages.wait_sees(left, left)
             await callers.wait_each()
             settled_at = time.time()
--- a/tests/test_integration/test_integration_load_slots.py
+++ b/tests/test_integration/test_integration_load_slots.py
@@ -44,7 +44,7 @@
     no request runs twice or is lost.
     """
     async with settled.run_settled(load_plans.make_plan()) as deployment:
-        pages = settled.open_pages(deployment)
+        pages = deployment.pages
         changes = []
         async with load_callers.run_callers(
             deployment, load_plans.SERVICE, _CALLERS
--- a/tests/test_integration/test_integration_stop_requests.py
+++ b/tests/test_integration/test_integration_stop_requests.py
@@ -168,7 +168,7 @@
 async def _wait_seen_as_leaving(
     deployment: processes.Deployment, host: str
 ) -> None:
-    pages = settled.open_pages(deployment)
+    pages = deployment.pages
     await pages.wait(
         [name for name in deployment.hosts if name != host],
         lambda status: any(
