Keep only so many deletions of entries

Cause: found by reading: a host kept the deletion of each upstream that ever was, and gave all of them to each host that asked from the start.

A change of a key that is not kept is compared with the newest deletion that was forgotten, which is sound as all changes up to it are known. A host that asks from before it gets all entries, and takes those that are not named for gone. The field is last in its message and has a default, so hosts of both versions understand each other.

--- a/persimmonhinge/forwarding/peers/messages.py
+++ b/persimmonhinge/forwarding/peers/messages.py
@@ -105,9 +105,12 @@
         entries: The entries that changed after the revision asked for, those
             that were deleted included.
         peers: Hosts that it hears.
+        whole: True if an upstream that the entries do not name is gone: the
+            deletions since then are not kept any more.
     """
 
     revision: int
     settled: bool
     entries: tuple[EntryLine, ...]
     peers: tuple[flows.Endpoint, ...]
+    whole: bool = False
--- a/persimmonhinge/forwarding/reading.py
+++ b/persimmonhinge/forwarding/reading.py
@@ -11,6 +11,7 @@
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.forwarding import desired_state as desired_states
+from persimmonhinge.forwarding import entry_table
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import knowledge as knowledge_parts
 from persimmonhinge.forwarding import upstream as upstreams
@@ -63,7 +64,7 @@
         self._reader = reader
         self._knowledge = knowledge
         self._counts = counts
-        self._latest: dict[str, messages.EntryLine] = {}
+        self._table = entry_table.EntryTable()
         self.revision = 0
         self.tell: Callable[[int, list[messages.EntryLine]], None] | None = None
 
@@ -93,9 +94,7 @@
         for pair in found.values:
             self.take(pair.key, pair.value, pair.mod_revision)
         self._miss_others({pair.key for pair in found.values}, found.revision)
-        self._advance(
-            max((e.revision for e in self._latest.values()), default=0)
-        )
+        self._advance(max((line.revision for line in self._table), default=0))
         return min(state.revision, found.revision)
 
     def take_batch(self, batch: Sequence[port.WatchEvent]) -> None:
@@ -104,7 +103,11 @@
         told = []
         for event in batch:
             if self.take(event.key, event.value, event.mod_revision):
-                told.append(self._latest[event.key])
+                told.append(
+                    messages.EntryLine(
+                        event.key, event.value, event.mod_revision
+                    )
+                )
                 self._advance(event.mod_revision)
         if told and self.tell is not None:
             self.tell(after, told)
@@ -123,9 +126,7 @@
         Guards against a gap: news are datagrams, and one that is lost must
         not be taken for known because a later one has come.
         """
-        self._doubt_unless(news.settled)
-        for entry in news.entries:
-            self.take(entry.key, entry.value, entry.revision, source)
+        self._take_lines(news.entries, source, settled=news.settled)
         if news.after <= self.revision:
             self._advance(news.upto)
 
@@ -150,12 +151,10 @@
         Returns:
             True if it is newer than what was known.
         """
-        known = self._latest.get(key)
-        if known is not None and known.revision >= revision:
-            return False
         if not key.startswith(self._prefixes()):
             return False
-        self._latest[key] = messages.EntryLine(key, value, revision)
+        if not self._table.put(messages.EntryLine(key, value, revision)):
+            return False
         try:
             self._apply(key, value, source)
         except errors.UnreadableEntryError as error:
@@ -166,19 +165,19 @@
     def make_snapshot(
         self, since: int, peers: tuple[flows.Endpoint, ...]
     ) -> messages.Snapshot:
-        """Returns the entries that changed after a revision."""
-        entries = tuple(
-            entry for entry in self._latest.values() if entry.revision > since
-        )
+        """Returns the entries that changed after a revision, or all."""
+        whole = not self._table.has_all_since(since)
+        entries = self._table.changes_since(0 if whole else since)
         return messages.Snapshot(
-            self.revision, self.is_settled(), entries, peers
+            self.revision, self.is_settled(), entries, peers, whole
         )
 
     def take_snapshot(self, snapshot: messages.Snapshot, source: str) -> None:
         """Takes in what another host knows beyond this host's revision."""
-        self._doubt_unless(snapshot.settled)
-        for entry in snapshot.entries:
-            self.take(entry.key, entry.value, entry.revision, source)
+        self._take_lines(snapshot.entries, source, settled=snapshot.settled)
+        if snapshot.whole:
+            keys = {line.key for line in snapshot.entries}
+            self._miss_others(keys, snapshot.revision, source)
         self._advance(snapshot.revision)
 
     def record_answer(self) -> None:
@@ -209,12 +208,21 @@
         """
         self._knowledge.trust.doubt(time.monotonic())
 
-    def _doubt_unless(self, settled: bool) -> None:
+    def _take_lines(
+        self,
+        lines: Sequence[messages.EntryLine],
+        source: str,
+        *,
+        settled: bool,
+    ) -> None:
         if not settled:
             self.doubt()
+        for line in lines:
+            self.take(line.key, line.value, line.revision, source)
 
     def _advance(self, revision: int) -> None:
         self.revision = max(self.revision, revision)
+        self._table.forget_deletions(self.revision)
 
     def _prefixes(self) -> tuple[str, ...]:
         return (self._reader.state_key, self._reader.upstreams_prefix)
@@ -237,10 +245,12 @@
             upstream = self._reader.read_upstream(key, value)
             self._knowledge.take_upstream(upstream, now, source)
 
-    def _miss_others(self, keys: set[str], revision: int) -> None:
+    def _miss_others(
+        self, keys: set[str], revision: int, source: str = _SOURCE
+    ) -> None:
         """Takes all upstreams for deleted that a reading does not show."""
-        for entry in list(self._latest.values()):
+        for entry in self._table:
             if entry.key in keys or entry.value is None:
                 continue
             if entry.key.startswith(self._reader.upstreams_prefix):
-                self.take(entry.key, None, revision)
+                self.take(entry.key, None, revision, source)
--- a/tests/test_forwarding/test_forwarding_reading.py
+++ b/tests/test_forwarding/test_forwarding_reading.py
@@ -15,6 +15,7 @@
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.platform import adapter
 from persimmonhinge.platform import entries as formats
+from persimmonhinge.store import port
 
 
 class Reader:
@@ -132,6 +133,63 @@
     assert started.entries.revision == 10
 
 
+def test_snapshot_after_many_deletions_lacks_none() -> None:
+    """A host that was cut off for hours opens flows at upstreams long gone.
+
+    Thousands of upstreams come and go while it is cut off. It then asks
+    another host for what changed. Cause: deletions are not kept for ever, and
+    the answer names only what is kept.
+    """
+    ahead, behind = Reader(), Reader()
+    for reader in (ahead, behind):
+        reader.entries.take_batch(
+            [
+                port.WatchEvent(make_key("0"), make_entry(), 1),
+                port.WatchEvent(make_key("1"), make_entry(), 2),
+            ]
+        )
+    ahead.entries.take_batch([port.WatchEvent(make_key("0"), None, 3)])
+    for revision in range(4, 6004, 2):
+        key = make_key(f"a{revision}")
+        ahead.entries.take_batch(
+            [
+                port.WatchEvent(key, make_entry(), revision),
+                port.WatchEvent(key, None, revision + 1),
+            ]
+        )
+    snapshot = ahead.entries.make_snapshot(behind.entries.revision, ())
+    assert len(snapshot.entries) < 1100
+    behind.entries.take_snapshot(snapshot, "peer")
+    assert behind.entries.revision == ahead.entries.revision
+    assert behind.state("0") is ahead.state("0")
+    assert behind.state("0") is not upstreams.UpstreamState.READY
+    assert behind.state("1") is upstreams.UpstreamState.READY
+
+
+def test_deletion_long_ago_is_not_undone_by_an_old_entry() -> None:
+    """An upstream that ended hours ago gets flows again.
+
+    A host that was cut off since then tells of its entry. Cause: that it was
+    deleted is no longer kept.
+    """
+    reader = Reader()
+    reader.entries.take_batch(
+        [
+            port.WatchEvent(make_key("0"), make_entry(), 1),
+            port.WatchEvent(make_key("0"), None, 2),
+        ]
+    )
+    for revision in range(4, 6004, 2):
+        key = make_key(f"a{revision}")
+        reader.entries.take_batch(
+            [
+                port.WatchEvent(key, make_entry(), revision),
+                port.WatchEvent(key, None, revision + 1),
+            ]
+        )
+    assert not reader.entries.take(make_key("0"), make_entry(), 1, "peer")
+
+
 def test_doubt_of_the_host_that_follows_is_taken_over() -> None:
     """Feeds are reset at hosts that did not see an outage of the store.
 
