--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo lint format types check bench clean
+.PHONY: setup test demo soak lint format types check bench clean
 
 setup: $(VENV)/.installed
 
@@ -17,6 +17,9 @@
 demo: setup
 	$(BIN)/python -m tests.standins.demo $(DEMO_ARGS)
 
+soak: setup
+	$(BIN)/python -m tests.soak $(or $(SEED),1) --minutes $(or $(MINUTES),1) $(SOAK_ARGS)
+
 lint: setup
 	$(BIN)/ruff check .
 
--- a/persimmonhinge/load/flows/run.py
+++ b/persimmonhinge/load/flows/run.py
@@ -19,6 +19,7 @@
     """Runs the users of all kinds.
 
     Attributes:
+        settings: The load.
         book: What they saw.
         fabric: Chooses the host of each packet.
     """
@@ -26,7 +27,7 @@
     def __init__(self, settings: flow_load.FlowLoadSettings) -> None:
         """Makes a run; the socket is bound by `run`."""
         self.book = books.FlowBook()
-        self._settings = settings
+        self.settings = settings
         self._stop = trio.Event()
         self.fabric = fabrics.Fabric(
             [
@@ -52,12 +53,12 @@
             nursery.start_soon(self._socket.run)
             nursery.start_soon(self.fabric.run)
             async with trio.open_nursery() as coming:
-                for kind in self._settings.kinds:
+                for kind in self.settings.kinds:
                     coming.start_soon(self._let_come, kind)
             nursery.cancel_scope.cancel()
 
     async def _let_come(self, kind: flow_load.FlowKind) -> None:
-        settings = self._settings
+        settings = self.settings
         source = random.Random(f"{settings.seed}/{kind.kind}")
         begun_at = trio.current_time()
         times = arrivals.make_arrivals(kind.rate, settings.duration_s, source)
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,91 @@
+"""Runs the soak from the command line.
+
+python -m tests.soak SEED [--minutes M] [--hosts N] [--upstreams N]
+"""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import shutil
+import sys
+from typing import Annotated
+
+import trio
+import typer
+
+from tests.soak import plan as plans
+from tests.soak import soak
+
+_ROOT = pathlib.Path(__file__).parents[2]
+_FEWEST_MINUTES = 0.4
+_MOST_PROCESSES = 200
+_FEWEST_UPSTREAMS = 7
+
+program = typer.Typer(add_completion=False)
+
+
+@program.command()
+def run(
+    seed: Annotated[int, typer.Argument(min=0, help="Seed of the first run.")],
+    minutes: Annotated[
+        float, typer.Option(min=_FEWEST_MINUTES, help="Length of a run.")
+    ] = 1.0,
+    runs: Annotated[
+        int, typer.Option(min=1, help="Runs, each with the next seed.")
+    ] = 1,
+    hosts: Annotated[
+        int, typer.Option(min=2, max=_MOST_PROCESSES, help="Hosts.")
+    ] = 4,
+    upstreams: Annotated[
+        int,
+        typer.Option(
+            min=_FEWEST_UPSTREAMS, max=_MOST_PROCESSES, help="Upstreams."
+        ),
+    ] = 9,
+    plan: Annotated[
+        bool, typer.Option("--plan", help="Print the faults and exit.")
+    ] = False,
+) -> None:
+    """Runs hosts under faults; ends with 1 if a promise was broken."""
+    length_s = minutes * 60
+    if plan:
+        for fault in plans.make_plan(seed, length_s):
+            typer.echo(fault)
+        return
+    broken = []
+    for number in range(seed, seed + runs):
+        folder = _ROOT / "out" / "soak" / f"seed-{number}"
+        if not _run_one(number, length_s, folder, hosts, upstreams):
+            broken.append(folder)
+    if broken:
+        folders = " ".join(str(f.relative_to(_ROOT)) for f in broken)
+        typer.echo(f"broken; logs are in {folders}")
+        sys.exit(1)
+
+
+def _run_one(
+    seed: int, length_s: float, folder: pathlib.Path, hosts: int, upstreams: int
+) -> bool:
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    settings = soak.SoakSettings(seed, length_s, folder, hosts, upstreams)
+    result = trio.run(soak.run_soak, settings)
+    found = {name: len(lines) for name, lines in result.found.items() if lines}
+    typer.echo(
+        f"seed {seed}: {length_s:.0f} s, {result.faults} faults, "
+        f"{result.answered} of {result.requests} requests answered, "
+        f"{result.flows} flows, {result.versions} versions, "
+        f"broken: {found or 'none'}"
+    )
+    for name, lines in result.found.items():
+        for line in lines[:5]:
+            typer.echo(f"  {name}: {line}")
+    (folder / "found.json").write_text(json.dumps(result.found, indent=1))
+    if result.clean:
+        shutil.rmtree(folder)
+    return result.clean
+
+
+if __name__ == "__main__":
+    program()
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,221 @@
+"""What must hold, judged from what callers and upstreams saw."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import json
+
+from persimmonhinge import registry
+from persimmonhinge.load.flows import records
+from tests.soak import disturbances as disturbance_lists
+from tests.soak import probes
+from tests.soak import scene as scenes
+from tests.standins import flow_upstream
+
+Check = Callable[["Evidence"], Iterator[str]]
+checks: registry.Registry[Check] = registry.Registry("check")
+
+# Limits of the hosts' settings, with room for a busy machine, seconds.
+_DRAIN_S = 3.3
+_CHANGE_S = 3.3
+# A host is held to these limits once it was left alone for so long, seconds.
+CALM_S = 4.5
+# After any disturbance everything is served again within so long, seconds.
+_RECOVERY_S = 6.0
+# Datagrams of one host may overtake each other by so much, seconds.
+_OVERTAKE_S = 0.25
+_FEWEST_CALM_REQUESTS = 20
+
+
+class Evidence:
+    """What there is to judge by when a run has ended.
+
+    Attributes:
+        scene: All that ran.
+        arrivals: Packets at upstreams, in the order of time.
+        owners: Upstream of each open flow.
+    """
+
+    def __init__(self, scene: scenes.SoakScene) -> None:
+        self.scene = scene
+        upstreams = scene.board.all.values()
+        self.arrivals = sorted(
+            (arrival for u in upstreams for arrival in u.arrivals),
+            key=lambda arrival: arrival.at,
+        )
+        opened = scene.load.book.opened
+        self.owners = {
+            flow: upstream
+            for upstream in upstreams
+            for flow, sequence in upstream.began.items()
+            if opened.get(flow) == sequence
+        }
+        self._hosts = {h.address: h.name for h in scene.deployment.hosts}
+
+    def name_host(self, arrival: flow_upstream.Arrival) -> str:
+        """Returns the name of the host that sent a packet on."""
+        return self._hosts.get(arrival.host, arrival.host)
+
+    def is_held_to_limits(self, host: str, at: float) -> bool:
+        """Tells whether a host and the store were calm for long enough."""
+        what = {host, disturbance_lists.STORE}
+        return self.scene.disturbances.is_calm(what, at - CALM_S, at)
+
+
+def judge(scene: scenes.SoakScene) -> dict[str, list[str]]:
+    """Returns what each check found."""
+    evidence = Evidence(scene)
+    return {name: list(checks.get(name)(evidence)) for name in checks.names()}
+
+
+@checks.register("crossed")
+def _check_crossed(evidence: Evidence) -> Iterator[str]:
+    """A packet is at an upstream that its flow does not lead to."""
+    for arrival in evidence.arrivals:
+        flow = arrival.segment.flow
+        upstream = evidence.scene.board.all[arrival.upstream]
+        owner = evidence.owners.get(flow)
+        if evidence.scene.service_of(flow.service_port) != upstream.service:
+            yield f"{flow} opened at {upstream.id} of {upstream.service}"
+        elif arrival.segment.opens or arrival.known or owner is None:
+            continue
+        elif owner.id != upstream.id:
+            yield f"{flow} of {owner.id} is at {upstream.id}"
+    book = evidence.scene.load.book
+    yield from (f"answer to another: {key}" for key in book.crossed)
+    yield from (f"strange data: {data!r}" for data in book.strange)
+
+
+@checks.register("reset")
+def _check_resets(evidence: Evidence) -> Iterator[str]:
+    """An open flow is reset by a host though its upstream lives."""
+    for reset in evidence.scene.load.book.resets:
+        owner = evidence.owners.get(reset.flow)
+        if not reset.opened or owner is None:
+            continue
+        ended_at = evidence.scene.board.ended_at.get(owner.id)
+        if ended_at is None or reset.at < ended_at:
+            yield f"{reset.flow} at {owner.id}"
+
+
+@checks.register("drained")
+def _check_drained(evidence: Evidence) -> Iterator[str]:
+    """A new flow is at an upstream that has said long ago that it leaves."""
+    drained_at = evidence.scene.board.drained_at
+    for arrival in evidence.arrivals:
+        since = drained_at.get(arrival.upstream)
+        if since is None or not arrival.segment.opens:
+            continue
+        host = evidence.name_host(arrival)
+        late = arrival.at > since + _DRAIN_S
+        if late and evidence.is_held_to_limits(host, arrival.at):
+            after_s = arrival.at - since
+            yield f"{arrival.upstream} by {host} after {after_s:.1f} s"
+
+
+@checks.register("versions")
+def _check_versions(evidence: Evidence) -> Iterator[str]:
+    """A change is not in force in time at a host."""
+    operator = evidence.scene.operator
+    reached = {arrival.segment.flow for arrival in evidence.arrivals}
+    for probe in operator.probes:
+        added_at = operator.applied_at[probe.version]
+        dropped_at = operator.applied_at.get(probe.version + 1)
+        if not evidence.is_held_to_limits(probe.host, probe.sent_at):
+            continue
+        if dropped_at is not None and probe.sent_at > dropped_at + _CHANGE_S:
+            if probe.flow in reached:
+                yield f"{probe.host} still serves version {probe.version}"
+            continue
+        in_force = probe.sent_at > added_at + _CHANGE_S and (
+            dropped_at is None or probe.sent_at < dropped_at
+        )
+        if probe.refused and in_force:
+            yield f"{probe.host} lacks version {probe.version}"
+
+
+@checks.register("went-back")
+def _check_order(evidence: Evidence) -> Iterator[str]:
+    """A host that has shown a version shows an older one later."""
+    shown: dict[str, list[tuple[float, int]]] = {}
+    arrived = {a.segment.flow: a for a in evidence.arrivals}
+    for probe in evidence.scene.operator.probes:
+        arrival = arrived.get(probe.flow)
+        if arrival is not None:
+            found = shown.setdefault(probe.host, [])
+            found.append((arrival.at, probe.version))
+    for probe in evidence.scene.operator.probes:
+        if probe.flow not in arrived:
+            continue
+        for at, version in shown.get(probe.host, []):
+            if version <= probe.version or at + _OVERTAKE_S > probe.sent_at:
+                continue
+            if _is_one_boot(evidence, probe, at):
+                yield f"{probe.host} went from {version} to {probe.version}"
+
+
+def _is_one_boot(evidence: Evidence, probe: probes.Probe, since: float) -> bool:
+    """Tells whether a host ran on from a time until a probe came."""
+    boots = evidence.scene.boots[probe.host]
+    return not any(since <= at <= probe.sent_at for at in boots)
+
+
+@checks.register("twice")
+def _check_runs(evidence: Evidence) -> Iterator[str]:
+    """A request that must not be repeated ran at two upstreams, or twice."""
+    repeatable = {
+        kind.kind
+        for kind in evidence.scene.load.settings.kinds
+        if kind.repeatable
+    }
+    runs: dict[str, int] = {}
+    for upstream in evidence.scene.board.all.values():
+        for key, count in upstream.runs.items():
+            runs[key] = runs.get(key, 0) + count
+    for key, count in runs.items():
+        if count > 1 and key.partition("/")[0] not in repeatable:
+            yield f"{key} ran {count} times"
+
+
+@checks.register("calm")
+def _check_calm(evidence: Evidence) -> Iterator[str]:
+    """A request is not served though nothing but planned work went on.
+
+    The calm end of a run is such a time: so this also shows that all is
+    served again after the last fault.
+    """
+    judged = 0
+    for request in evidence.scene.load.book.requests:
+        ended_at = request.ended_at
+        if ended_at is None:
+            yield f"{request.key} never ended"
+            continue
+        since = request.begun_at - _RECOVERY_S
+        if not evidence.scene.disturbances.is_all_calm(since, ended_at):
+            continue
+        judged += 1
+        if request.outcome is not records.Outcome.ANSWERED:
+            yield f"{request.key}: {request.outcome.value}"
+    if judged < _FEWEST_CALM_REQUESTS:
+        yield f"only {judged} requests in calm times"
+
+
+@checks.register("processes")
+def _check_processes(evidence: Evidence) -> Iterator[str]:
+    """A host ended by itself, did not stop, or wrote what is no log."""
+    yield from evidence.scene.failures
+    for host in evidence.scene.deployment.hosts:
+        if host.process is None or host.process.poll() is not None:
+            yield f"{host.name} does not run"
+        path = host.settings.with_suffix(".log")
+        for line in path.read_text().splitlines():
+            if not _is_log_line(line):
+                yield f"{host.name}: {line}"
+
+
+def _is_log_line(text: str) -> bool:
+    try:
+        return "event" in json.loads(text)
+    except json.JSONDecodeError:
+        return False
--- /dev/null
+++ b/tests/soak/scene.py
@@ -0,0 +1,193 @@
+"""The deployment that a soak disturbs."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import contextlib
+import pathlib
+import random
+import time
+
+import trio
+
+from persimmonhinge.load.flows import caller_socket as sockets
+from persimmonhinge.load.flows import run as runs
+from persimmonhinge.settings import flow_load
+from tests.soak import clocked_host
+from tests.soak import disturbances as disturbance_lists
+from tests.soak import plan as plans
+from tests.soak import probes
+from tests.soak import upstreams
+from tests.standins import faults_proxy
+from tests.standins import forwarding_deployment as deployments
+from tests.standins import ports
+
+FLOOR = deployments.SERVICE
+INTAKE = "intake"
+_FLOOR_PORT = deployments.PORT
+_INTAKE_PORT = 8443
+_CALLER = "127.0.0.7"
+_PROBER = "127.0.0.8"
+# Every third upstream serves the intake.
+_INTAKE_EVERY = 3
+_DOMAINS = ("north", "south")
+
+
+class SoakScene:
+    """Everything that runs, and what is known of it.
+
+    Attributes:
+        deployment: Hosts and the store.
+        proxy: What stands between them.
+        places: Where upstreams run.
+        board: All upstreams that ever ran.
+        operator: Who changes the desired state.
+        load: The callers.
+        disturbances: What was disturbed, and when.
+        nursery: Where upstreams run.
+        locks: For each host, held while it is stopped and started.
+        store_lock: Held while something is wrong with the store.
+        boots: When each host was started, seconds of the monotonic clock.
+        boots: When each host was started, seconds of the monotonic clock.
+        failures: What went wrong with processes.
+    """
+
+    def __init__(
+        self,
+        deployment: deployments.ForwardingDeployment,
+        nursery: trio.Nursery,
+        seed: int,
+        length_s: float,
+        upstream_count: int,
+    ) -> None:
+        self.deployment = deployment
+        self.nursery = nursery
+        self.proxy = faults_proxy.FaultProxy(nursery, seed)
+        self.disturbances = disturbance_lists.Disturbances()
+        self.board = upstreams.UpstreamBoard(deployment)
+        self.places: list[upstreams.UpstreamPlace] = []
+        self.random = random.Random(f"scene/{seed}")
+        self.locks = {host.name: trio.Lock() for host in deployment.hosts}
+        self.store_lock = trio.Lock()
+        self.boots: dict[str, list[float]] = {name: [] for name in self.locks}
+        self.failures: list[str] = []
+        self._upstream_count = upstream_count
+        self.socket = sockets.CallerSocket(_PROBER, deployment.packet_port)
+        routes = {_FLOOR_PORT: FLOOR, _INTAKE_PORT: INTAKE}
+        self.operator = probes.Operator(deployment, self.socket, routes, seed)
+        self.load = runs.FlowRun(self._make_load(seed, length_s))
+
+    def service_of(self, port: int) -> str:
+        """Returns the service that callers reach at a port."""
+        return INTAKE if port == _INTAKE_PORT else FLOOR
+
+    async def start(self) -> None:
+        """Starts everything, and waits until hosts are ready."""
+        self.nursery.start_soon(self.socket.run)
+        # Probes look at the route of a version and at the one it dropped.
+        for _ in range(2):
+            await self.operator.write_version()
+        for number in range(self._upstream_count):
+            await self._add_place(number)
+        for number, host in enumerate(self.deployment.hosts):
+            await self._prepare_host(host, _DOMAINS[number % len(_DOMAINS)])
+            await self.start_host(host)
+        for host in self.deployment.hosts:
+            await self.deployment.wait_ready(host)
+        self.nursery.start_soon(self.operator.run)
+        self.nursery.start_soon(self.operator.probe)
+
+    async def start_host(self, host: deployments.ForwardHost) -> None:
+        """Starts a host."""
+        self.boots[host.name].append(time.monotonic())
+        await host.start()
+
+    async def _add_place(self, number: int) -> None:
+        service = INTAKE if number % _INTAKE_EVERY == 0 else FLOOR
+        own = ("127.0.4.1", ports.find_udp_port(["127.0.4.1"]))
+        name = f"upstream-{number}"
+        host, port = await self.proxy.add_udp(name, own, ("127.0.3.1", 0))
+        place = upstreams.UpstreamPlace(
+            name, service, f"{host}:{port}", own, self.board
+        )
+        await place.start(self.nursery, service)
+        self.places.append(place)
+
+    async def _prepare_host(
+        self, host: deployments.ForwardHost, domain: str
+    ) -> None:
+        """Puts the proxy before a host, and between it and the store."""
+        host.program = clocked_host.__name__
+        outer = _outer(host.address)
+        for add, port in (
+            (self.proxy.add_udp, self.deployment.packet_port),
+            (self.proxy.add_tcp, self.deployment.page_port),
+        ):
+            await add(
+                f"{port} {host.name}", (host.address, port), (outer, port)
+            )
+        url = self.deployment.store.url.removeprefix("http://")
+        store, _, store_port = url.rpartition(":")
+        name = f"store {host.name}"
+        near = await self.proxy.add_tcp(name, (store, int(store_port)))
+        host.change_settings(
+            domain=domain, store={"address": f"{near[0]}:{near[1]}"}
+        )
+
+    def _make_load(
+        self, seed: int, length_s: float
+    ) -> flow_load.FlowLoadSettings:
+        floor = {
+            "service": FLOOR,
+            "address": f"{deployments.ADDRESS}:{_FLOOR_PORT}",
+            "limit_s": 8,
+            "retries": 4,
+        }
+        intake = {
+            **floor,
+            "service": INTAKE,
+            "address": f"{deployments.ADDRESS}:{_INTAKE_PORT}",
+        }
+        feed = {"kind": "feed", "rate": 2, "requests": 25, "pause_s": 0.3}
+        reserve = {"kind": "reserve", "rate": 15, "repeatable": False}
+        upload = {"kind": "upload", "rate": 4, "repeatable": False}
+        document = {
+            "seed": seed,
+            "duration_s": length_s - plans.CALM_END_S / 4,
+            "caller": _CALLER,
+            "hosts": [
+                f"{_outer(host.address)}:{self.deployment.packet_port}"
+                for host in self.deployment.hosts
+            ],
+            "ready_port": self.deployment.page_port,
+            "kinds": [
+                {**floor, **feed},
+                {**floor, **reserve},
+                {**intake, **upload},
+            ],
+        }
+        return flow_load.FlowLoadSettings.model_validate(document)
+
+
+def _outer(address: str) -> str:
+    """Returns where the proxy stands for the address of a host."""
+    return address.replace("127.0.0.", "127.0.2.", 1)
+
+
+@contextlib.asynccontextmanager
+async def run_scene(
+    folder: pathlib.Path,
+    seed: int,
+    length_s: float,
+    host_count: int,
+    upstream_count: int,
+) -> AsyncIterator[SoakScene]:
+    """Runs everything; ends all that it started on the way out."""
+    async with deployments.run_deployment(host_count, folder) as deployment:
+        async with trio.open_nursery() as nursery:
+            scene = SoakScene(
+                deployment, nursery, seed, length_s, upstream_count
+            )
+            await scene.start()
+            yield scene
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,96 @@
+"""One run of the soak, from its start to its verdict."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+
+import trio
+
+from tests.soak import checks
+from tests.soak import injectors
+from tests.soak import plan as plans
+from tests.soak import scene as scenes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SoakSettings:
+    """Settings of a run.
+
+    Attributes:
+        seed: Seed of the faults, the load and the changes.
+        length_s: Length, seconds.
+        folder: Where settings and logs of the processes go.
+        hosts: Number of hosts.
+        upstreams: Number of places where upstreams run.
+        faults: Faults to make; None for those of the seed.
+    """
+
+    seed: int
+    length_s: float
+    folder: pathlib.Path
+    hosts: int = 4
+    upstreams: int = 9
+    faults: tuple[plans.Fault, ...] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SoakResult:
+    """What a run showed.
+
+    Attributes:
+        faults: Faults that were made.
+        requests: Requests of callers.
+        answered: Those that were answered.
+        flows: Flows that opened.
+        versions: Versions of the desired state.
+        found: What each check found.
+    """
+
+    faults: int
+    requests: int
+    answered: int
+    flows: int
+    versions: int
+    found: dict[str, list[str]]
+
+    @property
+    def clean(self) -> bool:
+        """True if no check found anything."""
+        return not any(self.found.values())
+
+
+async def run_soak(settings: SoakSettings) -> SoakResult:
+    """Runs the programs under the faults of a seed, and judges."""
+    faults = settings.faults
+    if faults is None:
+        faults = tuple(plans.make_plan(settings.seed, settings.length_s))
+    async with scenes.run_scene(
+        settings.folder,
+        settings.seed,
+        settings.length_s,
+        settings.hosts,
+        settings.upstreams,
+    ) as scene:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(scene.load.run)
+            begun_at = trio.current_time()
+            for fault in faults:
+                await trio.sleep_until(begun_at + fault.at_s)
+                nursery.start_soon(injectors.inject, scene, fault)
+        return _make_result(scene, len(faults))
+
+
+def _make_result(scene: scenes.SoakScene, faults: int) -> SoakResult:
+    book = scene.load.book
+    answered = sum(
+        1 for request in book.requests if request.outcome.value == "answered"
+    )
+    return SoakResult(
+        faults=faults,
+        requests=len(book.requests),
+        answered=answered,
+        flows=len(book.opened),
+        versions=len(scene.operator.applied_at),
+        found=checks.judge(scene),
+    )
--- a/tests/standins/forwarding_deployment.py
+++ b/tests/standins/forwarding_deployment.py
@@ -35,6 +35,7 @@
 
     Attributes:
         address: Its loopback address.
+        program: Module that it runs.
         process: Its process; None while it is stopped.
     """
 
@@ -43,6 +44,7 @@
         self.address = packets.rpartition(":")[0]
         self._packets = packets
         self.settings = settings
+        self.program = "persimmonhinge.cmd.forward"
         self.process: trio.Process | None = None
 
     def change_settings(self, **fields: Any) -> None:
@@ -57,7 +59,7 @@
                 [
                     sys.executable,
                     "-m",
-                    "persimmonhinge.cmd.forward",
+                    self.program,
                     str(self.settings),
                 ],
                 cwd=_ROOT,
@@ -75,6 +77,20 @@
         assert process.returncode is not None
         return process.returncode
 
+    async def end(self, limit_s: float) -> int | None:
+        """Begins a planned stop and waits for its end.
+
+        Returns:
+            The exit code; None if it runs on after the limit.
+        """
+        assert self.process is not None
+        self.process.send_signal(signal.SIGTERM)
+        with trio.move_on_after(limit_s):
+            code = await self.process.wait()
+            self.process = None
+            return code
+        return None
+
     def is_bound(self) -> bool:
         """Tells whether its socket of packets is bound."""
         address, _, number = self._packets.rpartition(":")
@@ -139,6 +155,11 @@
 
     async def put_state(self, version: int, *routes: int) -> None:
         """Writes a desired state with routes at the ports given."""
+        ports_of_routes = routes or (PORT,)
+        await self.put_routes(version, dict.fromkeys(ports_of_routes, SERVICE))
+
+    async def put_routes(self, version: int, routes: dict[int, str]) -> None:
+        """Writes a desired state with a service at each port."""
         state = {
             "Version": version,
             "Routes": [
@@ -147,9 +168,9 @@
                     "Host": ADDRESS,
                     "Prefix": f"/{port}/",
                     "Kind": "idempotent",
-                    "Service": SERVICE,
+                    "Service": service,
                 }
-                for port in routes or (PORT,)
+                for port, service in routes.items()
             ],
             "Limits": {"IdleTimeoutMs": 15_000},
         }
@@ -212,12 +233,19 @@
 
 
 @contextlib.asynccontextmanager
-async def run_deployment(count: int) -> AsyncIterator[ForwardingDeployment]:
-    """Gives a deployment whose hosts are not yet started."""
+async def run_deployment(
+    count: int, kept: pathlib.Path | None = None
+) -> AsyncIterator[ForwardingDeployment]:
+    """Gives a deployment whose hosts are not yet started.
+
+    Args:
+        count: Number of hosts.
+        kept: Folder of settings and logs; None for one that is removed.
+    """
     async with platform_process.run_platform() as store:
         with tempfile.TemporaryDirectory() as folder:
             deployment = ForwardingDeployment(
-                store, pathlib.Path(folder), count
+                store, kept or pathlib.Path(folder), count
             )
             try:
                 yield deployment
--- /dev/null
+++ b/tests/test_soak/test_soak_short.py
@@ -0,0 +1,22 @@
+"""A short run of the soak."""
+
+from __future__ import annotations
+
+import pathlib
+import tempfile
+
+from tests.soak import soak
+from tests.support import trios
+
+_SEED = 1
+_LENGTH_S = 30.0
+
+
+@trios.trio_test
+async def test_short_run_keeps_all_promises() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        result = await soak.run_soak(
+            soak.SoakSettings(_SEED, _LENGTH_S, pathlib.Path(folder))
+        )
+    assert result.clean, result.found
+    assert result.faults > 5
