Judge a probe only by versions that could be in force

Found by trials with guards out: a host that had the next version refused the route that it drops, while the writer had not yet heard of its success.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -128,10 +128,11 @@
             if probe.flow in reached:
                 yield f"{probe.host} still serves version {probe.version}"
             continue
-        in_force = probe.sent_at > added_at + _CHANGE_S and (
-            dropped_at is None or probe.sent_at < dropped_at
-        )
-        if probe.refused and in_force:
+        next_at = operator.written_at.get(probe.version + 1, float("inf"))
+        in_force = added_at + _CHANGE_S < probe.sent_at
+        # A probe that was under way when the next version came is no proof.
+        is_dropped = next_at < probe.sent_at + probes.ANSWER_S
+        if probe.refused and in_force and not is_dropped:
             yield f"{probe.host} lacks version {probe.version}"
 
 
--- a/tests/soak/probes.py
+++ b/tests/soak/probes.py
@@ -17,7 +17,7 @@
 FIRST_PORT = 20_000
 _CHANGE_S = (0.2, 1.0, 5.0)
 _PROBE_S = 0.25
-_ANSWER_S = 1.0
+ANSWER_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,6 +43,8 @@
     """Writes versions of the desired state, and probes all hosts.
 
     Attributes:
+        written_at: When the writing of a version began: it may be in force
+            from then on.
         applied_at: When the store had taken a version in.
         probes: All probes.
     """
@@ -66,6 +68,7 @@
         self._socket = socket
         self._routes = routes
         self._random = random.Random(f"operator/{seed}")
+        self.written_at: dict[int, float] = {}
         self.applied_at: dict[int, float] = {}
         self.probes: list[Probe] = []
 
@@ -73,6 +76,7 @@
         """Writes the next version; it drops the route of the last."""
         version = max(self.applied_at, default=0) + 1
         routes = {**self._routes, FIRST_PORT + version: deployments.SERVICE}
+        self.written_at[version] = time.monotonic()
         await self._deployment.put_routes(version, routes)
         self.applied_at[version] = time.monotonic()
 
@@ -100,7 +104,7 @@
         segment = segments.Segment(flow=flow, to_caller=False, opens=True)
         address = flows.Endpoint(host.address, self._deployment.packet_port)
         await self._socket.send(segment, address)
-        with trio.move_on_after(_ANSWER_S):
+        with trio.move_on_after(ANSWER_S):
             answer = await inbox.receive()
             probe.refused = answer.aborts and answer.by_host
         self._socket.close_port(flow)
