Set up the once tests, jobs and CoAP timers in one place each

Behaviour as before: the ten tests that begin lots share begin_lots, two files share make_job, the header and flags of packets stand once also for tests, and the timers of RFC 7252 section 4.8 stand in coap/transmission.py instead of in three modules.

--- a/persimmonhinge/upstreams/transmission.py
+++ b/persimmonhinge/coap/transmission.py
@@ -4,6 +4,11 @@
 
 import dataclasses
 
+# First wait for an acknowledgement, seconds; it is drawn from this to
+# `ACK_RANDOM_FACTOR` times this, and doubles with each retransmission.
+ACK_TIMEOUT_S = 2.0
+ACK_RANDOM_FACTOR = 1.5
+MAX_RETRANSMIT = 4
 # Time in which a message id must not be used again for the same endpoint.
 EXCHANGE_LIFETIME_S = 247.0
 
@@ -20,9 +25,9 @@
             wait doubles with each.
     """
 
-    ack_timeout_s: float = 2.0
-    ack_random_factor: float = 1.5
-    max_retransmit: int = 4
+    ack_timeout_s: float = ACK_TIMEOUT_S
+    ack_random_factor: float = ACK_RANDOM_FACTOR
+    max_retransmit: int = MAX_RETRANSMIT
 
     def fit_into(self, limit_s: float) -> Transmission:
         """Returns timers that leave room for two retransmissions in a limit.
--- a/persimmonhinge/flows/exchanges.py
+++ b/persimmonhinge/flows/exchanges.py
@@ -11,6 +11,7 @@
 import trio
 
 from persimmonhinge.coap import codec
+from persimmonhinge.coap import transmission
 from persimmonhinge.flows import digests
 from persimmonhinge.flows import exchange as exchanges
 from persimmonhinge.flows import port
@@ -23,10 +24,6 @@
 # A separate answer costs three datagrams in place of one, and its ACK names
 # no ticket: it reaches the home by the hash, not a home that leaves.
 PIGGYBACK_S = 1.0
-# RFC 7252 section 4.8.
-ACK_TIMEOUT_S = 2.0
-ACK_RANDOM_FACTOR = 1.5
-MAX_RETRANSMIT = 4
 # Answers kept for copies of their request. Beyond it the oldest are
 # forgotten: a copy of idempotent work then runs again, and a copy of other
 # work finds its row in the request table.
@@ -126,9 +123,11 @@
         key = (exchange.flow, reply.mid)
         done = trio.Event()
         self._unconfirmed[key] = done
-        timeout_s = ACK_TIMEOUT_S * random.uniform(1.0, ACK_RANDOM_FACTOR)
+        timeout_s = transmission.ACK_TIMEOUT_S * random.uniform(
+            1.0, transmission.ACK_RANDOM_FACTOR
+        )
         try:
-            for _ in range(MAX_RETRANSMIT):
+            for _ in range(transmission.MAX_RETRANSMIT):
                 with trio.move_on_after(timeout_s):
                     await done.wait()
                     return
--- a/persimmonhinge/flows/feeds/confirmations.py
+++ b/persimmonhinge/flows/feeds/confirmations.py
@@ -8,10 +8,10 @@
 import aiocoap
 
 from persimmonhinge.coap import codec
+from persimmonhinge.coap import transmission
 from persimmonhinge.flows import port
 from persimmonhinge.flows.feeds import exchange as exchanges
 from persimmonhinge.flows.feeds import feed as feeds
-from persimmonhinge.flows.feeds import limits
 from persimmonhinge.flows.feeds import surroundings
 
 
@@ -35,8 +35,10 @@
     def send(self, feed: feeds.Feed, message: codec.Message) -> None:
         """Sends a message as confirmable; its message id is set here."""
         self.end(feed)
-        spread = self._around.random.uniform(1.0, limits.ACK_RANDOM_FACTOR)
-        timeout_s = limits.ACK_TIMEOUT_S * spread
+        spread = self._around.random.uniform(
+            1.0, transmission.ACK_RANDOM_FACTOR
+        )
+        timeout_s = transmission.ACK_TIMEOUT_S * spread
         exchange = exchanges.Exchange(feed, message, [], timeout_s)
         feed.exchange = exchange
         message.mtype = aiocoap.CON
@@ -89,7 +91,7 @@
         feed = exchange.feed
         if feed.exchange is not exchange:
             return
-        if exchange.retransmissions == limits.MAX_RETRANSMIT:
+        if exchange.retransmissions == transmission.MAX_RETRANSMIT:
             self._give_up(feed)
             return
         exchange.retransmissions += 1
--- a/persimmonhinge/flows/feeds/limits.py
+++ b/persimmonhinge/flows/feeds/limits.py
@@ -2,11 +2,6 @@
 
 from __future__ import annotations
 
-# RFC 7252, 4.8: retransmission of confirmable messages.
-ACK_TIMEOUT_S = 2.0
-ACK_RANDOM_FACTOR = 1.5
-MAX_RETRANSMIT = 4
-
 # An answer within this time travels in the acknowledgement of its request.
 PIGGYBACK_S = 0.3
 
--- a/persimmonhinge/upstreams/context.py
+++ b/persimmonhinge/upstreams/context.py
@@ -10,10 +10,10 @@
 
 import trio
 
+from persimmonhinge.coap import transmission as transmissions
 from persimmonhinge.contracts import store as stores
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.upstreams import arrival
-from persimmonhinge.upstreams import transmission as transmissions
 
 logger = logging.getLogger(__name__)
 
--- a/persimmonhinge/upstreams/exchange.py
+++ b/persimmonhinge/upstreams/exchange.py
@@ -10,8 +10,8 @@
 import trio
 
 from persimmonhinge.coap import codec
+from persimmonhinge.coap import transmission as transmissions
 from persimmonhinge.upstreams import endpoint as endpoints
-from persimmonhinge.upstreams import transmission as transmissions
 
 
 class ExchangeEnd(enum.Enum):
--- a/persimmonhinge/upstreams/keeper.py
+++ b/persimmonhinge/upstreams/keeper.py
@@ -11,6 +11,7 @@
 
 from persimmonhinge import changes
 from persimmonhinge import ids
+from persimmonhinge.coap import transmission as transmissions
 from persimmonhinge.contracts import store as stores
 from persimmonhinge.membership import placement as placements
 from persimmonhinge.membership import view as views
@@ -31,7 +32,6 @@
 from persimmonhinge.upstreams import recovering as recovering_parts
 from persimmonhinge.upstreams import roles as role_parts
 from persimmonhinge.upstreams import taking as taking_parts
-from persimmonhinge.upstreams import transmission as transmissions
 from persimmonhinge.upstreams import udp
 from persimmonhinge.upstreams import upstreams as upstream_sets
 from persimmonhinge.upstreams import uptimes as home_uptimes
--- a/persimmonhinge/upstreams/message_ids.py
+++ b/persimmonhinge/upstreams/message_ids.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from persimmonhinge.upstreams import transmission
+from persimmonhinge.coap import transmission
 
 _IDS = 1 << 16
 _CHUNK = 1 << 8
--- a/persimmonhinge/upstreams/observation.py
+++ b/persimmonhinge/upstreams/observation.py
@@ -7,13 +7,13 @@
 import trio
 
 from persimmonhinge.coap import codec
+from persimmonhinge.coap import transmission as transmissions
 from persimmonhinge.peers.messages import feeds as messages
 from persimmonhinge.upstreams import context as contexts
 from persimmonhinge.upstreams import endpoint as endpoints
 from persimmonhinge.upstreams import exchange as exchanges
 from persimmonhinge.upstreams import freshness
 from persimmonhinge.upstreams import requests
-from persimmonhinge.upstreams import transmission as transmissions
 
 _REGISTER = 0
 _DEREGISTER = 1
--- a/persimmonhinge/upstreams/transfer.py
+++ b/persimmonhinge/upstreams/transfer.py
@@ -9,12 +9,12 @@
 import trio
 
 from persimmonhinge.coap import codec
+from persimmonhinge.coap import transmission as transmissions
 from persimmonhinge.upstreams import endpoint as endpoints
 from persimmonhinge.upstreams import exchange as exchanges
 from persimmonhinge.upstreams import requests
 from persimmonhinge.upstreams import shedding
 from persimmonhinge.upstreams import transfer_result as results
-from persimmonhinge.upstreams import transmission as transmissions
 
 # Block size is 2 ** (exponent + 4) octets, RFC 7959 section 2.2.
 _LARGEST_EXPONENT = 6
--- a/tests/standins/once_scene.py
+++ b/tests/standins/once_scene.py
@@ -141,6 +141,23 @@
             await caller.reserve(keys[-1], self.address(host))
         return keys
 
+    async def begin_lots(
+        self, count: int
+    ) -> tuple[str, list[callers.RawCaller]]:
+        """Opens callers, and waits until a reservation of each runs.
+
+        Returns:
+            Their home, which keeps no upstream, and the callers.
+
+        Raises:
+            TooSlowError: The reservations have not begun to run.
+        """
+        home = await self.find_spare()
+        opened = await self.open_callers(count, home)
+        await self.reserve_all(opened, home)
+        await self.wait_runs(count)
+        return home, opened
+
     async def wait_runs(self, count: int) -> collections.Counter[str]:
         """Waits until so many requests have begun to run at upstreams.
 
--- a/tests/test_flows/test_flows_feeds_callers.py
+++ b/tests/test_flows/test_flows_feeds_callers.py
@@ -6,6 +6,7 @@
 import trio
 
 from persimmonhinge.coap import codec
+from persimmonhinge.coap import transmission
 from persimmonhinge.flows.feeds import limits
 from persimmonhinge.peers.messages import feeds as messages
 from tests.support import trios
@@ -40,7 +41,7 @@
         confirmable = [
             m for m in world.caller.messages if m.mtype is aiocoap.CON
         ]
-        assert len(confirmable) == 1 + limits.MAX_RETRANSMIT
+        assert len(confirmable) == 1 + transmission.MAX_RETRANSMIT
         assert len({m.mid for m in confirmable}) == len(confirmable)
         observed = [m.opt.observe for m in confirmable]
         assert observed == sorted(set(observed))
--- a/tests/test_flows/test_flows_feeds_homes.py
+++ b/tests/test_flows/test_flows_feeds_homes.py
@@ -6,6 +6,7 @@
 import trio
 
 from persimmonhinge import ids
+from persimmonhinge.coap import transmission
 from persimmonhinge.flows.feeds import limits
 from persimmonhinge.peers.messages import feeds as messages
 from tests.support import trios
@@ -188,7 +189,7 @@
         await trio.sleep(_QUICK_S)
         assert world.caller.ticks == list(range(100))
         kinds = [m.mtype for m in world.caller.messages]
-        assert kinds.count(aiocoap.CON) == 1 + limits.MAX_RETRANSMIT
+        assert kinds.count(aiocoap.CON) == 1 + transmission.MAX_RETRANSMIT
 
 
 @trios.clock_test
--- a/tests/test_forwarding/scene.py
+++ b/tests/test_forwarding/scene.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterator
 import contextlib
 import random
-import struct
 
 from persimmonhinge import ids
 from persimmonhinge.forwarding import chooser as choosers
@@ -23,6 +22,7 @@
 from persimmonhinge.forwarding import upstream as upstreams
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.platform import adapter
+from persimmonhinge.platform import header
 from persimmonhinge.policies import choice_near_first
 
 SERVICE = ids.ServiceName("floor")
@@ -32,11 +32,10 @@
 ADDRESS = 0xC6120001
 PORT = 443
 OTHER_PORT = 8443
-SYN = 1
-ACK = 2
-FIN = 128
-RST = 32
-_HEADER = struct.Struct(">IIIB5sIHHIIH")
+SYN = header.OPENS
+ACK = header.ACKNOWLEDGES
+FIN = header.ENDS
+RST = header.ABORTS
 
 
 class Clock:
@@ -211,7 +210,7 @@
     service_port: int = PORT,
 ) -> bytes:
     """Returns a packet of a caller, with so many octets of data."""
-    head = _HEADER.pack(
+    head = header.HEAD.pack(
         token,
         sequence,
         acknowledged,
--- a/tests/test_integration/test_integration_once_cut.py
+++ b/tests/test_integration/test_integration_once_cut.py
@@ -45,10 +45,7 @@
     """
     plan = once_scene.make_plan(_RUN_MS)
     async with once_scene.run_scene(plan) as scene:
-        home = await scene.find_spare()
-        callers = await scene.open_callers(_CALLERS, home)
-        await scene.reserve_all(callers, home)
-        await scene.wait_runs(_CALLERS)
+        await scene.begin_lots(_CALLERS)
         await scene.deployment.proxy.reset()
         tally = await scene.settle()
     assert tally == once_scene.Tally(answered=_CALLERS, ran=_CALLERS)
--- a/tests/test_integration/test_integration_once_home.py
+++ b/tests/test_integration/test_integration_once_home.py
@@ -41,10 +41,7 @@
     """
     plan = once_scene.make_plan(_RUN_MS)
     async with once_scene.run_scene(plan) as scene:
-        home = await scene.find_spare()
-        callers = await scene.open_callers(_CALLERS, home)
-        await scene.reserve_all(callers, home)
-        await scene.wait_runs(_CALLERS)
+        home, _ = await scene.begin_lots(_CALLERS)
         await scene.deployment.kill_host(home)
         tally = await scene.settle()
     assert tally == once_scene.Tally(answered=_CALLERS, ran=_CALLERS)
@@ -81,10 +78,7 @@
     """
     plan = once_scene.make_plan(_RUN_MS)
     async with once_scene.run_scene(plan) as scene:
-        home = await scene.find_spare()
-        callers = await scene.open_callers(_CALLERS, home)
-        await scene.reserve_all(callers, home)
-        await scene.wait_runs(_CALLERS)
+        home, _ = await scene.begin_lots(_CALLERS)
         scene.deployment.pause_host(home)
         await scene.settle()
         scene.deployment.resume_host(home)
@@ -123,10 +117,7 @@
     """
     plan = once_scene.make_plan(_RUN_MS)
     async with once_scene.run_scene(plan) as scene:
-        home = await scene.find_spare()
-        callers = await scene.open_callers(_CALLERS, home)
-        await scene.reserve_all(callers, home)
-        await scene.wait_runs(_CALLERS)
+        home, _ = await scene.begin_lots(_CALLERS)
         await scene.deployment.kill_host(home)
         await scene.deployment.start_host(home)
         tally = await scene.settle([home])
@@ -144,10 +135,7 @@
     """
     plan = once_scene.make_plan(_RUN_MS)
     async with once_scene.run_scene(plan) as scene:
-        home = await scene.find_spare()
-        callers = await scene.open_callers(_CALLERS, home)
-        await scene.reserve_all(callers, home)
-        await scene.wait_runs(_CALLERS)
+        home, _ = await scene.begin_lots(_CALLERS)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(scene.deployment.stop_host, home)
             await trio.sleep(0.7)
--- a/tests/test_integration/test_integration_once_keeper.py
+++ b/tests/test_integration/test_integration_once_keeper.py
@@ -21,10 +21,7 @@
     """
     plan = once_scene.make_plan(_RUN_MS)
     async with once_scene.run_scene(plan) as scene:
-        home = await scene.find_spare()
-        callers = await scene.open_callers(_CALLERS, home)
-        await scene.reserve_all(callers, home)
-        await scene.wait_runs(_CALLERS)
+        await scene.begin_lots(_CALLERS)
         keeper, hit = await scene.find_busiest()
         await scene.deployment.kill_host(keeper)
         tally = await scene.settle()
@@ -43,10 +40,7 @@
     """
     plan = once_scene.make_plan(_RUN_MS)
     async with once_scene.run_scene(plan) as scene:
-        home = await scene.find_spare()
-        callers = await scene.open_callers(_CALLERS, home)
-        await scene.reserve_all(callers, home)
-        await scene.wait_runs(_CALLERS)
+        home, _ = await scene.begin_lots(_CALLERS)
         keeper, hit = await scene.find_busiest()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(scene.deployment.kill_host, keeper)
@@ -67,10 +61,7 @@
     """
     plan = once_scene.make_plan(_RUN_MS)
     async with once_scene.run_scene(plan) as scene:
-        home = await scene.find_spare()
-        callers = await scene.open_callers(_CALLERS, home)
-        await scene.reserve_all(callers, home)
-        await scene.wait_runs(_CALLERS)
+        home, _ = await scene.begin_lots(_CALLERS)
         keeper, hit = await scene.find_busiest()
         await scene.deployment.kill_host(keeper)
         await scene.deployment.start_host(keeper)
@@ -91,10 +82,7 @@
     """
     plan = once_scene.make_plan(_RUN_MS)
     async with once_scene.run_scene(plan) as scene:
-        home = await scene.find_spare()
-        callers = await scene.open_callers(_CALLERS, home)
-        await scene.reserve_all(callers, home)
-        await scene.wait_runs(_CALLERS)
+        await scene.begin_lots(_CALLERS)
         keeper, _ = await scene.find_busiest()
         scene.deployment.pause_host(keeper)
         await scene.settle()
@@ -159,10 +147,7 @@
     """
     plan = once_scene.make_plan(_RUN_MS, hosts=6)
     async with once_scene.run_scene(plan) as scene:
-        home = await scene.find_spare()
-        callers = await scene.open_callers(_CALLERS, home)
-        await scene.reserve_all(callers, home)
-        await scene.wait_runs(_CALLERS)
+        home, _ = await scene.begin_lots(_CALLERS)
         keeper, hit = await scene.find_busiest("middle", "south")
         async with trio.open_nursery() as nursery:
             nursery.start_soon(scene.deployment.stop_host, keeper)
--- a/tests/test_upstreams/scene.py
+++ b/tests/test_upstreams/scene.py
@@ -15,6 +15,7 @@
 
 from persimmonhinge import ids
 from persimmonhinge.coap import codec
+from persimmonhinge.coap import transmission as transmissions
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.contracts import store as stores
 from persimmonhinge.membership import member as members
@@ -25,8 +26,8 @@
 from persimmonhinge.peers.messages import feeds
 from persimmonhinge.peers.messages import work
 from persimmonhinge.settings import entry as settings_entry
+from persimmonhinge.upstreams import job as jobs
 from persimmonhinge.upstreams import keeper as keepers
-from persimmonhinge.upstreams import transmission as transmissions
 from tests.standins import upstream
 from tests.standins import upstream_settings
 from tests.test_upstreams import fake_network
@@ -95,6 +96,28 @@
     return contracts.Contract.model_validate(document)
 
 
+def make_job(
+    contract: contracts.Contract, name: str, number: int, deadline_s: float
+) -> jobs.Job:
+    """Returns a job of a class of calls.
+
+    Args:
+        contract: Contract of its service.
+        name: Name of the class.
+        number: Its number, also in the order of jobs.
+        deadline_s: When it is due, seconds from now.
+    """
+    call_class = contract.get_class(ids.CallClassName(name))
+    assert call_class is not None
+    return jobs.Job(
+        make_dispatch(number=number),
+        codec.Message(),
+        call_class,
+        trio.current_time() + deadline_s,
+        number,
+    )
+
+
 def make_record(
     contract: contracts.Contract, revision: int
 ) -> control.ContractRecord:
--- a/tests/test_upstreams/test_upstreams_message_layer.py
+++ b/tests/test_upstreams/test_upstreams_message_layer.py
@@ -9,13 +9,13 @@
 
 from persimmonhinge import ids
 from persimmonhinge.coap import codec
+from persimmonhinge.coap import transmission
 from persimmonhinge.peers.messages import work
 from persimmonhinge.policies import admission
 from persimmonhinge.policies import builtin  # noqa: F401
 from persimmonhinge.policies import order
 from persimmonhinge.upstreams import freshness
 from persimmonhinge.upstreams import message_ids
-from persimmonhinge.upstreams import transmission
 from tests.support import trios
 from tests.test_upstreams import fake_upstream
 from tests.test_upstreams import scene
--- a/tests/test_upstreams/test_upstreams_overload.py
+++ b/tests/test_upstreams/test_upstreams_overload.py
@@ -7,7 +7,6 @@
 import trio
 
 from persimmonhinge import ids
-from persimmonhinge.coap import codec
 from persimmonhinge.contracts import store as stores
 from persimmonhinge.peers.messages import work
 from persimmonhinge.upstreams import job as jobs
@@ -43,16 +42,8 @@
 
     def submit(self, deadline_s: float, name: str = "reservations") -> jobs.Job:
         """Submits a job."""
-        call_class = self._contract.get_class(ids.CallClassName(name))
-        assert call_class is not None
         self._count += 1
-        job = jobs.Job(
-            scene.make_dispatch(number=self._count),
-            codec.Message(),
-            call_class,
-            trio.current_time() + deadline_s,
-            self._count,
-        )
+        job = scene.make_job(self._contract, name, self._count, deadline_s)
         self.slots.submit(job)
         return job
 
--- a/tests/test_upstreams/test_upstreams_slots.py
+++ b/tests/test_upstreams/test_upstreams_slots.py
@@ -10,7 +10,6 @@
 import trio
 
 from persimmonhinge import ids
-from persimmonhinge.coap import codec
 from persimmonhinge.contracts import store as stores
 from persimmonhinge.peers.messages import work
 from persimmonhinge.upstreams import job as jobs
@@ -49,16 +48,8 @@
         self, name: str = "reservations", deadline_s: float = 1000.0
     ) -> jobs.Job:
         """Submits a job of a class."""
-        call_class = self.contract.get_class(ids.CallClassName(name))
-        assert call_class is not None
         self._count += 1
-        job = jobs.Job(
-            scene.make_dispatch(number=self._count),
-            codec.Message(),
-            call_class,
-            trio.current_time() + deadline_s,
-            self._count,
-        )
+        job = scene.make_job(self.contract, name, self._count, deadline_s)
         self.slots.submit(job)
         return job
 
