--- a/tests/test_forwarding/test_forwarding_forwarder.py
+++ b/tests/test_forwarding/test_forwarding_forwarder.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import hypothesis
 from hypothesis import strategies
 
@@ -226,3 +228,24 @@
         assert scene.last_upstream() in usable
     else:
         assert scene.count_sent() == (0, 0)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.integers(1, 1 << 39), min_size=1, max_size=20, unique=True
+    ),
+    strategies.randoms(use_true_random=False),
+)
+def test_token_leads_to_its_upstream_at_any_host_and_after_any_restart(
+    numbers: list[int], source: random.Random
+) -> None:
+    opening = scenes.Scene()
+    for number in numbers:
+        opening.add(scenes.make_upstream(number))
+    chosen = opening.open()
+    others = source.sample(numbers, len(numbers))
+    restarted = scenes.Scene()
+    for number in others:
+        restarted.add(scenes.make_upstream(number))
+    restarted.go_on(chosen, data=10)
+    assert restarted.last_upstream().id == chosen.id
