--- /dev/null
+++ b/tests/soak/injectors/__init__.py
@@ -0,0 +1,1 @@
+"""What each kind of fault does."""
--- /dev/null
+++ b/tests/soak/injectors/base.py
@@ -0,0 +1,58 @@
+"""The registry of injectors, and what they share."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import trio
+
+from persimmonhinge import registry
+from tests.soak import plan as plans
+from tests.soak import scene as scenes
+from tests.standins import faults_rules as rules
+from tests.standins import forwarding_deployment as deployments
+
+Injector = Callable[[scenes.SoakScene, plans.Fault], Awaitable[None]]
+injectors: registry.Registry[Injector] = registry.Registry("injector")
+
+
+async def inject(scene: scenes.SoakScene, fault: plans.Fault) -> None:
+    """Makes a fault, and ends it after its time."""
+    await injectors.get(fault.kind.value)(scene, fault)
+
+
+def find_host(
+    scene: scenes.SoakScene, fault: plans.Fault
+) -> deployments.ForwardHost:
+    """Returns the host that a fault is for."""
+    hosts = scene.deployment.hosts
+    return hosts[fault.place % len(hosts)]
+
+
+async def harm_mapping(
+    scene: scenes.SoakScene,
+    what: str,
+    mapping: str,
+    fault: rules.Fault,
+    for_s: float,
+    direction: rules.Direction | None = None,
+) -> None:
+    """Does harm to a mapping of the proxy for a time.
+
+    Args:
+        scene: All that runs.
+        what: Name of the host or upstream that is disturbed by it.
+        mapping: Name of the mapping.
+        fault: What is wrong with it.
+        for_s: How long, seconds.
+        direction: Which way; None for both.
+    """
+    with scene.disturbances.record(what):
+        scene.proxy.table.set(fault, name=mapping, direction=direction)
+        try:
+            await trio.sleep(for_s)
+        finally:
+            scene.proxy.table.set(
+                rules.NO_FAULT, name=mapping, direction=direction
+            )
--- /dev/null
+++ b/tests/soak/injectors/upstreams.py
@@ -0,0 +1,64 @@
+"""Upstreams that die, and that leave their address to another one."""
+
+from __future__ import annotations
+
+import trio
+
+from tests.soak import plan as plans
+from tests.soak import scene as scenes
+from tests.soak import upstreams
+from tests.soak.injectors import base
+
+# The platform removes the entry of a dead upstream after three heartbeats.
+_LAPSE_S = 1.5
+# How long an upstream that leaves goes on serving, seconds.
+_LEAVE_S = 4.0
+# An address may be used again so much later, seconds.
+_REUSE_S = 2.0
+# Time for callers to find that their upstream has ended, seconds.
+_END_S = 4.0
+# These places never lose their upstream, so that each service has two live
+# ones at any time.
+_LASTING_PLACES = 6
+
+
+def _place(
+    scene: scenes.SoakScene, fault: plans.Fault
+) -> upstreams.UpstreamPlace | None:
+    """Returns a place that may lose its upstream."""
+    places = scene.places[_LASTING_PLACES:]
+    return places[fault.place % len(places)] if places else None
+
+
+@base.injectors.register(plans.FaultKind.CRASH_UPSTREAM.value)
+async def _crash_upstream(scene: scenes.SoakScene, fault: plans.Fault) -> None:
+    place = _place(scene, fault)
+    if place is None:
+        return
+    async with place.lock:
+        with scene.disturbances.record(place.name):
+            place.end()
+            await trio.sleep(_LAPSE_S)
+            await place.remove()
+            await trio.sleep(fault.for_s)
+            await place.start(scene.nursery, place.service)
+            await trio.sleep(_END_S)
+
+
+@base.injectors.register(plans.FaultKind.REPLACE_UPSTREAM.value)
+async def _replace_upstream(
+    scene: scenes.SoakScene, fault: plans.Fault
+) -> None:
+    place = _place(scene, fault)
+    if place is None:
+        return
+    async with place.lock:
+        await place.drain()
+        await trio.sleep(_LEAVE_S + fault.strength)
+        with scene.disturbances.record(place.name):
+            place.end()
+            await place.remove()
+            await trio.sleep(_REUSE_S)
+            others = {scenes.FLOOR: scenes.INTAKE, scenes.INTAKE: scenes.FLOOR}
+            await place.start(scene.nursery, others[place.service])
+            await trio.sleep(_END_S)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -8,9 +8,10 @@
 import trio
 
 from tests.soak import checks
-from tests.soak import injectors
 from tests.soak import plan as plans
 from tests.soak import scene as scenes
+from tests.soak.injectors import base
+from tests.soak.injectors import builtin  # noqa: F401
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,7 +81,7 @@
             begun_at = trio.current_time()
             for fault in faults:
                 await trio.sleep_until(begun_at + fault.at_s)
-                nursery.start_soon(injectors.inject, scene, fault)
+                nursery.start_soon(base.inject, scene, fault)
         return _make_result(scene, len(faults))
 
 
--- a/tests/test_soak/test_soak_plan.py
+++ b/tests/test_soak/test_soak_plan.py
@@ -6,8 +6,9 @@
 
 from tests.soak import __main__ as programs
 from tests.soak import checks
-from tests.soak import injectors
 from tests.soak import plan as plans
+from tests.soak.injectors import base
+from tests.soak.injectors import builtin  # noqa: F401
 
 
 def test_a_seed_gives_the_same_faults_each_time() -> None:
@@ -23,7 +24,7 @@
 
 def test_each_kind_of_fault_can_be_made_and_comes() -> None:
     kinds = {kind.value for kind in plans.FaultKind}
-    assert set(injectors.injectors.names()) == kinds
+    assert set(base.injectors.names()) == kinds
     long = plans.make_plan(1, 1000)
     assert {fault.kind.value for fault in long} == kinds
 
