--- a/persimmonhinge/load/flows/caller_socket.py
+++ b/persimmonhinge/load/flows/caller_socket.py
@@ -41,11 +41,9 @@
         Raises:
             OSError: The address can't be had.
         """
-        self._socket = trio.socket.from_stdlib_socket(
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        )
-        self._address = address
-        self._packet_port = packet_port
+        bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        bound.bind((address, packet_port))
+        self._socket = trio.socket.from_stdlib_socket(bound)
         self._number = int.from_bytes(socket.inet_aton(address))
         self._ports = itertools.cycle(range(_FIRST_PORT, _LAST_PORT))
         self._inboxes: dict[int, trio.MemorySendChannel[segments.Segment]] = {}
@@ -77,7 +75,6 @@
     async def run(self) -> None:
         """Receives until cancelled."""
         with self._socket:
-            await self._socket.bind((self._address, self._packet_port))
             while True:
                 await self._receive()
 
--- a/persimmonhinge/load/flows/run.py
+++ b/persimmonhinge/load/flows/run.py
@@ -25,7 +25,11 @@
     """
 
     def __init__(self, settings: flow_load.FlowLoadSettings) -> None:
-        """Makes a run; the socket is bound by `run`."""
+        """Makes a run.
+
+        Raises:
+            OSError: The callers' address can't be had.
+        """
         self.book = books.FlowBook()
         self.settings = settings
         self._stop = trio.Event()
