--- a/persimmonhinge/forwarding/entry_table.py
+++ b/persimmonhinge/forwarding/entry_table.py
@@ -28,10 +28,6 @@
         """Gives the newest change of each key."""
         return iter(tuple(self._lines.values()))
 
-    def get(self, key: str) -> messages.EntryLine | None:
-        """Returns the newest change of a key, if it is kept."""
-        return self._lines.get(key)
-
     def put(self, line: messages.EntryLine) -> bool:
         """Keeps a change if it is newer than what is known of its key.
 
--- a/persimmonhinge/load/flows/caller_flow.py
+++ b/persimmonhinge/load/flows/caller_flow.py
@@ -8,12 +8,12 @@
 import trio
 
 from persimmonhinge.forwarding import flow as flows
-from persimmonhinge.forwarding import segment as segments
 from persimmonhinge.load.flows import book as books
 from persimmonhinge.load.flows import caller_socket as sockets
 from persimmonhinge.load.flows import fabric as fabrics
 from persimmonhinge.load.flows import messages
 from persimmonhinge.load.flows import records
+from persimmonhinge.load.flows import segment as segments
 
 # As the users' callers: copies of the opening packet, and when they give up.
 _COPIES_S = (0.0, 0.2, 0.6)
--- a/persimmonhinge/load/flows/caller_socket.py
+++ b/persimmonhinge/load/flows/caller_socket.py
@@ -10,7 +10,7 @@
 
 from persimmonhinge import errors
 from persimmonhinge.forwarding import flow as flows
-from persimmonhinge.forwarding import segment as segments
+from persimmonhinge.load.flows import segment as segments
 from persimmonhinge.platform import segments as formats
 
 logger = logging.getLogger(__name__)
--- a/persimmonhinge/platform/segments.py
+++ b/persimmonhinge/platform/segments.py
@@ -7,7 +7,7 @@
 
 from persimmonhinge import errors
 from persimmonhinge.forwarding import flow as flows
-from persimmonhinge.forwarding import segment as segments
+from persimmonhinge.load.flows import segment as segments
 from persimmonhinge.platform import header
 
 # The users' own sum has a secret key. Any number but 0 tells that a packet
--- a/tests/soak/probes.py
+++ b/tests/soak/probes.py
@@ -9,8 +9,8 @@
 import trio
 
 from persimmonhinge.forwarding import flow as flows
-from persimmonhinge.forwarding import segment as segments
 from persimmonhinge.load.flows import caller_socket as sockets
+from persimmonhinge.load.flows import segment as segments
 from tests.standins import forwarding_deployment as deployments
 
 # Each version has a route of its own, at this port and its number.
--- a/tests/standins/flow_upstream.py
+++ b/tests/standins/flow_upstream.py
@@ -14,8 +14,8 @@
 
 from persimmonhinge import errors
 from persimmonhinge.forwarding import flow as flows
-from persimmonhinge.forwarding import segment as segments
 from persimmonhinge.load.flows import messages
+from persimmonhinge.load.flows import segment as segments
 from persimmonhinge.platform import segments as formats
 
 _MOST_OCTETS = 2048
