Tell a late refusal from one of the next try

After all hosts were killed callers came back at once, upstreams were full and refused. A copy of a refusal that came late was taken for one of the next try in the same flow, since both tries have the key, so the caller tried a third time while the second ran.

Ruled out: hosts (each run came by a packet that the caller sent; no packet was at two upstreams, by the checks crossed and reset). The program of callers was wrong, not the hosts.

--- a/persimmonhinge/load/flows/caller_flow.py
+++ b/persimmonhinge/load/flows/caller_flow.py
@@ -75,7 +75,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._repeat, data)
             with trio.move_on_after(limit_s):
-                outcome, upstream = await self._wait_answer(request.key)
+                outcome, upstream = await self._wait_answer(request)
             nursery.cancel_scope.cancel()
         self._sequence += len(data)
         return outcome, upstream
@@ -113,7 +113,9 @@
                 self._book.opened[self.id] = segment.sequence
                 return
 
-    async def _wait_answer(self, key: str) -> tuple[records.Outcome, str]:
+    async def _wait_answer(
+        self, request: messages.FlowRequest
+    ) -> tuple[records.Outcome, str]:
         while True:
             segment = await self._inbox.receive()
             if segment.opens:
@@ -128,7 +130,7 @@
             answer = self._read_answer(segment.data) if segment.data else None
             if answer is None:
                 continue
-            if answer.key == key:
+            if (answer.key, answer.attempt) == (request.key, request.attempt):
                 return _judge(answer), answer.upstream
             if answer.key not in self._asked:
                 self._book.crossed.append(answer.key)
--- a/persimmonhinge/load/flows/messages.py
+++ b/persimmonhinge/load/flows/messages.py
@@ -11,10 +11,14 @@
     Attributes:
         key: Its key, the same for each further try.
         service: Name of the service that it is meant for.
+        attempt: Number of the try. Guards against a late copy of a refusal
+            that is taken for one of the next try in the same flow: that one
+            runs, and the caller would try once more.
     """
 
     key: str
     service: str
+    attempt: int = 0
 
 
 class FlowAnswer(msgspec.Struct, frozen=True, array_like=True):
@@ -24,8 +28,10 @@
         key: Key of the request.
         upstream: Id of the upstream.
         has_run: False if the upstream refused to run it.
+        attempt: Number of the try that it answers.
     """
 
     key: str
     upstream: str
     has_run: bool
+    attempt: int = 0
--- a/persimmonhinge/load/flows/user.py
+++ b/persimmonhinge/load/flows/user.py
@@ -70,7 +70,9 @@
         while True:
             record.tries += 1
             left_s = give_up_at - trio.current_time()
-            record.outcome, record.upstream = await self._try(key, left_s)
+            record.outcome, record.upstream = await self._try(
+                messages.FlowRequest(key, kind.service, record.tries), left_s
+            )
             if not self._tries_again(record, give_up_at):
                 break
             await self._pause(_RETRY_S)
@@ -88,7 +90,7 @@
         return self._kind.repeatable or record.outcome in _SAFE_TO_REPEAT
 
     async def _try(
-        self, key: str, limit_s: float
+        self, request: messages.FlowRequest, limit_s: float
     ) -> tuple[records.Outcome, str]:
         flow = self._flow
         if flow is None or not flow.is_open:
@@ -101,7 +103,6 @@
             self._flow = flow
             if not await flow.open():
                 return records.Outcome.UNOPENED, ""
-        request = messages.FlowRequest(key, self._kind.service)
         outcome, upstream = await flow.request(request, max(limit_s, 0))
         if outcome is records.Outcome.LOST:
             await self._close()
--- a/tests/standins/flow_upstream.py
+++ b/tests/standins/flow_upstream.py
@@ -235,7 +235,9 @@
         *,
         has_run: bool,
     ) -> None:
-        answer = messages.FlowAnswer(request.key, self.id, has_run)
+        answer = messages.FlowAnswer(
+            request.key, self.id, has_run, request.attempt
+        )
         held.answers[segment.sequence] = msgspec.msgpack.encode(answer)
         ends = self.state is UpstreamState.DRAINING
         await self._answer(
