--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -15,6 +15,7 @@
 import typer
 
 from tests.soak import plan as plans
+from tests.soak import regressions
 from tests.soak import settings as soak_settings
 from tests.soak import soak
 
@@ -28,7 +29,9 @@
 
 @program.command()
 def run(
-    seed: Annotated[int, typer.Argument(min=0, help="Seed of the first run.")],
+    seed: Annotated[
+        int, typer.Argument(min=0, help="Seed of the first run.")
+    ] = 1,
     minutes: Annotated[
         float, typer.Option(min=_FEWEST_MINUTES, help="Length of a run.")
     ] = 1.0,
@@ -44,6 +47,10 @@
             min=_FEWEST_UPSTREAMS, max=_MOST_PROCESSES, help="Upstreams."
         ),
     ] = 9,
+    again: Annotated[
+        bool,
+        typer.Option("--regressions", help="Run the seeds that once failed."),
+    ] = False,
     plan: Annotated[
         bool, typer.Option("--plan", help="Print the faults and exit.")
     ] = False,
@@ -54,8 +61,11 @@
         for fault in plans.make_plan(seed, length_s):
             typer.echo(fault)
         return
+    planned = [(number, length_s) for number in range(seed, seed + runs)]
+    if again:
+        planned = [(r.seed, r.minutes * 60) for r in regressions.REGRESSIONS]
     broken = []
-    for number in range(seed, seed + runs):
+    for number, length_s in planned:
         folder = _ROOT / "out" / "soak" / f"seed-{number}"
         if not _run_one(number, length_s, folder, hosts, upstreams):
             broken.append(folder)
