--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 from collections.abc import Callable
 from collections.abc import Iterator
 import json
@@ -141,27 +142,27 @@
 @checks.register("went-back")
 def _check_order(evidence: Evidence) -> Iterator[str]:
     """A host that has shown a version shows an older one later."""
-    shown: dict[str, list[tuple[float, int]]] = {}
-    arrived = {a.segment.flow: a for a in evidence.arrivals}
-    for probe in evidence.scene.operator.probes:
-        arrival = arrived.get(probe.flow)
-        if arrival is not None:
-            found = shown.setdefault(probe.host, [])
-            found.append((arrival.at, probe.version))
-    for probe in evidence.scene.operator.probes:
-        if probe.flow not in arrived:
-            continue
-        for at, version in shown.get(probe.host, []):
-            if version <= probe.version or at + _OVERTAKE_S > probe.sent_at:
-                continue
-            if _is_one_boot(evidence, probe, at):
-                yield f"{probe.host} went from {version} to {probe.version}"
-
-
-def _is_one_boot(evidence: Evidence, probe: probes.Probe, since: float) -> bool:
-    """Tells whether a host ran on from a time until a probe came."""
-    boots = evidence.scene.boots[probe.host]
-    return not any(since <= at <= probe.sent_at for at in boots)
+    arrived = {a.segment.flow: a.at for a in evidence.arrivals}
+    shown = [
+        (arrived[probe.flow], probe)
+        for probe in evidence.scene.operator.probes
+        if probe.flow in arrived
+    ]
+    waiting = sorted(shown, key=lambda pair: pair[0], reverse=True)
+    newest: dict[tuple[str, int], int] = {}
+    for _, probe in sorted(shown, key=lambda pair: pair[1].sent_at):
+        while waiting and waiting[-1][0] + _OVERTAKE_S <= probe.sent_at:
+            at, earlier = waiting.pop()
+            start = _name_start(evidence, earlier.host, at)
+            newest[start] = max(newest.get(start, 0), earlier.version)
+        start = _name_start(evidence, probe.host, probe.sent_at)
+        if probe.version < newest.get(start, 0):
+            yield f"{probe.host} went from {newest[start]} to {probe.version}"
+
+
+def _name_start(evidence: Evidence, host: str, at: float) -> tuple[str, int]:
+    """Returns which start of a host a time belongs to."""
+    return host, bisect.bisect(evidence.scene.boots[host], at)
 
 
 @checks.register("twice")
