--- a/tests/standins/faults_tcp.py
+++ b/tests/standins/faults_tcp.py
@@ -171,11 +171,11 @@
                 self.counts["octets lost"] += len(data)
                 continue
             try:
-                await self._write_chunk(sink, data)
+                self.counts[f"octets {direction.value}"] += len(data)
+            await self._write_chunk(sink, data)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 self._pass_reset(pipe)
                 return
-            self.counts[f"octets {direction.value}"] += len(data)
 
     async def _write_chunk(self, sink: trio.SocketStream, data: bytes) -> None:
         if data:
