--- a/tests/standins/faults_tcp.py
+++ b/tests/standins/faults_tcp.py
@@ -170,9 +170,10 @@
             if pipe.is_lost:
                 self.counts["octets lost"] += len(data)
                 continue
+            # Counted first: who gets the octets may ask for the count at once.
+            self.counts[f"octets {direction.value}"] += len(data)
             try:
-                self.counts[f"octets {direction.value}"] += len(data)
-            await self._write_chunk(sink, data)
+                await self._write_chunk(sink, data)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 self._pass_reset(pipe)
                 return
