Read the settings of both loads in one place; drop what nothing reads

The load program read, checked and ran its two kinds of settings in two copies of the same lines. CallerFlow.was_open was never read, and the soak compared an outcome by its text. Behaviour as before: tests of the load program, its packet flows and the soak pass.

--- a/persimmonhinge/cmd/load.py
+++ b/persimmonhinge/cmd/load.py
@@ -26,6 +26,8 @@
 EXIT_PROMISE_BROKEN = 1
 EXIT_BAD_SETTINGS = 2
 
+LoadSettings = load_settings.LoadSettings | flow_load.FlowLoadSettings
+
 program = typer.Typer(add_completion=False)
 
 
@@ -61,42 +63,38 @@
 
     Example: persimmonhinge-load --config load.yaml --execution-log a.log
     """
-    play = _play_flows if flows else _play_requests
     try:
-        report = play(config_file, check, execution_log)
+        settings = _read_settings(config_file, flows=flows)
+        if check:
+            typer.echo(f"{config_file}: settings are good")
+            return
+        logs.configure("load", settings.log_level)
+        report = _play(settings, execution_log)
     except (errors.SettingsError, OSError) as error:
         typer.echo(f"error: {error}", err=True)
         sys.exit(EXIT_BAD_SETTINGS)
-    if report is None:
-        typer.echo(f"{config_file}: settings are good")
-        return
     _write(report, output)
     if not report.clean:
         sys.exit(EXIT_PROMISE_BROKEN)
 
 
-def _play_requests(
-    path: pathlib.Path, check: bool, logs_of_runs: list[pathlib.Path] | None
-) -> reports.Report | None:
-    settings = config.load(path, load_settings.LoadSettings)
-    if check:
-        return None
-    logs.configure("load", settings.log_level)
-    load = runs.LoadRun(settings)
-    trio.run(_run_load, load)
-    return _judge(load, logs_of_runs)
+def _read_settings(path: pathlib.Path, *, flows: bool) -> LoadSettings:
+    if flows:
+        return config.load(path, flow_load.FlowLoadSettings)
+    return config.load(path, load_settings.LoadSettings)
 
 
-def _play_flows(
-    path: pathlib.Path, check: bool, _: list[pathlib.Path] | None
-) -> flow_reports.FlowReport | None:
-    settings = config.load(path, flow_load.FlowLoadSettings)
-    if check:
-        return None
-    logs.configure("load", settings.log_level)
-    load = flow_runs.FlowRun(settings)
+def _play(
+    settings: LoadSettings,
+    paths: list[pathlib.Path] | None,
+) -> reports.Report | flow_reports.FlowReport:
+    if isinstance(settings, flow_load.FlowLoadSettings):
+        flow_run = flow_runs.FlowRun(settings)
+        trio.run(_run_load, flow_run)
+        return flow_reports.make_report(flow_run.book, settings)
+    load = runs.LoadRun(settings)
     trio.run(_run_load, load)
-    return flow_reports.make_report(load.book, settings)
+    return _judge(load, paths)
 
 
 async def _run_load(load: runs.LoadRun | flow_runs.FlowRun) -> None:
--- a/persimmonhinge/load/flows/caller_flow.py
+++ b/persimmonhinge/load/flows/caller_flow.py
@@ -29,7 +29,6 @@
     Attributes:
         id: The flow.
         is_open: True from the answer to its opening packet to its end.
-        was_open: True if it ever was open.
     """
 
     def __init__(
@@ -44,7 +43,6 @@
         self._book = book
         self.id, self._inbox = socket.open_port(service)
         self.is_open = False
-        self.was_open = False
         self._asked: set[str] = set()
         self._token = 0
         self._sequence = 0
@@ -107,7 +105,7 @@
                 self._take_reset(segment)
                 return
             if segment.opens:
-                self.is_open = self.was_open = True
+                self.is_open = True
                 self._token = segment.token
                 self._acknowledged = segment.sequence
                 self._book.opened[self.id] = segment.sequence
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from persimmonhinge.load.flows import records
 from tests.soak import checks
 from tests.soak import plan as plans
 from tests.soak import scene as scenes
@@ -61,7 +62,9 @@
 def _make_result(scene: scenes.SoakScene, faults: int) -> SoakResult:
     book = scene.load.book
     answered = sum(
-        1 for request in book.requests if request.outcome.value == "answered"
+        1
+        for request in book.requests
+        if request.outcome is records.Outcome.ANSWERED
     )
     return SoakResult(
         faults=faults,
