--- a/persimmonhinge/client/exchange.py
+++ b/persimmonhinge/client/exchange.py
@@ -84,13 +84,15 @@
     async def _receive(
         self, limit_s: float, accepts: Accepts, *, empty_counts: bool
     ) -> codec.Message | None:
-        limit = trio.current_time() + limit_s
-        while True:
-            message = await self._inbox.receive(limit - trio.current_time())
-            if message is None:
-                return None
-            if message.code is aiocoap.EMPTY:
-                if empty_counts:
+        # One limit for the whole wait. Guards against a wait for what is left
+        # of it: that is below zero where the process stood still between two
+        # messages, which trio refuses, and the caller's request failed.
+        with trio.move_on_after(limit_s):
+            while True:
+                message = await self._inbox.receive()
+                if message.code is aiocoap.EMPTY:
+                    if empty_counts:
+                        return message
+                elif accepts(message):
                     return message
-            elif accepts(message):
-                return message
+        return None
--- a/persimmonhinge/client/inbox.py
+++ b/persimmonhinge/client/inbox.py
@@ -34,11 +34,9 @@
         except trio.WouldBlock:
             return
 
-    async def receive(self, limit_s: float = math.inf) -> codec.Message | None:
-        """Returns the next message, None if the time limit passed."""
-        with trio.move_on_after(limit_s):
-            return await self._receiver.receive()
-        return None
+    async def receive(self) -> codec.Message:
+        """Returns the next message."""
+        return await self._receiver.receive()
 
     async def receive_answer(
         self, limit_s: float = math.inf
@@ -46,7 +44,7 @@
         """Returns the next message that is not a bare ACK or RST."""
         with trio.move_on_after(limit_s):
             while True:
-                message = await self._receiver.receive()
+                message = await self.receive()
                 if message.code is not aiocoap.EMPTY:
                     return message
         return None
