--- /dev/null
+++ b/persimmonhinge/cmd/forward_host.py
@@ -0,0 +1,63 @@
+"""Reads the settings of a host that forwards packets, and runs it."""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+
+from persimmonhinge import errors
+from persimmonhinge import structured_logs
+from persimmonhinge.forwarding import binding
+from persimmonhinge.forwarding import core as cores
+from persimmonhinge.forwarding import settings as forward_settings
+from persimmonhinge.forwarding import startup
+from persimmonhinge.platform import adapter
+from persimmonhinge.store import blocking_transport
+
+logger = logging.getLogger(__name__)
+
+EXIT_BAD_SETTINGS = 2
+CHECK_OPTION = "--check"
+
+
+def run() -> None:
+    """Runs a host until SIGTERM, which is a planned stop.
+
+    The settings file is named by the first argument or, without one, by a
+    variable of the platform. With `--check` the settings are checked only.
+    The words are read without a library for command lines: to import one takes
+    0.1 s of processor time, which a small host must not spend on its start.
+    """
+    words = [word for word in sys.argv[1:] if word != CHECK_OPTION]
+    path = words[0] if words else os.environ.get(adapter.SETTINGS_VARIABLE, "")
+    try:
+        settings = forward_settings.load(path)
+        if CHECK_OPTION in sys.argv:
+            print(f"{path}: settings are good")
+            return
+        bound = binding.bind(forward_settings.parse_endpoint(settings.packets))
+    except (errors.SettingsError, OSError) as error:
+        print(f"error: {error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    structured_logs.configure(settings.host, settings.log_level)
+    core = cores.ForwardCore(
+        settings, bound, adapter.PacketFormat(), adapter.EntryFormat()
+    )
+    store = adapter.make_store(
+        (settings.store.address,),
+        blocking_transport.BlockingTransport,
+        settings.first_call_limit_s,
+    )
+    startup.forward_during(_import_rest, core, store)
+    _run(core, path)
+
+
+def _import_rest() -> None:
+    from persimmonhinge.forwarding import program  # noqa: F401
+
+
+def _run(core: cores.ForwardCore, path: str) -> None:
+    from persimmonhinge.forwarding import program
+
+    program.run(core, adapter.make_store, path)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -47,6 +47,9 @@
             min=_FEWEST_UPSTREAMS, max=_MOST_PROCESSES, help="Upstreams."
         ),
     ] = 9,
+    load: Annotated[
+        float, typer.Option(min=0.1, max=10, help="Part of the usual load.")
+    ] = 1.0,
     again: Annotated[
         bool,
         typer.Option("--regressions", help="Run the seeds that once failed."),
@@ -61,32 +64,43 @@
         for fault in plans.make_plan(seed, length_s):
             typer.echo(fault)
         return
-    planned = [(number, length_s) for number in range(seed, seed + runs)]
+    planned = [
+        soak_settings.SoakSettings(
+            number, length_s, _make_folder(number), hosts, upstreams, load
+        )
+        for number in range(seed, seed + runs)
+    ]
     if again:
-        planned = [(r.seed, r.minutes * 60) for r in regressions.REGRESSIONS]
-    broken = []
-    for number, length_s in planned:
-        folder = _ROOT / "out" / "soak" / f"seed-{number}"
-        if not _run_one(number, length_s, folder, hosts, upstreams):
-            broken.append(folder)
+        planned = [
+            soak_settings.SoakSettings(
+                r.seed,
+                r.minutes * 60,
+                _make_folder(r.seed),
+                kinds=r.kinds,
+                domains=r.domains,
+            )
+            for r in regressions.REGRESSIONS
+        ]
+    broken = [one.folder for one in planned if not _run_one(one)]
     if broken:
         folders = " ".join(str(f.relative_to(_ROOT)) for f in broken)
         typer.echo(f"broken; logs are in {folders}")
         sys.exit(1)
 
 
-def _run_one(
-    seed: int, length_s: float, folder: pathlib.Path, hosts: int, upstreams: int
-) -> bool:
+def _make_folder(seed: int) -> pathlib.Path:
+    return _ROOT / "out" / "soak" / f"seed-{seed}"
+
+
+def _run_one(settings: soak_settings.SoakSettings) -> bool:
+    folder = settings.folder
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
-    settings = soak_settings.SoakSettings(
-        seed, length_s, folder, hosts, upstreams
-    )
     result = trio.run(soak.run_soak, settings)
     found = {name: len(lines) for name, lines in result.found.items() if lines}
     typer.echo(
-        f"seed {seed}: {length_s:.0f} s, {result.faults} faults, "
+        f"seed {settings.seed}: {settings.length_s:.0f} s, "
+        f"{result.faults} faults, "
         f"{result.answered} of {result.requests} requests answered, "
         f"{result.flows} flows, {result.versions} versions, "
         f"{result.late} late entries, broken: {found or 'none'}"
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -42,6 +42,10 @@
     REPLACE_UPSTREAM: An upstream leaves; its address goes to another service.
     CUT_UPSTREAM: No packet reaches an upstream.
     DELAY_UPSTREAM: Packets to an upstream come late.
+    CUT_PEERS: A host hears no other one, is heard by none, or both.
+    CUT_DOMAIN: The hosts of a failure domain and those of others hear nothing
+        of each other.
+    LOSE_REPORTS: What others tell a host is lost, doubled and out of order.
     """
 
     KILL_HOST = "kill-host"
@@ -66,6 +70,9 @@
     REPLACE_UPSTREAM = "replace-upstream"
     CUT_UPSTREAM = "cut-upstream"
     DELAY_UPSTREAM = "delay-upstream"
+    CUT_PEERS = "cut-peers"
+    CUT_DOMAIN = "cut-domain"
+    LOSE_REPORTS = "lose-reports"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,20 +94,29 @@
     strength: float
 
 
-def make_plan(seed: int, length_s: float) -> list[Fault]:
+# New kinds are added at the end: plans of seeds that failed before there were
+# so many draw from the first ones alone, and stay what they were.
+ALL_KINDS = len(FaultKind)
+
+
+def make_plan(
+    seed: int, length_s: float, kinds: int = ALL_KINDS
+) -> list[Fault]:
     """Returns the faults of a run, in the order of their beginnings.
 
     Args:
         seed: Seed of the plan.
         length_s: Length of the run with its calm end, seconds.
+        kinds: How many kinds it draws from, the first ones.
     """
     source = random.Random(f"soak/{seed}")
+    drawn = list(FaultKind)[:kinds]
     faults: list[Fault] = []
     at_s = _CALM_START_S
     while True:
         fault = Fault(
             at_s=round(at_s, 3),
-            kind=source.choice(list(FaultKind)),
+            kind=source.choice(drawn),
             place=source.randrange(1000),
             for_s=round(source.uniform(_SHORTEST_S, _LONGEST_S), 3),
             strength=round(source.random(), 3),
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -4,6 +4,9 @@
 
 from typing import NamedTuple
 
+_FIRST_KINDS = 22
+_FIRST_DOMAINS = 2
+
 
 class Regression(NamedTuple):
     """A run that once failed.
@@ -12,11 +15,15 @@
         seed: Its seed.
         minutes: Its length.
         cause: What was wrong, and which test shows it alone.
+        kinds: How many kinds of faults there were when it failed.
+        domains: How many failure domains.
     """
 
     seed: int
     minutes: float
     cause: str
+    kinds: int = _FIRST_KINDS
+    domains: int = _FIRST_DOMAINS
 
 
 REGRESSIONS = (
--- a/tests/soak/scene.py
+++ b/tests/soak/scene.py
@@ -18,6 +18,7 @@
 from tests.soak import probes
 from tests.soak import settings as soak_settings
 from tests.soak import upstreams
+from tests.standins import faults_mesh
 from tests.standins import faults_proxy
 from tests.standins import forwarding_deployment as deployments
 from tests.standins import ports
@@ -30,7 +31,7 @@
 _PROBER = "127.0.0.8"
 # Every third upstream serves the intake.
 _INTAKE_EVERY = 3
-_DOMAINS = ("north", "south")
+_DOMAINS = ("north", "south", "east")
 _FEEDS_PER_S = 2.0
 _LOTS_PER_S = 15.0
 _UPLOADS_PER_S = 4.0
@@ -50,12 +51,13 @@
         board: All upstreams that ever ran.
         operator: Who changes the desired state.
         load: The callers.
+        mesh: What stands between hosts.
+        domains: Failure domain of each host.
         disturbances: What was disturbed, and when.
         nursery: Where upstreams run.
         locks: For each host, held while it is stopped and started.
         store_lock: Held while something is wrong with the store.
         boots: When each host was started, seconds of the monotonic clock.
-        boots: When each host was started, seconds of the monotonic clock.
         failures: What went wrong with processes.
     """
 
@@ -80,6 +82,15 @@
         self._settings = settings
         self.socket = sockets.CallerSocket(_PROBER, deployment.packet_port)
         routes = {_FLOOR_PORT: FLOOR, _INTAKE_PORT: INTAKE}
+        self.mesh = faults_mesh.UdpMesh(
+            "peers",
+            {h.name: (h.address, _outer(h.address)) for h in deployment.hosts},
+            deployment.peer_port,
+        )
+        self.domains = {
+            host.name: _DOMAINS[number % settings.domains]
+            for number, host in enumerate(deployment.hosts)
+        }
         self.operator = probes.Operator(deployment, self.socket, routes, seed)
         self.load = runs.FlowRun(self._make_load())
 
@@ -95,8 +106,9 @@
             await self.operator.write_version()
         for number in range(self._settings.upstreams):
             await self._add_place(number)
-        for number, host in enumerate(self.deployment.hosts):
-            await self._prepare_host(host, _DOMAINS[number % len(_DOMAINS)])
+        await self.proxy.add_mesh(self.mesh)
+        for host in self.deployment.hosts:
+            await self._prepare_host(host)
             await self.start_host(host)
         for host in self.deployment.hosts:
             await self.deployment.wait_ready(host)
@@ -119,15 +131,14 @@
         await place.start(self.nursery, service)
         self.places.append(place)
 
-    async def _prepare_host(
-        self, host: deployments.ForwardHost, domain: str
-    ) -> None:
-        """Puts the proxy before a host, and between it and the store."""
+    async def _prepare_host(self, host: deployments.ForwardHost) -> None:
+        """Puts the proxy before a host, and between it and all others."""
         host.program = clocked_host.__name__
         outer = _outer(host.address)
         for add, port in (
             (self.proxy.add_udp, self.deployment.packet_port),
             (self.proxy.add_tcp, self.deployment.page_port),
+            (self.proxy.add_tcp, self.deployment.peer_port + 1),
         ):
             await add(
                 f"{port} {host.name}", (host.address, port), (outer, port)
@@ -137,7 +148,9 @@
         name = f"store {host.name}"
         near = await self.proxy.add_tcp(name, (store, int(store_port)))
         host.change_settings(
-            domain=domain, store={"address": f"{near[0]}:{near[1]}"}
+            domain=self.domains[host.name],
+            store={"address": f"{near[0]}:{near[1]}"},
+            seeds=[f"{_outer(h.address)}:1" for h in self.deployment.hosts],
         )
 
     def _make_load(self) -> flow_load.FlowLoadSettings:
--- a/tests/soak/settings.py
+++ b/tests/soak/settings.py
@@ -20,6 +20,8 @@
         upstreams: Number of places where upstreams run.
         load: Part of the usual load, for machines that do other work.
         faults: Faults to make; None for those of the seed.
+        kinds: How many kinds of faults the seed draws from, the first ones.
+        domains: Number of failure domains.
     """
 
     seed: int
@@ -29,3 +31,5 @@
     upstreams: int = 9
     load: float = 1.0
     faults: tuple[plans.Fault, ...] | None = None
+    kinds: int = plans.ALL_KINDS
+    domains: int = 3
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -48,7 +48,9 @@
     """Runs the programs under the faults of a seed, and judges."""
     faults = settings.faults
     if faults is None:
-        faults = tuple(plans.make_plan(settings.seed, settings.length_s))
+        faults = tuple(
+            plans.make_plan(settings.seed, settings.length_s, settings.kinds)
+        )
     async with scenes.run_scene(settings) as scene:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(scene.load.run)
--- a/tests/standins/faults_proxy.py
+++ b/tests/standins/faults_proxy.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from tests.standins import faults_mesh
 from tests.standins import faults_rules as rules
 from tests.standins import faults_tcp
 from tests.standins import faults_udp
@@ -45,6 +46,10 @@
         mapping = faults_udp.UdpMapping(name, target, self.table)
         return await self._add(mapping, listen)
 
+    async def add_mesh(self, mesh: faults_mesh.UdpMesh) -> None:
+        """Begins to forward the datagrams of a mesh."""
+        await self._nursery.start(mesh.run, self.table)
+
     def reset(self, name: str | None = None) -> None:
         """Resets the open connections of a mapping, or of all."""
         for mapping in self._find(name):
--- a/tests/standins/faults_udp.py
+++ b/tests/standins/faults_udp.py
@@ -6,11 +6,10 @@
 
 import trio
 
+from tests.standins import faults_datagrams
 from tests.standins import faults_rules as rules
 
 _MOST_OCTETS = 65_535
-# A reordered datagram comes this much later than the others, seconds.
-_REORDER_S = 0.02
 _Address = tuple[str, int]
 
 
@@ -37,7 +36,6 @@
     Attributes:
         name: Name of the mapping.
         address: Where it listens.
-        counts: Datagrams each way, lost, doubled and reordered.
     """
 
     def __init__(
@@ -45,14 +43,14 @@
     ) -> None:
         self.name = name
         self.address: _Address = ("", 0)
-        self.counts: collections.Counter[str] = collections.Counter()
         self._target = target
-        self._table = table
+        self._faults = faults_datagrams.DatagramFaults(name, table)
         self._paths: dict[_Address, _Path] = {}
-        self._randoms = {
-            direction: table.make_random(name, direction)
-            for direction in rules.Direction
-        }
+
+    @property
+    def counts(self) -> collections.Counter[str]:
+        """Datagrams each way, lost, doubled and reordered."""
+        return self._faults.counts
 
     async def run(
         self,
@@ -91,9 +89,14 @@
             if path is None:
                 path = await self._open_path(source)
                 nursery.start_soon(self._return, near, path, nursery)
-            direction = rules.Direction.FORWARD
-            self._pass(
-                path, direction, data, path.socket, self._target, nursery
+            self._faults.send(
+                nursery,
+                path.socket,
+                data,
+                self._target,
+                source[0],
+                rules.Direction.FORWARD,
+                is_lost=path.is_lost,
             )
 
     async def _open_path(self, source: _Address) -> _Path:
@@ -118,49 +121,12 @@
                 except ConnectionRefusedError:
                     # The target does not listen; it may do so later.
                     continue
-                direction = rules.Direction.BACK
-                self._pass(path, direction, data, near, path.source, nursery)
-
-    def _pass(
-        self,
-        path: _Path,
-        direction: rules.Direction,
-        data: bytes,
-        socket: trio.socket.SocketType,
-        address: _Address,
-        nursery: trio.Nursery,
-    ) -> None:
-        fault = self._table.find(self.name, path.source[0], direction)
-        random = self._randoms[direction]
-        # Each datagram draws the same numbers whatever the faults are, so
-        # that a seed gives the same losses.
-        drop, duplicate, reorder = (random.random() for _ in range(3))
-        if path.is_lost or fault.cut or drop < fault.drop:
-            self.counts["lost"] += 1
-            return
-        delay_s = fault.delay_s
-        if reorder < fault.reorder:
-            self.counts["reordered"] += 1
-            delay_s += _REORDER_S
-        copies = 1
-        if duplicate < fault.duplicate:
-            self.counts["doubled"] += 1
-            copies = 2
-        for _ in range(copies):
-            self.counts[direction.value] += 1
-            nursery.start_soon(_send_later, socket, data, address, delay_s)
-
-
-async def _send_later(
-    socket: trio.socket.SocketType,
-    data: bytes,
-    address: _Address,
-    delay_s: float,
-) -> None:
-    if delay_s > 0:
-        await trio.sleep(delay_s)
-    try:
-        await socket.sendto(data, address)
-    except OSError:
-        # A datagram that can't be sent is a lost one.
-        pass
+                self._faults.send(
+                    nursery,
+                    near,
+                    data,
+                    path.source,
+                    path.source[0],
+                    rules.Direction.BACK,
+                    is_lost=path.is_lost,
+                )
--- a/tests/test_soak/test_soak_plan.py
+++ b/tests/test_soak/test_soak_plan.py
@@ -7,6 +7,7 @@
 from tests.soak import __main__ as programs
 from tests.soak import checks
 from tests.soak import plan as plans
+from tests.soak import regressions
 from tests.soak.injectors import base
 from tests.soak.injectors import builtin  # noqa: F401
 
@@ -29,6 +30,14 @@
     assert {fault.kind.value for fault in long} == kinds
 
 
+def test_a_seed_that_failed_keeps_its_faults_when_kinds_are_added() -> None:
+    first = list(plans.FaultKind)[:22]
+    for regression in regressions.REGRESSIONS[:3]:
+        length_s = regression.minutes * 60
+        faults = plans.make_plan(regression.seed, length_s, regression.kinds)
+        assert {fault.kind for fault in faults} <= set(first)
+
+
 def test_faults_come_together_and_apart() -> None:
     faults = plans.make_plan(1, 600)
     gaps = [
@@ -47,6 +56,7 @@
         ["1", "--minutes", "0"],
         ["1", "--hosts", "1"],
         ["1", "--upstreams", "100000"],
+        ["1", "--load", "0"],
     ):
         result = runner.invoke(programs.program, words)
         assert result.exit_code == 2
