--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -205,6 +205,18 @@
         yield f"only {judged} requests in calm times"
 
 
+@checks.register("stopping")
+def _check_stops(evidence: Evidence) -> Iterator[str]:
+    """A host that was told to stop drops packets that still come."""
+    reached = {arrival.segment.flow for arrival in evidence.arrivals}
+    for probe in evidence.scene.operator.stop_probes:
+        since, until = probe.sent_at - CALM_S, probe.sent_at + probes.ANSWER_S
+        if not evidence.scene.disturbances.is_all_calm(since, until):
+            continue
+        if probe.flow not in reached:
+            yield f"{probe.host} dropped {probe.flow}"
+
+
 @checks.register("processes")
 def _check_processes(evidence: Evidence) -> Iterator[str]:
     """A host ended by itself, did not stop, or wrote what is no log."""
--- a/tests/soak/injectors/hosts.py
+++ b/tests/soak/injectors/hosts.py
@@ -80,7 +80,9 @@
     async with scene.locks[host.name]:
         with scene.disturbances.record(host.name, planned=True):
             began_at = time.monotonic()
-            code = await host.end(_STOP_LIMIT_S)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(scene.operator.probe_stopping, host)
+                code = await host.end(_STOP_LIMIT_S)
             if code is None:
                 # The platform kills what has not stopped within its limit.
                 await host.stop(signal.SIGKILL)
