--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -125,8 +125,11 @@
 
         Guards against a second upstream for a flow that is open: it would
         answer the copy, and the caller would take its token for the flow's.
+        A copy that is read before the first one can have been answered goes
+        the same way, too: packets that waited in the socket while the host
+        started are read together, and the network doubles some.
         """
-        if record.established:
+        if record.established or self._openings.find_waiting(packet.flow):
             upstream = self._knowledge.directory.get(record.upstream)
             if upstream is not None:
                 self._forward(packet, upstream)
--- a/persimmonhinge/forwarding/openings.py
+++ b/persimmonhinge/forwarding/openings.py
@@ -83,6 +83,13 @@
         self._waiting.pop(flow, None)
         self._first.pop(flow, None)
 
+    def find_waiting(self, flow: flows.FlowId) -> Opening | None:
+        """Returns the opening packet of a flow that may yet be answered."""
+        opening = self._waiting.get(flow)
+        if opening is None or opening.due_at <= self._clock():
+            return None
+        return opening
+
     def next_due(self) -> float | None:
         """Returns when the next one may be due, None if none waits."""
         while self._order and not self._waits(self._order[0]):
--- a/tests/test_forwarding/test_forwarding_openings.py
+++ b/tests/test_forwarding/test_forwarding_openings.py
@@ -67,6 +67,26 @@
         assert scene.last_upstream() == chosen
 
 
+def test_copy_read_with_the_first_packet_goes_where_that_one_went() -> None:
+    """After a restart each new flow holds room at two upstreams.
+
+    Packets wait in the host's socket while it starts, so an opening packet
+    and the copy that its caller sent 200 ms later are read together; the copy
+    is sent to a second upstream. Cause: each copy was taken for a sign that
+    the upstream did not answer.
+    """
+    scene = scenes.Scene()
+    for number in range(1, 9):
+        scene.add(scenes.make_upstream(number))
+    chosen = scene.open()
+    for _ in range(20):
+        scene.open(acknowledged=1)
+        assert scene.last_upstream() == chosen
+    scene.clock.sleep(0.2)
+    scene.open(acknowledged=1)
+    assert scene.last_upstream() != chosen
+
+
 def test_dead_upstream_gets_few_openings_and_is_taken_back() -> None:
     scene = scenes.Scene()
     dead = scene.add(scenes.make_upstream(1))
