--- a/persimmonhinge/cmd/forward.py
+++ b/persimmonhinge/cmd/forward.py
@@ -2,17 +2,9 @@
 
 from __future__ import annotations
 
-import os
 import signal
-import socket
-import sys
 
 from persimmonhinge import collector
-from persimmonhinge.forwarding import binding
-
-# The address of packets may stand in a variable, too: it is in the settings,
-# but to read those takes modules whose import is most of the start.
-PACKETS_VARIABLE = "PERSIMMONHINGE_PACKETS"
 
 
 def main() -> None:
@@ -25,27 +17,9 @@
     # the settings are read (best of 30 starts, CPython 3.11), time in which a
     # host that was restarted forwards nothing.
     collector.pause()
-    bound = _bind_early()
     from persimmonhinge.cmd import forward_host
 
-    forward_host.run(bound)
-
-
-def _bind_early() -> socket.socket | None:
-    """Binds the socket of packets if its address is known before the settings.
-
-    Guards against packets that are lost while the rest is imported: their
-    callers send them again after 0.2 s or more, and the first one would have
-    been forwarded by then. What can't be bound is said once the settings are
-    read, and the address in them counts.
-    """
-    host, _, port = os.environ.get(PACKETS_VARIABLE, "").rpartition(":")
-    if "--check" in sys.argv or not port.isdigit():
-        return None
-    try:
-        return binding.bind((host, int(port)))
-    except (OSError, OverflowError):
-        return None
+    forward_host.run()
 
 
 if __name__ == "__main__":
--- a/persimmonhinge/cmd/forward_host.py
+++ b/persimmonhinge/cmd/forward_host.py
@@ -4,7 +4,6 @@
 
 import logging
 import os
-import socket
 import sys
 
 from persimmonhinge import errors
@@ -22,17 +21,13 @@
 CHECK_OPTION = "--check"
 
 
-def run(bound_early: socket.socket | None) -> None:
+def run() -> None:
     """Runs a host until SIGTERM, which is a planned stop.
 
     The settings file is named by the first argument or, without one, by a
     variable of the platform. With `--check` the settings are checked only.
     The words are read without a library for command lines: to import one takes
     0.1 s of processor time, which a small host must not spend on its start.
-
-    Args:
-        bound_early: Socket of packets that was bound before the settings were
-            read; None if there is none.
     """
     words = [word for word in sys.argv[1:] if word != CHECK_OPTION]
     path = words[0] if words else os.environ.get(adapter.SETTINGS_VARIABLE, "")
@@ -41,7 +36,7 @@
         if CHECK_OPTION in sys.argv:
             print(f"{path}: settings are good")
             return
-        bound = _bind(settings, bound_early)
+        bound = binding.bind(forward_settings.parse_endpoint(settings.packets))
     except (errors.SettingsError, OSError) as error:
         print(f"error: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
@@ -58,23 +53,6 @@
     _run(core, path)
 
 
-def _bind(
-    settings: forward_settings.ForwardSettings,
-    bound_early: socket.socket | None,
-) -> socket.socket:
-    """Returns a socket that is bound to the address in the settings.
-
-    Raises:
-        OSError: The address can't be had.
-    """
-    address = forward_settings.parse_endpoint(settings.packets)
-    if bound_early is not None:
-        if bound_early.getsockname() == tuple(address):
-            return bound_early
-        bound_early.close()
-    return binding.bind(address)
-
-
 def _import_rest() -> None:
     from persimmonhinge.forwarding import program  # noqa: F401
 
--- a/persimmonhinge/forwarding/binding.py
+++ b/persimmonhinge/forwarding/binding.py
@@ -4,15 +4,14 @@
 
 import socket
 
+from persimmonhinge.forwarding import flow as flows
+
 _RECEIVE_BUFFER_OCTETS = 1 << 20
 
 
-def bind(address: tuple[str, int]) -> socket.socket:
+def bind(address: flows.Endpoint) -> socket.socket:
     """Binds the socket of packets; they wait in it until they are read.
 
-    Args:
-        address: IP address and port.
-
     Raises:
         OSError: The address can't be had.
     """
