--- a/persimmonhinge/forwarding/peers/pulls.py
+++ b/persimmonhinge/forwarding/peers/pulls.py
@@ -4,7 +4,6 @@
 
 import functools
 import logging
-import random
 import time
 
 import msgspec
@@ -32,6 +31,7 @@
         self._core = core
         self._book = core.peers
         self._port = core.settings.snapshot_port
+        self._domain = core.settings.domain
         self._behind_since: float | None = None
 
     async def run(self) -> None:
@@ -43,7 +43,8 @@
         """
         while True:
             await trio.sleep(_AHEAD_CHECK_S)
-            ahead = self._find_ahead()
+            revision = self._core.entries.revision
+            ahead = self._book.find_ahead(revision, self._domain)
             now = time.monotonic()
             if ahead is None:
                 self._behind_since = None
@@ -59,23 +60,6 @@
         behind_since = self._behind_since
         return behind_since is not None and now - behind_since > _BEHIND_S
 
-    def _find_ahead(self) -> books.Peer | None:
-        """Returns a host that knows most, if it knows more than this one.
-
-        Guards against many hosts that pull a long desired state from the one
-        that heard of it first, over its thin link: any that has it will do.
-        """
-        ahead = [
-            (peer.report.revision, peer)
-            for peer in self._book.heard()
-            if peer.report is not None
-            and peer.report.revision > self._core.entries.revision
-        ]
-        if not ahead:
-            return None
-        newest = max(revision for revision, _ in ahead)
-        return random.choice([p for rev, p in ahead if rev == newest])
-
     async def _pull(self, peer: books.Peer) -> None:
         host = peer.address.host
         octets = bytearray()
--- a/persimmonhinge/forwarding/reading.py
+++ b/persimmonhinge/forwarding/reading.py
@@ -102,13 +102,12 @@
         after = self.revision
         told = []
         for event in batch:
-            if self.take(event.key, event.value, event.mod_revision):
-                told.append(
-                    messages.EntryLine(
-                        event.key, event.value, event.mod_revision
-                    )
-                )
-                self._advance(event.mod_revision)
+            line = messages.EntryLine(
+                event.key, event.value, event.mod_revision
+            )
+            if self._take_line(line, _SOURCE):
+                told.append(line)
+                self._advance(line.revision)
         if told and self.tell is not None:
             self.tell(after, told)
 
@@ -139,9 +138,6 @@
     ) -> bool:
         """Takes in an entry, or that it was deleted, if it is newer.
 
-        Guards against going back: a peer that was cut off, or an answer that
-        comes late, brings an entry as it was before.
-
         Args:
             key: Key of the entry.
             value: Its value; None if it was deleted.
@@ -151,16 +147,8 @@
         Returns:
             True if it is newer than what was known.
         """
-        if not key.startswith(self._prefixes()):
-            return False
-        if not self._table.put(messages.EntryLine(key, value, revision)):
-            return False
-        try:
-            self._apply(key, value, source)
-        except errors.UnreadableEntryError as error:
-            self._counts.add("unreadable_entries_total")
-            logger.error("Keeps the former entry: %s.", error)
-        return True
+        line = messages.EntryLine(key, value, revision)
+        return self._take_line(line, source)
 
     def make_snapshot(
         self, since: int, peers: tuple[flows.Endpoint, ...]
@@ -218,7 +206,24 @@
         if not settled:
             self.doubt()
         for line in lines:
-            self.take(line.key, line.value, line.revision, source)
+            self._take_line(line, source)
+
+    def _take_line(self, line: messages.EntryLine, source: str) -> bool:
+        """Takes in an entry if it is newer; see `take`.
+
+        Guards against going back: a peer that was cut off, or an answer that
+        comes late, brings an entry as it was before.
+        """
+        if not line.key.startswith(self._prefixes()):
+            return False
+        if not self._table.put(line):
+            return False
+        try:
+            self._apply(line.key, line.value, source)
+        except errors.UnreadableEntryError as error:
+            self._counts.add("unreadable_entries_total")
+            logger.error("Keeps the former entry: %s.", error)
+        return True
 
     def _advance(self, revision: int) -> None:
         self.revision = max(self.revision, revision)
--- a/tests/test_forwarding/test_forwarding_peers_book.py
+++ b/tests/test_forwarding/test_forwarding_peers_book.py
@@ -32,23 +32,26 @@
         incarnation: int = 1,
         missed: int = 0,
         now: float = 10.0,
+        peer: flows.Endpoint = PEER,
+        domain: str = "north",
+        revision: int = 1,
     ) -> bool:
-        """Has a report come from the peer."""
+        """Has a report come from a peer."""
         line = messages.LoadLine(TOKEN, in_flight, in_flight * 100, missed)
         report = messages.Report(
             "b",
             incarnation,
             sequence,
             100,
-            "north",
-            1,
+            domain,
+            revision,
             0,
             False,
             True,
             (line,),
             (),
         )
-        return self.book.take(PEER, report, now)
+        return self.book.take(peer, report, now)
 
 
 def test_newest_report_replaces_the_one_before() -> None:
@@ -133,3 +136,22 @@
         if sequence > newest[0]:
             newest = (sequence, in_flight)
     assert told.loads.others_in_flight(TOKEN) == newest[1]
+
+
+def test_snapshots_come_from_the_own_domain_if_it_knows_more() -> None:
+    """Links between failure domains fill up when many upstreams start.
+
+    Each host is behind for a moment and pulls all new entries; most hosts are
+    elsewhere, and some of them are a little further. Cause: a host that pulls
+    from whoever is furthest.
+    """
+    told = Told()
+    elsewhere = flows.Endpoint("10.0.1.1", 7720)
+    told.take(1, revision=5)
+    told.take(1, revision=6, peer=elsewhere, domain="south")
+    for _ in range(20):
+        ahead = told.book.find_ahead(4, "north")
+        assert ahead is not None and ahead.address == PEER
+    ahead = told.book.find_ahead(5, "north")
+    assert ahead is not None and ahead.address == elsewhere
+    assert told.book.find_ahead(6, "north") is None
