Let the soak's hosts follow each other, and cut them long enough to show it

With four hosts in three domains most hosts follow the store alone, so news from other hosts were hardly tested: guards out (no host is ever silent, nobody follows when nothing is confirmed) were not found. Old seeds keep four hosts.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -40,7 +40,7 @@
     ] = 1,
     hosts: Annotated[
         int, typer.Option(min=2, max=_MOST_PROCESSES, help="Hosts.")
-    ] = 4,
+    ] = 6,
     upstreams: Annotated[
         int,
         typer.Option(
@@ -76,6 +76,7 @@
                 r.seed,
                 r.minutes * 60,
                 _make_folder(r.seed),
+                hosts=r.hosts,
                 kinds=r.kinds,
                 domains=r.domains,
             )
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -94,6 +94,10 @@
     strength: float
 
 
+# How many times longer than others some kinds last: a host that hears no other
+# one has time to find it, and then the limit of a change is still to pass.
+_STRETCHES = {FaultKind.CUT_PEERS: 2.5, FaultKind.CUT_DOMAIN: 2.5}
+
 # New kinds are added at the end: plans of seeds that failed before there were
 # so many draw from the first ones alone, and stay what they were.
 ALL_KINDS = len(FaultKind)
@@ -114,11 +118,14 @@
     faults: list[Fault] = []
     at_s = _CALM_START_S
     while True:
+        kind = source.choice(drawn)
+        place = source.randrange(1000)
+        for_s = source.uniform(_SHORTEST_S, _LONGEST_S)
         fault = Fault(
             at_s=round(at_s, 3),
-            kind=source.choice(drawn),
-            place=source.randrange(1000),
-            for_s=round(source.uniform(_SHORTEST_S, _LONGEST_S), 3),
+            kind=kind,
+            place=place,
+            for_s=round(for_s * _STRETCHES.get(kind, 1.0), 3),
             strength=round(source.random(), 3),
         )
         if fault.at_s + fault.for_s > length_s - CALM_END_S:
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -6,6 +6,7 @@
 
 _FIRST_KINDS = 22
 _FIRST_DOMAINS = 2
+_FIRST_HOSTS = 4
 
 
 class Regression(NamedTuple):
@@ -17,6 +18,7 @@
         cause: What was wrong, and which test shows it alone.
         kinds: How many kinds of faults there were when it failed.
         domains: How many failure domains.
+        hosts: How many hosts.
     """
 
     seed: int
@@ -24,6 +26,7 @@
     cause: str
     kinds: int = _FIRST_KINDS
     domains: int = _FIRST_DOMAINS
+    hosts: int = _FIRST_HOSTS
 
 
 REGRESSIONS = (
--- a/tests/soak/settings.py
+++ b/tests/soak/settings.py
@@ -27,7 +27,7 @@
     seed: int
     length_s: float
     folder: pathlib.Path
-    hosts: int = 4
+    hosts: int = 6
     upstreams: int = 9
     load: float = 1.0
     faults: tuple[plans.Fault, ...] | None = None
--- a/tests/test_soak/test_soak_short.py
+++ b/tests/test_soak/test_soak_short.py
@@ -23,9 +23,10 @@
                 _SEED,
                 _LENGTH_S,
                 pathlib.Path(folder),
-                hosts=3,
+                hosts=4,
                 upstreams=7,
                 load=_LOAD,
+                domains=2,
             )
         )
     assert result.clean, result.found
