--- a/tests/standins/platform_process.py
+++ b/tests/standins/platform_process.py
@@ -4,17 +4,13 @@
 
 from collections.abc import AsyncIterator
 import contextlib
-import pathlib
-import subprocess
-import sys
 from typing import Any
 
 import httpx
-import trio
 
 from persimmonhinge.settings import entry
+from tests.standins import announced
 
-_ROOT = pathlib.Path(__file__).parents[2]
 # A command of a test is no part of what is tested: on a machine that is busy
 # with other work it may wait, seconds.
 _COMMAND_LIMIT_S = 60.0
@@ -70,21 +66,5 @@
 @contextlib.asynccontextmanager
 async def run_platform() -> AsyncIterator[PlatformProcess]:
     """Runs a stand-in at a port of the kernel's choice."""
-    process = await trio.lowlevel.open_process(
-        [sys.executable, "-m", "tests.standins.platform"],
-        cwd=_ROOT,
-        stdout=subprocess.PIPE,
-    )
-    try:
-        assert process.stdout is not None
-        line = b""
-        while not line.endswith(b"\n"):
-            data = await process.stdout.receive_some(100)
-            if not data:
-                raise RuntimeError("the platform's stand-in did not start")
-            line += data
-        yield PlatformProcess(line.split()[-1].decode())
-    finally:
-        process.terminate()
-        with trio.CancelScope(shield=True):
-            await process.wait()
+    async with announced.run_announced("tests.standins.platform") as line:
+        yield PlatformProcess(line.split()[-1])
