--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -13,13 +13,12 @@
 
 import argparse
 from collections.abc import Callable
-import heapq
-import itertools
 import json
 import random
 import statistics
 from typing import NamedTuple
 
+from benchmarks import events
 from persimmonhinge import ids
 from persimmonhinge.forwarding import loads as load_books
 from persimmonhinge.policies import builtin  # noqa: F401
@@ -40,8 +39,6 @@
 _LENGTH_S = 60.0
 _SEED_STEP = 1009
 
-Event = tuple[float, int, Callable[[], None]]
-
 
 class Result(NamedTuple):
     """What a run showed.
@@ -75,13 +72,13 @@
     """One run of one policy."""
 
     def __init__(self, policy: str, sight: str, seed: int) -> None:
-        self.now = 0.0
+        self._queue = events.EventQueue()
         self._sight = sight
         self._random = random.Random(seed)
-        self._order = itertools.count()
-        self._events: list[Event] = []
         self._upstreams = [Upstream(n) for n in range(len(_DOMAINS))]
-        self._books = [load_books.LoadBook(lambda: self.now) for _ in _HOSTS]
+        self._books = [
+            load_books.LoadBook(lambda: self._queue.now) for _ in _HOSTS
+        ]
         self._policies = [
             choice.choices.get(policy)(random.Random(seed + host))
             for host in range(len(_HOSTS))
@@ -99,9 +96,7 @@
             self._after(self._random.uniform(0, _PAUSE_S), self._open_long)
         self._after(0.0, self._open_fresh)
         self._after(0.0, self._report)
-        while self._events and self._events[0][0] < _LENGTH_S:
-            self.now, _, work = heapq.heappop(self._events)
-            work()
+        self._queue.run(_LENGTH_S)
         taken = [upstream.taken for upstream in self._upstreams]
         return Result(
             max(taken) / statistics.mean(taken),
@@ -111,8 +106,7 @@
         )
 
     def _after(self, time_s: float, work: Callable[[], None]) -> None:
-        event = (self.now + time_s, next(self._order), work)
-        heapq.heappush(self._events, event)
+        self._queue.after(time_s, work)
 
     def _open_fresh(self) -> None:
         host = self._random.randrange(len(_HOSTS))
@@ -153,13 +147,13 @@
     def _request(self, host: int, upstream: Upstream, left: int) -> None:
         self._requests += 1
         upstream.taken += 1
-        came_at = self.now
+        came_at = self._queue.now
         work_s = self._random.lognormvariate(0, 0.5) * _WORK_S
         self._books[host].begin(upstream.id)
 
         def start() -> None:
             upstream.running += 1
-            self._waits.append(self.now - came_at)
+            self._waits.append(self._queue.now - came_at)
             self._after(work_s, end)
 
         def end() -> None:
--- a/benchmarks/detection.py
+++ b/benchmarks/detection.py
@@ -16,13 +16,12 @@
 
 import argparse
 from collections.abc import Callable
-import heapq
-import itertools
 import json
 import random
 import statistics
 from typing import NamedTuple
 
+from benchmarks import events
 from persimmonhinge.forwarding import upstream as upstreams
 from tests.test_forwarding import scene as scenes
 
@@ -37,8 +36,6 @@
 _WORK_S = 0.02
 _SEED_STEP = 1009
 
-Event = tuple[float, int, Callable[[], None]]
-
 
 class Result(NamedTuple):
     """What a run showed.
@@ -63,8 +60,7 @@
         self._answer_s = answer_s
         self._clock = scenes.Clock()
         self._begun_at = self._clock.now
-        self._order = itertools.count()
-        self._events: list[Event] = []
+        self._queue = events.EventQueue()
         self._hosts = [scenes.Scene(self._clock) for _ in range(_HOSTS)]
         self._upstreams = [
             scenes.make_upstream(n) for n in range(1, _UPSTREAMS + 1)
@@ -82,19 +78,12 @@
         self._waits: list[float] = []
         self._false = 0
 
-    @property
-    def _now(self) -> float:
-        return self._clock.now - self._begun_at
-
     def run(self) -> Result:
         """Plays the whole time."""
         self._after(0.0, self._open_flow)
         self._after(0.0, self._check)
         self._after(0.0, self._report)
-        while self._events and self._events[0][0] < _LENGTH_S:
-            at, _, work = heapq.heappop(self._events)
-            self._clock.now = self._begun_at + at
-            work()
+        self._queue.run(_LENGTH_S)
         return Result(
             statistics.mean(self._to_dead),
             statistics.mean(self._waits or [0.0]) * 1000,
@@ -102,14 +91,17 @@
         )
 
     def _after(self, time_s: float, work: Callable[[], None]) -> None:
-        event = (self._now + time_s, next(self._order), work)
-        heapq.heappush(self._events, event)
+        def work_then() -> None:
+            self._clock.now = self._begun_at + self._queue.now
+            work()
+
+        self._queue.after(time_s, work_then)
 
     def _open_flow(self) -> None:
         self._flows += 1
         port = 1000 + self._flows
         number = self._random.randrange(_HOSTS)
-        self._opened_at[port] = self._now
+        self._opened_at[port] = self._queue.now
         self._hosts[number].receive(scenes.make_packet(port, scenes.SYN))
         self._deliver(number)
         pause_s = self._random.expovariate(_FLOWS_PER_S)
@@ -120,7 +112,7 @@
             for opening in host.openings.take_due():
                 tried = opening.tried[-1]
                 dead = self._upstreams[0].id
-                if tried != dead or self._now < _CRASH_S:
+                if tried != dead or self._queue.now < _CRASH_S:
                     self._false += 1
                 host.forwarder.open_elsewhere(opening)
             self._deliver(number)
@@ -140,9 +132,9 @@
     def _arrive(
         self, number: int, upstream: upstreams.Upstream, port: int
     ) -> None:
-        if upstream is self._upstreams[0] and self._now >= _CRASH_S:
+        if upstream is self._upstreams[0] and self._queue.now >= _CRASH_S:
             self._met_dead.add(port)
-            if self._now < _CRASH_S + _COUNT_S:
+            if self._queue.now < _CRASH_S + _COUNT_S:
                 self._to_dead[number] += 1
             return
         if self._random.random() < self._loss:
@@ -157,7 +149,7 @@
             return
         self._open.add(port)
         if port in self._met_dead:
-            self._waits.append(self._now - self._opened_at[port])
+            self._waits.append(self._queue.now - self._opened_at[port])
         host = self._hosts[number]
         host.go_on(upstream, port=port, data=10)
         self._after(
