Say on Ctrl-C that the soak's processes have ended; choose the number of domains

Ctrl-C left no process, but printed a group of exceptions: now a line, and 130. Tried with a run of 18 s that got SIGINT: 130, no process left.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,6 +23,8 @@
 _FEWEST_MINUTES = 0.4
 _MOST_PROCESSES = 200
 _FEWEST_UPSTREAMS = 7
+# As shells report a program that Ctrl-C ended.
+_INTERRUPTED = 130
 
 program = typer.Typer(add_completion=False)
 
@@ -47,6 +49,9 @@
             min=_FEWEST_UPSTREAMS, max=_MOST_PROCESSES, help="Upstreams."
         ),
     ] = 9,
+    domains: Annotated[
+        int, typer.Option(min=1, max=11, help="Failure domains.")
+    ] = 3,
     load: Annotated[
         float, typer.Option(min=0.1, max=10, help="Part of the usual load.")
     ] = 1.0,
@@ -66,7 +71,13 @@
         return
     planned = [
         soak_settings.SoakSettings(
-            number, length_s, _make_folder(number), hosts, upstreams, load
+            number,
+            length_s,
+            _make_folder(number),
+            hosts,
+            upstreams,
+            load,
+            domains=domains,
         )
         for number in range(seed, seed + runs)
     ]
@@ -82,11 +93,21 @@
             )
             for r in regressions.REGRESSIONS
         ]
-    broken = [one.folder for one in planned if not _run_one(one)]
+    broken = []
+    interrupted = False
+    try:
+        for one in planned:
+            if not _run_one(one):
+                broken.append(one.folder)
+    except* KeyboardInterrupt:
+        interrupted = True
+        typer.echo("interrupted; all processes that were started have ended")
     if broken:
         folders = " ".join(str(f.relative_to(_ROOT)) for f in broken)
         typer.echo(f"broken; logs are in {folders}")
         sys.exit(1)
+    if interrupted:
+        sys.exit(_INTERRUPTED)
 
 
 def _make_folder(seed: int) -> pathlib.Path:
--- a/tests/soak/scene.py
+++ b/tests/soak/scene.py
@@ -84,7 +84,7 @@
         self.socket = sockets.CallerSocket(_PROBER, deployment.packet_port)
         routes = {_FLOOR_PORT: FLOOR, _INTAKE_PORT: INTAKE}
         self.domains = {
-            host.name: _DOMAINS[number % settings.domains]
+            host.name: _name_domain(number % settings.domains)
             for number, host in enumerate(deployment.hosts)
         }
         self.operator = probes.Operator(deployment, self.socket, routes, seed)
@@ -189,6 +189,10 @@
         return flow_load.FlowLoadSettings.model_validate(document)
 
 
+def _name_domain(number: int) -> str:
+    return _DOMAINS[number] if number < len(_DOMAINS) else f"domain-{number}"
+
+
 def _outer(address: str) -> str:
     """Returns where the proxy stands for the address of a host."""
     return address.replace("127.0.0.", "127.0.2.", 1)
