Give further tries of opening packets a budget

The stand-ins of upstreams were late, hosts sent each opening to three of them, and each copy of its caller to three more, which made them later still; it did not end when the faults had ended.

--- a/persimmonhinge/flows/feeds/limits.py
+++ b/persimmonhinge/flows/feeds/limits.py
@@ -34,8 +34,8 @@
 # Longest time to hold back a new upstream that is ahead of the old one: as long
 # as hosts take to find that a host has died. A host that has to wait for its
 # processor brings its next event later than 0.5 s; a wait of 0.5 s then left a
-# gap in a planned move (one tick of one of 40 feeds at a load of three processes
-# for each processor).
+# gap in a planned move (one tick of one of 40 feeds at a load of three
+# processes for each processor).
 SEAM_S = 2.0
 # The same where no old one serves: it shows that the new one is behind, if
 # upstreams publish less than this apart.
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from persimmonhinge.forwarding import knowledge as knowledge_parts
 from persimmonhinge.forwarding import openings as opening_lists
 from persimmonhinge.forwarding import packet as packets
+from persimmonhinge.forwarding import retry_budget
 from persimmonhinge.forwarding import route as routes
 from persimmonhinge.forwarding import suspicions as suspicion_lists
 from persimmonhinge.forwarding import tracker as trackers
@@ -81,6 +82,7 @@
         self._suspicions = suspicions
         self._counts = counts
         self._clock = clock
+        self._budget = retry_budget.RetryBudget()
 
     def receive(self, octets: bytes) -> None:
         """Takes one datagram of the fabric."""
@@ -104,11 +106,16 @@
         """
         now = self._clock()
         self._suspicions.record_miss(opening.tried[-1], now)
-        if len(opening.tried) < _MOST_TRIES:
-            self._send_opening(opening.packet, opening.tried, now)
+        if len(opening.tried) >= _MOST_TRIES:
+            return
+        if not self._budget.take_try():
+            self._counts.add("openings_not_retried_total")
+            return
+        self._send_opening(opening.packet, opening.tried, now)
 
     def _open(self, packet: packets.Packet) -> None:
         now = self._clock()
+        self._budget.add_opening()
         record = self._tracker.get(packet.flow)
         if record is not None:
             self._repeat_opening(packet, record, now)
--- a/tests/test_forwarding/test_forwarding_openings.py
+++ b/tests/test_forwarding/test_forwarding_openings.py
@@ -129,3 +129,31 @@
         scene.go_on(chosen, port=port)
         scene.go_on(chosen, port=port, acknowledged=1)
     assert twice <= 3
+
+
+def test_openings_are_not_tripled_where_all_upstreams_answer_late() -> None:
+    """A busy evening ends with hardly any request answered, for minutes.
+
+    All upstreams are so busy that they answer after 0.25 s, more than hosts
+    wait at most; each new flow is opened at three of them, which makes them
+    busier still, and it does not end when the load goes back. Cause: tries
+    elsewhere without a budget.
+    """
+    scene = scenes.Scene()
+    for number in range(1, 7):
+        scene.add(scenes.make_upstream(number))
+    flows_opened = 300
+    answers: list[tuple[float, int]] = []
+    for port in range(1000, 1000 + flows_opened):
+        scene.open(port=port)
+        answers.append((scene.clock.now + 0.25, port))
+        for _ in range(4):
+            scene.clock.sleep(0.005)
+            scene.handle_due()
+            while answers and answers[0][0] <= scene.clock.now:
+                _, answered = answers.pop(0)
+                scene.go_on(scene.last_upstream(), port=answered)
+    openings = sum(
+        octets[8:][12] == scenes.SYN for octets, _ in scene.output.to_upstreams
+    )
+    assert openings <= 1.5 * flows_opened, openings / flows_opened
