--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -48,4 +48,23 @@
         "A caller took the late copy of a refusal for one of its next try "
         "and tried a third time: test_load_flows_caller.",
     ),
+    Regression(
+        4019,
+        0.6,
+        "The soak read packets up to 4 s late on a machine that was too busy, "
+        "and took them for openings long after a drain: test_soak_verdicts.",
+        kinds=25,
+        domains=3,
+        hosts=6,
+    ),
+    Regression(
+        4020,
+        0.6,
+        "Hosts opened each flow at three upstreams that were only late, which "
+        "kept them late: test_openings_are_not_tripled_where_all_upstreams_"
+        "answer_late.",
+        kinds=25,
+        domains=3,
+        hosts=6,
+    ),
 )
