--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -62,7 +62,10 @@
         bool, typer.Option("--plan", help="Print the faults and exit.")
     ] = False,
 ) -> None:
-    """Runs hosts under faults; ends with 1 if a promise was broken."""
+    """Runs hosts under faults.
+
+    Ends with 1 if a promise was broken, 3 if a run proves nothing.
+    """
     length_s = minutes * 60
     if plan:
         for fault in plans.make_plan(seed, length_s):
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -10,8 +10,9 @@
 from tests.standins import faults_process
 from tests.standins import faults_rules as rules
 
-# Mappings that one process serves: those of about five hosts, whose callers and
-# calls take a third of a core.
+# Mappings that one process serves: a host has four (packets, pages, snapshots,
+# the store), an upstream one. With twenty a run of six hosts has two processes
+# for them, and one for what hosts tell each other.
 _MAPPINGS_EACH = 20
 
 
