Move the decisions of a forwarding host into a sub-package

Cause: how work is placed, waits, is tried elsewhere and is doubted stood among modules that read sockets and entries, so nothing kept them replayable.

--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -20,7 +20,7 @@
 
 from benchmarks import events
 from persimmonhinge import ids
-from persimmonhinge.forwarding import loads as load_books
+from persimmonhinge.forwarding.decisions import loads as load_books
 from persimmonhinge.policies import builtin  # noqa: F401
 from persimmonhinge.policies import choice
 
--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -7,10 +7,10 @@
 
 import trio
 
-from persimmonhinge.forwarding import answer_limit
 from persimmonhinge.forwarding import core as cores
 from persimmonhinge.forwarding import follower as followers
 from persimmonhinge.forwarding import settings as forward_settings
+from persimmonhinge.forwarding.decisions import answer_limit
 from persimmonhinge.forwarding.peers import following as following_parts
 from persimmonhinge.forwarding.peers import service as peer_services
 from persimmonhinge.metrics import host_pages
--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -6,18 +6,18 @@
 import socket
 
 from persimmonhinge import ids
-from persimmonhinge.forwarding import chooser as choosers
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import flow_table as flow_tables
 from persimmonhinge.forwarding import forwarder as forwarders
 from persimmonhinge.forwarding import knowledge as knowledge_parts
-from persimmonhinge.forwarding import loads as load_books
-from persimmonhinge.forwarding import openings as opening_lists
 from persimmonhinge.forwarding import reading
 from persimmonhinge.forwarding import settings as forward_settings
 from persimmonhinge.forwarding import sockets
-from persimmonhinge.forwarding import suspicions as suspicion_lists
 from persimmonhinge.forwarding import tracker as trackers
+from persimmonhinge.forwarding.decisions import chooser as choosers
+from persimmonhinge.forwarding.decisions import loads as load_books
+from persimmonhinge.forwarding.decisions import openings as opening_lists
+from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
 from persimmonhinge.forwarding.peers import book as peer_books
 from persimmonhinge.forwarding.peers import messages as peer_messages
 from persimmonhinge.metrics import counts as host_counts
--- a/persimmonhinge/forwarding/chooser.py
+++ b/persimmonhinge/forwarding/decisions/chooser.py
@@ -11,10 +11,10 @@
 from persimmonhinge import ids
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import knowledge as knowledge_parts
-from persimmonhinge.forwarding import loads as load_books
 from persimmonhinge.forwarding import route as routes
-from persimmonhinge.forwarding import suspicions as suspicion_lists
 from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.forwarding.decisions import loads as load_books
+from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
 from persimmonhinge.policies import choice
 
 # A cold upstream works about 1.6 times as long on a request at both users'
--- a/persimmonhinge/forwarding/openings.py
+++ b/persimmonhinge/forwarding/decisions/openings.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from persimmonhinge import ids
-from persimmonhinge.forwarding import answer_limit
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import packet as packets
+from persimmonhinge.forwarding.decisions import answer_limit
 
 # A caller gives an opening up after 1.4 s; nothing is learned from it then.
 _FORGET_S = 1.4
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -9,17 +9,17 @@
 
 from persimmonhinge import errors
 from persimmonhinge import ids
-from persimmonhinge.forwarding import chooser as choosers
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import flow_table
 from persimmonhinge.forwarding import knowledge as knowledge_parts
-from persimmonhinge.forwarding import openings as opening_lists
 from persimmonhinge.forwarding import packet as packets
-from persimmonhinge.forwarding import retry_budget
 from persimmonhinge.forwarding import route as routes
-from persimmonhinge.forwarding import suspicions as suspicion_lists
 from persimmonhinge.forwarding import tracker as trackers
 from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.forwarding.decisions import chooser as choosers
+from persimmonhinge.forwarding.decisions import openings as opening_lists
+from persimmonhinge.forwarding.decisions import retry_budget
+from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
 from persimmonhinge.metrics import counts as host_counts
 
 logger = logging.getLogger(__name__)
--- a/persimmonhinge/forwarding/knowledge.py
+++ b/persimmonhinge/forwarding/knowledge.py
@@ -9,8 +9,8 @@
 from persimmonhinge.forwarding import directory as directories
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import route as routes
-from persimmonhinge.forwarding import trust as trusts
 from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.forwarding.decisions import trust as trusts
 
 logger = logging.getLogger(__name__)
 
--- a/persimmonhinge/forwarding/peers/book.py
+++ b/persimmonhinge/forwarding/peers/book.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from persimmonhinge.forwarding import flow as flows
-from persimmonhinge.forwarding import loads as load_books
-from persimmonhinge.forwarding import suspicions as suspicion_lists
+from persimmonhinge.forwarding.decisions import loads as load_books
+from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
 from persimmonhinge.forwarding.peers import messages
 
 logger = logging.getLogger(__name__)
--- a/persimmonhinge/forwarding/tracker.py
+++ b/persimmonhinge/forwarding/tracker.py
@@ -8,8 +8,8 @@
 from persimmonhinge import ids
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import flow_table as flow_tables
-from persimmonhinge.forwarding import loads as load_books
 from persimmonhinge.forwarding import packet as packets
+from persimmonhinge.forwarding.decisions import loads as load_books
 from persimmonhinge.metrics import counts as host_counts
 
 # A request without an answer for so long is no longer counted as work of its
--- a/tests/test_forwarding/scene.py
+++ b/tests/test_forwarding/scene.py
@@ -7,19 +7,19 @@
 import random
 
 from persimmonhinge import ids
-from persimmonhinge.forwarding import chooser as choosers
 from persimmonhinge.forwarding import desired_state as desired_states
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import flow_table as flow_tables
 from persimmonhinge.forwarding import forwarder as forwarders
 from persimmonhinge.forwarding import knowledge as knowledge_parts
-from persimmonhinge.forwarding import loads as load_books
-from persimmonhinge.forwarding import openings as opening_lists
 from persimmonhinge.forwarding import route as routes
-from persimmonhinge.forwarding import suspicions as suspicion_lists
 from persimmonhinge.forwarding import tokens
 from persimmonhinge.forwarding import tracker as trackers
 from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.forwarding.decisions import chooser as choosers
+from persimmonhinge.forwarding.decisions import loads as load_books
+from persimmonhinge.forwarding.decisions import openings as opening_lists
+from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.platform import adapter
 from persimmonhinge.platform import header
--- a/tests/test_forwarding/test_forwarding_clock.py
+++ b/tests/test_forwarding/test_forwarding_clock.py
@@ -4,7 +4,7 @@
 
 from unittest import mock
 
-from persimmonhinge.forwarding import answer_limit
+from persimmonhinge.forwarding.decisions import answer_limit
 from tests.test_forwarding import scene as scenes
 from tests.test_forwarding import test_forwarding_reading as readers
 
--- a/tests/test_forwarding/test_forwarding_openings.py
+++ b/tests/test_forwarding/test_forwarding_openings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from persimmonhinge.forwarding import answer_limit
+from persimmonhinge.forwarding.decisions import answer_limit
 from tests.test_forwarding import scene as scenes
 
 
--- a/tests/test_forwarding/test_forwarding_peers_following.py
+++ b/tests/test_forwarding/test_forwarding_peers_following.py
@@ -7,8 +7,8 @@
 
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import knowledge as knowledge_parts
-from persimmonhinge.forwarding import loads as load_books
-from persimmonhinge.forwarding import suspicions as suspicion_lists
+from persimmonhinge.forwarding.decisions import loads as load_books
+from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
 from persimmonhinge.forwarding.peers import book as books
 from persimmonhinge.forwarding.peers import following
 from persimmonhinge.forwarding.peers import messages
--- a/tests/test_forwarding/test_forwarding_reading.py
+++ b/tests/test_forwarding/test_forwarding_reading.py
@@ -8,8 +8,8 @@
 
 from persimmonhinge.forwarding import knowledge as knowledge_parts
 from persimmonhinge.forwarding import reading
-from persimmonhinge.forwarding import trust
 from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.forwarding.decisions import trust
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import news
 from persimmonhinge.metrics import counts as host_counts
