--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -20,6 +20,7 @@
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import flow_table as flow_tables
 from persimmonhinge.forwarding import knowledge as knowledge_parts
+from persimmonhinge.forwarding import load_line as load_lines
 from persimmonhinge.forwarding import reading
 from persimmonhinge.forwarding import tracker as trackers
 from persimmonhinge.forwarding import upstream as upstreams
@@ -98,7 +99,7 @@
 def measure_reports() -> dict[str, float]:
     """Returns the cost of a report, made and taken in, and its size."""
     lines = tuple(
-        messages.LoadLine(0xF0000000 + number, 3, 250)
+        load_lines.LoadLine(0xF0000000 + number, 3, 250)
         for number in range(_LINES)
     )
     scene = make_scene(7)
@@ -158,8 +159,11 @@
             "Service": "floor",
             "Addr": "10.0.0.9:8080",
             "Zone": "north",
+            "Version": "v1",
             "Slots": 2,
             "State": "ready",
+            "ColdLeftMs": 0,
+            "Seq": 1,
         }
     )
 
--- a/persimmonhinge/cmd/forward.py
+++ b/persimmonhinge/cmd/forward.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-import signal
+# The plain module: `signal` makes enumerations of all it names.
+import _signal  # type: ignore[import-not-found]
 
 from persimmonhinge import collector
 
@@ -11,7 +12,7 @@
     """Runs a host until SIGTERM; see `forward_host.run`."""
     # The default action would end a host that is told of new settings before
     # it follows signals.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
     # Before all else is imported: nothing that modules make at their import is
     # garbage, and to look for it took 8 of the 75 ms of processor time until
     # the settings are read (best of 30 starts, CPython 3.11), time in which a
--- a/persimmonhinge/cmd/forward_host.py
+++ b/persimmonhinge/cmd/forward_host.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import logging
 import os
 import sys
 
+from persimmonhinge import early_logs
 from persimmonhinge import errors
-from persimmonhinge import structured_logs
 from persimmonhinge.forwarding import binding
 from persimmonhinge.forwarding import core as cores
 from persimmonhinge.forwarding import settings as forward_settings
@@ -15,8 +14,6 @@
 from persimmonhinge.platform import adapter
 from persimmonhinge.store import blocking_transport
 
-logger = logging.getLogger(__name__)
-
 EXIT_BAD_SETTINGS = 2
 CHECK_OPTION = "--check"
 
@@ -40,24 +37,27 @@
     except (errors.SettingsError, OSError) as error:
         print(f"error: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    structured_logs.configure(settings.host, settings.log_level)
     core = cores.ForwardCore(
         settings, bound, adapter.PacketFormat(), adapter.EntryFormat()
     )
-    store = adapter.make_store(
+    store = adapter.make_reader(
         (settings.store.address,),
         blocking_transport.BlockingTransport,
         settings.first_call_limit_s,
     )
-    startup.forward_during(_import_rest, core, store)
+    startup.forward_during(lambda: _import_rest(settings), core, store)
     _run(core, path)
 
 
-def _import_rest() -> None:
+def _import_rest(settings: forward_settings.ForwardSettings) -> None:
+    from persimmonhinge import structured_logs
+
+    structured_logs.configure(settings.host, settings.log_level)
+    early_logs.release()
     from persimmonhinge.forwarding import program  # noqa: F401
 
 
 def _run(core: cores.ForwardCore, path: str) -> None:
     from persimmonhinge.forwarding import program
 
-    program.run(core, adapter.make_store, path)
+    program.run(core, adapter.make_reader, path)
--- /dev/null
+++ b/persimmonhinge/draws.py
@@ -0,0 +1,31 @@
+"""Draws of lots, for what a host needs before its first packet.
+
+`random` draws in hashes and more; its import takes 6 of the 52 ms that a host
+spends until then (beside a busy machine, medians of 15 starts).
+"""
+
+from __future__ import annotations
+
+import _random
+from collections.abc import Sequence
+
+from persimmonhinge.light_typing import TypeVar
+
+T = TypeVar("T")
+
+# Seeded by the system.
+source = _random.Random()
+
+
+def choose(items: Sequence[T]) -> T:
+    """Returns one of some things, of which there is at least one."""
+    return items[int(source.random() * len(items))]
+
+
+def sample(items: Sequence[T], most: int) -> list[T]:
+    """Returns some of the things, each at most once, in any order."""
+    left = list(items)
+    drawn: list[T] = []
+    while left and len(drawn) < most:
+        drawn.append(left.pop(int(source.random() * len(left))))
+    return drawn
--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -32,7 +32,9 @@
 class ForwardApplication:
     """One host that forwards packets."""
 
-    def __init__(self, core: cores.ForwardCore, store: port.Platform) -> None:
+    def __init__(
+        self, core: cores.ForwardCore, store: port.PlatformReader
+    ) -> None:
         """Makes the application.
 
         Args:
--- a/persimmonhinge/forwarding/binding.py
+++ b/persimmonhinge/forwarding/binding.py
@@ -2,23 +2,25 @@
 
 from __future__ import annotations
 
-import socket
+# Without the module around it, whose import takes 24 of the 101 ms of a start
+# beside a busy machine.
+import _socket
 
 from persimmonhinge.forwarding import flow as flows
 
 _RECEIVE_BUFFER_OCTETS = 1 << 20
 
 
-def bind(address: flows.Endpoint) -> socket.socket:
+def bind(address: flows.Endpoint) -> _socket.socket:
     """Binds the socket of packets; they wait in it until they are read.
 
     Raises:
         OSError: The address can't be had.
     """
-    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound = _socket.socket(_socket.AF_INET, _socket.SOCK_DGRAM)
     bound.setblocking(False)
     bound.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_OCTETS
+        _socket.SOL_SOCKET, _socket.SO_RCVBUF, _RECEIVE_BUFFER_OCTETS
     )
     bound.bind(address)
     return bound
--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import random
-import socket
 
 from persimmonhinge import ids
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import flow_table as flow_tables
 from persimmonhinge.forwarding import forwarder as forwarders
 from persimmonhinge.forwarding import knowledge as knowledge_parts
+from persimmonhinge.forwarding import load_line as load_lines
 from persimmonhinge.forwarding import reading
-from persimmonhinge.forwarding import settings as forward_settings
 from persimmonhinge.forwarding import sockets
 from persimmonhinge.forwarding import tracker as trackers
 from persimmonhinge.forwarding.decisions import chooser as choosers
@@ -19,11 +18,18 @@
 from persimmonhinge.forwarding.decisions import openings as opening_lists
 from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
 from persimmonhinge.forwarding.peers import book as peer_books
-from persimmonhinge.forwarding.peers import messages as peer_messages
+from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.policies import choice
 from persimmonhinge.policies import choice_near_first  # noqa: F401
 
+if TYPE_CHECKING:
+    import _socket
+
+    from persimmonhinge.forwarding import entry_reader
+    from persimmonhinge.forwarding import packet_codec
+    from persimmonhinge.forwarding import settings as forward_settings
+
 _MOST_FLOWS = 50_000
 
 
@@ -45,9 +51,9 @@
     def __init__(
         self,
         settings: forward_settings.ForwardSettings,
-        bound: socket.socket,
-        codec: forwarders.PacketCodec,
-        reader: reading.EntryReader,
+        bound: _socket.socket,
+        codec: packet_codec.PacketCodec,
+        reader: entry_reader.EntryReader,
     ) -> None:
         """Makes the parts.
 
@@ -111,7 +117,7 @@
         for opening in self.openings.take_due():
             self.forwarder.open_elsewhere(opening)
 
-    def list_load_lines(self) -> list[peer_messages.LoadLine]:
+    def list_load_lines(self) -> list[load_lines.LoadLine]:
         """Returns what this host sees of its upstreams, for other hosts."""
         lines = []
         for upstream in self._loads.active():
@@ -120,7 +126,7 @@
                 self._loads.forget(upstream)
                 self._suspicions.forget(upstream)
                 continue
-            line = peer_messages.LoadLine(
+            line = load_lines.LoadLine(
                 known.token,
                 self._loads.in_flight(upstream),
                 round(self._loads.average(upstream) * 100),
--- a/persimmonhinge/forwarding/decisions/chooser.py
+++ b/persimmonhinge/forwarding/decisions/chooser.py
@@ -5,10 +5,10 @@
 from collections.abc import Collection
 from collections.abc import Sequence
 
-import msgspec
 import xxhash
 
 from persimmonhinge import ids
+from persimmonhinge import records
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import knowledge as knowledge_parts
 from persimmonhinge.forwarding import route as routes
@@ -22,7 +22,7 @@
 _COLD_ROOM = 0.6
 
 
-class Chosen(msgspec.Struct, frozen=True):
+class Chosen(records.Record, frozen=True):
     """An upstream that was chosen, and what decided.
 
     Attributes:
--- a/persimmonhinge/forwarding/decisions/loads.py
+++ b/persimmonhinge/forwarding/decisions/loads.py
@@ -6,9 +6,8 @@
 import math
 import time
 
-import msgspec
-
 from persimmonhinge import ids
+from persimmonhinge import records
 
 # Time in which the average of past work follows a step by 63%, seconds. Callers
 # of long flows pause about 2 s between requests: so the first request of a
@@ -17,7 +16,7 @@
 _NOTHING = (0, 0)
 
 
-class Load(msgspec.Struct):
+class Load(records.Record):
     """Work of one upstream.
 
     Attributes:
--- a/persimmonhinge/forwarding/decisions/openings.py
+++ b/persimmonhinge/forwarding/decisions/openings.py
@@ -6,9 +6,8 @@
 from collections.abc import Callable
 import time
 
-import msgspec
-
 from persimmonhinge import ids
+from persimmonhinge import records
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import packet as packets
 from persimmonhinge.forwarding.decisions import answer_limit
@@ -17,7 +16,7 @@
 _FORGET_S = 1.4
 
 
-class Opening(msgspec.Struct, eq=False):
+class Opening(records.Record):
     """An opening packet that was forwarded.
 
     Attributes:
@@ -31,7 +30,7 @@
     due_at: float
 
 
-class FirstTry(msgspec.Struct, frozen=True):
+class FirstTry(records.Record, frozen=True):
     """Where the opening packet of a flow was sent first.
 
     Attributes:
--- a/persimmonhinge/forwarding/decisions/suspicions.py
+++ b/persimmonhinge/forwarding/decisions/suspicions.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import logging
-
+from persimmonhinge import early_logs
 from persimmonhinge import ids
 
-logger = logging.getLogger(__name__)
+logger = early_logs.get_logger(__name__)
 
 # How long an upstream gets no new flow after one opening packet in a row that
 # it left unanswered, after two, and so on, seconds. Short at first, since a
--- a/persimmonhinge/forwarding/desired_state.py
+++ b/persimmonhinge/forwarding/desired_state.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import msgspec
-
+from persimmonhinge import records
 from persimmonhinge.forwarding import route as routes
 
 
-class DesiredState(msgspec.Struct, frozen=True):
+class DesiredState(records.Record, frozen=True):
     """All routes of one version.
 
     Attributes:
--- a/persimmonhinge/forwarding/directory.py
+++ b/persimmonhinge/forwarding/directory.py
@@ -4,9 +4,8 @@
 
 from collections.abc import Iterable
 
-import msgspec
-
 from persimmonhinge import ids
+from persimmonhinge import records
 from persimmonhinge.forwarding import upstream as upstreams
 
 _LIVE = (
@@ -58,7 +57,7 @@
     ) -> None:
         """Sets the state of a known upstream whose entry is not there."""
         known = self._by_id[upstream]
-        self._by_id[upstream] = msgspec.structs.replace(known, state=state)
+        self._by_id[upstream] = records.replace(known, state=state)
 
     def remove(self, upstream: ids.UpstreamId, now: float) -> None:
         """Marks an upstream as gone; forgets those that went long ago."""
--- a/persimmonhinge/forwarding/entry_table.py
+++ b/persimmonhinge/forwarding/entry_table.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from persimmonhinge.forwarding.peers import messages
+from persimmonhinge.forwarding import entry_line as entry_lines
 
 # Deletions that are kept for hosts that lag behind. A day of the users'
 # deployments has some hundred; at about 0.2 kB each they take 0.2 MB.
@@ -20,15 +20,15 @@
     """
 
     def __init__(self) -> None:
-        self._lines: dict[str, messages.EntryLine] = {}
+        self._lines: dict[str, entry_lines.EntryLine] = {}
         self._deletions = 0
         self._forgotten = 0
 
-    def __iter__(self) -> Iterator[messages.EntryLine]:
+    def __iter__(self) -> Iterator[entry_lines.EntryLine]:
         """Gives the newest change of each key."""
         return iter(tuple(self._lines.values()))
 
-    def put(self, line: messages.EntryLine) -> bool:
+    def put(self, line: entry_lines.EntryLine) -> bool:
         """Keeps a change if it is newer than what is known of its key.
 
         Returns:
@@ -68,10 +68,10 @@
         """Tells whether all deletions after a revision are kept."""
         return revision >= self._forgotten
 
-    def changes_since(self, revision: int) -> tuple[messages.EntryLine, ...]:
+    def changes_since(self, revision: int) -> tuple[entry_lines.EntryLine, ...]:
         """Returns the changes after a revision, as far as they are kept."""
         return tuple(line for line in self if line.revision > revision)
 
 
-def _is_deletion(line: messages.EntryLine | None) -> bool:
+def _is_deletion(line: entry_lines.EntryLine | None) -> bool:
     return line is not None and line.value is None
--- a/persimmonhinge/forwarding/flow.py
+++ b/persimmonhinge/forwarding/flow.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from persimmonhinge.light_typing import NamedTuple
 
 
 class Endpoint(NamedTuple):
--- a/persimmonhinge/forwarding/flow_table.py
+++ b/persimmonhinge/forwarding/flow_table.py
@@ -4,9 +4,8 @@
 
 import collections
 
-import msgspec
-
 from persimmonhinge import ids
+from persimmonhinge import records
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import packet as packets
 
@@ -15,7 +14,7 @@
 _HALF = _POSITIONS // 2
 
 
-class FlowRecord(msgspec.Struct):
+class FlowRecord(records.Record):
     """What this host saw of a flow.
 
     Attributes:
--- a/persimmonhinge/forwarding/follower.py
+++ b/persimmonhinge/forwarding/follower.py
@@ -54,7 +54,7 @@
 
     def __init__(
         self,
-        store: port.Platform,
+        store: port.PlatformReader,
         entries: reading.Entries,
         following: following_parts.Following,
     ) -> None:
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import logging
 import time
-from typing import Protocol
 
+from persimmonhinge import early_logs
 from persimmonhinge import errors
 from persimmonhinge import ids
-from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import flow_table
 from persimmonhinge.forwarding import knowledge as knowledge_parts
 from persimmonhinge.forwarding import packet as packets
@@ -20,40 +18,20 @@
 from persimmonhinge.forwarding.decisions import openings as opening_lists
 from persimmonhinge.forwarding.decisions import retry_budget
 from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
+from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.metrics import counts as host_counts
 
-logger = logging.getLogger(__name__)
+if TYPE_CHECKING:
+    from persimmonhinge.forwarding import output as outputs
+    from persimmonhinge.forwarding import packet_codec
+
+logger = early_logs.get_logger(__name__)
 
 # Upstreams that one opening packet is sent to before its caller sends the next
 # copy: a caller that has left goes on with none of them.
 _MOST_TRIES = 3
 
 
-class PacketCodec(Protocol):
-    """The format of packets; the adapter implements it."""
-
-    def decode(self, octets: bytes) -> packets.Packet:
-        """Reads a packet."""
-
-    def encode_for_upstream(
-        self, packet: packets.Packet, number: int, token: int
-    ) -> bytes:
-        """Returns the datagram that takes a packet to an upstream."""
-
-    def encode_reset(self, packet: packets.Packet) -> bytes:
-        """Returns the packet that resets a flow."""
-
-
-class Output(Protocol):
-    """Where datagrams are sent."""
-
-    def send_to_upstream(self, octets: bytes, address: flows.Endpoint) -> None:
-        """Sends a datagram to an upstream."""
-
-    def send_to_caller(self, octets: bytes, caller: int) -> None:
-        """Sends a datagram to a caller's address."""
-
-
 class Forwarder:
     """Sends each packet to the upstream of its flow.
 
@@ -63,8 +41,8 @@
 
     def __init__(
         self,
-        codec: PacketCodec,
-        output: Output,
+        codec: packet_codec.PacketCodec,
+        output: outputs.Output,
         knowledge: knowledge_parts.Knowledge,
         chooser: choosers.UpstreamChooser,
         tracker: trackers.FlowTracker,
--- a/persimmonhinge/forwarding/knowledge.py
+++ b/persimmonhinge/forwarding/knowledge.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import logging
-
+from persimmonhinge import early_logs
 from persimmonhinge import ids
 from persimmonhinge.forwarding import desired_state as desired_states
 from persimmonhinge.forwarding import directory as directories
@@ -12,7 +11,7 @@
 from persimmonhinge.forwarding import upstream as upstreams
 from persimmonhinge.forwarding.decisions import trust as trusts
 
-logger = logging.getLogger(__name__)
+logger = early_logs.get_logger(__name__)
 
 
 class Knowledge:
@@ -148,7 +147,7 @@
         on, they are kept as missing, and judged later by `settle`.
         """
         known = self.directory.get(upstream)
-        if known is None or known.state is upstreams.UpstreamState.GONE:
+        if known is None or self.is_gone(upstream):
             return
         if self.trust.holds(now):
             self.directory.remove(upstream, now)
@@ -165,6 +164,48 @@
             },
         )
 
+    def end_upstream(
+        self, upstream: ids.UpstreamId, now: float, source: str
+    ) -> None:
+        """Takes in that an incarnation of an upstream has surely ended.
+
+        Guards against packets of its flows that reach its successor, which
+        has the same address and does not know them: their callers hear a
+        reset at once, whatever the store's state.
+        """
+        known = self.directory.get(upstream)
+        if known is None or self.is_gone(upstream):
+            return
+        self.directory.remove(upstream, now)
+        logger.info(
+            "Upstream was started again.",
+            extra={
+                "upstream": upstream,
+                "former": known.state.value,
+                "source": source,
+            },
+        )
+
+    def is_gone(self, upstream: ids.UpstreamId) -> bool:
+        """Tells whether an upstream has ended, or was never heard of."""
+        known = self.directory.get(upstream)
+        return known is None or known.state is upstreams.UpstreamState.GONE
+
+    def withhold_upstream(self, upstream: ids.UpstreamId, source: str) -> None:
+        """Gives an upstream no new flows until its next entry."""
+        known = self.directory.get(upstream)
+        if known is None or self.is_gone(upstream):
+            return
+        self.directory.mark(upstream, upstreams.UpstreamState.DRAINING)
+        logger.warning(
+            "Withholds new flows from an upstream.",
+            extra={
+                "upstream": upstream,
+                "former": known.state.value,
+                "source": source,
+            },
+        )
+
     def settle(self, now: float) -> None:
         """Takes missing upstreams for gone once the store can be relied on."""
         if not self.trust.holds(now):
--- a/persimmonhinge/forwarding/packet.py
+++ b/persimmonhinge/forwarding/packet.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import msgspec
-
+from persimmonhinge import records
 from persimmonhinge.forwarding import flow as flows
 
 
-class Packet(msgspec.Struct, gc=False):
+class Packet(records.Record):
     """A packet on its way from a caller to an upstream.
 
     Attributes:
--- a/persimmonhinge/forwarding/peers/book.py
+++ b/persimmonhinge/forwarding/peers/book.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
-import logging
-import random
-import socket
-
-import msgspec
+import _socket
 
+from persimmonhinge import draws
+from persimmonhinge import early_logs
+from persimmonhinge import records
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding.decisions import loads as load_books
 from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
-from persimmonhinge.forwarding.peers import messages
+from persimmonhinge.light_typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from persimmonhinge.forwarding.peers import messages
 
-logger = logging.getLogger(__name__)
+logger = early_logs.get_logger(__name__)
 
 # A host that told nothing for so long counts as silent, seconds, or for so many
 # of its own intervals between reports if that is longer.
@@ -25,7 +27,7 @@
 _LAST_PORT = 65_535
 
 
-class Peer(msgspec.Struct):
+class Peer(records.Record):
     """Another host.
 
     Attributes:
@@ -163,12 +165,12 @@
         if not ahead:
             return None
         newest = max(known for known, _ in ahead)
-        return random.choice([p for known, p in ahead if known == newest])
+        return draws.choose([p for known, p in ahead if known == newest])
 
     def pick_addresses(self, most: int) -> tuple[flows.Endpoint, ...]:
         """Returns some of the hosts that are heard."""
         heard = [peer.address for peer in self.heard()]
-        return tuple(random.sample(heard, min(most, len(heard))))
+        return tuple(draws.sample(heard, most))
 
     def _withdraw(self, peer: Peer) -> None:
         if peer.report is None:
@@ -180,7 +182,7 @@
 
 def _is_usable(address: flows.Endpoint) -> bool:
     try:
-        socket.inet_aton(address.host)
+        _socket.inet_aton(address.host)
     except OSError:
         return False
     return 0 < address.port <= _LAST_PORT
--- a/persimmonhinge/forwarding/peers/messages.py
+++ b/persimmonhinge/forwarding/peers/messages.py
@@ -4,23 +4,9 @@
 
 import msgspec
 
+from persimmonhinge.forwarding import entry_line as entry_lines
 from persimmonhinge.forwarding import flow as flows
-
-
-class LoadLine(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """What a host sees of one upstream.
-
-    Attributes:
-        token: Routing token of the upstream.
-        in_flight: Requests that it has from this host now.
-        average: Average of that over some seconds, in hundredths.
-        missed: Opening packets in a row that it left unanswered.
-    """
-
-    token: int
-    in_flight: int
-    average: int
-    missed: int = 0
+from persimmonhinge.forwarding import load_line as load_lines
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
@@ -50,24 +36,10 @@
     age_ms: int
     leaving: bool
     reaches_store: bool
-    loads: tuple[LoadLine, ...]
+    loads: tuple[load_lines.LoadLine, ...]
     peers: tuple[flows.Endpoint, ...]
 
 
-class EntryLine(msgspec.Struct, frozen=True, array_like=True):
-    """An entry of the store.
-
-    Attributes:
-        key: Its key.
-        value: Its value; None if it was deleted.
-        revision: Revision of the store of its last change.
-    """
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
 class News(msgspec.Struct, frozen=True, array_like=True, tag="news"):
     """Entries that the store has just told a host, as one datagram.
 
@@ -83,7 +55,7 @@
     after: int
     upto: int
     settled: bool
-    entries: tuple[EntryLine, ...]
+    entries: tuple[entry_lines.EntryLine, ...]
 
 
 class PullRequest(msgspec.Struct, frozen=True, array_like=True, tag="pull"):
@@ -111,6 +83,6 @@
 
     revision: int
     settled: bool
-    entries: tuple[EntryLine, ...]
+    entries: tuple[entry_lines.EntryLine, ...]
     peers: tuple[flows.Endpoint, ...]
     whole: bool = False
--- a/persimmonhinge/forwarding/peers/news.py
+++ b/persimmonhinge/forwarding/peers/news.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 
+from persimmonhinge.forwarding import entry_line as entry_lines
 from persimmonhinge.forwarding.peers import messages
 
 # Entries in a datagram: an upstream takes about 250 octets.
@@ -11,7 +12,7 @@
 
 
 def split_news(
-    after: int, settled: bool, entries: Sequence[messages.EntryLine]
+    after: int, settled: bool, entries: Sequence[entry_lines.EntryLine]
 ) -> list[messages.News]:
     """Returns news in which each names the one before by its revision.
 
--- a/persimmonhinge/forwarding/peers/reporter.py
+++ b/persimmonhinge/forwarding/peers/reporter.py
@@ -10,6 +10,7 @@
 import trio
 
 from persimmonhinge.forwarding import core as cores
+from persimmonhinge.forwarding import load_line as load_lines
 from persimmonhinge.forwarding.peers import channel as channels
 from persimmonhinge.forwarding.peers import following as following_parts
 from persimmonhinge.forwarding.peers import messages
@@ -73,13 +74,13 @@
             interval_s = max(_FAR_S, budgeted_s)
             await _sleep_about(interval_s)
 
-    def _list_lines(self) -> list[messages.LoadLine]:
+    def _list_lines(self) -> list[load_lines.LoadLine]:
         lines = self._core.list_load_lines()
         lines.sort(key=lambda line: (line.missed, line.average), reverse=True)
         return lines[:_MOST_LINES]
 
     def _encode_report(
-        self, lines: Sequence[messages.LoadLine], interval_s: float
+        self, lines: Sequence[load_lines.LoadLine], interval_s: float
     ) -> bytes:
         core = self._core
         self._sequence += 1
--- a/persimmonhinge/forwarding/peers/service.py
+++ b/persimmonhinge/forwarding/peers/service.py
@@ -9,6 +9,7 @@
 import trio
 
 from persimmonhinge.forwarding import core as cores
+from persimmonhinge.forwarding import entry_line as entry_lines
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding.peers import channel as channels
 from persimmonhinge.forwarding.peers import following as following_parts
@@ -72,7 +73,9 @@
             nursery.start_soon(self._puller.run)
             task_status.started()
 
-    def _note_news(self, after: int, entries: list[messages.EntryLine]) -> None:
+    def _note_news(
+        self, after: int, entries: list[entry_lines.EntryLine]
+    ) -> None:
         settled = self._core.entries.is_settled()
         self._untold.extend(news_packs.split_news(after, settled, entries))
         self._news.set()
--- a/persimmonhinge/forwarding/program.py
+++ b/persimmonhinge/forwarding/program.py
@@ -21,28 +21,28 @@
 
 _SETTINGS_CHECK_S = 2.0
 
-MakeStore = Callable[
+MakeReader = Callable[
     [
         Iterable[str],
         Callable[[str, int], transports.Transport],
         float,
         float,
     ],
-    port.Platform,
+    port.PlatformReader,
 ]
 
 
-def run(core: cores.ForwardCore, make_store: MakeStore, path: str) -> None:
+def run(core: cores.ForwardCore, make_reader: MakeReader, path: str) -> None:
     """Runs a host until a planned stop has ended.
 
     Args:
         core: The parts that need no event loop.
-        make_store: Makes a client of the store.
+        make_reader: Makes a client of the store.
         path: The settings file.
     """
     collector.relax()
     settings = core.settings
-    store = make_store(
+    store = make_reader(
         (settings.store.address,),
         trio_transport.TrioTransport,
         settings.call_limit_s,
--- a/persimmonhinge/forwarding/reading.py
+++ b/persimmonhinge/forwarding/reading.py
@@ -4,45 +4,33 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-import logging
+import math
 import time
-from typing import Protocol
 
+from persimmonhinge import early_logs
 from persimmonhinge import errors
-from persimmonhinge import ids
-from persimmonhinge.forwarding import desired_state as desired_states
+from persimmonhinge.forwarding import entry_line as entry_lines
 from persimmonhinge.forwarding import entry_table
-from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import knowledge as knowledge_parts
-from persimmonhinge.forwarding import upstream as upstreams
-from persimmonhinge.forwarding.peers import messages
+from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.metrics import counts as host_counts
-from persimmonhinge.store import port
 
-logger = logging.getLogger(__name__)
+if TYPE_CHECKING:
+    from persimmonhinge import ids
+    from persimmonhinge.forwarding import entry_reader
+    from persimmonhinge.forwarding import flow as flows
+    from persimmonhinge.forwarding.peers import messages
+    from persimmonhinge.store import port
 
-_SOURCE = "store"
-
-
-class EntryReader(Protocol):
-    """Reads the platform's entries; the adapter implements it.
-
-    Attributes:
-        state_key: Key of the desired state.
-        upstreams_prefix: Prefix of the keys of upstreams.
-    """
-
-    state_key: str
-    upstreams_prefix: str
-
-    def read_state(self, value: bytes) -> desired_states.DesiredState:
-        """Reads the desired state."""
+logger = early_logs.get_logger(__name__)
 
-    def read_upstream(self, key: str, value: bytes) -> upstreams.Upstream:
-        """Reads an upstream."""
+_SOURCE = "store"
+# Least time between two lines about entries that can't be read, seconds; the
+# counter counts them all.
+_TELL_UNREADABLE_S = 1.0
 
-    def name_upstream(self, key: str) -> ids.UpstreamId:
-        """Returns whose entry is under a key."""
+# Takes the revision before some changes, and the changes.
+Tell = Callable[[int, list[entry_lines.EntryLine]], None]
 
 
 class Entries:
@@ -57,7 +45,7 @@
 
     def __init__(
         self,
-        reader: EntryReader,
+        reader: entry_reader.EntryReader,
         knowledge: knowledge_parts.Knowledge,
         counts: host_counts.Counts,
     ) -> None:
@@ -65,15 +53,20 @@
         self._knowledge = knowledge
         self._counts = counts
         self._table = entry_table.EntryTable()
+        # Incarnation that the newest entry of each key was of.
+        self._named: dict[str, ids.UpstreamId] = {}
+        self._told_unreadable_at = -math.inf
         self.revision = 0
-        self.tell: Callable[[int, list[messages.EntryLine]], None] | None = None
+        self.tell: Callable[[int, list[entry_lines.EntryLine]], None] | None = (
+            None
+        )
 
     @property
     def state_key(self) -> str:
         """Key of the desired state."""
         return self._reader.state_key
 
-    async def read_all(self, store: port.Platform) -> int:
+    async def read_all(self, store: port.PlatformReader) -> int:
         """Reads all entries.
 
         Upstreams are read after the desired state, so both are as new as the
@@ -102,7 +95,7 @@
         after = self.revision
         told = []
         for event in batch:
-            line = messages.EntryLine(
+            line = entry_lines.EntryLine(
                 event.key, event.value, event.mod_revision
             )
             if self._take_line(line, _SOURCE):
@@ -147,13 +140,16 @@
         Returns:
             True if it is newer than what was known.
         """
-        line = messages.EntryLine(key, value, revision)
+        line = entry_lines.EntryLine(key, value, revision)
         return self._take_line(line, source)
 
     def make_snapshot(
         self, since: int, peers: tuple[flows.Endpoint, ...]
     ) -> messages.Snapshot:
         """Returns the entries that changed after a revision, or all."""
+        # Not needed before the first packet, and drawn in by what asks here.
+        from persimmonhinge.forwarding.peers import messages
+
         whole = not self._table.has_all_since(since)
         entries = self._table.changes_since(0 if whole else since)
         return messages.Snapshot(
@@ -198,7 +194,7 @@
 
     def _take_lines(
         self,
-        lines: Sequence[messages.EntryLine],
+        lines: Sequence[entry_lines.EntryLine],
         source: str,
         *,
         settled: bool,
@@ -208,7 +204,7 @@
         for line in lines:
             self._take_line(line, source)
 
-    def _take_line(self, line: messages.EntryLine, source: str) -> bool:
+    def _take_line(self, line: entry_lines.EntryLine, source: str) -> bool:
         """Takes in an entry if it is newer; see `take`.
 
         Guards against going back: a peer that was cut off, or an answer that
@@ -221,10 +217,29 @@
         try:
             self._apply(line.key, line.value, source)
         except errors.UnreadableEntryError as error:
-            self._counts.add("unreadable_entries_total")
-            logger.error("Keeps the former entry: %s.", error)
+            self._skip_unreadable(line.key, error, source)
         return True
 
+    def _skip_unreadable(
+        self, key: str, error: errors.UnreadableEntryError, source: str
+    ) -> None:
+        """Uses an entry that can't be read for nothing.
+
+        Guards against another writer at an upstream's key: flows would go to
+        what it names, or to an upstream of which nothing is known any more.
+        The upstream keeps its open flows, and gets new ones once it has
+        written again. Lines are bounded, since a writer may do this for
+        thousands of keys.
+        """
+        self._counts.add("unreadable_entries_total")
+        known = self._named.get(key)
+        if known is not None:
+            self._knowledge.withhold_upstream(known, source)
+        now = time.monotonic()
+        if now - self._told_unreadable_at >= _TELL_UNREADABLE_S:
+            self._told_unreadable_at = now
+            logger.error("Can't use an entry: %s.", error)
+
     def _advance(self, revision: int) -> None:
         self.revision = max(self.revision, revision)
         self._table.forget_deletions(self.revision)
@@ -243,12 +258,18 @@
         self, key: str, value: bytes | None, source: str
     ) -> None:
         now = time.monotonic()
+        former = self._named.get(key)
         if value is None:
-            name = self._reader.name_upstream(key)
-            self._knowledge.miss_upstream(name, now, source)
-        else:
-            upstream = self._reader.read_upstream(key, value)
-            self._knowledge.take_upstream(upstream, now, source)
+            if former is not None:
+                self._knowledge.miss_upstream(former, now, source)
+            if former is not None and self._knowledge.is_gone(former):
+                del self._named[key]
+            return
+        upstream = self._reader.read_upstream(key, value)
+        if former is not None and former != upstream.id:
+            self._knowledge.end_upstream(former, now, source)
+        self._named[key] = upstream.id
+        self._knowledge.take_upstream(upstream, now, source)
 
     def _miss_others(
         self, keys: set[str], revision: int, source: str = _SOURCE
--- a/persimmonhinge/forwarding/reloading.py
+++ b/persimmonhinge/forwarding/reloading.py
@@ -6,8 +6,6 @@
 import os
 import time
 
-import msgspec
-
 from persimmonhinge import errors
 from persimmonhinge import structured_logs
 from persimmonhinge.forwarding import flow as flows
@@ -70,8 +68,8 @@
     def _list_changed(
         self, fresh: forward_settings.ForwardSettings
     ) -> set[str]:
-        former = msgspec.structs.asdict(self._settings)
-        new = msgspec.structs.asdict(fresh)
+        former = vars(self._settings)
+        new = vars(fresh)
         return {name for name in new if new[name] != former[name]}
 
     def _read_time(self) -> float | None:
--- a/persimmonhinge/forwarding/route.py
+++ b/persimmonhinge/forwarding/route.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import enum
-from typing import NamedTuple
-
-import msgspec
 
 from persimmonhinge import ids
+from persimmonhinge import records
+from persimmonhinge.light_typing import NamedTuple
 
 
 class Repetition(enum.Enum):
@@ -29,7 +28,7 @@
     port: int
 
 
-class Share(msgspec.Struct, frozen=True):
+class Share(records.Record, frozen=True):
     """A service of a route, and its share of the new flows.
 
     Attributes:
@@ -41,7 +40,7 @@
     weight: float
 
 
-class Route(msgspec.Struct, frozen=True):
+class Route(records.Record, frozen=True):
     """A route of the desired state.
 
     Attributes:
--- a/persimmonhinge/forwarding/settings.py
+++ b/persimmonhinge/forwarding/settings.py
@@ -2,29 +2,30 @@
 
 from __future__ import annotations
 
-from typing import Annotated
-from typing import Literal
-
-import msgspec
+from collections.abc import Callable
 
 from persimmonhinge import errors
+from persimmonhinge import json_reader
+from persimmonhinge import records
 from persimmonhinge.forwarding import flow as flows
+from persimmonhinge.light_typing import TYPE_CHECKING
 
-Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
-Positive = Annotated[float, msgspec.Meta(gt=0)]
-LogLevel = Literal["DEBUG", "INFO", "WARNING", "ERROR"]
-# Policies that a forwarding host imports at its start.
-Choice = Literal["near-first"]
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+if TYPE_CHECKING:
+    from typing import Any
 
 _STEP = "read settings"
 # Share of the shortest limit that a watch may wait.
 _WATCH_SHARE = 0.5
 # A slow store answers within 0.4 s; news take two reports, 0.2 s, to all hosts.
 _ANSWER_S = 0.7
+_LAST_PORT = 65_535
+_LONGEST_NAME = 200
+# Policies that a forwarding host imports at its start.
+_CHOICES = ("near-first",)
+_LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
-class StoreAddress(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class StoreAddress(records.Record, frozen=True):
     """The platform's store.
 
     Attributes:
@@ -34,7 +35,7 @@
     address: str
 
 
-class ForwardSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class ForwardSettings(records.Record, frozen=True):
     """All settings of one host that forwards packets.
 
     Attributes:
@@ -62,36 +63,22 @@
         log_level: Name of the lowest level that is logged.
     """
 
-    host: Name
-    domain: Name
+    host: str
+    domain: str
     packets: str
     pages: str
-    peer_ports: tuple[Port, Port]
+    peer_ports: tuple[int, int]
     store: StoreAddress
     seeds: tuple[str, ...] = ()
-    metrics_port: Annotated[int, msgspec.Meta(ge=0, le=65_535)] = 0
-    drain_limit_ms: Positive = 3000
-    change_limit_ms: Positive = 3000
-    stop_limit_s: Positive = 6
-    flow_life_s: Positive = 60
-    call_limit_s: Positive = 1.0
-    first_call_limit_s: Positive = 0.3
-    choice: Choice = "near-first"
-    log_level: LogLevel = "INFO"
-
-    def __post_init__(self) -> None:
-        """Checks the addresses.
-
-        Raises:
-            ValueError: One of them is not an address and a port.
-        """
-        for text in (
-            self.packets,
-            self.pages,
-            self.store.address,
-            *self.seeds,
-        ):
-            parse_endpoint(text)
+    metrics_port: int = 0
+    drain_limit_ms: float = 3000
+    change_limit_ms: float = 3000
+    stop_limit_s: float = 6
+    flow_life_s: float = 60
+    call_limit_s: float = 1.0
+    first_call_limit_s: float = 0.3
+    choice: str = "near-first"
+    log_level: str = "INFO"
 
     @property
     def watch_wait_s(self) -> float:
@@ -152,7 +139,7 @@
     try:
         with open(path, "rb") as file:
             return parse(file.read())
-    except (OSError, msgspec.MsgspecError, ValueError) as error:
+    except (OSError, ValueError) as error:
         raise errors.SettingsError(str(error), step=_STEP, peer=path) from error
 
 
@@ -160,13 +147,125 @@
     """Reads settings in YAML.
 
     Raises:
-        msgspec.MsgspecError: It is not YAML, or a value is not allowed.
-        ValueError: The same.
+        ValueError: It is not YAML, or a value is not allowed.
     """
+    document = json_reader.expect(_read_document(text), dict, "document")
+    unknown = sorted(map(str, document.keys() - _READERS.keys()))
+    if unknown:
+        raise ValueError(f"unknown settings: {', '.join(unknown)}")
+    missing = [name for name in _NEEDED if name not in document]
+    if missing:
+        raise ValueError(f"missing settings: {', '.join(missing)}")
+    return ForwardSettings(
+        **{name: _READERS[name](name, v) for name, v in document.items()}
+    )
+
+
+def _read_document(text: bytes) -> object:
+    """Returns what YAML holds.
+
+    All JSON is YAML. Reading it as JSON spares a host the import of a YAML
+    parser, 30 ms of processor time at each start.
+    """
+    try:
+        return json_reader.decode(text)
+    except ValueError:
+        # Not JSON, so it is read as YAML below.
+        pass
+    import yaml
+
+    try:
+        return yaml.load(text, yaml.CSafeLoader)
+    except (yaml.YAMLError, RecursionError) as error:
+        raise ValueError(f"not YAML: {error}") from error
+
+
+def _read_text(name: str, value: object) -> str:
+    text = json_reader.expect(value, str, name)
+    if not 1 <= len(text) <= _LONGEST_NAME:
+        raise ValueError(f"{name} is not 1 to {_LONGEST_NAME} characters long")
+    return text
+
+
+def _read_address(name: str, value: object) -> str:
+    text = json_reader.expect(value, str, name)
     try:
-        # All JSON is YAML. Reading it as JSON spares the import of a YAML
-        # parser, 30 ms of processor time at each start.
-        document = msgspec.json.decode(text)
-    except msgspec.DecodeError:
-        document = msgspec.yaml.decode(text)
-    return msgspec.convert(document, ForwardSettings)
+        parse_endpoint(text)
+    except ValueError as error:
+        raise ValueError(f"{name}: {error}") from error
+    return text
+
+
+def _read_addresses(name: str, value: object) -> tuple[str, ...]:
+    return tuple(
+        _read_address(name, v) for v in json_reader.expect(value, list, name)
+    )
+
+
+def _read_store(name: str, value: object) -> StoreAddress:
+    document = json_reader.expect(value, dict, name)
+    if document.keys() != {"address"}:
+        raise ValueError(f"{name} has other fields than address")
+    address = _read_address(f"{name}.address", document["address"])
+    return StoreAddress(address)
+
+
+def _read_port(name: str, value: object, least: int = 1) -> int:
+    number = json_reader.expect(value, int, name)
+    if not least <= number <= _LAST_PORT:
+        raise ValueError(f"{name} is not from {least} to {_LAST_PORT}")
+    return number
+
+
+def _read_port_or_none(name: str, value: object) -> int:
+    return _read_port(name, value, 0)
+
+
+def _read_ports(name: str, value: object) -> tuple[int, int]:
+    ports = json_reader.expect(value, list, name)
+    if len(ports) != len(("first", "last")):
+        raise ValueError(f"{name} is not a first and a last port")
+    return _read_port(name, ports[0]), _read_port(name, ports[1])
+
+
+def _read_positive(name: str, value: object) -> float:
+    number = json_reader.expect_number(value, name)
+    if not 0 < number < float("inf"):
+        raise ValueError(f"{name} is not above 0")
+    return number
+
+
+def _read_choice(name: str, value: object) -> str:
+    return _read_one_of(name, value, _CHOICES)
+
+
+def _read_log_level(name: str, value: object) -> str:
+    return _read_one_of(name, value, _LOG_LEVELS)
+
+
+def _read_one_of(name: str, value: object, known: tuple[str, ...]) -> str:
+    text = json_reader.expect(value, str, name)
+    if text not in known:
+        raise ValueError(f"{name} is {text!r}; known: {', '.join(known)}")
+    return text
+
+
+_READERS: dict[str, Callable[[str, object], Any]] = {
+    "host": _read_text,
+    "domain": _read_text,
+    "packets": _read_address,
+    "pages": _read_address,
+    "peer_ports": _read_ports,
+    "store": _read_store,
+    "seeds": _read_addresses,
+    "metrics_port": _read_port_or_none,
+    "drain_limit_ms": _read_positive,
+    "change_limit_ms": _read_positive,
+    "stop_limit_s": _read_positive,
+    "flow_life_s": _read_positive,
+    "call_limit_s": _read_positive,
+    "first_call_limit_s": _read_positive,
+    "choice": _read_choice,
+    "log_level": _read_log_level,
+}
+_NEEDED = ("host", "domain", "packets", "pages", "peer_ports", "store")
--- a/persimmonhinge/forwarding/sockets.py
+++ b/persimmonhinge/forwarding/sockets.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import logging
-import socket
 
+from persimmonhinge import early_logs
 from persimmonhinge.forwarding import flow as flows
+from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.metrics import counts as host_counts
 
-logger = logging.getLogger(__name__)
+if TYPE_CHECKING:
+    import _socket
+
+logger = early_logs.get_logger(__name__)
 
 _MOST_OCTETS = 2048
 # Datagrams that are read in a row before other tasks get a turn.
@@ -24,7 +27,7 @@
     """
 
     def __init__(
-        self, bound: socket.socket, counts: host_counts.Counts
+        self, bound: _socket.socket, counts: host_counts.Counts
     ) -> None:
         """Takes over a bound socket that does not block."""
         self.socket = bound
--- a/persimmonhinge/forwarding/startup.py
+++ b/persimmonhinge/forwarding/startup.py
@@ -4,20 +4,21 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-import logging
 import sys
-import types
-from typing import TYPE_CHECKING
 
+from persimmonhinge import early_logs
 from persimmonhinge import errors
 from persimmonhinge.forwarding import core as cores
+from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.store import blocking_transport
-from persimmonhinge.store import port
 
 if TYPE_CHECKING:
     import importlib.machinery
+    import types
 
-logger = logging.getLogger(__name__)
+    from persimmonhinge.store import port
+
+logger = early_logs.get_logger(__name__)
 
 
 class _TurnFinder:
@@ -43,7 +44,9 @@
 
 
 def forward_during(
-    work: Callable[[], None], core: cores.ForwardCore, store: port.Platform
+    work: Callable[[], None],
+    core: cores.ForwardCore,
+    store: port.PlatformReader,
 ) -> None:
     """Runs imports, and forwards packets between one and the next.
 
--- a/persimmonhinge/forwarding/upstream.py
+++ b/persimmonhinge/forwarding/upstream.py
@@ -4,9 +4,8 @@
 
 import enum
 
-import msgspec
-
 from persimmonhinge import ids
+from persimmonhinge import records
 from persimmonhinge.forwarding import flow as flows
 
 
@@ -27,7 +26,7 @@
     GONE = "gone"
 
 
-class Upstream(msgspec.Struct, frozen=True):
+class Upstream(records.Record, frozen=True):
     """An upstream; a restarted one is another upstream.
 
     Attributes:
--- a/persimmonhinge/ids.py
+++ b/persimmonhinge/ids.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NewType
+from persimmonhinge.light_typing import NewType
 
 HostId = NewType("HostId", str)
 DomainId = NewType("DomainId", str)
--- a/persimmonhinge/platform/adapter.py
+++ b/persimmonhinge/platform/adapter.py
@@ -5,16 +5,18 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
-from persimmonhinge import ids
 from persimmonhinge.forwarding import desired_state as desired_states
 from persimmonhinge.forwarding import packet as packets
 from persimmonhinge.forwarding import settings as forward_settings
 from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.platform import entries
 from persimmonhinge.platform import packets as packet_format
-from persimmonhinge.platform import store
+from persimmonhinge.platform import store_reader
 from persimmonhinge.store import port
-from persimmonhinge.store import transport as transports
+
+if TYPE_CHECKING:
+    from persimmonhinge.store import transport as transports
 
 SETTINGS_VARIABLE = "PERSIMMONHINGE_NODE_FILE"
 # How long a watch of the operators' contracts waits, seconds. They are to be in
@@ -54,25 +56,32 @@
         """See `entries.decode_upstream`."""
         return entries.decode_upstream(key, value)
 
-    def name_upstream(self, key: str) -> ids.UpstreamId:
-        """See `entries.upstream_of`."""
-        return entries.upstream_of(key)
-
 
-def make_store(
+def make_reader(
     addresses: Iterable[str],
     make_transport: Callable[[str, int], transports.Transport],
     timeout_s: float,
     watch_wait_s: float = WATCH_WAIT_S,
-) -> store.MetadataStore:
-    """Returns a client of the store.
+) -> store_reader.StoreReader:
+    """Returns a client of the store that only reads.
+
+    Args: see `make_settings` and `StoreReader`.
+    """
+    settings = make_settings(addresses, timeout_s, watch_wait_s)
+    return store_reader.StoreReader(settings, make_transport)
+
+
+def make_settings(
+    addresses: Iterable[str],
+    timeout_s: float,
+    watch_wait_s: float = WATCH_WAIT_S,
+) -> port.StoreSettings:
+    """Returns how a client reaches the store.
 
     Args:
         addresses: IP addresses and ports of the store, tried in turn.
-        make_transport: Makes a connection.
         timeout_s: Limit of a call, seconds.
         watch_wait_s: How long a watch waits for a change, seconds.
     """
     parsed = tuple(forward_settings.parse_endpoint(a) for a in addresses)
-    settings = port.StoreSettings(parsed, timeout_s, watch_wait_s)
-    return store.MetadataStore(settings, make_transport)
+    return port.StoreSettings(parsed, timeout_s, watch_wait_s)
--- a/persimmonhinge/platform/entries.py
+++ b/persimmonhinge/platform/entries.py
@@ -1,26 +1,38 @@
-"""Entries of the platform's store, read into the project's own types."""
+"""Entries of the platform's store, read into the project's own types.
 
-from __future__ import annotations
+An entry may come from another writer: what lacks a field, or has one of
+another type or with an unknown word, is unreadable as a whole.
+"""
 
-import socket
+from __future__ import annotations
 
-import msgspec
+import _socket
 
 from persimmonhinge import errors
 from persimmonhinge import ids
+from persimmonhinge import json_reader
 from persimmonhinge.forwarding import desired_state as desired_states
 from persimmonhinge.forwarding import route as routes
 from persimmonhinge.forwarding import settings
 from persimmonhinge.forwarding import tokens
 from persimmonhinge.forwarding import upstream as upstreams
-from persimmonhinge.platform import messages
+from persimmonhinge.light_typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from typing import Any
 
 DESIRED_STATE = "op/config"
 UPSTREAMS = "servers/"
 HOSTS = "persimmonhinge/hosts/"
 
-_IDEMPOTENT = "idempotent"
-_READY = "ready"
+# Kinds of requests that may run twice; all others run once at most.
+_REPEATABLE = frozenset({"idempotent", "download"})
+_STATES = {
+    "ready": upstreams.UpstreamState.READY,
+    "draining": upstreams.UpstreamState.DRAINING,
+}
+_IDLE_TIMEOUT_MS = 15_000
+_HEX_DIGITS = frozenset("0123456789abcdef")
 
 
 def decode_desired_state(value: bytes) -> desired_states.DesiredState:
@@ -30,15 +42,9 @@
         UnreadableEntryError: It is not one.
     """
     try:
-        entry = msgspec.json.decode(value, type=messages.DesiredStateEntry)
-        found = [_convert_route(route) for route in entry.routes]
-    except (msgspec.MsgspecError, ValueError, OSError) as error:
+        return _convert_state(json_reader.decode_object(value))
+    except (ValueError, OSError) as error:
         raise _make_error(DESIRED_STATE, error) from error
-    return desired_states.DesiredState(
-        version=entry.version,
-        routes={route.at: route for route in found},
-        idle_timeout_s=entry.limits.idle_timeout_ms / 1000,
-    )
 
 
 def decode_upstream(key: str, value: bytes) -> upstreams.Upstream:
@@ -48,56 +54,117 @@
         UnreadableEntryError: It is not one.
     """
     try:
-        entry = msgspec.json.decode(value, type=messages.ServerEntry)
-        return _convert_upstream(upstream_of(key), entry)
-    except (msgspec.MsgspecError, ValueError, OSError) as error:
+        entry = json_reader.decode_object(value)
+        return _convert_upstream(key.removeprefix(UPSTREAMS), entry)
+    except (ValueError, OSError) as error:
         raise _make_error(key, error) from error
 
 
-def upstream_of(key: str) -> ids.UpstreamId:
-    """Returns the upstream whose entry is under a key."""
-    return ids.UpstreamId(key.removeprefix(UPSTREAMS))
+def _convert_state(entry: dict[str, Any]) -> desired_states.DesiredState:
+    read = json_reader.read_field
+    found = [
+        _convert_route(json_reader.expect(route, dict, "route"))
+        for route in read(entry, "Routes", list, [])
+    ]
+    limits = read(entry, "Limits", dict, {})
+    idle_ms = read(limits, "IdleTimeoutMs", int, _IDLE_TIMEOUT_MS)
+    return desired_states.DesiredState(
+        version=read(entry, "Version", int),
+        routes={route.at: route for route in found},
+        idle_timeout_s=idle_ms / 1000,
+    )
 
 
-def _convert_route(entry: messages.RouteEntry) -> routes.Route:
-    shares = [
-        routes.Share(ids.ServiceName(backend.service), backend.weight)
-        for backend in entry.backends
-    ]
-    if not shares:
-        shares = [routes.Share(ids.ServiceName(entry.service), 1.0)]
+def _convert_route(entry: dict[str, Any]) -> routes.Route:
+    read = json_reader.read_field
     repetition = routes.Repetition.AT_MOST_ONCE
-    if entry.kind == _IDEMPOTENT:
+    if read(entry, "Kind", str, "") in _REPEATABLE:
         repetition = routes.Repetition.IDEMPOTENT
-    address = int.from_bytes(socket.inet_aton(entry.address))
+    # `Host` is an address of the platform here, not the name of a host, and
+    # `Prefix` a port between slashes, not the start of a path.
+    address = int.from_bytes(_socket.inet_aton(read(entry, "Host", str)))
     return routes.Route(
-        name=entry.name,
-        at=routes.RouteAddress(address, int(entry.port.strip("/"))),
-        shares=tuple(shares),
-        priority=entry.priority,
+        name=read(entry, "Name", str),
+        at=routes.RouteAddress(
+            address, int(read(entry, "Prefix", str).strip("/"))
+        ),
+        shares=tuple(_convert_shares(entry)),
+        priority=read(entry, "Priority", int, 0),
         repetition=repetition,
     )
 
 
-def _convert_upstream(
-    upstream: ids.UpstreamId, entry: messages.ServerEntry
-) -> upstreams.Upstream:
-    state = upstreams.UpstreamState.DRAINING
-    if entry.state == _READY:
-        state = upstreams.UpstreamState.READY
-    digits = "".join(c for c in upstream.lower() if c in "0123456789abcdef")
+def _convert_shares(entry: dict[str, Any]) -> list[routes.Share]:
+    """Returns the services of a route: one, or several with weights."""
+    read = json_reader.read_field
+    shares = []
+    for backend in read(entry, "Backends", list, []):
+        named = json_reader.expect(backend, dict, "Backends")
+        service = ids.ServiceName(read(named, "Service", str))
+        weight = json_reader.expect_number(named.get("Weight"), "Weight")
+        shares.append(routes.Share(service, weight))
+    if not shares:
+        service = ids.ServiceName(read(entry, "Service", str, ""))
+        shares.append(routes.Share(service, 1.0))
+    return shares
+
+
+def _convert_upstream(name: str, entry: dict[str, Any]) -> upstreams.Upstream:
+    read = json_reader.read_field
+    word = read(entry, "State", str)
+    if word not in _STATES:
+        raise ValueError(f"State is {word!r:.40}")
+    slots = read(entry, "Slots", int)
+    # How much longer it is slow after its start, as of its last write.
+    cold_left_ms = read(entry, "ColdLeftMs", int)
+    # Not used, but an entry without them is not one of an upstream.
+    read(entry, "Seq", int)
+    read(entry, "Version", str)
+    # Upstreams that never start again under their name leave it out.
+    born_ms = read(entry, "born", int, 0)
+    if slots < 1 or cold_left_ms < 0 or born_ms < 0:
+        numbers = f"Slots {slots}, ColdLeftMs {cold_left_ms}, born {born_ms}"
+        raise ValueError(f"not allowed: {numbers}")
+    identity = make_upstream_id(name, born_ms)
     return upstreams.Upstream(
-        id=upstream,
-        number=int(digits, 16),
-        token=tokens.compute_token(upstream),
-        service=ids.ServiceName(entry.service),
-        address=settings.parse_endpoint(entry.address),
-        domain=ids.DomainId(entry.domain),
-        slots=max(1, entry.slots),
-        state=state,
-        cold_s=entry.cold_left_ms / 1000,
+        id=identity,
+        number=_read_number(name),
+        token=tokens.compute_token(identity),
+        service=ids.ServiceName(read(entry, "Service", str)),
+        address=settings.parse_endpoint(read(entry, "Addr", str)),
+        domain=ids.DomainId(read(entry, "Zone", str)),
+        slots=slots,
+        state=_STATES[word],
+        cold_s=cold_left_ms / 1000,
     )
 
 
+def make_upstream_id(name: str, born_ms: int) -> ids.UpstreamId:
+    """Returns the id of one incarnation of an upstream.
+
+    Guards against an upstream that starts again under the name that it had:
+    it knows nothing of the flows of before. With an id, and so a token, of
+    its own it starts with no load, no doubts and no flows here.
+
+    Args:
+        name: The name under which it enters itself.
+        born_ms: When it started, milliseconds since 1970; 0 if not told.
+    """
+    return ids.UpstreamId(f"{name}@{born_ms}" if born_ms else name)
+
+
+def _read_number(name: str) -> int:
+    """Returns the number that packets for an upstream carry.
+
+    Raises:
+        ValueError: The name has no digits, or too many.
+    """
+    digits = "".join(c for c in name.lower() if c in _HEX_DIGITS)
+    number = int(digits, 16)
+    if number >= 1 << 64:
+        raise ValueError(f"{name!r:.40} names no number of 64 bits")
+    return number
+
+
 def _make_error(key: str, error: Exception) -> errors.UnreadableEntryError:
     return errors.UnreadableEntryError(str(error), step="read entry", peer=key)
--- a/persimmonhinge/platform/opening.py
+++ b/persimmonhinge/platform/opening.py
@@ -10,8 +10,8 @@
 
 def open_store(settings: entry.PlatformSettings) -> store.MetadataStore:
     """Returns a client of the store that the settings name."""
-    return adapter.make_store(
-        (url.removeprefix("http://").rstrip("/") for url in settings.endpoints),
-        trio_transport.TrioTransport,
-        settings.timeout_s,
+    addresses = (
+        url.removeprefix("http://").rstrip("/") for url in settings.endpoints
     )
+    reached = adapter.make_settings(addresses, settings.timeout_s)
+    return store.MetadataStore(reached, trio_transport.TrioTransport)
--- a/persimmonhinge/policies/choice.py
+++ b/persimmonhinge/policies/choice.py
@@ -5,16 +5,18 @@
 import abc
 from collections.abc import Sequence
 import math
-import random
-from typing import ClassVar
-
-import msgspec
 
 from persimmonhinge import ids
+from persimmonhinge import records
 from persimmonhinge import registry
+from persimmonhinge.light_typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from typing import ClassVar
 
 
-class Candidate(msgspec.Struct, frozen=True):
+class Candidate(records.Record, frozen=True):
     """An upstream that could take the work, as this host sees it.
 
     Attributes:
--- a/persimmonhinge/registry.py
+++ b/persimmonhinge/registry.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Generic
-from typing import TypeVar
+
+from persimmonhinge.light_typing import Generic
+from persimmonhinge.light_typing import TypeVar
 
 T = TypeVar("T")
 
--- a/persimmonhinge/store/blocking_transport.py
+++ b/persimmonhinge/store/blocking_transport.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import _socket
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
-import socket
 import time
-from typing import Any
-from typing import TypeVar
+
+from persimmonhinge.light_typing import TYPE_CHECKING
+from persimmonhinge.light_typing import TypeVar
+
+if TYPE_CHECKING:
+    from typing import Any
 
 T = TypeVar("T")
 
@@ -20,15 +24,14 @@
 
     def __init__(self, host: str, port: int) -> None:
         self._address = (host, port)
-        self._socket: socket.socket | None = None
+        self._socket: _socket.socket | None = None
         self._deadline = 0.0
 
     async def open(self) -> None:
         """See `transport.Transport`."""
         if self._socket is None:
-            self._socket = socket.create_connection(
-                self._address, self._compute_rest()
-            )
+            self._socket = _socket.socket(_socket.AF_INET, _socket.SOCK_STREAM)
+            self._get_socket().connect(self._address)
 
     async def send_all(self, octets: bytes) -> None:
         """See `transport.Transport`."""
@@ -51,7 +54,7 @@
             self._socket.close()
             self._socket = None
 
-    def _get_socket(self) -> socket.socket:
+    def _get_socket(self) -> _socket.socket:
         if self._socket is None:
             raise ConnectionError("connection is closed")
         self._socket.settimeout(self._compute_rest())
--- a/persimmonhinge/store/http.py
+++ b/persimmonhinge/store/http.py
@@ -2,43 +2,12 @@
 
 from __future__ import annotations
 
-import httptools
-import msgspec
-
 from persimmonhinge import errors
-from persimmonhinge.store import transport as transports
-
-# Largest body that is read. A page of the store holds at most 1 MB of values,
-# which base64 makes a third longer, and a little around them.
-_MOST_BODY_OCTETS = 4 * 1024 * 1024
-
-
-class Response(msgspec.Struct, frozen=True):
-    """An answer to a call.
-
-    Attributes:
-        status: HTTP status code.
-        body: The whole body.
-        keeps: True if the connection may carry another call.
-    """
-
-    status: int
-    body: bytes
-    keeps: bool
-
-
-class _Collector:
-    """Collects an answer as the parser finds it."""
-
-    def __init__(self) -> None:
-        self.body = bytearray()
-        self.complete = False
-
-    def on_body(self, data: bytes) -> None:
-        self.body += data
+from persimmonhinge.light_typing import TYPE_CHECKING
+from persimmonhinge.store import response_reader
 
-    def on_message_complete(self) -> None:
-        self.complete = True
+if TYPE_CHECKING:
+    from persimmonhinge.store import transport as transports
 
 
 class HttpConnection:
@@ -65,7 +34,7 @@
 
     async def call(
         self, method: str, target: str, body: bytes, timeout_s: float
-    ) -> Response:
+    ) -> response_reader.Response:
         """Makes one call.
 
         Args:
@@ -82,12 +51,12 @@
         octets = self._encode(method, target, body)
         response = None
 
-        async def exchange() -> Response:
+        async def exchange() -> response_reader.Response:
             return await self._exchange(octets)
 
         try:
             response = await self._transport.run_within(timeout_s, exchange)
-        except (OSError, httptools.HttpParserError) as error:
+        except (OSError, ValueError) as error:
             kind = errors.PlatformUnavailableError
             if not self._opened:
                 kind = errors.PlatformUnreachableError
@@ -118,21 +87,14 @@
             lines.append("Content-Type: application/json")
         return "\r\n".join((*lines, "", "")).encode() + body
 
-    async def _exchange(self, octets: bytes) -> Response:
+    async def _exchange(self, octets: bytes) -> response_reader.Response:
         await self._transport.open()
         self._opened = True
         await self._transport.send_all(octets)
-        collector = _Collector()
-        parser = httptools.HttpResponseParser(collector)
-        while not collector.complete:
+        reader = response_reader.ResponseReader()
+        while reader.response is None:
             data = await self._transport.receive_some()
             if not data:
                 raise ConnectionError("closed before the end of its answer")
-            parser.feed_data(data)
-            if len(collector.body) > _MOST_BODY_OCTETS:
-                raise ConnectionError("answer is too long")
-        return Response(
-            parser.get_status_code(),
-            bytes(collector.body),
-            parser.should_keep_alive(),
-        )
+            reader.feed(data)
+        return reader.response
--- a/persimmonhinge/store/pool.py
+++ b/persimmonhinge/store/pool.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import logging
 
+from persimmonhinge import early_logs
 from persimmonhinge import errors
+from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.store import http
 from persimmonhinge.store import port
-from persimmonhinge.store import transport as transports
 
-logger = logging.getLogger(__name__)
+if TYPE_CHECKING:
+    from persimmonhinge.store import response_reader
+    from persimmonhinge.store import transport as transports
+
+logger = early_logs.get_logger(__name__)
 
 # Idle connections that are kept for later calls.
 _MOST_IDLE = 2
@@ -45,7 +49,7 @@
 
     async def call(
         self, method: str, target: str, body: bytes, *, repeatable: bool
-    ) -> http.Response:
+    ) -> response_reader.Response:
         """Makes a call, at one address after the other if need be.
 
         Args:
@@ -81,7 +85,7 @@
 
     async def _call_once(
         self, method: str, target: str, body: bytes, repeatable: bool
-    ) -> http.Response:
+    ) -> response_reader.Response:
         # The store may have closed a connection that was idle. A call that
         # must not run twice can't be repeated then, so it gets a new one.
         connection = self._take_idle() if repeatable else self.connect()
--- a/persimmonhinge/store/port.py
+++ b/persimmonhinge/store/port.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-import contextlib
-from typing import Protocol
 
-import msgspec
+from persimmonhinge import records
+from persimmonhinge.light_typing import Protocol
+from persimmonhinge.light_typing import TYPE_CHECKING
 
+if TYPE_CHECKING:
+    import contextlib
 
-class KeyValue(msgspec.Struct, frozen=True):
+
+class KeyValue(records.Record, frozen=True):
     """A key as it stands.
 
     Attributes:
@@ -23,7 +26,7 @@
     mod_revision: int
 
 
-class PrefixState(msgspec.Struct, frozen=True):
+class PrefixState(records.Record, frozen=True):
     """All keys of a prefix at one revision.
 
     Attributes:
@@ -35,7 +38,7 @@
     values: tuple[KeyValue, ...]
 
 
-class WatchEvent(msgspec.Struct, frozen=True):
+class WatchEvent(records.Record, frozen=True):
     """A key was written or deleted.
 
     Attributes:
@@ -49,7 +52,7 @@
     mod_revision: int
 
 
-class Compare(msgspec.Struct, frozen=True):
+class Compare(records.Record, frozen=True):
     """A condition: the key was last written at a revision.
 
     Attributes:
@@ -61,7 +64,7 @@
     mod_revision: int
 
 
-class Write(msgspec.Struct, frozen=True):
+class Write(records.Record, frozen=True):
     """A write of one key.
 
     Attributes:
@@ -75,7 +78,7 @@
     lease: int = 0
 
 
-class StoreSettings(msgspec.Struct, frozen=True):
+class StoreSettings(records.Record, frozen=True):
     """How the store is reached.
 
     Attributes:
@@ -90,11 +93,11 @@
     watch_wait_s: float
 
 
-class Platform(Protocol):
-    """The calls that the system makes; each counts at the platform.
+class PlatformReader(Protocol):
+    """The calls that read; each counts at the platform.
 
-    All raise PlatformUnavailableError without an answer (a write may have
-    taken effect) and PlatformError for an answer that can't be read.
+    All raise PlatformUnavailableError without an answer and PlatformError
+    for an answer that can't be read.
     """
 
     async def get(self, key: str) -> KeyValue | None:
@@ -103,6 +106,24 @@
     async def get_prefix(self, prefix: str, limit: int = 0) -> PrefixState:
         """Returns all keys of a prefix at one revision; limit 0 is none."""
 
+    def watch(
+        self, prefix: str, start_revision: int
+    ) -> contextlib.AbstractAsyncContextManager[
+        AsyncIterator[tuple[WatchEvent, ...]]
+    ]:
+        """Opens a watch; it yields batches from a revision onwards.
+
+        Raises:
+            PlatformError: The revision was compacted: read the prefix anew.
+        """
+
+
+class Platform(PlatformReader, Protocol):
+    """All calls that the system makes.
+
+    A write that raises PlatformUnavailableError may have taken effect.
+    """
+
     async def write_if(
         self, compares: tuple[Compare, ...], writes: tuple[Write, ...]
     ) -> int | None:
@@ -120,14 +141,3 @@
 
     async def revoke_lease(self, lease: int) -> None:
         """Ends a lease and its keys."""
-
-    def watch(
-        self, prefix: str, start_revision: int
-    ) -> contextlib.AbstractAsyncContextManager[
-        AsyncIterator[tuple[WatchEvent, ...]]
-    ]:
-        """Opens a watch; it yields batches from a revision onwards.
-
-        Raises:
-            PlatformError: The revision was compacted: read the prefix anew.
-        """
--- a/persimmonhinge/store/transport.py
+++ b/persimmonhinge/store/transport.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-from typing import Protocol
-from typing import TypeVar
+
+from persimmonhinge.light_typing import Protocol
+from persimmonhinge.light_typing import TypeVar
 
 T = TypeVar("T")
 
--- a/tests/standins/forwarding_deployment.py
+++ b/tests/standins/forwarding_deployment.py
@@ -200,8 +200,11 @@
             "Service": service,
             "Addr": address or own,
             "Zone": "north",
+            "Version": "v1",
             "Slots": 2,
             "State": state,
+            "ColdLeftMs": 0,
+            "Seq": 1,
         }
         await self.store.put(f"servers/{upstream.id}", json.dumps(entry))
 
--- a/tests/test_forwarding/test_forwarding_decisions_imports.py
+++ b/tests/test_forwarding/test_forwarding_decisions_imports.py
@@ -8,7 +8,7 @@
 # What a decision must not draw in: sockets, an event loop, a client of the
 # store, the set-up of logs, and programs.
 _FORBIDDEN = (
-    "socket",
+    "_socket",
     "trio",
     "httptools",
     "persimmonhinge.store",
--- a/tests/test_forwarding/test_forwarding_reading.py
+++ b/tests/test_forwarding/test_forwarding_reading.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import unittest
+
 import hypothesis
 from hypothesis import strategies
 import msgspec
 
+from persimmonhinge import ids
+from persimmonhinge.forwarding import entry_line as entry_lines
 from persimmonhinge.forwarding import knowledge as knowledge_parts
 from persimmonhinge.forwarding import reading
 from persimmonhinge.forwarding import upstream as upstreams
@@ -14,7 +18,6 @@
 from persimmonhinge.forwarding.peers import news
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.platform import adapter
-from persimmonhinge.platform import entries as formats
 from persimmonhinge.store import port
 
 
@@ -30,9 +33,7 @@
 
     def state(self, name: str) -> upstreams.UpstreamState | None:
         """Returns the state of an upstream."""
-        found = self.knowledge.directory.get(
-            formats.upstream_of(make_key(name))
-        )
+        found = self.knowledge.directory.get(ids.UpstreamId(f"i-{name}"))
         return found.state if found else None
 
 
@@ -40,14 +41,18 @@
     return f"servers/i-{name}"
 
 
-def make_entry(state: str = "ready") -> bytes:
+def make_entry(state: str = "ready", **fields: object) -> bytes:
     return msgspec.json.encode(
         {
+            **fields,
             "Service": "floor",
             "Addr": "10.0.0.9:8080",
             "Zone": "north",
+            "Version": "v1",
             "Slots": 2,
             "State": state,
+            "ColdLeftMs": 0,
+            "Seq": 1,
         }
     )
 
@@ -85,15 +90,60 @@
     assert reader.state("1") is upstreams.UpstreamState.GONE
 
 
-def test_unreadable_entries_leave_the_former_in_force() -> None:
+def test_restarted_upstream_replaces_its_former_self() -> None:
+    """A caller's open flow hangs until its limit though its upstream is back.
+
+    An upstream crashes and starts again under its name before its entry has
+    lapsed. It does not know the flow. Cause: one identity for both, so the
+    host takes the flow's packets for those of a live one. It must be gone at
+    once, whatever the store's state.
+    """
+    reader = Reader()
+    reader.entries.take("op/config", make_state(3), 1)
+    reader.entries.take(make_key("1"), make_entry(born=1000), 2)
+    reader.knowledge.trust.record_failure()
+    reader.entries.take(make_key("1"), make_entry(born=2000), 3, "peer")
+    assert reader.state("1@1000") is upstreams.UpstreamState.GONE
+    assert reader.state("1@2000") is upstreams.UpstreamState.READY
+    reader.entries.take(make_key("1"), make_entry(born=1000), 2, "peer")
+    assert reader.state("1@1000") is upstreams.UpstreamState.GONE
+    reader.entries.take(make_key("1"), None, 4, "peer")
+    assert reader.state("1@2000") is upstreams.UpstreamState.MISSING
+
+
+def test_lines_about_foreign_entries_are_bounded() -> None:
+    """The log of a host is full of one foreign writer's entries.
+
+    Somebody writes thousands of unreadable entries in a second; the lines of
+    requests are left out. Cause: a line for each entry.
+    """
+    reader = Reader()
+    with unittest.TestCase().assertLogs(reading.__name__, "ERROR") as logged:
+        for number in range(500):
+            reader.entries.take(make_key(str(number)), b"{", number + 1)
+    assert reader.counts.get("unreadable_entries_total") == 500
+    assert len(logged.output) <= 2
+
+
+def test_entries_of_other_writers_name_no_upstream_to_use() -> None:
+    """New flows go to what a foreign entry names, or nowhere at all.
+
+    Another writer puts what can't be read under the key of one upstream and
+    under the desired state's. Cause: the entry is taken as far as it goes, or
+    the upstream is used on as if nothing had come.
+    """
     reader = Reader()
     reader.entries.take("op/config", make_state(3), 1)
     reader.entries.take("op/config", b"{", 2)
     reader.entries.take(make_key("1"), make_entry(), 3)
-    reader.entries.take(make_key("1"), b'{"Service": 4}', 4)
+    reader.entries.take(make_key("2"), make_entry(), 4)
+    reader.entries.take(make_key("1"), b'{"Service": 4}', 5)
     assert reader.knowledge.state is not None
-    assert reader.state("1") is upstreams.UpstreamState.READY
+    assert reader.state("1") is upstreams.UpstreamState.DRAINING
+    assert reader.state("2") is upstreams.UpstreamState.READY
     assert reader.counts.get("unreadable_entries_total") == 2
+    reader.entries.take(make_key("1"), make_entry(), 6)
+    assert reader.state("1") is upstreams.UpstreamState.READY
 
 
 def test_entries_lost_in_an_outage_count_as_missing_until_it_is_over() -> None:
@@ -199,7 +249,7 @@
     """
     reader = Reader()
     reader.entries.take(make_key("1"), make_entry(), 5)
-    gone = messages.EntryLine(make_key("1"), None, 6)
+    gone = entry_lines.EntryLine(make_key("1"), None, 6)
     reader.entries.take_news(messages.News(5, 6, False, (gone,)), "peer")
     assert reader.state("1") is upstreams.UpstreamState.MISSING
 
@@ -214,7 +264,9 @@
     reader = Reader()
     reader.entries.revision = 5
     first, second = (
-        messages.EntryLine(make_key(str(number)), make_entry("draining"), rev)
+        entry_lines.EntryLine(
+            make_key(str(number)), make_entry("draining"), rev
+        )
         for number, rev in ((1, 6), (2, 7))
     )
     lost = messages.News(5, 6, True, (first,))
@@ -233,11 +285,11 @@
     steps: list[int], lost: set[int]
 ) -> None:
     revision = 10
-    entries: list[messages.EntryLine] = []
+    entries: list[entry_lines.EntryLine] = []
     for number, step in enumerate(steps):
         revision += step if entries else 1
         entries.append(
-            messages.EntryLine(make_key(str(number)), make_entry(), revision)
+            entry_lines.EntryLine(make_key(str(number)), make_entry(), revision)
         )
     reader = Reader()
     reader.entries.revision = 10
--- a/tests/test_platform/test_platform_entries.py
+++ b/tests/test_platform/test_platform_entries.py
@@ -54,20 +54,91 @@
     assert plain.repetition is routes.Repetition.AT_MOST_ONCE
 
 
+_UPSTREAM: dict[str, object] = {
+    "Service": "a",
+    "Addr": "10.128.0.9:8080",
+    "Zone": "hall",
+    "Version": "v1",
+    "Slots": 2,
+    "State": "draining",
+    "ColdLeftMs": 1500,
+    "Seq": 4,
+}
+# What another writer may put in place of a field.
+_FOREIGN: dict[str, tuple[object, ...]] = {
+    "Service": (None, 4, ["a"]),
+    "Addr": (None, "10.128.0.9", "x:y", 8080),
+    "Zone": (None, 4),
+    "Version": (None, 1),
+    "Slots": (None, "2", 2.0, True, 0, -1),
+    "State": (None, "sleeping", "", True),
+    "ColdLeftMs": (None, "1500", -1),
+    "Seq": (None, "4", 4.5),
+    "born": ("1791174346251", 1.5, True, None, -1),
+}
+
+
+def decode(name: str = "i-7f3a91c2", **fields: object) -> upstreams.Upstream:
+    """Reads the entry of an upstream with some fields changed."""
+    value = msgspec.json.encode({**_UPSTREAM, **fields})
+    return entries.decode_upstream(f"servers/{name}", value)
+
+
+def is_refused(name: str, document: object) -> bool:
+    """Tells whether an entry is unreadable."""
+    value = msgspec.json.encode(document)
+    try:
+        entries.decode_upstream(f"servers/{name}", value)
+    except errors.UnreadableEntryError:
+        return True
+    return False
+
+
+def test_upstream_that_starts_again_is_another_one() -> None:
+    first = decode(born=1_791_174_346_251)
+    again = decode(born=1_791_174_399_000)
+    assert first.number == again.number == decode().number
+    assert len({first.id, again.id, decode().id}) == 3
+    assert first.token != again.token
+    assert first == decode(born=1_791_174_346_251)
+
+
+def test_entries_of_other_writers_are_unreadable() -> None:
+    """New flows go to what somebody else wrote under `servers/`.
+
+    An entry lacks a field, or has one of another type or with an unknown
+    word. Cause: what is missing is filled with a default.
+    """
+    for field, values in _FOREIGN.items():
+        if field in _UPSTREAM:
+            lacking = {k: v for k, v in _UPSTREAM.items() if k != field}
+            assert is_refused("i-7f3a91c2", lacking), field
+        for value in values:
+            foreign = {**_UPSTREAM, field: value}
+            assert is_refused("i-7f3a91c2", foreign), (field, value)
+    for name in ("", "i-", "xyz", "0" * 3 + "f" * 17):
+        assert is_refused(name, _UPSTREAM), name
+    for document in (None, 4, "x", [_UPSTREAM]):
+        assert is_refused("i-7f3a91c2", document), document
+
+
+def test_downloads_may_run_twice() -> None:
+    route = {"Name": "r", "Host": "1.2.3.4", "Prefix": "/8/", "Service": "a"}
+    for kind, expected in (
+        ("download", routes.Repetition.IDEMPOTENT),
+        ("idempotent", routes.Repetition.IDEMPOTENT),
+        ("upload", routes.Repetition.AT_MOST_ONCE),
+        ("non_idempotent", routes.Repetition.AT_MOST_ONCE),
+        ("else", routes.Repetition.AT_MOST_ONCE),
+    ):
+        value = {"Version": 1, "Routes": [{**route, "Kind": kind}]}
+        state = entries.decode_desired_state(msgspec.json.encode(value))
+        (read,) = state.routes.values()
+        assert read.repetition is expected
+
+
 def test_upstream_is_read() -> None:
-    value = msgspec.json.encode(
-        {
-            "Service": "a",
-            "Addr": "10.128.0.9:8080",
-            "Zone": "hall",
-            "Version": "v1",
-            "Slots": 2,
-            "State": "draining",
-            "ColdLeftMs": 1500,
-            "Seq": 4,
-        }
-    )
-    upstream = entries.decode_upstream("servers/i-7f3a91c2", value)
+    upstream = decode()
     assert upstream.number == 0x7F3A91C2
     assert upstream.address == flows.Endpoint("10.128.0.9", 8080)
     assert upstream.state is upstreams.UpstreamState.DRAINING
--- a/tests/test_store/test_store_http.py
+++ b/tests/test_store/test_store_http.py
@@ -12,7 +12,7 @@
 from persimmonhinge import errors
 from persimmonhinge.platform import adapter
 from persimmonhinge.platform import opening as platform_opening
-from persimmonhinge.platform import store
+from persimmonhinge.platform import store_reader
 from persimmonhinge.store import blocking_transport
 from persimmonhinge.store import port
 from persimmonhinge.store import trio_transport
@@ -32,7 +32,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_server(serve: Serve) -> AsyncIterator[store.MetadataStore]:
+async def run_server(serve: Serve) -> AsyncIterator[store_reader.StoreReader]:
     """Runs a server, and gives a client of it."""
 
     async def serve_closing(stream: trio.SocketStream) -> None:
@@ -45,7 +45,7 @@
         (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
         nursery.start_soon(trio.serve_listeners, serve_closing, [listener])
         _, number = listener.socket.getsockname()
-        async with adapter.make_store(
+        async with adapter.make_reader(
             (f"127.0.0.1:{number}",), trio_transport.TrioTransport, 0.3
         ) as client:
             yield client
@@ -163,7 +163,7 @@
 
         def read() -> port.PrefixState:
             address = process.url.removeprefix("http://")
-            client = adapter.make_store(
+            client = adapter.make_reader(
                 (address,), blocking_transport.BlockingTransport, 2.0
             )
             return blocking_transport.run(client.get_prefix("servers/"))
@@ -179,7 +179,7 @@
 
         def read() -> None:
             address = process.url.removeprefix("http://")
-            client = adapter.make_store(
+            client = adapter.make_reader(
                 (address,), blocking_transport.BlockingTransport, 0.2
             )
             blocking_transport.run(client.get_prefix("servers/"))
