Reset requests on open flows at upstreams that surely answer nobody

Cause: an upstream that goes dark stays in the store for some seconds; each caller with an open flow there sends its request again until its time limit.

Change: two packets sent again without a sign of life in 0.3 s, and two opening packets in a row unanswered (all hosts together), tell an upstream that went dark from one that is slow. What may run twice is then reset and goes to another upstream. Evidence lasts 1.5 s, so none outlives a cut that healed. Ruled out: repetitions alone (slow upstreams), unanswered openings alone (callers that left), resets of what may run once.

Seven tests, of which the first fails without the change.

--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import random
-
+from persimmonhinge import draws
 from persimmonhinge import ids
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import flow_table as flow_tables
@@ -16,6 +15,7 @@
 from persimmonhinge.forwarding.decisions import chooser as choosers
 from persimmonhinge.forwarding.decisions import loads as load_books
 from persimmonhinge.forwarding.decisions import openings as opening_lists
+from persimmonhinge.forwarding.decisions import stalls as stall_books
 from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
 from persimmonhinge.forwarding.peers import book as peer_books
 from persimmonhinge.light_typing import TYPE_CHECKING
@@ -73,11 +73,12 @@
         self.socket = sockets.PacketSocket(bound, self.counts)
         loads = load_books.LoadBook()
         self._loads = loads
-        self.tracker = trackers.FlowTracker(
-            flow_tables.FlowTable(_MOST_FLOWS), loads, self.counts
-        )
         suspicions = suspicion_lists.Suspicions()
         self._suspicions = suspicions
+        stalls = stall_books.Stalls(suspicions)
+        self.tracker = trackers.FlowTracker(
+            flow_tables.FlowTable(_MOST_FLOWS), loads, stalls, self.counts
+        )
         self.peers = peer_books.PeerBook(
             flows.Endpoint(settings.own_address, settings.report_port),
             loads,
@@ -88,7 +89,8 @@
             self.knowledge,
             loads,
             suspicions,
-            choice.choices.get(settings.choice)(random.Random()),
+            # It asks for `random()` alone, which the plain source has.
+            choice.choices.get(settings.choice)(draws.source),  # type: ignore[arg-type]
         )
         self.forwarder = forwarders.Forwarder(
             codec,
@@ -98,6 +100,7 @@
             self.tracker,
             self.openings,
             suspicions,
+            stalls,
             self.counts,
         )
 
--- /dev/null
+++ b/persimmonhinge/forwarding/decisions/stalls.py
@@ -0,0 +1,92 @@
+"""Evidence that an upstream is gone though its entry is still there."""
+
+from __future__ import annotations
+
+from persimmonhinge import ids
+from persimmonhinge import records
+from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
+
+# Packets that callers sent again without any sign of life since. One may have
+# been lost; two in a row, or of two flows, at an upstream that also leaves
+# opening packets unanswered, are its silence.
+_LEAST_REPEATS = 2
+# Opening packets in a row that it left unanswered, at all hosts together. A
+# live upstream answers them at once however much it has to do.
+_LEAST_MISSED = 2
+# Least silence since the first of the repeated packets came, seconds: a caller
+# repeats after 0.2 s, so two flows have waited.
+_LEAST_SILENCE_S = 0.3
+# How long evidence holds after its last packet, seconds. Well below the 4 s for
+# which a path that was cut may be restored and unproved: afterwards packets
+# are forwarded again, and tell anew.
+_HOLDS_S = 1.5
+
+
+class _Evidence(records.Record):
+    """Packets that callers had to send again.
+
+    Attributes:
+        repeats: Their number.
+        silent_since: When the first of these packets came for the first time.
+        repeated_at: When the last repetition came.
+    """
+
+    repeats: int
+    silent_since: float
+    repeated_at: float
+
+
+class Stalls:
+    """Tells upstreams that went dark from those that are slow.
+
+    Guards against flows that stay open at a dead upstream: its entry lapses
+    only seconds later, and until then each request on such a flow waits
+    until its caller gives up.
+    """
+
+    def __init__(self, suspicions: suspicion_lists.Suspicions) -> None:
+        """Starts without evidence.
+
+        Args:
+            suspicions: Opening packets that were left unanswered.
+        """
+        self._suspicions = suspicions
+        self._evidence: dict[ids.UpstreamId, _Evidence] = {}
+
+    def record_repeat(
+        self, upstream: ids.UpstreamId, sent_at: float, now: float
+    ) -> None:
+        """Records that a caller sent a packet again.
+
+        Args:
+            upstream: The upstream of its flow.
+            sent_at: When the packet came for the first time.
+            now: The time.
+        """
+        found = self._evidence.get(upstream)
+        if found is None or now - found.repeated_at > _HOLDS_S:
+            self._evidence[upstream] = _Evidence(1, sent_at, now)
+            return
+        found.repeats += 1
+        found.repeated_at = now
+
+    def record_life(self, upstream: ids.UpstreamId) -> None:
+        """Records that an upstream has just answered a caller."""
+        self._evidence.pop(upstream, None)
+
+    def is_dark(self, upstream: ids.UpstreamId, token: int, now: float) -> bool:
+        """Tells whether an upstream surely answers nobody.
+
+        Args:
+            upstream: The upstream.
+            token: Its routing token, by which other hosts name it.
+            now: The time.
+        """
+        found = self._evidence.get(upstream)
+        if found is None or found.repeats < _LEAST_REPEATS:
+            return False
+        if now - found.repeated_at > _HOLDS_S:
+            return False
+        if now - found.silent_since < _LEAST_SILENCE_S:
+            return False
+        return self._suspicions.count_missed(upstream, token) >= _LEAST_MISSED
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from persimmonhinge.forwarding.decisions import chooser as choosers
 from persimmonhinge.forwarding.decisions import openings as opening_lists
 from persimmonhinge.forwarding.decisions import retry_budget
+from persimmonhinge.forwarding.decisions import stalls as stall_books
 from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.metrics import counts as host_counts
@@ -48,6 +49,7 @@
         tracker: trackers.FlowTracker,
         openings: opening_lists.Openings,
         suspicions: suspicion_lists.Suspicions,
+        stalls: stall_books.Stalls,
         counts: host_counts.Counts,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -58,6 +60,7 @@
         self._tracker = tracker
         self._openings = openings
         self._suspicions = suspicions
+        self._stalls = stalls
         self._counts = counts
         self._clock = clock
         self._budget = retry_budget.RetryBudget()
@@ -166,8 +169,32 @@
             self._tracker.forget(packet.flow)
             return
         self._observe(packet, upstream)
+        if self._is_lost(packet, upstream):
+            self._reset(packet, "upstream-dark")
+            self._tracker.forget(packet.flow)
+            return
         self._forward(packet, upstream)
 
+    def _is_lost(
+        self, packet: packets.Packet, upstream: upstreams.Upstream
+    ) -> bool:
+        """Tells whether a request can be served only on another flow.
+
+        Guards against a caller that waits for its whole time limit on a flow
+        whose upstream went dark, where a new flow would serve it. Only what
+        may run twice: of other requests nobody can tell whether they ran, and
+        their upstream may yet answer.
+        """
+        if not packet.length:
+            return False
+        now = self._clock()
+        if not self._stalls.is_dark(upstream.id, upstream.token, now):
+            return False
+        route = self._knowledge.find_route(packet.flow)
+        if route is None:
+            return False
+        return route.repetition is routes.Repetition.IDEMPOTENT
+
     def _observe(
         self, packet: packets.Packet, upstream: upstreams.Upstream
     ) -> None:
--- a/tests/test_forwarding/scene.py
+++ b/tests/test_forwarding/scene.py
@@ -7,6 +7,7 @@
 import random
 
 from persimmonhinge import ids
+from persimmonhinge import records
 from persimmonhinge.forwarding import desired_state as desired_states
 from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding import flow_table as flow_tables
@@ -19,6 +20,7 @@
 from persimmonhinge.forwarding.decisions import chooser as choosers
 from persimmonhinge.forwarding.decisions import loads as load_books
 from persimmonhinge.forwarding.decisions import openings as opening_lists
+from persimmonhinge.forwarding.decisions import stalls as stall_books
 from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.platform import adapter
@@ -79,9 +81,14 @@
         self.knowledge = knowledge_parts.Knowledge(60.0, 2.2)
         self.loads = load_books.LoadBook(self.clock)
         self.suspicions = suspicion_lists.Suspicions()
+        self.stalls = stall_books.Stalls(self.suspicions)
         self.openings = opening_lists.Openings(self.clock)
         self.tracker = trackers.FlowTracker(
-            flow_tables.FlowTable(1000), self.loads, self.counts, self.clock
+            flow_tables.FlowTable(1000),
+            self.loads,
+            self.stalls,
+            self.counts,
+            self.clock,
         )
         self.chooser = choosers.UpstreamChooser(
             HERE,
@@ -98,6 +105,7 @@
             self.tracker,
             self.openings,
             self.suspicions,
+            self.stalls,
             self.counts,
             self.clock,
         )
@@ -116,6 +124,16 @@
         self.knowledge.take_state(state, "test")
         self.confirm()
 
+    def set_repetition(
+        self, version: int, repetition: routes.Repetition
+    ) -> None:
+        """Puts a version in force whose requests may all be so repeated."""
+        route = records.replace(
+            make_route(PORT, SERVICE), repetition=repetition
+        )
+        state = desired_states.DesiredState(version, {route.at: route}, 15.0)
+        self.knowledge.take_state(state, "test")
+
     def confirm(self) -> None:
         """Has the store say that nothing is newer."""
         self.knowledge.confirmed_at = self.clock.now
--- /dev/null
+++ b/tests/test_forwarding/test_forwarding_stalls.py
@@ -0,0 +1,146 @@
+"""Tests of open flows at upstreams that went dark."""
+
+from __future__ import annotations
+
+from persimmonhinge.forwarding import route as routes
+from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.forwarding.decisions import answer_limit
+from tests.test_forwarding import scene as scenes
+
+_CALLERS = range(2000, 2004)
+_AGAIN_S = 0.2
+
+
+def open_flows(scene: scenes.Scene) -> upstreams.Upstream:
+    """Opens long flows at one upstream; each has had an answer."""
+    upstream = scene.add(scenes.make_upstream(1))
+    for port in _CALLERS:
+        scene.open(port=port)
+        scene.go_on(upstream, port=port, sequence=1, data=100)
+        scene.go_on(upstream, port=port, sequence=101, acknowledged=50)
+    return upstream
+
+
+def ask(scene: scenes.Scene, upstream: upstreams.Upstream, *ports: int) -> None:
+    """Has callers send a request, or the same one again."""
+    for port in ports:
+        scene.go_on(
+            upstream, port=port, sequence=101, acknowledged=50, data=100
+        )
+
+
+def miss_openings(scene: scenes.Scene, number: int = 2) -> None:
+    """Has opening packets to the only upstream go unanswered."""
+    for port in range(3000, 3000 + number):
+        scene.open(port=port)
+        scene.clock.sleep(answer_limit.ANSWER_S + 0.001)
+        scene.handle_due()
+
+
+def count_resets(scene: scenes.Scene) -> int:
+    """Returns how many flows were reset."""
+    return scene.count_sent()[1]
+
+
+def test_request_at_a_dark_upstream_is_reset_and_not_left_to_wait() -> None:
+    """Crews get no news for two seconds though other upstreams are idle.
+
+    An upstream goes dark; its entry lapses 4 s later. Each caller with an
+    open flow there sends its request again and again until its time limit.
+    Cause: silence where new openings and two flows show that nobody answers.
+    """
+    scene = scenes.Scene()
+    upstream = open_flows(scene)
+    ask(scene, upstream, 2000, 2001)
+    scene.clock.sleep(_AGAIN_S)
+    miss_openings(scene)
+    ask(scene, upstream, 2000)
+    assert count_resets(scene) == 0
+    scene.clock.sleep(0.1)
+    ask(scene, upstream, 2001)
+    assert count_resets(scene) == 1
+    ask(scene, upstream, 2002)
+    assert count_resets(scene) == 2
+
+
+def test_slow_upstream_that_answers_openings_keeps_its_flows() -> None:
+    """A flow that is whole is reset because its upstream is slow.
+
+    All its callers send again, since it has much to do; but it answers
+    opening packets at once.
+    """
+    scene = scenes.Scene()
+    upstream = open_flows(scene)
+    ask(scene, upstream, *_CALLERS)
+    for _ in range(4):
+        scene.clock.sleep(_AGAIN_S)
+        ask(scene, upstream, *_CALLERS)
+    assert count_resets(scene) == 0
+
+
+def test_openings_of_callers_that_left_prove_nothing() -> None:
+    scene = scenes.Scene()
+    upstream = open_flows(scene)
+    miss_openings(scene, 6)
+    ask(scene, upstream, *_CALLERS)
+    assert count_resets(scene) == 0
+
+
+def test_one_answer_ends_the_doubt() -> None:
+    scene = scenes.Scene()
+    upstream = open_flows(scene)
+    ask(scene, upstream, *_CALLERS)
+    scene.clock.sleep(_AGAIN_S)
+    miss_openings(scene)
+    ask(scene, upstream, 2000, 2001)
+    scene.go_on(upstream, port=2003, sequence=201, acknowledged=90)
+    scene.clock.sleep(0.1)
+    ask(scene, upstream, 2000, 2001, 2002)
+    assert count_resets(scene) == 0
+
+
+def test_packets_that_come_together_are_no_repetitions() -> None:
+    """A host that stood still resets whole flows when it wakes.
+
+    It reads what callers sent, and sent again, within one millisecond; the
+    answers would have come meanwhile.
+    """
+    scene = scenes.Scene()
+    upstream = open_flows(scene)
+    miss_openings(scene)
+    scene.clock.sleep(1.0)
+    for _ in range(3):
+        ask(scene, upstream, *_CALLERS)
+    assert count_resets(scene) == 0
+
+
+def test_old_evidence_resets_nothing() -> None:
+    """A flow is reset after the cut that stalled it has healed.
+
+    Nothing came for the upstream since; the evidence is of before.
+    """
+    scene = scenes.Scene()
+    upstream = open_flows(scene)
+    ask(scene, upstream, 2000, 2001)
+    scene.clock.sleep(_AGAIN_S)
+    miss_openings(scene)
+    ask(scene, upstream, 2000, 2001)
+    scene.clock.sleep(1.6)
+    ask(scene, upstream, 2002)
+    assert count_resets(scene) == 0
+
+
+def test_request_that_may_run_once_is_left_to_its_upstream() -> None:
+    """A booking fails at once that its upstream may yet have answered.
+
+    Nobody can tell whether it ran, so its caller does not repeat it.
+    """
+    scene = scenes.Scene()
+    scene.set_repetition(2, routes.Repetition.AT_MOST_ONCE)
+    upstream = open_flows(scene)
+    ask(scene, upstream, 2000, 2001)
+    scene.clock.sleep(_AGAIN_S)
+    miss_openings(scene)
+    scene.clock.sleep(_AGAIN_S)
+    ask(scene, upstream, *_CALLERS)
+    assert count_resets(scene) == 0
