Give packets half of the time while a host imports its rest

Change: after each import packets are served for as long as it took, while a rush lasts, 1 s in all. The decision is `ImportPace`, without input or output.

--- a/persimmonhinge/forwarding/startup.py
+++ b/persimmonhinge/forwarding/startup.py
@@ -4,11 +4,14 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+import select
 import sys
+import time
 
 from persimmonhinge import early_logs
 from persimmonhinge import errors
 from persimmonhinge.forwarding import core as cores
+from persimmonhinge.forwarding.decisions import import_pace
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.store import blocking_transport
 
@@ -21,6 +24,9 @@
 logger = early_logs.get_logger(__name__)
 
 
+_MS_PER_S = 1000
+
+
 class _TurnFinder:
     """Finds no module, but gives packets a turn before each import.
 
@@ -30,6 +36,9 @@
 
     def __init__(self, core: cores.ForwardCore) -> None:
         self._core = core
+        self._pace = import_pace.ImportPace()
+        self._readable = select.poll()
+        self._readable.register(core.socket.socket.fileno(), select.POLLIN)
 
     def find_spec(
         self,
@@ -38,10 +47,20 @@
         target: types.ModuleType | None = None,
     ) -> importlib.machinery.ModuleSpec | None:
         """Forwards the packets that have come; leaves the import to others."""
-        self._core.receive_batch()
+        packets = self._core.receive_batch()
         self._core.handle_due_openings()
+        self._forward_for(self._pace.end_import(packets))
+        self._pace.begin_import()
         return None
 
+    def _forward_for(self, time_s: float) -> None:
+        """Forwards packets as they come, for some time."""
+        ends_at = time.monotonic() + time_s
+        while (rest_s := ends_at - time.monotonic()) > 0:
+            self._readable.poll(rest_s * _MS_PER_S)
+            self._core.receive_batch()
+            self._core.handle_due_openings()
+
 
 def forward_during(
     work: Callable[[], None],
