--- a/persimmonhinge/platform/adapter.py
+++ b/persimmonhinge/platform/adapter.py
@@ -25,7 +25,7 @@
 
 
 class PacketFormat:
-    """Implements `forwarder.PacketCodec`."""
+    """Implements `packet_codec.PacketCodec`."""
 
     def decode(self, octets: bytes) -> packets.Packet:
         """See `packets.decode`."""
@@ -43,7 +43,7 @@
 
 
 class EntryFormat:
-    """Implements `follower.EntryReader`."""
+    """Implements `entry_reader.EntryReader`."""
 
     state_key = entries.DESIRED_STATE
     upstreams_prefix = entries.UPSTREAMS
@@ -65,7 +65,11 @@
 ) -> store_reader.StoreReader:
     """Returns a client of the store that only reads.
 
-    Args: see `make_settings` and `StoreReader`.
+    Args:
+        addresses: IP addresses and ports of the store, tried in turn.
+        make_transport: Makes a connection.
+        timeout_s: Limit of a call, seconds.
+        watch_wait_s: How long a watch waits for a change, seconds.
     """
     settings = make_settings(addresses, timeout_s, watch_wait_s)
     return store_reader.StoreReader(settings, make_transport)
--- a/persimmonhinge/platform/store_reader.py
+++ b/persimmonhinge/platform/store_reader.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import binascii
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 
 from persimmonhinge import errors
 from persimmonhinge import json_reader
-from persimmonhinge import records
 from persimmonhinge.light_typing import TYPE_CHECKING
+from persimmonhinge.platform import answers
+from persimmonhinge.platform import watch as watches
 from persimmonhinge.store import http
 from persimmonhinge.store import pool as pools
 from persimmonhinge.store import port
@@ -37,52 +37,6 @@
 )
 
 
-class _Page(records.Record, frozen=True):
-    """A page of items, in order of their keys.
-
-    Attributes:
-        items: The items.
-        revision: Revision of the whole store, not that of any item.
-        has_more: True if this is not the last page.
-    """
-
-    items: tuple[port.KeyValue, ...]
-    revision: int
-    has_more: bool
-
-
-class _News(records.Record, frozen=True):
-    """Changes since the revision that was asked for.
-
-    Attributes:
-        events: The changes.
-        revision: Revision of the store up to which these are all.
-    """
-
-    events: tuple[port.WatchEvent, ...]
-    revision: int
-
-
-class Watch:
-    """A watch with a connection of its own, to be used in `async with`."""
-
-    def __init__(
-        self,
-        connection: http.HttpConnection,
-        events: AsyncIterator[tuple[port.WatchEvent, ...]],
-    ) -> None:
-        self._connection = connection
-        self._events = events
-
-    async def __aenter__(self) -> AsyncIterator[tuple[port.WatchEvent, ...]]:
-        """Returns the batches of changes."""
-        return self._events
-
-    async def __aexit__(self, *_: object) -> None:
-        """Closes the connection."""
-        self._connection.close()
-
-
 class StoreReader:
     """Implements `port.PlatformReader`; each method is a call or some.
 
@@ -116,7 +70,7 @@
         response = await self._call("GET", target, b"", {OK, NOT_FOUND})
         if response.status == NOT_FOUND:
             return None
-        return decode_answer(response.body, _read_item, target)
+        return decode_answer(response.body, answers.read_item, target)
 
     async def get_prefix(self, prefix: str, limit: int = 0) -> port.PrefixState:
         """See `port.PlatformReader`.
@@ -130,7 +84,7 @@
         while True:
             target = _make_target("/kv-range", **parameters)
             response = await self._call("GET", target, b"", {OK})
-            page = decode_answer(response.body, _read_page, target)
+            page = decode_answer(response.body, answers.read_page, target)
             revision = revision or page.revision
             values.extend(page.items)
             if not page.has_more or not page.items or 0 < limit <= len(values):
@@ -138,11 +92,11 @@
             parameters["after"] = page.items[-1].key
         return port.PrefixState(revision, tuple(values[: limit or None]))
 
-    def watch(self, prefix: str, start_revision: int) -> Watch:
+    def watch(self, prefix: str, start_revision: int) -> watches.Watch:
         """See `port.PlatformReader`."""
         connection = self._pool.connect()
         events = self._poll(connection, prefix, start_revision - 1)
-        return Watch(connection, events)
+        return watches.Watch(connection, events)
 
     async def _poll(
         self, connection: http.HttpConnection, prefix: str, after: int
@@ -159,7 +113,7 @@
                 "GET", target, b"", wait_s + _WATCH_SLACK_S
             )
             _check(response, target, {OK})
-            answer = decode_answer(response.body, _read_news, target)
+            answer = decode_answer(response.body, answers.read_news, target)
             after = max(after, answer.revision)
             yield answer.events
 
@@ -224,46 +178,3 @@
             f"answer can't be read: {error}",
             step=f"store {target.partition('?')[0]}",
         ) from error
-
-
-def _read_page(document: dict[str, Any]) -> _Page:
-    items = json_reader.read_field(document, "items", list)
-    return _Page(
-        tuple(_read_item(json_reader.expect(i, dict, "item")) for i in items),
-        json_reader.read_field(document, "CurrentRev", int),
-        json_reader.read_field(document, "HasMore", bool, False),
-    )
-
-
-def _read_news(document: dict[str, Any]) -> _News:
-    events = json_reader.read_field(document, "events", list)
-    return _News(
-        tuple(
-            _read_event(json_reader.expect(e, dict, "event")) for e in events
-        ),
-        json_reader.read_field(document, "CurrentRev", int),
-    )
-
-
-def _read_item(document: dict[str, Any]) -> port.KeyValue:
-    read = json_reader.read_field
-    return port.KeyValue(
-        read(document, "Key", str),
-        _read_value(document),
-        read(document, "Revision", int),
-    )
-
-
-def _read_event(document: dict[str, Any]) -> port.WatchEvent:
-    read = json_reader.read_field
-    deleted = read(document, "Tombstone", bool, False)
-    return port.WatchEvent(
-        read(document, "Key", str),
-        None if deleted else _read_value(document),
-        read(document, "Revision", int),
-    )
-
-
-def _read_value(document: dict[str, Any]) -> bytes:
-    text = json_reader.read_field(document, "Value", str, "")
-    return binascii.a2b_base64(text)
