--- a/persimmonhinge/forwarding/tracker.py
+++ b/persimmonhinge/forwarding/tracker.py
@@ -104,7 +104,7 @@
         if record.advance_request(packet):
             self._begin(record, now)
         elif packet.length:
-            self._observe_repeat(record, former_at, now)
+            self._observe_repeat(packet.flow, record, former_at, now)
 
     def forget(self, flow: flows.FlowId) -> None:
         """Forgets a flow."""
@@ -137,7 +137,11 @@
             self._counts.observe("answer_seconds", waited_s)
 
     def _observe_repeat(
-        self, record: flow_tables.FlowRecord, former_at: float, now: float
+        self,
+        flow: flows.FlowId,
+        record: flow_tables.FlowRecord,
+        former_at: float,
+        now: float,
     ) -> None:
         """Learns from data that came before.
 
@@ -145,7 +149,9 @@
         """
         sent_at = record.waiting_since
         if sent_at is not None and now - former_at >= _REPEAT_S:
-            self._stalls.record_repeat(record.upstream, sent_at, former_at, now)
+            self._stalls.record_repeat(
+                record.upstream, flow, sent_at, former_at, now
+            )
 
     def _begin(self, record: flow_tables.FlowRecord, now: float) -> None:
         if record.waiting_since is None:
