Write lists of the command line in one place; packets of the emulated caller, too

`host list` and `upstream list` each made the same document and table, and `send_request` and `send_confirmation` of the ablation's play the same packet.

--- a/benchmarks/ablation/play.py
+++ b/benchmarks/ablation/play.py
@@ -115,24 +115,23 @@
 
     def send_request(self, caller: emulated_caller.Caller) -> None:
         """See `emulated_caller.Net`."""
-        packet = scenes.make_packet(
-            caller.port,
-            scenes.ACK,
-            token=caller.token,
-            sequence=caller.sequence,
-            acknowledged=caller.sequence,
-            data=1,
-        )
-        self._send_to_host(caller.port, packet)
+        self._go_on(caller, caller.sequence, data=1)
 
     def send_confirmation(self, caller: emulated_caller.Caller) -> None:
         """See `emulated_caller.Net`."""
+        self._go_on(caller, caller.sequence + 1, data=0)
+
+    def _go_on(
+        self, caller: emulated_caller.Caller, sequence: int, data: int
+    ) -> None:
+        """Sends a packet of an open flow, which confirms all before it."""
         packet = scenes.make_packet(
             caller.port,
             scenes.ACK,
             token=caller.token,
-            sequence=caller.sequence + 1,
-            acknowledged=caller.sequence + 1,
+            sequence=sequence,
+            acknowledged=sequence,
+            data=data,
         )
         self._send_to_host(caller.port, packet)
 
--- a/persimmonhinge/ctl/host_commands.py
+++ b/persimmonhinge/ctl/host_commands.py
@@ -41,10 +41,7 @@
             _to_document(report, report.name in drains, reports)
             for report in reports
         ]
-        session.printer.show_document(rows)
-        session.printer.show_table(
-            "Hosts", _COLUMNS, [[row[c] for c in _COLUMNS] for row in rows]
-        )
+        session.printer.show_list("Hosts", _COLUMNS, rows)
         return exits.ExitCode.OK
 
     sessions.run(context, output, work)
--- a/persimmonhinge/ctl/printer.py
+++ b/persimmonhinge/ctl/printer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import enum
 import json
@@ -67,6 +68,17 @@
             table.add_row(*(markup.escape(_show(cell)) for cell in row))
         self._console.print(table)
 
+    def show_list(
+        self,
+        title: str,
+        columns: Sequence[str],
+        rows: Sequence[Mapping[str, Any]],
+    ) -> None:
+        """Writes rows as a JSON list, or some of their columns as a table."""
+        self.show_document(rows)
+        cells = [[row[column] for column in columns] for row in rows]
+        self.show_table(title, columns, cells)
+
     def show_note(self, text: str) -> None:
         """Writes a line to standard error."""
         print(text, file=sys.stderr, flush=True)
--- a/persimmonhinge/ctl/upstream_commands.py
+++ b/persimmonhinge/ctl/upstream_commands.py
@@ -52,10 +52,7 @@
             for version in found
             for upstream in version.contract.upstreams
         ]
-        session.printer.show_document(rows)
-        session.printer.show_table(
-            "Upstreams", _COLUMNS, [[row[c] for c in _COLUMNS] for row in rows]
-        )
+        session.printer.show_list("Upstreams", _COLUMNS, rows)
         return exits.ExitCode.OK
 
     sessions.run(context, output, work)
