Tell other hosts of a doubt only while it holds an upstream back here

Each host held the three others back for what the others had missed at 10.0 to 10.9 s, when hosts joined and packets of flows moved; a count of misses was told until the upstream answered an opening, and none was sent, since all said so.

Change: a host tells of misses while its own pause lasts, at most 2 s. Then it tries again, and a dead upstream is told anew.

The test of two hosts that hold an upstream back for each other fails before.

--- a/benchmarks/ablation/play.py
+++ b/benchmarks/ablation/play.py
@@ -288,7 +288,9 @@
                     upstream.described.token,
                     host.loads.in_flight(upstream.described.id),
                     round(host.loads.average(upstream.described.id) * 100),
-                    host.suspicions.missed(upstream.described.id),
+                    host.suspicions.doubt(
+                        upstream.described.id, host.clock.now
+                    ),
                 )
                 for upstream in self._upstreams.values()
             ]
--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from persimmonhinge import draws
 from persimmonhinge import ids
 from persimmonhinge.forwarding import flow as flows
@@ -120,6 +122,7 @@
     def list_load_lines(self) -> list[load_lines.LoadLine]:
         """Returns what this host sees of its upstreams, for other hosts."""
         lines = []
+        now = time.monotonic()
         for upstream in self._loads.active():
             known = self.knowledge.directory.get(upstream)
             if known is None:
@@ -130,7 +133,7 @@
                 known.token,
                 self._loads.in_flight(upstream),
                 round(self._loads.average(upstream) * 100),
-                self._suspicions.missed(upstream),
+                self._suspicions.doubt(upstream, now),
             )
             if line.in_flight or line.average or line.missed:
                 lines.append(line)
--- a/persimmonhinge/forwarding/decisions/suspicions.py
+++ b/persimmonhinge/forwarding/decisions/suspicions.py
@@ -66,6 +66,18 @@
         """Returns the opening packets in a row that were not answered."""
         return self._missed.get(upstream, 0)
 
+    def doubt(self, upstream: ids.UpstreamId, now: float) -> int:
+        """Returns the same for other hosts; 0 once the pause has ended.
+
+        Guards against hosts that hold a live upstream back on account of each
+        other: each has missed openings there, and none tries it again, since
+        the others say so. It shows as hosts that choose among one upstream of
+        several for seconds, and ends as a pause ends.
+        """
+        if now >= self._until.get(upstream, 0.0):
+            return 0
+        return self.missed(upstream)
+
     def add_others(self, token: int, missed: int) -> None:
         """Adds what another host missed, or takes it back if negative."""
         total = self._others.get(token, 0) + missed
--- a/tests/test_forwarding/test_forwarding_peers_book.py
+++ b/tests/test_forwarding/test_forwarding_peers_book.py
@@ -122,6 +122,39 @@
     assert not told.suspicions.holds(name, TOKEN, 20.0)
 
 
+def test_hosts_do_not_hold_a_live_upstream_back_for_each_other() -> None:
+    """Three hosts send all new flows to one upstream of four, for 3 s.
+
+    Hosts join and packets of flows move, so openings at upstreams that live
+    seem to be missed at several hosts at once. Each of them then holds these
+    upstreams back for what the others missed, and nobody tries again. The
+    one that is left refuses requests (503) though three others are idle.
+    """
+    hosts = [Told(), Told()]
+    name = suspicion_lists.ids.UpstreamId("i-1")
+    for host in hosts:
+        for at in (10.0, 10.01):
+            host.suspicions.record_miss(name, at)
+    for at in (10.1, 10.4, 10.8):
+        doubts = [host.suspicions.doubt(name, at) for host in hosts]
+        for host, missed in zip(hosts, reversed(doubts), strict=True):
+            host.take(round(at * 10), missed=missed)
+    assert not any(h.suspicions.holds(name, TOKEN, 10.8) for h in hosts)
+
+
+def test_doubt_is_told_while_a_host_holds_an_upstream_back() -> None:
+    told = Told()
+    name = suspicion_lists.ids.UpstreamId("i-1")
+    told.suspicions.record_miss(name, 10.0)
+    told.suspicions.record_miss(name, 10.0)
+    assert told.suspicions.doubt(name, 10.4) == 2
+    assert told.suspicions.doubt(name, 10.6) == 0
+    told.suspicions.record_miss(name, 10.7)
+    assert told.suspicions.doubt(name, 10.8) == 3
+    told.suspicions.record_answer(name, 10.9)
+    assert told.suspicions.doubt(name, 10.9) == 0
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(strategies.integers(0, 50), strategies.integers(0, 9))
