Count the calls after an outage from its end, not from before the pages are read

Cause, of the listed red `return_of_the_platform_meets_no_stampede` (36 calls that read where 30 are allowed): the test took its first count, then read the pages of twelve hosts, then ended the outage. Hosts go on trying meanwhile, each a call; at a load average of 24 to 40 that takes seconds, and six watchers make six calls. Ruled out: hosts that watch in place of others.

Change: the count is the last thing before the return; limits as before.

--- a/tests/test_integration/test_integration_control_outage.py
+++ b/tests/test_integration/test_integration_control_outage.py
@@ -95,8 +95,9 @@
         await _wait_roles(deployment)
         await deployment.platform.set_faults(down=True)
         await trio.sleep(_OUTAGE_S)
-        before = await deployment.platform.get_counts()
         failed = await _count_failures(deployment)
+        # Last before the return: hosts go on trying while pages are read.
+        before = await deployment.platform.get_counts()
         await deployment.platform.set_faults(down=False)
         await trio.sleep(_CALM_S)
         after = await deployment.platform.get_counts()
