Let all users of a load of packet flows come, however late the load tool is

Where the process gets no turn for a while, the kind that has its turn first is done, and the users of the others that are due never come; a user that came in the same turn sent nothing. So the load was less than was asked for, though the load is open. Ruled out: hosts (no request was lost or late to them; `clean` held).

Change: the run is stopped once all kinds have let their users come, and a user always sends its first request. A test stands still for the rest of a run: fails before (three of three), passes after (three of three).

--- a/persimmonhinge/load/flows/run.py
+++ b/persimmonhinge/load/flows/run.py
@@ -56,31 +56,39 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._socket.run)
             nursery.start_soon(self.fabric.run)
-            async with trio.open_nursery() as coming:
-                for kind in self.settings.kinds:
-                    coming.start_soon(self._let_come, kind)
+            async with trio.open_nursery() as there:
+                async with trio.open_nursery() as coming:
+                    for kind in self.settings.kinds:
+                        coming.start_soon(self._let_come, kind, there)
+                self._stop.set()
             nursery.cancel_scope.cancel()
 
-    async def _let_come(self, kind: flow_load.FlowKind) -> None:
+    async def _let_come(
+        self, kind: flow_load.FlowKind, there: trio.Nursery
+    ) -> None:
+        """Lets the users of a kind come, all of them unless it is stopped.
+
+        Guards against a load that is less than was asked for: where this
+        process is late itself, one kind may be done before another has let
+        its last users come.
+        """
         settings = self.settings
         source = random.Random(f"{settings.seed}/{kind.kind}")
         begun_at = trio.current_time()
         times = arrivals.make_arrivals(kind.rate, settings.duration_s, source)
-        async with trio.open_nursery() as nursery:
-            for number, at_s in enumerate(times):
-                with trio.move_on_at(begun_at + at_s):
-                    await self._stop.wait()
-                    break
-                name = f"{kind.kind}/{number}"
-                user = users.FlowUser(
-                    name,
-                    kind,
-                    self._socket,
-                    self.fabric,
-                    self.book,
-                    random.Random(f"{settings.seed}/{name}"),
-                )
-                nursery.start_soon(user.run, self._stop)
-            with trio.move_on_at(begun_at + settings.duration_s):
+        for number, at_s in enumerate(times):
+            with trio.move_on_at(begun_at + at_s):
                 await self._stop.wait()
-            self._stop.set()
+                return
+            name = f"{kind.kind}/{number}"
+            user = users.FlowUser(
+                name,
+                kind,
+                self._socket,
+                self.fabric,
+                self.book,
+                random.Random(f"{settings.seed}/{name}"),
+            )
+            there.start_soon(user.run, self._stop)
+        with trio.move_on_at(begun_at + settings.duration_s):
+            await self._stop.wait()
--- a/persimmonhinge/load/flows/user.py
+++ b/persimmonhinge/load/flows/user.py
@@ -53,12 +53,12 @@
         self._flow: caller_flow.CallerFlow | None = None
 
     async def run(self, stop: trio.Event) -> None:
-        """Sends all requests, fewer if it is told to stop."""
+        """Sends all requests, fewer if it is told to stop, but the first."""
         for number in range(self._kind.requests):
-            if stop.is_set():
-                break
             if number:
                 await self._pause(self._kind.pause_s)
+                if stop.is_set():
+                    break
             await self._send(f"{self._name}/{number}")
         await self._close()
 
