Send packets all through the test of a planned stop, as the fabric does

A host that is told to stop ends after 0.7 s without a packet, and asking took longer than that. Ruled out: packets lost by the stop (with packets all the time none is).

Change: a task opens a flow each 20 ms from before SIGTERM until 20 more have gone after the refusal; each must reach an upstream. So the check is of more packets than before, and of the story that it tells; limits as before.

--- a/tests/test_integration/test_integration_forwarding.py
+++ b/tests/test_integration/test_integration_forwarding.py
@@ -185,14 +185,19 @@
         await scene.start(0)
         host = scene.hosts[0]
         assert host.process is not None
-        host.process.send_signal(signal.SIGTERM)
-        with trio.fail_after(5.0):
-            while await scene.deployment.is_ready(host):
-                await trio.sleep(0.02)
         before = sum(scene.count_openings())
-        await scene.open_flows(0, 20)
+        async with trio.open_nursery() as nursery:
+            sent = await nursery.start(_send_until_cancelled, scene)
+            host.process.send_signal(signal.SIGTERM)
+            with trio.fail_after(5.0):
+                while await scene.deployment.is_ready(host):
+                    await trio.sleep(0.02)
+            refused_after = len(sent)
+            while len(sent) < refused_after + 20:
+                await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
         await deployments.wait_until(
-            lambda: sum(scene.count_openings()) >= before + 20, 5.0
+            lambda: sum(scene.count_openings()) >= before + len(sent), 5.0
         )
         with trio.fail_after(10.0):
             assert await host.process.wait() == 0
@@ -214,3 +219,19 @@
             lambda: sum(scene.count_openings()) >= 3, 5.0
         )
         sender.close()
+
+
+async def _send_until_cancelled(
+    scene: scenes.Scene, task_status: trio.TaskStatus[list[int]]
+) -> None:
+    """Opens a flow each 20 ms, as a fabric that has not yet heard of a stop.
+
+    A host that is told to stop ends after 0.7 s without a packet, so packets
+    must not wait for what else a test asks for.
+    """
+    sent: list[int] = []
+    task_status.started(sent)
+    while True:
+        await scene.open_flows(0, 1)
+        sent.append(1)
+        await trio.sleep(0.02)
