--- a/persimmonhinge/forwarding/peers/early_pull.py
+++ b/persimmonhinge/forwarding/peers/early_pull.py
@@ -7,7 +7,7 @@
 from persimmonhinge import draws
 from persimmonhinge.forwarding import core as cores
 from persimmonhinge.forwarding.peers import messages
-from persimmonhinge.forwarding.peers import pulled
+from persimmonhinge.forwarding.peers import pull_attempt
 from persimmonhinge.store import blocking_transport
 
 
@@ -29,34 +29,37 @@
     for host in draws.sample(seeds, len(seeds)):
         if host == core.settings.own_address:
             continue
+        attempt = pull_attempt.PullAttempt(core, host)
         try:
-            octets = blocking_transport.run(_exchange(core, host))
-            snapshot = msgspec.msgpack.decode(octets, type=messages.Snapshot)
+            blocking_transport.run(_exchange(core, attempt))
+            snapshot = msgspec.msgpack.decode(
+                attempt.octets, type=messages.Snapshot
+            )
         except (OSError, msgspec.MsgspecError) as error:
-            pulled.record_failure(core, host, error)
+            attempt.record_failure(error)
             continue
-        pulled.take(core, snapshot, host)
+        attempt.take(snapshot)
         if core.knowledge.is_complete():
             return
 
 
-async def _exchange(core: cores.ForwardCore, host: str) -> bytes:
-    """Returns what a host answers to a request for all that it knows."""
+async def _exchange(
+    core: cores.ForwardCore, attempt: pull_attempt.PullAttempt
+) -> None:
+    """Asks a host for all that it knows."""
     settings = core.settings
     transport = blocking_transport.BlockingTransport(
-        host, settings.snapshot_port
+        attempt.host, settings.snapshot_port
     )
     request = messages.PullRequest(core.entries.revision)
-    octets = bytearray()
 
     async def ask() -> None:
         await transport.open()
         await transport.send_all(msgspec.msgpack.encode(request))
         while data := await transport.receive_some():
-            octets.extend(data)
+            attempt.octets.extend(data)
 
     try:
         await transport.run_within(settings.first_call_limit_s, ask)
     finally:
         transport.close()
-    return bytes(octets)
--- a/persimmonhinge/forwarding/peers/pulls.py
+++ b/persimmonhinge/forwarding/peers/pulls.py
@@ -13,7 +13,7 @@
 from persimmonhinge.forwarding.peers import book as books
 from persimmonhinge.forwarding.peers import codec as codecs
 from persimmonhinge.forwarding.peers import messages
-from persimmonhinge.forwarding.peers import pulled
+from persimmonhinge.forwarding.peers import pull_attempt
 
 logger = logging.getLogger(__name__)
 
@@ -66,7 +66,7 @@
 
     async def _pull(self, peer: books.Peer) -> None:
         host = peer.address.host
-        octets = bytearray()
+        attempt = pull_attempt.PullAttempt(self._core, host)
         try:
             with trio.fail_after(_PULL_LIMIT_S):
                 stream = await trio.open_tcp_stream(host, self._port)
@@ -75,17 +75,17 @@
                     request = messages.PullRequest(known, packed=True)
                     await stream.send_all(msgspec.msgpack.encode(request))
                     async for data in stream:
-                        octets += data
-            snapshot = _SNAPSHOTS.decode(octets)
+                        attempt.octets += data
+            snapshot = _SNAPSHOTS.decode(attempt.octets)
         except (
             OSError,
             trio.BrokenResourceError,
             trio.TooSlowError,
             msgspec.MsgspecError,
         ) as error:
-            pulled.record_failure(self._core, host, error)
+            attempt.record_failure(error)
             return
-        pulled.take(self._core, snapshot, host)
+        attempt.take(snapshot)
         now = time.monotonic()
         for named in snapshot.peers:
             self._book.add(named, now)
@@ -110,7 +110,10 @@
 
 
 async def _serve(core: cores.ForwardCore, stream: trio.SocketStream) -> None:
+    peer = ""
+    answer = b""
     try:
+        peer = stream.socket.getpeername()[0]
         with trio.fail_after(_PULL_LIMIT_S):
             octets = await stream.receive_some(_REQUEST_OCTETS)
             request = msgspec.msgpack.decode(octets, type=messages.PullRequest)
@@ -122,9 +125,18 @@
                 answer = msgspec.msgpack.encode(snapshot)
             await stream.send_all(answer)
     except (
+        OSError,
         trio.BrokenResourceError,
         trio.TooSlowError,
         msgspec.MsgspecError,
     ) as error:
-        logger.info("A peer did not get its snapshot: %s.", error)
+        logger.info(
+            "A peer did not get its snapshot: %s %s.",
+            type(error).__name__,
+            error,
+            extra={
+                "peer": peer,
+                "octets": len(answer),
+            },
+        )
     await trio.aclose_forcefully(stream)
