Take nothing for known that came between two readings of the store

What a caller would see: a route that was added is refused, or a new request goes by the former desired state, at one host, until the next desired state.

A desired state that came between the two is below the revision of an upstream that came after it; so the host was equal to others by its revision and never asked. The window is as long as the desired state takes to come, half a second on a thin link.

Now a host is complete to the earlier of the two revisions, and what the watch brings again from there is told to others, too, since they could not know it. Why it holds: the store's revision of an answer covers all before it.

--- a/persimmonhinge/forwarding/reading.py
+++ b/persimmonhinge/forwarding/reading.py
@@ -77,7 +77,9 @@
         """Reads all entries.
 
         Upstreams are read after the desired state, so both are as new as the
-        earlier of the two revisions.
+        earlier of the two revisions. Nothing later is taken for complete: a
+        desired state that came between the two readings would be missed, and
+        never asked for, if the revision of an upstream stood for both.
 
         Returns:
             A revision that they are all at least of.
@@ -94,18 +96,25 @@
         for pair in found.values:
             self.take(pair.key, pair.value, pair.mod_revision)
         self._miss_others({pair.key for pair in found.values}, found.revision)
-        self._advance(max((line.revision for line in self._table), default=0))
-        return min(state.revision, found.revision)
+        complete_to = min(state.revision, found.revision)
+        claimed = (e.revision for e in self._table if e.revision <= complete_to)
+        self._advance(max(claimed, default=0))
+        return complete_to
 
     def take_batch(self, batch: Sequence[port.WatchEvent]) -> None:
-        """Takes in changes that the store told, in their order."""
+        """Takes in changes that the store told, in their order.
+
+        A reading may have brought some of them already, but they were not
+        taken for complete, nor told to others.
+        """
         after = self.revision
         told = []
         for event in batch:
             line = entry_lines.EntryLine(
                 event.key, event.value, event.mod_revision
             )
-            if self._take_line(line, _SOURCE):
+            is_newer = self._take_line(line, _SOURCE)
+            if is_newer or (line.revision > after and self._is_ours(line)):
                 told.append(line)
                 self._advance(line.revision)
         if told and self.tell is not None:
@@ -272,7 +281,7 @@
         Guards against going back: a peer that was cut off, or an answer that
         comes late, brings an entry as it was before.
         """
-        if not line.key.startswith(self._prefixes()):
+        if not self._is_ours(line):
             return False
         if not self._table.put(line):
             return False
@@ -325,8 +334,9 @@
         line = self._table.get(self._reader.state_key)
         return line.revision if line is not None else 0
 
-    def _prefixes(self) -> tuple[str, ...]:
-        return (self._reader.state_key, self._reader.upstreams_prefix)
+    def _is_ours(self, line: entry_lines.EntryLine) -> bool:
+        prefixes = (self._reader.state_key, self._reader.upstreams_prefix)
+        return line.key.startswith(prefixes)
 
     def _apply(self, key: str, value: bytes | None, source: str) -> None:
         reader = self._reader
