Use no idle connection to the store after a watch went silent

What a caller would see: a new request at an upstream that left longer ago than the limit allows, after all connections between hosts and the store went silent.

Cause, found while the time was added up in which a drain is known at the latest: the host that follows notices its silent watch after half of the shortest limit and 0.4 s, then reads all entries on a connection that it kept idle, which is as silent, and waits 1.0 s for that. With limits of 3 s these are 2.9 s before the first octet. The guard was there for calls on the shared connections, but a watch has one of its own.

Now a watch that fails closes the idle ones, too. Test first: the reading after the silent watch ended with PlatformUnavailableError, now it is answered, on the third connection.

--- a/persimmonhinge/platform/store_reader.py
+++ b/persimmonhinge/platform/store_reader.py
@@ -109,14 +109,28 @@
                 after=str(after),
                 WaitMs=str(int(wait_s * 1000)),
             )
-            response = await connection.call(
-                "GET", target, b"", wait_s + _WATCH_SLACK_S
-            )
+            response = await self._call_watch(connection, target)
             _check(response, target, {OK})
             answer = decode_answer(response.body, answers.read_news, target)
             after = max(after, answer.revision)
             yield answer.events
 
+    async def _call_watch(
+        self, connection: http.HttpConnection, target: str
+    ) -> response_reader.Response:
+        """Waits for the next changes.
+
+        Guards against a call after a watch that has gone silent, on an idle
+        connection that is as silent: what lost track of one connection has
+        lost track of all that were open then.
+        """
+        limit_s = self._settings.watch_wait_s + _WATCH_SLACK_S
+        try:
+            return await connection.call("GET", target, b"", limit_s)
+        except errors.PlatformUnavailableError:
+            self._pool.close()
+            raise
+
     async def _call(
         self,
         method: str,
