Split what a host is complete to from how it reads entries

The revisions and when they move are a type of their own now, and the tests of a store that changes while it is read a file of their own.

--- a/persimmonhinge/forwarding/peers/pulls.py
+++ b/persimmonhinge/forwarding/peers/pulls.py
@@ -67,7 +67,7 @@
         while True:
             await trio.sleep(_AHEAD_CHECK_S)
             ahead = self._book.find_ahead_in_upstreams(
-                entries.upstreams_revision
+                entries.completeness.upstreams_revision
             )
             now = trio.current_time()
             if ahead is None:
@@ -89,7 +89,7 @@
         entries = self._core.entries
         while True:
             await trio.sleep(_AHEAD_CHECK_S * random.uniform(0.5, 1.5))
-            if not entries.lacks_state():
+            if not entries.completeness.lacks_state():
                 continue
             ahead = self._book.find_ahead(entries.revision, self._list_busy())
             if ahead is not None:
@@ -105,7 +105,7 @@
         return set(self._busy_until)
 
     async def _pull_short(self, peer: books.Peer) -> None:
-        since = self._core.entries.upstreams_revision
+        since = self._core.entries.completeness.upstreams_revision
         request = messages.PullRequest(since, packed=True, short=True)
         attempt = pull_attempt.PullAttempt(self._core, peer.address.host)
         snapshot = await self._ask(request, attempt)
--- a/persimmonhinge/forwarding/peers/reporter.py
+++ b/persimmonhinge/forwarding/peers/reporter.py
@@ -117,7 +117,7 @@
             reaches_store=self._following.reaches_store,
             loads=tuple(lines),
             peers=core.peers.pick_addresses(_NAMED_PEERS),
-            upstreams_revision=core.entries.upstreams_revision,
+            upstreams_revision=core.entries.completeness.upstreams_revision,
         )
         return msgspec.msgpack.encode(report)
 
--- a/persimmonhinge/forwarding/peers/service.py
+++ b/persimmonhinge/forwarding/peers/service.py
@@ -145,6 +145,7 @@
         if (
             report.age_ms >= 0
             and report.revision <= entries.revision
-            and report.known_upstreams() <= entries.upstreams_revision
+            and report.known_upstreams()
+            <= entries.completeness.upstreams_revision
         ):
             self._core.knowledge.confirm(now - report.age_ms / 1000)
--- a/persimmonhinge/forwarding/reading.py
+++ b/persimmonhinge/forwarding/reading.py
@@ -9,6 +9,7 @@
 
 from persimmonhinge import early_logs
 from persimmonhinge import errors
+from persimmonhinge.forwarding import completeness as completenesses
 from persimmonhinge.forwarding import entry_line as entry_lines
 from persimmonhinge.forwarding import entry_table
 from persimmonhinge.forwarding import knowledge as knowledge_parts
@@ -41,10 +42,7 @@
     """Takes entries of the store into the knowledge of a host.
 
     Attributes:
-        revision: All changes of entries up to this revision are known. It is
-            always that of an entry, so hosts that know the same have the same.
-        upstreams_revision: The same for the entries of upstreams alone. It is
-            beyond `revision` while a long desired state is on its way.
+        completeness: Up to which revisions all entries are known.
         tell: Called with what the store told first-hand, in one batch or in a
             reading after the first one, and the revision before.
     """
@@ -62,12 +60,14 @@
         # Incarnation that the newest entry of each key was of.
         self._named: dict[str, ids.UpstreamId] = {}
         self._told_unreadable_at = -math.inf
-        self.revision = 0
-        self.upstreams_revision = 0
-        # A desired state may be missing up to this revision.
-        self._lacking_to = 0
+        self.completeness = completenesses.Completeness()
         self.tell: Tell | None = None
 
+    @property
+    def revision(self) -> int:
+        """All changes of entries up to this revision are known."""
+        return self.completeness.revision
+
     @property
     def state_key(self) -> str:
         """Key of the desired state."""
@@ -154,9 +154,11 @@
         self._take_lines(news.entries, source, settled=news.settled)
         if news.after <= self.revision:
             self._advance(news.upto)
-        if news.after <= self.upstreams_revision:
-            self._lack_state(news.upstreams_upto)
-            self._advance_upstreams(max(news.upto, news.upstreams_upto))
+        if news.after <= self.completeness.upstreams_revision:
+            self.completeness.lack_state(news.upstreams_upto)
+            self.completeness.advance_upstreams(
+                max(news.upto, news.upstreams_upto)
+            )
 
     def take(
         self,
@@ -179,10 +181,6 @@
         line = entry_lines.EntryLine(key, value, revision)
         return self._take_line(line, source)
 
-    def lacks_state(self) -> bool:
-        """Tells whether a desired state is missing that others may have."""
-        return self.revision < self._lacking_to
-
     def has_long_state_since(self, revision: int) -> bool:
         """Tells whether a long desired state came after a revision."""
         line = self._table.get(self._reader.state_key)
@@ -205,13 +203,13 @@
 
         snapshot = self.make_snapshot(since, peers)
         entries = snapshot.entries
-        state_revision = self._lacking_to if self.lacks_state() else 0
+        state_revision = self.completeness.find_missing_state()
         if self.has_long_state_since(0 if snapshot.whole else since):
             state_key = self._reader.state_key
             entries = tuple(e for e in entries if e.key != state_key)
             state_revision = max(state_revision, self._find_state_revision())
         return messages.Snapshot(
-            self.upstreams_revision,
+            self.completeness.upstreams_revision,
             snapshot.settled,
             entries,
             peers,
@@ -243,8 +241,8 @@
         """Takes in what another host knows beyond `upstreams_revision`."""
         self._take_changes(snapshot, source)
         if snapshot.state_revision > self._find_state_revision():
-            self._lack_state(snapshot.state_revision)
-        self._advance_upstreams(snapshot.revision)
+            self.completeness.lack_state(snapshot.state_revision)
+        self.completeness.advance_upstreams(snapshot.revision)
 
     def record_answer(self) -> None:
         """Records that the store answered."""
@@ -329,24 +327,9 @@
             logger.error("Can't use an entry: %s.", error)
 
     def _advance(self, revision: int) -> None:
-        """Takes in that all entries are known up to a revision."""
-        self.revision = max(self.revision, revision)
-        self._advance_upstreams(revision)
+        self.completeness.advance(revision)
         self._table.forget_deletions(self.revision)
 
-    def _advance_upstreams(self, revision: int) -> None:
-        """Takes in that upstreams are known up to a revision.
-
-        Where no desired state is missing, this holds for all entries.
-        """
-        self.upstreams_revision = max(self.upstreams_revision, revision)
-        if not self.lacks_state():
-            self.revision = self.upstreams_revision
-
-    def _lack_state(self, revision: int) -> None:
-        """Takes in that a desired state was left out up to a revision."""
-        self._lacking_to = max(self._lacking_to, revision)
-
     def _find_state_revision(self) -> int:
         line = self._table.get(self._reader.state_key)
         return line.revision if line is not None else 0
--- a/tests/test_forwarding/test_forwarding_reading.py
+++ b/tests/test_forwarding/test_forwarding_reading.py
@@ -18,7 +18,6 @@
 from persimmonhinge.forwarding.peers import news
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.platform import adapter
-from persimmonhinge.store import blocking_transport
 from persimmonhinge.store import port
 
 
@@ -176,7 +175,7 @@
     knowing.entries.take(make_key("1"), make_entry(), 8)
     knowing.entries.take(make_key("2"), make_entry(), 9)
     knowing.entries.take(make_key("2"), None, 10)
-    knowing.entries.revision = 10
+    knowing.entries.completeness.advance(10)
     started.entries.take_snapshot(knowing.entries.make_snapshot(0, ()), "peer")
     assert started.knowledge.is_complete()
     assert started.state("1") is upstreams.UpstreamState.READY
@@ -263,7 +262,7 @@
     newest revision taken for completeness.
     """
     reader = Reader()
-    reader.entries.revision = 5
+    reader.entries.completeness.advance(5)
     first, second = (
         entry_lines.EntryLine(
             make_key(str(number)), make_entry("draining"), rev
@@ -293,7 +292,7 @@
             entry_lines.EntryLine(make_key(str(number)), make_entry(), revision)
         )
     reader = Reader()
-    reader.entries.revision = 10
+    reader.entries.completeness.advance(10)
     packs = news.split_news(10, True, entries)
     for number, pack in enumerate(packs):
         if number not in lost:
@@ -332,93 +331,3 @@
     reader.entries.take("op/config", value, 1)
     reader.entries.take(f"servers/{name}", value, 2)
     reader.entries.take(f"servers/{name}", make_entry(), 3)
-
-
-class ChangingStore:
-    """A store in which a change comes between two readings."""
-
-    def __init__(self) -> None:
-        self._values = {
-            "op/config": port.KeyValue("op/config", make_state(1), 3)
-        }
-        self._revision = 4
-
-    async def get_prefix(self, prefix: str, limit: int = 0) -> port.PrefixState:
-        """See `port.PlatformReader`."""
-        found = tuple(
-            value
-            for key, value in self._values.items()
-            if key.startswith(prefix)
-        )
-        answer = port.PrefixState(self._revision, found)
-        self._change()
-        return answer
-
-    def _change(self) -> None:
-        key = make_key("1")
-        self._values = {
-            "op/config": port.KeyValue("op/config", make_state(2), 5),
-            key: port.KeyValue(key, make_entry(), 6),
-        }
-        self._revision = 6
-
-
-def test_host_that_misses_a_state_between_two_readings_knows_it() -> None:
-    """A route that was added is refused by one host for as long as it lives.
-
-    The host starts and reads the desired state, which changes, and then the
-    upstreams, of which one enters itself after that change. It has the newest
-    revision of all, so it never asked others for what it lacks.
-    """
-    reader = Reader()
-    read = reader.entries.read_all(ChangingStore())  # type: ignore[arg-type]
-    blocking_transport.run(read)
-    assert reader.state("1") is upstreams.UpstreamState.READY
-    assert reader.entries.revision < 5
-
-
-def test_change_that_a_reading_brought_is_told_by_the_watch() -> None:
-    """A drain is known to the host that follows the store, and to no other.
-
-    It came between two readings, so the second one brought it, and the watch
-    that goes on from the first tells nothing new.
-    """
-    reader = Reader()
-    store = ChangingStore()
-    blocking_transport.run(
-        reader.entries.read_all(store)  # type: ignore[arg-type]
-    )
-    told: list[int] = []
-    reader.entries.tell = lambda after, lines: told.extend(
-        line.revision for line in lines
-    )
-    events = [
-        port.WatchEvent("op/config", make_state(2), 5),
-        port.WatchEvent(make_key("1"), make_entry(), 6),
-    ]
-    reader.entries.take_batch(events)
-    assert told == [5, 6]
-    assert reader.entries.revision == 6
-    reader.entries.take_batch(events)
-    assert told == [5, 6]
-
-
-def test_what_a_new_reading_brings_is_told_at_once() -> None:
-    """New requests reach an upstream five seconds after it said it leaves.
-
-    The watch of the host that follows the store had gone silent, so it reads
-    all entries anew. The others of its domain hear of the drain only after
-    its next report, which comes the later the more hosts there are.
-    """
-    reader = Reader()
-    store = ChangingStore()
-    told: list[tuple[int, list[int]]] = []
-    reader.entries.tell = lambda after, lines: told.append(
-        (after, [line.revision for line in lines])
-    )
-    for _ in range(3):
-        blocking_transport.run(
-            reader.entries.read_all(store)  # type: ignore[arg-type]
-        )
-    # All of a first reading is known to those that run already.
-    assert told == [(3, [5, 6])]
--- a/tests/test_forwarding/test_forwarding_state_left_out.py
+++ b/tests/test_forwarding/test_forwarding_state_left_out.py
@@ -56,7 +56,7 @@
     """Has a host pull from another one."""
     entries = asking.entries
     if short:
-        since = entries.upstreams_revision
+        since = entries.completeness.upstreams_revision
         snapshot = asked.entries.make_short_snapshot(since, ())
         entries.take_short_snapshot(snapshot, _SOURCE)
     else:
@@ -95,7 +95,7 @@
     for news in sent:
         behind.entries.take_news(leave_long_out(news), _SOURCE)
     assert behind.state("1") is upstreams.UpstreamState.DRAINING
-    assert behind.entries.lacks_state()
+    assert behind.entries.completeness.lacks_state()
 
 
 def test_host_without_the_new_state_is_not_taken_for_complete() -> None:
@@ -109,7 +109,7 @@
     tell_first(ahead, readers.make_key("1"), readers.make_entry(), 6)
     pull(behind, ahead, short=True)
     assert behind.state("1") is upstreams.UpstreamState.READY
-    assert behind.entries.upstreams_revision == 6
+    assert behind.entries.completeness.upstreams_revision == 6
     assert behind.entries.revision == 0
     pull(behind, ahead, short=False)
     assert behind.entries.revision == 6
@@ -137,8 +137,8 @@
     for told in changes:
         for news in told:
             behind.entries.take_news(news, _SOURCE)
-    assert behind.entries.upstreams_revision == 6
-    assert behind.entries.lacks_state()
+    assert behind.entries.completeness.upstreams_revision == 6
+    assert behind.entries.completeness.lacks_state()
 
 
 class Change(NamedTuple):
@@ -227,7 +227,7 @@
         for line in host.entries.make_snapshot(0, ()).entries
     }
     for key, revisions in changes.items():
-        claimed = host.entries.upstreams_revision
+        claimed = host.entries.completeness.upstreams_revision
         if key == _STATE:
             claimed = host.entries.revision
         due = [revision for revision in revisions if revision <= claimed]
