Report at once only that a long desired state has come

Hosts said at once that they have a new desired state, also a short one, which comes by news and which nobody has to ask for. In a series of changes, three a second, that would be 24 reports of 653 octets each time at each host, 47 KB/s where 8 KB/s are the budget (worked out).

Only a long desired state hastens the next report now.

--- a/persimmonhinge/forwarding/peers/reporter.py
+++ b/persimmonhinge/forwarding/peers/reporter.py
@@ -66,18 +66,20 @@
             await self._wait_near(interval_s)
 
     async def _wait_near(self, time_s: float) -> None:
-        """Waits until the next report, or until a desired state is in force.
+        """Waits until the next report, or until a long state is in force.
 
         Guards against hosts that all ask the one that heard of it first: those
         that have it since would be unknown until their next report, which
         comes the later the more hosts there are.
         """
-        known = self._core.knowledge.state
+        core = self._core
+        known = core.knowledge.state
         ends_at = trio.current_time() + time_s * random.uniform(0.9, 1.1)
         while trio.current_time() < ends_at:
             rest_s = ends_at - trio.current_time()
             await trio.sleep(min(rest_s, _STATE_CHECK_S))
-            if self._core.knowledge.state is not known:
+            is_new = core.knowledge.state is not known
+            if is_new and core.entries.has_long_state_since(0):
                 return
 
     async def tell_far(self, channel: channels.PeerChannel) -> None:
--- /dev/null
+++ b/tests/test_forwarding/test_forwarding_peers_reporter.py
@@ -0,0 +1,88 @@
+"""Tests of when a host reports to others."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import trio
+
+from persimmonhinge.forwarding import core as cores
+from persimmonhinge.forwarding import flow as flows
+from persimmonhinge.forwarding.peers import channel as channels
+from persimmonhinge.forwarding.peers import following
+from persimmonhinge.forwarding.peers import reporter
+from tests.support import trios
+from tests.test_forwarding import test_forwarding_peers_early_pull as hosts
+from tests.test_forwarding import test_forwarding_peers_large_state as states
+from tests.test_forwarding import test_forwarding_reading as readers
+
+_PORT = 7721
+_NEAR_HOSTS = 60
+# Well below the time between two reports to so many hosts.
+_SOON_S = 0.2
+
+
+class Channel(channels.PeerChannel):
+    """Notes when reports are sent."""
+
+    def __init__(self) -> None:
+        self.sent_at: list[float] = []
+
+    async def send_all(
+        self, octets: bytes, addresses: Iterable[flows.Endpoint]
+    ) -> None:
+        """See `channel.PeerChannel`."""
+        self.sent_at.append(trio.current_time())
+
+
+def make_core() -> cores.ForwardCore:
+    """Returns a host of a large failure domain."""
+    core = hosts.make_core(_PORT)
+    for number in range(_NEAR_HOSTS):
+        core.peers.add(flows.Endpoint(f"10.0.0.{number + 2}", _PORT), 0.0)
+    return core
+
+
+def make_reporter(core: cores.ForwardCore) -> reporter.Reporter:
+    """Returns what tells others of a host."""
+    settings = core.settings
+    role = following.Following(
+        settings.host,
+        settings.domain,
+        core.peers,
+        core.knowledge,
+        settings.current_s,
+        0.0,
+    )
+    return reporter.Reporter(core, role)
+
+
+async def count_soon_after(state: bytes) -> int:
+    """Returns how many reports follow a desired state within a moment."""
+    core = make_core()
+    channel = Channel()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(make_reporter(core).tell_near, channel)
+        # The second report has just been sent.
+        while len(channel.sent_at) < 2:
+            await trio.sleep(0.01)
+        states.take(core, "op/config", state, 5)
+        changed_at = trio.current_time()
+        await trio.sleep(_SOON_S)
+        nursery.cancel_scope.cancel()
+    return sum(at > changed_at for at in channel.sent_at)
+
+
+@trios.clock_test
+async def test_host_that_has_a_long_state_says_so_at_once() -> None:
+    """A route that was added is refused for seconds in a large domain.
+
+    All hosts ask the one that had the desired state first, since those that
+    have it by then say so only at their next report, seconds later.
+    """
+    assert await count_soon_after(states.make_large_state(2)) == 1
+
+
+@trios.clock_test
+async def test_short_state_makes_no_report_come_sooner() -> None:
+    assert await count_soon_after(readers.make_state(2)) == 0
