--- a/persimmonhinge/forwarding/peers/early_pull.py
+++ b/persimmonhinge/forwarding/peers/early_pull.py
@@ -6,10 +6,15 @@
 
 from persimmonhinge import draws
 from persimmonhinge.forwarding import core as cores
+from persimmonhinge.forwarding.peers import codec as codecs
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import pull_attempt
 from persimmonhinge.store import blocking_transport
 
+_SNAPSHOTS: codecs.MessageCodec[messages.Snapshot] = codecs.MessageCodec(
+    messages.Snapshot
+)
+
 
 def pull_from_seeds(core: cores.ForwardCore) -> None:
     """Takes in what one of the hosts of the settings knows.
@@ -32,9 +37,7 @@
         attempt = pull_attempt.PullAttempt(core, host)
         try:
             blocking_transport.run(_exchange(core, attempt))
-            snapshot = msgspec.msgpack.decode(
-                attempt.octets, type=messages.Snapshot
-            )
+            snapshot = _SNAPSHOTS.decode(attempt.octets)
         except (OSError, msgspec.MsgspecError) as error:
             attempt.record_failure(error)
             continue
@@ -51,7 +54,7 @@
     transport = blocking_transport.BlockingTransport(
         attempt.host, settings.snapshot_port
     )
-    request = messages.PullRequest(core.entries.revision)
+    request = messages.PullRequest(core.entries.revision, packed=True)
 
     async def ask() -> None:
         await transport.open()
--- a/tests/test_forwarding/test_forwarding_peers_early_pull.py
+++ b/tests/test_forwarding/test_forwarding_peers_early_pull.py
@@ -14,6 +14,7 @@
 from persimmonhinge.forwarding import entry_line as entry_lines
 from persimmonhinge.forwarding import settings as forward_settings
 from persimmonhinge.forwarding import startup
+from persimmonhinge.forwarding.peers import codec as codecs
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.platform import adapter
 from persimmonhinge.store import port
@@ -21,6 +22,10 @@
 
 _ADDRESS = "127.0.0.1"
 _LIMIT_S = 5.0
+_LONG_OCTETS = 20_000
+_CODEC: codecs.MessageCodec[messages.Snapshot] = codecs.MessageCodec(
+    messages.Snapshot
+)
 _SNAPSHOT = messages.Snapshot(
     revision=9,
     settled=False,
@@ -41,8 +46,13 @@
 
 
 @contextlib.contextmanager
-def run_seed(answer: bytes) -> Iterator[int]:
-    """Answers one request as a host does; gives its port."""
+def run_seed(answer: bytes, asked: list[bytes] | None = None) -> Iterator[int]:
+    """Answers one request as a host does; gives its port.
+
+    Args:
+        answer: The answer.
+        asked: Gets the request.
+    """
     with socket.create_server((_ADDRESS, 0)) as server:
         server.settimeout(_LIMIT_S)
 
@@ -50,7 +60,9 @@
             with contextlib.suppress(OSError):
                 connection, _ = server.accept()
                 with connection:
-                    connection.recv(64)
+                    request = connection.recv(64)
+                    if asked is not None:
+                        asked.append(request)
                     connection.sendall(answer)
 
         thread = threading.Thread(target=serve)
@@ -108,6 +120,24 @@
     assert not core.entries.is_settled()
 
 
+def test_host_that_starts_without_a_store_takes_a_compressed_snapshot() -> None:
+    """A host that starts in an outage forwards nothing for seconds.
+
+    The desired state is long; without compression a seed's thin link carries
+    it to some starting hosts in turn.
+    """
+    state = {"Version": 3, "Routes": [], "Notes": "x" * _LONG_OCTETS}
+    line = entry_lines.EntryLine("op/config", msgspec.json.encode(state), 8)
+    entries = (line, *_SNAPSHOT.entries[1:])
+    snapshot = messages.Snapshot(9, False, entries, ())
+    asked: list[bytes] = []
+    with run_seed(_CODEC.encode(snapshot), asked) as snapshot_port:
+        core = make_core(snapshot_port)
+        assert start(core)
+    request = msgspec.msgpack.decode(asked[0], type=messages.PullRequest)
+    assert request.packed
+
+
 def test_seed_that_says_nonsense_ends_nothing() -> None:
     for answer in (b"", b"\xff" * 9, msgspec.msgpack.encode(["news"])):
         with run_seed(answer) as snapshot_port:
