--- a/persimmonhinge/forwarding/peers/codec.py
+++ b/persimmonhinge/forwarding/peers/codec.py
@@ -63,6 +63,9 @@
         return message
 
 
+SNAPSHOTS: MessageCodec[messages.Snapshot] = MessageCodec(messages.Snapshot)
+
+
 def _decompress(octets: bytes) -> bytes:
     """Returns what was compressed.
 
--- a/persimmonhinge/forwarding/peers/early_pull.py
+++ b/persimmonhinge/forwarding/peers/early_pull.py
@@ -11,10 +11,6 @@
 from persimmonhinge.forwarding.peers import pull_attempt
 from persimmonhinge.store import blocking_transport
 
-_SNAPSHOTS: codecs.MessageCodec[messages.Snapshot] = codecs.MessageCodec(
-    messages.Snapshot
-)
-
 
 def pull_from_seeds(core: cores.ForwardCore) -> None:
     """Takes in what one of the hosts of the settings knows.
@@ -37,7 +33,7 @@
         attempt = pull_attempt.PullAttempt(core, host)
         try:
             blocking_transport.run(_exchange(core, attempt))
-            snapshot = _SNAPSHOTS.decode(attempt.octets)
+            snapshot = codecs.SNAPSHOTS.decode(attempt.octets)
         except (OSError, msgspec.MsgspecError) as error:
             attempt.record_failure(error)
             continue
--- a/persimmonhinge/forwarding/peers/pulls.py
+++ b/persimmonhinge/forwarding/peers/pulls.py
@@ -14,13 +14,7 @@
 from persimmonhinge.forwarding.peers import codec as codecs
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import pull_attempt
-from persimmonhinge.forwarding.peers import snapshot_server
 
-serve_snapshots = snapshot_server.serve_snapshots
-
-_SNAPSHOTS: codecs.MessageCodec[messages.Snapshot] = codecs.MessageCodec(
-    messages.Snapshot
-)
 # How long a host may send no octets before the pull is given up, seconds.
 _SILENCE_S = 1.0
 # Longest pull, seconds: a desired state of a megabyte takes 1.6 s over a link
@@ -139,7 +133,7 @@
         try:
             with trio.fail_after(_LONGEST_S):
                 await self._receive(request, attempt)
-            return _SNAPSHOTS.decode(attempt.octets)
+            return codecs.SNAPSHOTS.decode(attempt.octets)
         except (
             OSError,
             trio.BrokenResourceError,
--- a/persimmonhinge/forwarding/peers/service.py
+++ b/persimmonhinge/forwarding/peers/service.py
@@ -18,6 +18,7 @@
 from persimmonhinge.forwarding.peers import news as news_packs
 from persimmonhinge.forwarding.peers import pulls
 from persimmonhinge.forwarding.peers import reporter as reporters
+from persimmonhinge.forwarding.peers import snapshot_server
 
 logger = logging.getLogger(__name__)
 
@@ -43,6 +44,7 @@
         self._book = core.peers
         self._reporter = reporters.Reporter(core, following)
         self._puller = pulls.SnapshotPuller(core)
+        self._server = snapshot_server.SnapshotServer(core)
         self._codec: codecs.MessageCodec[messages.Report | messages.News] = (
             codecs.MessageCodec(messages.Report | messages.News)
         )
@@ -66,7 +68,7 @@
         await bound.bind((settings.own_address, settings.report_port))
         channel = channels.PeerChannel(bound, self._core.counts)
         async with trio.open_nursery() as nursery:
-            await nursery.start(pulls.serve_snapshots, self._core)
+            await nursery.start(self._server.run)
             nursery.start_soon(self._hear, bound)
             nursery.start_soon(self._reporter.tell_near, channel)
             nursery.start_soon(self._reporter.tell_far, channel)
--- a/persimmonhinge/forwarding/peers/snapshot_server.py
+++ b/persimmonhinge/forwarding/peers/snapshot_server.py
@@ -13,9 +13,6 @@
 
 logger = logging.getLogger(__name__)
 
-_SNAPSHOTS: codecs.MessageCodec[messages.Snapshot] = codecs.MessageCodec(
-    messages.Snapshot
-)
 # How long a host may take no octets before it gets no more, seconds.
 _SILENCE_S = 1.0
 _REQUEST_OCTETS = 64
@@ -101,7 +98,7 @@
         else:
             snapshot = self._make_snapshot(request)
         if request.packed:
-            return _SNAPSHOTS.encode(snapshot)
+            return codecs.SNAPSHOTS.encode(snapshot)
         return msgspec.msgpack.encode(snapshot)
 
     def _is_long(self, request: messages.PullRequest) -> bool:
@@ -127,11 +124,3 @@
                     await stream.send_all(answer[start : start + _CHUNK_OCTETS])
         finally:
             self._long -= is_long
-
-
-async def serve_snapshots(
-    core: cores.ForwardCore,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Gives snapshots to other hosts until cancelled; see `SnapshotServer`."""
-    await SnapshotServer(core).run(task_status)
--- a/tests/test_forwarding/test_forwarding_peers_early_pull.py
+++ b/tests/test_forwarding/test_forwarding_peers_early_pull.py
@@ -23,9 +23,6 @@
 _ADDRESS = "127.0.0.1"
 _LIMIT_S = 5.0
 _LONG_OCTETS = 20_000
-_CODEC: codecs.MessageCodec[messages.Snapshot] = codecs.MessageCodec(
-    messages.Snapshot
-)
 _SNAPSHOT = messages.Snapshot(
     revision=9,
     settled=False,
@@ -131,7 +128,7 @@
     entries = (line, *_SNAPSHOT.entries[1:])
     snapshot = messages.Snapshot(9, False, entries, ())
     asked: list[bytes] = []
-    with run_seed(_CODEC.encode(snapshot), asked) as snapshot_port:
+    with run_seed(codecs.SNAPSHOTS.encode(snapshot), asked) as snapshot_port:
         core = make_core(snapshot_port)
         assert start(core)
     request = msgspec.msgpack.decode(asked[0], type=messages.PullRequest)
--- a/tests/test_forwarding/test_forwarding_peers_large_state.py
+++ b/tests/test_forwarding/test_forwarding_peers_large_state.py
@@ -14,6 +14,7 @@
 from persimmonhinge.forwarding import upstream as upstreams
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import pulls
+from persimmonhinge.forwarding.peers import snapshot_server
 from persimmonhinge.store import port as port_parts
 from tests.standins import ports
 from tests.support import trios
@@ -138,7 +139,7 @@
     address = flows.Endpoint(_THIN_LINK, port - 1)
     behind.peers.take(address, make_report(1), trio.current_time())
     async with trio.open_nursery() as nursery:
-        await nursery.start(pulls.serve_snapshots, ahead)
+        await nursery.start(snapshot_server.SnapshotServer(ahead).run)
         await nursery.start(run_thin_link, port)
         nursery.start_soon(pulls.SnapshotPuller(behind).run)
         while not is_drain_known(behind):
--- a/tests/test_forwarding/test_forwarding_peers_pulls.py
+++ b/tests/test_forwarding/test_forwarding_peers_pulls.py
@@ -7,7 +7,7 @@
 
 from persimmonhinge.forwarding.peers import codec as codecs
 from persimmonhinge.forwarding.peers import messages
-from persimmonhinge.forwarding.peers import pulls
+from persimmonhinge.forwarding.peers import snapshot_server
 from tests.standins import ports
 from tests.support import trios
 from tests.test_forwarding import test_forwarding_peers_early_pull as hosts
@@ -41,14 +41,11 @@
         key = readers.make_key(f"{number:x}")
         core.entries.take(key, readers.make_entry(), number + 1)
     async with trio.open_nursery() as nursery:
-        await nursery.start(pulls.serve_snapshots, core)
+        await nursery.start(snapshot_server.SnapshotServer(core).run)
         plain = await pull(port, messages.PullRequest(0))
         packed = await pull(port, messages.PullRequest(0, packed=True))
         nursery.cancel_scope.cancel()
     snapshot = msgspec.msgpack.decode(plain, type=messages.Snapshot)
     assert len(snapshot.entries) == _UPSTREAMS
     assert len(packed) < len(plain) / 3
-    codec: codecs.MessageCodec[messages.Snapshot] = codecs.MessageCodec(
-        messages.Snapshot
-    )
-    assert codec.decode(packed) == snapshot
+    assert codecs.SNAPSHOTS.decode(packed) == snapshot
--- a/tests/test_forwarding/test_forwarding_peers_snapshot_server.py
+++ b/tests/test_forwarding/test_forwarding_peers_snapshot_server.py
@@ -31,9 +31,6 @@
         states.take(core, readers.make_key("1"), readers.make_entry(), 2)
         self._nursery = nursery
         self._server = snapshot_server.SnapshotServer(core)
-        self._codec: codecs.MessageCodec[messages.Snapshot] = (
-            codecs.MessageCodec(messages.Snapshot)
-        )
 
     async def ask(self, request: messages.PullRequest) -> trio.abc.Stream:
         """Sends a request whose answer waits until it is read."""
@@ -53,7 +50,7 @@
         octets = bytearray()
         while data := await stream.receive_some(_OCTETS):
             octets += data
-        return self._codec.decode(octets)
+        return codecs.SNAPSHOTS.decode(octets)
 
 
 @trios.clock_test
