Ask another host where the one that knows most does not answer

What a caller would see: a new request at an upstream that left seconds before, through a host that missed one datagram of news.

Cause, found by adding up how late a host may hear of a drain: it pulls from the host of the highest revision alone. If that one died just after its report, the report still counts for 1.2 s or three of its intervals, 6 s in a domain of 24 hosts, and every pull goes there and fails, though others have what is missing.

Now a host that did not answer is not asked for 1 s, so the next best is.

--- a/persimmonhinge/forwarding/peers/book.py
+++ b/persimmonhinge/forwarding/peers/book.py
@@ -149,13 +149,16 @@
             (near if is_near else far).append(peer.address)
         return near, far
 
-    def find_ahead_in_upstreams(self, revision: int) -> Peer | None:
+    def find_ahead_in_upstreams(
+        self, revision: int, without: Collection[flows.Endpoint] = ()
+    ) -> Peer | None:
         """Returns a host that knows more of upstreams; see `find_ahead`."""
         return _choose_newest(
             (peer.report.known_upstreams(), peer)
             for peer in self._peers.values()
             if peer.report is not None
             and peer.report.known_upstreams() > revision
+            and peer.address not in without
         )
 
     def find_ahead(
--- a/persimmonhinge/forwarding/peers/pulls.py
+++ b/persimmonhinge/forwarding/peers/pulls.py
@@ -27,6 +27,9 @@
 # How long a host that refused is not asked again, seconds; by then those that
 # it gave the desired state to can give it, too.
 _BUSY_S = 0.2
+# The same for one that did not answer, seconds: long enough to ask others that
+# are ahead, and short against the limits of a drain.
+_FAILED_S = 1.0
 
 
 class SnapshotPuller:
@@ -42,7 +45,7 @@
         self._book = core.peers
         self._port = core.settings.snapshot_port
         self._behind_since: float | None = None
-        self._busy_until: dict[flows.Endpoint, float] = {}
+        self._avoided_until: dict[flows.Endpoint, float] = {}
 
     async def run(self) -> None:
         """Pulls what is missing until cancelled."""
@@ -61,7 +64,7 @@
         while True:
             await trio.sleep(_AHEAD_CHECK_S)
             ahead = self._book.find_ahead_in_upstreams(
-                entries.completeness.upstreams_revision
+                entries.completeness.upstreams_revision, self._list_avoided()
             )
             now = trio.current_time()
             if ahead is None:
@@ -85,40 +88,54 @@
             await trio.sleep(_AHEAD_CHECK_S * random.uniform(0.5, 1.5))
             if not entries.completeness.lacks_state():
                 continue
-            ahead = self._book.find_ahead(entries.revision, self._list_busy())
+            ahead = self._book.find_ahead(
+                entries.revision, self._list_avoided()
+            )
             if ahead is not None:
                 await self._pull_whole(ahead)
 
-    def _list_busy(self) -> set[flows.Endpoint]:
+    def _avoid(self, peer: books.Peer, time_s: float) -> None:
+        self._avoided_until[peer.address] = trio.current_time() + time_s
+
+    def _list_avoided(self) -> set[flows.Endpoint]:
+        """Returns the hosts that are not to be asked now.
+
+        Guards against a host that told of the newest entries and died: its
+        report counts for some seconds, in which it alone would be asked.
+        """
         now = trio.current_time()
-        self._busy_until = {
+        self._avoided_until = {
             address: until
-            for address, until in self._busy_until.items()
+            for address, until in self._avoided_until.items()
             if until > now
         }
-        return set(self._busy_until)
+        return set(self._avoided_until)
 
     async def _pull_short(self, peer: books.Peer) -> None:
         since = self._core.entries.completeness.upstreams_revision
         request = messages.PullRequest(since, packed=True, short=True)
         attempt = pull_attempt.PullAttempt(self._core, peer.address.host)
         snapshot = await self._ask(request, attempt)
-        if snapshot is not None:
-            attempt.take_short(snapshot)
-            self._add_peers(snapshot)
+        if snapshot is None:
+            self._avoid(peer, _FAILED_S)
+            return
+        attempt.take_short(snapshot)
+        self._add_peers(snapshot)
 
     async def _pull_whole(self, peer: books.Peer) -> None:
         since = self._core.entries.revision
         request = messages.PullRequest(since, packed=True, may_be_refused=True)
         attempt = pull_attempt.PullAttempt(self._core, peer.address.host)
         snapshot = await self._ask(request, attempt)
-        if snapshot is not None and not snapshot.busy:
-            attempt.take(snapshot)
-            self._add_peers(snapshot)
+        if snapshot is None:
+            self._avoid(peer, _FAILED_S)
             return
-        if snapshot is not None:
+        if snapshot.busy:
             attempt.record_refusal()
-        self._busy_until[peer.address] = trio.current_time() + _BUSY_S
+            self._avoid(peer, _BUSY_S)
+            return
+        attempt.take(snapshot)
+        self._add_peers(snapshot)
 
     async def _ask(
         self,
--- a/tests/test_forwarding/test_forwarding_peers_pulls.py
+++ b/tests/test_forwarding/test_forwarding_peers_pulls.py
@@ -5,8 +5,11 @@
 import msgspec
 import trio
 
+from persimmonhinge import ids
+from persimmonhinge.forwarding import flow as flows
 from persimmonhinge.forwarding.peers import codec as codecs
 from persimmonhinge.forwarding.peers import messages
+from persimmonhinge.forwarding.peers import pulls
 from persimmonhinge.forwarding.peers import snapshot_server
 from tests.standins import ports
 from tests.support import trios
@@ -14,7 +17,11 @@
 from tests.test_forwarding import test_forwarding_reading as readers
 
 _HOST = "127.0.0.9"
+_BEHIND = "127.0.0.7"
+_DEAD = "127.0.0.6"
 _UPSTREAMS = 40
+_UPSTREAM = ids.UpstreamId("i-1")
+_MOST_FAILURES = 5
 
 
 async def pull(port: int, request: messages.PullRequest) -> bytes:
@@ -49,3 +56,41 @@
     assert len(snapshot.entries) == _UPSTREAMS
     assert len(packed) < len(plain) / 3
     assert codecs.SNAPSHOTS.decode(packed) == snapshot
+
+
+@trios.trio_test
+async def test_host_that_does_not_answer_is_not_asked_alone() -> None:
+    """New requests reach an upstream for as long as a dead host is believed.
+
+    A host missed the news of a drain, and sees by their reports that others
+    are ahead. The one that knows most died just after its report, which counts
+    for seconds; it was asked again and again, and the others never.
+    """
+    port = ports.find_tcp_port(_HOST)
+    ahead = hosts.make_core(port, _HOST)
+    behind = hosts.make_core(port, _BEHIND)
+    key = readers.make_key("1")
+    ahead.entries.take(key, readers.make_entry("draining"), 5)
+    for revision, host in ((5, _HOST), (6, _DEAD)):
+        report = messages.Report(
+            f"h-{revision}",
+            1,
+            1,
+            60_000,
+            "north",
+            revision,
+            0,
+            False,
+            True,
+            (),
+            (),
+        )
+        behind.peers.take(flows.Endpoint(host, port - 1), report, 0.0)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(snapshot_server.SnapshotServer(ahead).run)
+        nursery.start_soon(pulls.SnapshotPuller(behind).run)
+        while behind.knowledge.directory.get(_UPSTREAM) is None:
+            failures = behind.counts.get("snapshot_errors_total")
+            assert failures < _MOST_FAILURES
+            await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
