--- a/tests/test_forwarding/test_forwarding_state_left_out.py
+++ b/tests/test_forwarding/test_forwarding_state_left_out.py
@@ -232,3 +232,34 @@
             claimed = host.entries.revision
         due = [revision for revision in revisions if revision <= claimed]
         assert known.get(key, 0) >= max(due, default=0)
+
+
+class FormerNews(msgspec.Struct, frozen=True, array_like=True, tag="news"):
+    """News as hosts of an earlier release read them."""
+
+    after: int
+    upto: int
+    settled: bool
+    entries: tuple[entry_lines.EntryLine, ...]
+
+
+class FormerRequest(msgspec.Struct, frozen=True, array_like=True, tag="pull"):
+    """A request as hosts of an earlier release read it."""
+
+    since: int
+    packed: bool = False
+
+
+def test_hosts_of_an_earlier_release_read_what_they_are_sent() -> None:
+    """In the middle of an upgrade, hosts drop what others tell them."""
+    drain = entry_lines.EntryLine(readers.make_key("1"), b"", 6)
+    news = messages.News(5, 5, True, (drain,), upstreams_upto=7)
+    former = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(news), type=FormerNews
+    )
+    assert (former.after, former.upto) == (5, 5)
+    request = messages.PullRequest(5, packed=True, short=True)
+    asked = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(request), type=FormerRequest
+    )
+    assert asked == FormerRequest(5, packed=True)
