End no host by a wait that has passed meanwhile

Now one look at the clock decides both, and the sleep is until a time. Looked for elsewhere: the other sleeps of what is left of a time (openings that wait) ask for it to be above zero first. Test first: it ended with that ValueError.

--- a/persimmonhinge/forwarding/peers/reporter.py
+++ b/persimmonhinge/forwarding/peers/reporter.py
@@ -63,9 +63,9 @@
             await channel.send_all(octets, near)
             budgeted_s = len(near) * len(octets) / _NEAR_OCTETS_PER_S
             interval_s = max(_NEAR_S, budgeted_s)
-            await self._wait_near(interval_s)
+            await self.wait_near(interval_s)
 
-    async def _wait_near(self, time_s: float) -> None:
+    async def wait_near(self, time_s: float) -> None:
         """Waits until the next report, or until a long state is in force.
 
         Guards against hosts that all ask the one that heard of it first: those
@@ -75,9 +75,8 @@
         core = self._core
         known = core.knowledge.state
         ends_at = trio.current_time() + time_s * random.uniform(0.9, 1.1)
-        while trio.current_time() < ends_at:
-            rest_s = ends_at - trio.current_time()
-            await trio.sleep(min(rest_s, _STATE_CHECK_S))
+        while (now := trio.current_time()) < ends_at:
+            await trio.sleep_until(min(ends_at, now + _STATE_CHECK_S))
             is_new = core.knowledge.state is not known
             if is_new and core.entries.has_long_state_since(0):
                 return
--- a/tests/test_forwarding/test_forwarding_peers_reporter.py
+++ b/tests/test_forwarding/test_forwarding_peers_reporter.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+import itertools
+from unittest import mock
 
 import trio
 
@@ -73,6 +75,20 @@
     return sum(at > changed_at for at in channel.sent_at)
 
 
+@trios.clock_test
+async def test_time_that_passes_between_two_looks_ends_no_host() -> None:
+    """Hosts end by themselves, now and then, on a busy machine.
+
+    What is left of a wait is worked out after a look at the clock that found
+    it not over, and is below zero by then: `ValueError: seconds must be
+    non-negative`.
+    """
+    waiting = make_reporter(make_core())
+    looks = itertools.count(0.0, 0.07)
+    with mock.patch.object(trio, "current_time", lambda: next(looks)):
+        await waiting.wait_near(0.1)
+
+
 @trios.clock_test
 async def test_host_that_has_a_long_state_says_so_at_once() -> None:
     """A route that was added is refused for seconds in a large domain.
