Show how a listed test failed, and keep the logs of its processes

Entries of KNOWN-RED.txt read "seen once, not traced": the plugin turned the failure of a listed test into an expected one, so the runner printed no traceback, and the folder with what hosts, proxy and store wrote was removed.

Nothing that a caller sees.

--- a/tests/standins/cut_deployment.py
+++ b/tests/standins/cut_deployment.py
@@ -13,7 +13,6 @@
 from collections.abc import Iterable
 import contextlib
 import pathlib
-import tempfile
 
 import trio
 import yaml
@@ -26,6 +25,7 @@
 from tests.standins import layout as layouts
 from tests.standins import plan as plans
 from tests.standins import processes
+from tests.support import kept_folders
 
 _POLL_S = 0.05
 _PROXY_LIMIT_S = 30.0
@@ -249,8 +249,8 @@
     plan: plans.DeploymentPlan,
 ) -> AsyncIterator[CutDeployment]:
     """Runs a deployment; ends all its processes on the way out."""
-    with tempfile.TemporaryDirectory() as folder:
-        deployment = CutDeployment(plan, pathlib.Path(folder))
+    with kept_folders.open_folder("cut-deployment") as folder:
+        deployment = CutDeployment(plan, folder)
         try:
             await deployment.start()
             yield deployment
--- a/tests/standins/forwarding_deployment.py
+++ b/tests/standins/forwarding_deployment.py
@@ -11,7 +11,6 @@
 import socket
 import subprocess
 import sys
-import tempfile
 from typing import Any
 
 import httpx
@@ -21,6 +20,7 @@
 from tests.standins import packet_upstream
 from tests.standins import platform_process
 from tests.standins import ports
+from tests.support import kept_folders
 
 _ROOT = pathlib.Path(__file__).parents[2]
 SERVICE = "floor"
@@ -246,10 +246,8 @@
         kept: Folder of settings and logs; None for one that is removed.
     """
     async with platform_process.run_platform() as store:
-        with tempfile.TemporaryDirectory() as folder:
-            deployment = ForwardingDeployment(
-                store, kept or pathlib.Path(folder), count
-            )
+        with kept_folders.open_folder("forwarding-deployment") as folder:
+            deployment = ForwardingDeployment(store, kept or folder, count)
             try:
                 yield deployment
             finally:
--- a/tests/standins/platform_ctl.py
+++ b/tests/standins/platform_ctl.py
@@ -9,7 +9,6 @@
 import pathlib
 import subprocess
 import sys
-import tempfile
 from typing import Any
 
 import trio
@@ -23,6 +22,7 @@
 from persimmonhinge.store import keys
 from persimmonhinge.store import port
 from tests.standins import platform_process
+from tests.support import kept_folders
 
 _ROOT = pathlib.Path(__file__).parents[2]
 _LIMIT_S = 60.0
@@ -188,9 +188,9 @@
 @contextlib.asynccontextmanager
 async def run_ctl() -> AsyncIterator[Ctl]:
     """Runs a stand-in for the platform, and gives commands against it."""
-    with tempfile.TemporaryDirectory() as folder:
+    with kept_folders.open_folder("ctl") as folder:
         async with platform_process.run_platform() as platform:
-            yield Ctl(platform, pathlib.Path(folder))
+            yield Ctl(platform, folder)
 
 
 @contextlib.asynccontextmanager
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -9,7 +9,6 @@
 import signal
 import subprocess
 import sys
-import tempfile
 
 import httpx
 import trio
@@ -28,6 +27,7 @@
 from tests.standins import layout as layouts
 from tests.standins import plan as plans
 from tests.standins import platform_process
+from tests.support import kept_folders
 
 _READY_LIMIT_S = 30.0
 _POLL_S = 0.05
@@ -320,9 +320,7 @@
     """
     with contextlib.ExitStack() as stack:
         if folder is None:
-            folder = pathlib.Path(
-                stack.enter_context(tempfile.TemporaryDirectory())
-            )
+            folder = stack.enter_context(kept_folders.open_folder("deployment"))
         deployment = Deployment(plan, folder)
         try:
             await deployment.start()
--- a/tests/support/known_red.py
+++ b/tests/support/known_red.py
@@ -4,6 +4,7 @@
 
 import pathlib
 import sys
+import traceback
 import unittest
 
 from nose2 import events
@@ -43,6 +44,7 @@
         name = event.test.id()
         if name in self._known:
             self._red.append(self._known[name])
+            _print_failure(event)
             # Where it ended with an error, the runner would fail all the same.
             event.outcome = "failed"
             event.expected = True
@@ -68,5 +70,12 @@
         print(totals, flush=True)
 
 
+def _print_failure(event: events.TestOutcomeEvent) -> None:
+    """Prints what the runner shows of other failures alone."""
+    print(f"\nListed test failed: {event.test.id()}", file=sys.stderr)
+    if event.exc_info is not None:
+        traceback.print_exception(*event.exc_info)
+
+
 # nose2 looks tests up as unittest does; the plugin is not one.
 __unittest = unittest is not None
--- a/tests/test_support/test_support_known_red.py
+++ b/tests/test_support/test_support_known_red.py
@@ -52,6 +52,13 @@
     assert "0 passed, 0 failed" in ended.stdout
 
 
+def test_listed_test_that_fails_shows_its_traceback() -> None:
+    """A fault stays untraced because its test hides how it failed."""
+    ended = run_listed(True)
+    assert "ValueError: one" in ended.stderr
+    assert "in test_listed" in ended.stderr
+
+
 def test_test_that_is_not_listed_fails() -> None:
     ended = run_listed(False)
     assert ended.returncode == 1
