Keep the logs of processes until the outcome of their test is known

Tests that judge after they have ended their processes left no logs in out/failed/: their folder was removed on the way out of the block, before the assertion. Folders now last until the plugin knows the outcome; outside of a test they are removed at once, as before.

--- a/tests/standins/cut_deployment.py
+++ b/tests/standins/cut_deployment.py
@@ -249,7 +249,7 @@
     plan: plans.DeploymentPlan,
 ) -> AsyncIterator[CutDeployment]:
     """Runs a deployment; ends all its processes on the way out."""
-    with kept_folders.open_folder("cut-deployment") as folder:
+    with kept_folders.FOLDERS.open_folder() as folder:
         deployment = CutDeployment(plan, folder)
         try:
             await deployment.start()
--- a/tests/standins/forwarding_deployment.py
+++ b/tests/standins/forwarding_deployment.py
@@ -246,7 +246,7 @@
         kept: Folder of settings and logs; None for one that is removed.
     """
     async with platform_process.run_platform() as store:
-        with kept_folders.open_folder("forwarding-deployment") as folder:
+        with kept_folders.FOLDERS.open_folder() as folder:
             deployment = ForwardingDeployment(store, kept or folder, count)
             try:
                 yield deployment
--- a/tests/standins/platform_ctl.py
+++ b/tests/standins/platform_ctl.py
@@ -188,7 +188,7 @@
 @contextlib.asynccontextmanager
 async def run_ctl() -> AsyncIterator[Ctl]:
     """Runs a stand-in for the platform, and gives commands against it."""
-    with kept_folders.open_folder("ctl") as folder:
+    with kept_folders.FOLDERS.open_folder() as folder:
         async with platform_process.run_platform() as platform:
             yield Ctl(platform, folder)
 
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -320,7 +320,7 @@
     """
     with contextlib.ExitStack() as stack:
         if folder is None:
-            folder = stack.enter_context(kept_folders.open_folder("deployment"))
+            folder = stack.enter_context(kept_folders.FOLDERS.open_folder())
         deployment = Deployment(plan, folder)
         try:
             await deployment.start()
--- a/tests/support/kept_folders.py
+++ b/tests/support/kept_folders.py
@@ -1,4 +1,4 @@
-"""Folders of a test that outlive it only if it fails."""
+"""Folders of a test, which are kept if it fails."""
 
 from __future__ import annotations
 
@@ -12,27 +12,52 @@
 _KEPT = pathlib.Path(__file__).parents[2] / "out" / "failed"
 
 
-@contextlib.contextmanager
-def open_folder(
-    name: str, kept: pathlib.Path = _KEPT
-) -> Iterator[pathlib.Path]:
-    """Gives a temporary folder; it is kept if the block ends by an error.
+class KeptFolders:
+    """Temporary folders that last until the outcome of their test is known.
 
-    Args:
-        name: What the name of the kept folder begins with.
-        kept: Where it goes then.
+    A test may judge what its processes did after it has ended them.
     """
-    with tempfile.TemporaryDirectory() as temporary:
-        folder = pathlib.Path(temporary)
+
+    def __init__(self, kept: pathlib.Path = _KEPT) -> None:
+        """Begins without a test.
+
+        Args:
+            kept: Where the folders of failed tests go.
+        """
+        self._kept = kept
+        self._folders: list[pathlib.Path] | None = None
+
+    def begin_test(self) -> None:
+        """Keeps folders from now on until `end_test`."""
+        self._folders = []
+
+    def end_test(self, name: str, *, failed: bool) -> None:
+        """Moves the folders of a test that failed, and removes others."""
+        for folder in self._folders or ():
+            if failed:
+                self._keep(folder, name)
+            else:
+                shutil.rmtree(folder, ignore_errors=True)
+        self._folders = None
+
+    @contextlib.contextmanager
+    def open_folder(self) -> Iterator[pathlib.Path]:
+        """Gives a folder; outside of a test it is removed on the way out."""
+        folder = pathlib.Path(tempfile.mkdtemp())
         try:
             yield folder
-        except BaseException:
-            _keep(folder, name, kept)
-            raise
+        finally:
+            if self._folders is None:
+                shutil.rmtree(folder, ignore_errors=True)
+            else:
+                self._folders.append(folder)
+
+    def _keep(self, folder: pathlib.Path, name: str) -> None:
+        self._kept.mkdir(parents=True, exist_ok=True)
+        place = tempfile.mkdtemp(prefix=f"{name}-", dir=self._kept)
+        shutil.copytree(folder, place, dirs_exist_ok=True)
+        shutil.rmtree(folder, ignore_errors=True)
+        print(f"Logs of the processes are kept in {place}", file=sys.stderr)
 
 
-def _keep(folder: pathlib.Path, name: str, kept: pathlib.Path) -> None:
-    kept.mkdir(parents=True, exist_ok=True)
-    place = pathlib.Path(tempfile.mkdtemp(prefix=f"{name}-", dir=kept))
-    shutil.copytree(folder, place, dirs_exist_ok=True)
-    print(f"Logs of the processes are kept in {place}", file=sys.stderr)
+FOLDERS = KeptFolders()
--- a/tests/support/known_red.py
+++ b/tests/support/known_red.py
@@ -1,4 +1,4 @@
-"""A nose2 plugin: passes over listed red tests and prints the totals."""
+"""A nose2 plugin: passes over listed tests, keeps logs, prints the totals."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 
 from nose2 import events
 
+from tests.support import kept_folders
+
 _LIST = pathlib.Path(__file__).parents[2] / "KNOWN-RED.txt"
 _MOST = 9
 
@@ -37,6 +39,10 @@
         self._failed = 0
         self._skipped = 0
 
+    def startTest(self, event: events.StartTestEvent) -> None:  # noqa: N802
+        """Begins to keep the folders of a test."""
+        kept_folders.FOLDERS.begin_test()
+
     def setTestOutcome(self, event: events.TestOutcomeEvent) -> None:  # noqa: N802
         """Turns the failure of a listed test into an expected one."""
         if event.outcome not in ("failed", "error"):
@@ -50,7 +56,11 @@
             event.expected = True
 
     def testOutcome(self, event: events.TestOutcomeEvent) -> None:  # noqa: N802
-        """Counts one result."""
+        """Counts one result, and keeps the logs of a test that failed."""
+        kept_folders.FOLDERS.end_test(
+            event.test.id().rpartition(".")[2],
+            failed=event.outcome in ("failed", "error"),
+        )
         if event.outcome == "skipped":
             self._skipped += 1
         elif event.outcome == "passed" or event.expected:
--- a/tests/test_support/test_support_kept_folders.py
+++ b/tests/test_support/test_support_kept_folders.py
@@ -2,31 +2,44 @@
 
 from __future__ import annotations
 
-import contextlib
 import pathlib
 import tempfile
 
 from tests.support import kept_folders
 
 
-def test_folder_of_a_failed_block_is_kept() -> None:
-    """The logs of processes are gone when their test has failed."""
+def _write_log(folders: kept_folders.KeptFolders) -> pathlib.Path:
+    with folders.open_folder() as folder:
+        (folder / "host.log").write_text("one line")
+    return folder
+
+
+def test_folder_of_a_failed_test_is_kept() -> None:
+    """The logs of processes are gone once a test judges what they did."""
     with tempfile.TemporaryDirectory() as name:
         kept = pathlib.Path(name) / "failed"
-        with contextlib.suppress(ValueError):
-            with kept_folders.open_folder("scene", kept) as folder:
-                (folder / "host.log").write_text("one line")
-                raise ValueError
+        folders = kept_folders.KeptFolders(kept)
+        folders.begin_test()
+        folder = _write_log(folders)
+        folders.end_test("test_scene", failed=True)
         (place,) = kept.iterdir()
-        assert place.name.startswith("scene-")
+        assert place.name.startswith("test_scene-")
         assert (place / "host.log").read_text() == "one line"
         assert not folder.exists()
 
 
-def test_folder_of_a_block_that_ends_well_is_removed() -> None:
+def test_folder_of_a_test_that_passes_is_removed() -> None:
     with tempfile.TemporaryDirectory() as name:
         kept = pathlib.Path(name) / "failed"
-        with kept_folders.open_folder("scene", kept) as folder:
-            (folder / "host.log").write_text("one line")
+        folders = kept_folders.KeptFolders(kept)
+        folders.begin_test()
+        folder = _write_log(folders)
+        assert folder.exists()
+        folders.end_test("test_scene", failed=False)
         assert not kept.exists()
         assert not folder.exists()
+
+
+def test_folder_outside_of_a_test_is_removed_at_once() -> None:
+    folder = _write_log(kept_folders.KeptFolders())
+    assert not folder.exists()
