Let a keeper answer for its former incarnation

Callers heard "unknown" of requests that had run, some beside the upstream's answer, where the keeper had taken a new incarnation: it refused questions about requests that the former one was handed, although process and table are the same.

A promise of "not run" stays safe: what was sent to the former incarnation arrives at the same process, whose table holds the fence.

test_new_incarnation_answers_for_the_former_one fails without the change (9 of 10 tests passed), and passes with it.

--- a/persimmonhinge/parts.py
+++ b/persimmonhinge/parts.py
@@ -86,6 +86,7 @@
         base.network,
         base.counts,
     )
+    membership.on_new_incarnation(keeper_part.note_incarnation)
     front = fronts.Front(settings, base.contracts, base.counts)
     feeds = _make_feeds(settings, base, front, chooser)
     home = _make_home(settings, base, front, chooser, feeds)
--- a/persimmonhinge/upstreams/keeper.py
+++ b/persimmonhinge/upstreams/keeper.py
@@ -13,6 +13,7 @@
 from persimmonhinge import ids
 from persimmonhinge.coap import transmission as transmissions
 from persimmonhinge.contracts import store as stores
+from persimmonhinge.membership import member as members
 from persimmonhinge.membership import placement as placements
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as host_counts
@@ -118,6 +119,17 @@
             nursery.start_soon(self._sweep, upstreams)
             task_status.started()
 
+    def note_incarnation(
+        self, former: members.Member, present: members.Member
+    ) -> None:
+        """Takes in that this host has become a new incarnation.
+
+        It is the same process with the same table, so it goes on to answer
+        for requests that were handed to the former one.
+        """
+        logger.info("Answers for its former incarnation %08x.", former.ref)
+        self._inheritance.complete(former.ref)
+
     async def leave(self) -> None:
         """Hands over what this host keeps and waits for what runs.
 
--- a/tests/test_upstreams/test_upstreams_recovery.py
+++ b/tests/test_upstreams/test_upstreams_recovery.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import aiocoap
 import trio
 
@@ -254,3 +256,22 @@
                 upstream.sockets[0], upstream.received[0]
             )
         assert results[0].outcome is Outcome.ANSWERED
+
+
+@trios.clock_test
+async def test_new_incarnation_answers_for_the_former_one() -> None:
+    """A buyer hears "unknown" of a lot because its keeper was paused."""
+    upstream = fake_upstream.FakeUpstream()
+    async with scene.open_scene(open_socket=upstream.open) as here:
+        make_scene_contract(here)
+        dispatch = scene.make_dispatch()
+        ran = await here.ask(dispatch)
+        former = here.view.self_member
+        present = dataclasses.replace(
+            former, incarnation=ids.Incarnation(former.incarnation + 1)
+        )
+        here.view.put(present)
+        here.keepers.note_incarnation(former, present)
+        question = scene.make_recover(dispatch, keeper=former.ref)
+        found = await here.ask(question)
+        assert (found.outcome, found.answer) == (ran.outcome, ran.answer)
