Forget a pause once the doubts that it caused would have been heard

A host that had been starved once took a new incarnation at any later doubt of its peers, however long ago the pause was. A new incarnation makes tickets that name the former one void, and callers fetch new ones.

Now a pause counts for three suspicion times after its end.

--- a/persimmonhinge/membership/parts.py
+++ b/persimmonhinge/membership/parts.py
@@ -25,6 +25,10 @@
 from persimmonhinge.peers import network
 from persimmonhinge.settings import entry as settings_entry
 
+# Peers give a host up within one suspicion time after its pause, and tell it
+# so in their next datagrams. A pause is remembered for so many of these times.
+_PAUSE_SUSPICIONS = 3
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Surroundings:
@@ -76,7 +80,9 @@
     peers = around.settings.peers
     randomness = around.randomness
     pauses = pause_watches.PauseWatch(
-        peers.heartbeat_interval_s, trio.current_time
+        peers.heartbeat_interval_s,
+        trio.current_time,
+        _PAUSE_SUSPICIONS * peers.suspicion_s,
     )
     roster = _make_roster(around, codec, pauses)
     channel = channels.Channel(datagrams, codec, roster, around.counts)
--- a/persimmonhinge/membership/pauses.py
+++ b/persimmonhinge/membership/pauses.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import logging
+import math
 
 logger = logging.getLogger(__name__)
 
@@ -14,24 +15,34 @@
     """Measures gaps between its checks, which are due at each heartbeat.
 
     A process that was stopped or starved does not notice it otherwise, and
-    takes what its peers have concluded meanwhile for an error of theirs.
+    takes what its peers have concluded meanwhile for an error of theirs. A
+    gap that lies back longer than they take to tell has had no consequences:
+    what they conclude later has another cause.
     """
 
-    def __init__(self, interval_s: float, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        interval_s: float,
+        now: Callable[[], float],
+        memory_s: float = math.inf,
+    ) -> None:
         """Begins to watch.
 
         Args:
             interval_s: Time between checks when all is well, seconds.
             now: Returns the monotonic time, seconds.
+            memory_s: How long a gap is remembered after its end, seconds.
         """
         self._limit_s = _PAUSE_INTERVALS * interval_s
         self._now = now
+        self._memory_s = memory_s
         self._last = now()
         self._longest_s = 0.0
+        self._ended_at = -math.inf
 
     @property
     def longest_s(self) -> float:
-        """The longest gap since the last `clear`, seconds."""
+        """The longest gap that is remembered, seconds; 0 for none."""
         return self._longest_s
 
     def check(self) -> None:
@@ -41,7 +52,10 @@
         self._last = now
         if gap_s > self._limit_s:
             self._longest_s = max(self._longest_s, gap_s)
+            self._ended_at = now
             logger.warning("This process did not run for %.1f s.", gap_s)
+        elif now - self._ended_at > self._memory_s:
+            self.clear()
 
     def clear(self) -> None:
         """Forgets the longest gap."""
--- a/tests/test_membership/test_membership_pauses.py
+++ b/tests/test_membership/test_membership_pauses.py
@@ -114,3 +114,14 @@
     assert longest == [0, 0, 6.5, 6.5]
     pauses.clear()
     assert pauses.longest_s == 0
+
+
+def test_pause_that_lies_back_is_forgotten() -> None:
+    """A host takes a new incarnation in a cut for a pause of long ago."""
+    times = iter([0.0, 5.0, 6.0, 7.0, 8.0])
+    pauses = pause_watches.PauseWatch(1.0, lambda: next(times), memory_s=2.0)
+    longest = []
+    for _ in range(4):
+        pauses.check()
+        longest.append(pauses.longest_s)
+    assert longest == [5.0, 5.0, 5.0, 0]
