Deliver the answer of one keeper without waiting for the others

A host that asks the keepers of a dead home's ticket waited for all of them before it told the caller, although the answer of one is final: while another keeper's link was silent, the caller waited until its deadline. The same stood in the question to the successors of a keeper that has left.

--- a/persimmonhinge/flows/recovery.py
+++ b/persimmonhinge/flows/recovery.py
@@ -120,10 +120,14 @@
     async def _ask_each(
         self, order: orders.Order, keepers: Sequence[ids.HostRef]
     ) -> Findings:
+        """Returns what keepers say; the first answer ends the questions."""
         found: Findings = {}
 
         async def ask(keeper: ids.HostRef) -> None:
-            found[keeper] = await self._find(order, keeper)
+            told = await self._find(order, keeper)
+            found[keeper] = told
+            if told is not None and told.outcome is Outcome.ANSWERED:
+                nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
             for keeper in keepers:
@@ -193,20 +197,19 @@
     async def _ask_successors(
         self, order: orders.Order, message: work.Recover
     ) -> work.Dispatched | None:
-        found: list[work.Dispatched] = []
+        known: work.Dispatched | None = None
 
         async def ask(host: ids.HostId) -> None:
+            nonlocal known
             result = await self._ask(host, message, order.deadline)
-            if result is not None:
-                found.append(result)
+            if result is not None and result.outcome is not Outcome.UNKNOWN:
+                known = known or result
+                nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
             for host in self._list_keepers(order.service):
                 nursery.start_soon(ask, host)
-        for result in found:
-            if result.outcome is not Outcome.UNKNOWN:
-                return result
-        return None
+        return known
 
     def _list_keepers(self, service: ids.ServiceName) -> set[ids.HostId]:
         entry = self._contracts.get(service)
--- a/tests/test_flows/test_flows_recovery.py
+++ b/tests/test_flows/test_flows_recovery.py
@@ -352,3 +352,45 @@
         reply = await world.ask(POST, "/reserve", echo=echo)
     assert reply.code is Code.GATEWAY_TIMEOUT
     assert trio.current_time() - began < 2
+
+
+async def _hang(message: base.Message) -> base.Message:
+    await trio.sleep_forever()
+    raise AssertionError
+
+
+@trios.clock_test
+async def test_answer_of_one_keeper_is_not_held_back_by_another() -> None:
+    """A buyer waits for a booked lot because an idle keeper is silent."""
+    echo = await _get_ticket()
+    world = home_fakes.HomeWorld(_SUCCESSOR)
+    answering, silent = home_fakes.KEEPERS
+    world.network.keep[answering] = _make_keeper(answering, Outcome.ANSWERED)
+    world.network.keep[silent] = _hang
+    began = trio.current_time()
+    async with world.running():
+        reply = await world.ask(POST, "/reserve", echo=echo)
+        assert reply.payload == b"kept"
+        assert trio.current_time() - began < 1
+
+
+@trios.clock_test
+async def test_answer_of_a_successor_is_not_held_back_by_another() -> None:
+    """A buyer waits for a booked lot because one of the successors hangs."""
+    echo = await _get_ticket()
+    world = home_fakes.HomeWorld(_SUCCESSOR)
+    left, answering = home_fakes.KEEPERS
+    world.view.remove(left)
+    world.view.put(home_fakes.make_member(_FAR))
+
+    async def answer_for_both(message: base.Message) -> base.Message:
+        return home_fakes.answered(b"handed over")
+
+    world.network.keep[answering] = answer_for_both
+    world.network.keep[_FAR] = _hang
+    world.network.keep[_SUCCESSOR] = _hang
+    began = trio.current_time()
+    async with world.running():
+        reply = await world.ask(POST, "/reserve", echo=echo)
+        assert reply.payload == b"handed over"
+        assert trio.current_time() - began < 1
