Let hosts that lost the store leave its return to the one that reached it

When the store returns, the first host of a failure domain that is answered tells the others. These went on for a second all the same: each read all entries and began a watch, and each asked once more whether it still was refused. On the users' platform each call is priced, and a store that has just come back serves them instead of the hosts that follow.

It is the fault of the stampede in the requests-aware path, looked for here: all who lost the store come back with all their calls.

Now a host whose call failed calls no more while another one has reached the store since, and only a host that is next to follow asks whether it is still refused. A host alone in its domain, or one that nobody tells, calls as before.

On a domain of 24 hosts whose store is down for ten seconds (mock clock): 24 readings of all entries after its return before, 1 to 3 now. The test fails on the former code.

--- a/persimmonhinge/forwarding/follower.py
+++ b/persimmonhinge/forwarding/follower.py
@@ -96,7 +96,13 @@
             self._following.reaches_store = False
 
     async def _wait_for_turn(self) -> None:
-        """Waits a moment; a host that was refused asks if it still is."""
+        """Waits a moment; a host that was refused asks if it still is.
+
+        Only where it is next to follow: any other would spend a call on what
+        it will find out once it is its turn.
+        """
+        if not self._following.is_next():
+            self._following.reaches_store = True
         if self._following.reaches_store:
             await trio.sleep(_CHECK_S)
             return
@@ -126,9 +132,23 @@
                 logger.warning("Reads all entries again: %s.", error)
                 await trio.sleep_until(self._read_at + self._gather_s)
             except errors.PlatformError as error:
+                failed_at = time.monotonic()
                 self._entries.record_failure(error)
                 self._following.reaches_store = False
                 await trio.sleep(self._next_retry() * random.uniform(0.5, 1.0))
+                await self._wait_while_told(failed_at)
+
+    async def _wait_while_told(self, failed_at: float) -> None:
+        """Waits while another host has reached the store since a failure.
+
+        Guards against calls of all hosts of a domain when the store returns:
+        the first that is answered tells the others, which go on following for
+        a moment.
+        """
+        if self._following.is_told_since(failed_at, time.monotonic()):
+            logger.info("Does not call the store: another host reached it.")
+        while self._following.is_told_since(failed_at, time.monotonic()):
+            await trio.sleep(_CHECK_S)
 
     async def _follow(self) -> None:
         self._read_at = trio.current_time()
--- a/persimmonhinge/forwarding/peers/following.py
+++ b/persimmonhinge/forwarding/peers/following.py
@@ -59,7 +59,11 @@
         confirmed_at = self._knowledge.confirmed_at or self._started_at
         if now - max(confirmed_at, self._started_at) > self._current_s:
             return True
-        if self.leaving or not self.reaches_store:
+        return self.reaches_store and self.is_next()
+
+    def is_next(self) -> bool:
+        """Tells whether this host is to follow if it reaches the store."""
+        if self.leaving:
             return False
         before = [
             rival
@@ -68,6 +72,18 @@
         ]
         return len(before) < self._count_needed()
 
+    def is_told_since(self, moment: float, now: float) -> bool:
+        """Tells whether another host follows, and reached the store since.
+
+        Args:
+            moment: When this host last failed to reach it.
+            now: The time.
+        """
+        confirmed_at = self._knowledge.confirmed_at
+        if confirmed_at is None or confirmed_at <= moment:
+            return False
+        return not self.is_due(now)
+
     def count_domain(self) -> int:
         """Returns how many hosts of this domain it knows of, itself too."""
         heard = self._book.heard()
--- a/tests/test_forwarding/test_forwarding_follower.py
+++ b/tests/test_forwarding/test_forwarding_follower.py
@@ -4,6 +4,8 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import types
+from unittest import mock
 
 import trio
 
@@ -81,6 +83,14 @@
         """Returns true."""
         return True
 
+    def is_next(self) -> bool:
+        """Returns true."""
+        return True
+
+    def is_told_since(self, moment: float, now: float) -> bool:
+        """Returns false: no other host follows."""
+        return False
+
     def count_domain(self) -> int:
         """Returns the hosts of its domain."""
         return self._hosts
@@ -231,3 +241,82 @@
     with trio.move_on_after(_BEGIN_S + 4 * _WATCH_S):
         await following.run()
     assert told.count(0) >= 3
+
+
+_RETURNS_AT_S = 10.0
+_CURRENT_S = 2.2
+_DOMAIN = 24
+
+
+class ReturningStore(EmptyStore):
+    """A store that is down for a while, and then answers.
+
+    Attributes:
+        answered_at: When it last answered; its answer is told to all.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answered_at = 0.0
+
+    async def get_prefix(self, prefix: str, limit: int = 0) -> port.PrefixState:
+        """Fails, or returns nothing."""
+        await trio.sleep(_ANSWER_S)
+        if trio.current_time() < _RETURNS_AT_S:
+            raise errors.PlatformUnavailableError(
+                "down", step="get", peer="store"
+            )
+        self.reads += 1
+        self.answered_at = trio.current_time()
+        return port.PrefixState(1, ())
+
+    @contextlib.asynccontextmanager
+    async def watch(
+        self, prefix: str, start_revision: int
+    ) -> AsyncIterator[AsyncIterator[tuple[port.WatchEvent, ...]]]:
+        """Says again and again that nothing changes."""
+        yield self._answer()
+
+    async def _answer(self) -> AsyncIterator[tuple[port.WatchEvent, ...]]:
+        while True:
+            await trio.sleep(_WATCH_S)
+            self.answered_at = trio.current_time()
+            yield ()
+
+
+class ToldWhenAnswered(AlwaysDue):
+    """Says whose turn it is in a domain that is told of each answer."""
+
+    def __init__(self, store: ReturningStore, number: int) -> None:
+        super().__init__(_DOMAIN)
+        self._store = store
+        self._is_first = number == 0
+
+    def is_due(self, now: float) -> bool:
+        """Returns true for the first host, and where nobody was answered."""
+        return self._is_first or now - self._store.answered_at > _CURRENT_S
+
+    def is_next(self) -> bool:
+        """Returns true for the first host."""
+        return self._is_first
+
+    def is_told_since(self, moment: float, now: float) -> bool:
+        """Returns true if the store has answered and another one follows."""
+        return self._store.answered_at > moment and not self.is_due(now)
+
+
+@trios.clock_test
+async def test_store_that_returns_is_not_read_by_all_hosts_of_a_domain() -> (
+    None
+):
+    """Guards against a store that goes down again as it returns."""
+    store = ReturningStore()
+    clock = types.SimpleNamespace(monotonic=trio.current_time)
+    with mock.patch.object(follower, "time", clock):
+        with trio.move_on_after(_RETURNS_AT_S + 5.0):
+            async with trio.open_nursery() as nursery:
+                for number in range(_DOMAIN):
+                    following = ToldWhenAnswered(store, number)
+                    part = make_follower_of(store, make_entries(), following)
+                    nursery.start_soon(part.run)
+    assert 0 < store.reads <= 3, store.reads
