Ask keepers on until all hosts are back after a cut

A home that was cut off from all hosts gave up a keeper just as the cut healed: it heard one host of another domain first, so it no longer took itself for cut off, and the keeper still counted as dead for some tenths of a second. Callers heard "unknown" beside the upstream's answer.

Whoever seemed to be beyond a cut is now asked for three more seconds. What is believed of a keeper moves to a module of its own. The new test fails without that time.

--- /dev/null
+++ b/persimmonhinge/flows/presence.py
@@ -0,0 +1,62 @@
+"""Whether a keeper that does not answer may come back."""
+
+from __future__ import annotations
+
+import enum
+
+from persimmonhinge import ids
+from persimmonhinge.membership import view as views
+
+
+class Presence(enum.Enum):
+    """What is believed of a keeper without an answer.
+
+    LIVES: It counts as alive; its link may come up.
+    BEYOND_CUT: It counts as dead, but a cut would look the same.
+    GONE: It is dead, or so paused that it comes back as another incarnation.
+    """
+
+    LIVES = "lives"
+    BEYOND_CUT = "beyond-cut"
+    GONE = "gone"
+
+
+class PresenceJudge:
+    """Tells dead keepers from those beyond a cut, by the view of this host.
+
+    A cut takes a whole failure domain away, or this host. Where others of its
+    domain answer, a keeper that is believed dead is dead; one that is not even
+    known is gone, too.
+    """
+
+    def __init__(self, view: views.View) -> None:
+        self._view = view
+
+    def judge(self, keeper: ids.HostRef) -> Presence:
+        """Returns what is believed of a keeper."""
+        for member in self._view.all():
+            if member.ref != keeper:
+                continue
+            if member.answers:
+                return Presence.LIVES
+            if self._is_dark(member.domain) or self._is_isolated():
+                return Presence.BEYOND_CUT
+        return Presence.GONE
+
+    def _is_dark(self, domain: ids.DomainId) -> bool:
+        return not any(
+            member.domain == domain and member.answers
+            for member in self._view.all()
+        )
+
+    def _is_isolated(self) -> bool:
+        """Tells whether this host itself is cut off from all domains.
+
+        Failure domains don't die together, so silence of all of them means
+        that this host can't hear them.
+        """
+        mine = self._view.self_member
+        others = [m for m in self._view.all() if m.host != mine.host]
+        if any(member.answers for member in others):
+            return False
+        return any(member.domain != mine.domain for member in others)
--- a/persimmonhinge/flows/recovery.py
+++ b/persimmonhinge/flows/recovery.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 import logging
+import math
 
 import trio
 
@@ -11,6 +12,7 @@
 from persimmonhinge import ids
 from persimmonhinge.contracts import store as stores
 from persimmonhinge.flows import order as orders
+from persimmonhinge.flows import presence as presences
 from persimmonhinge.membership import placement as placements
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as host_counts
@@ -26,8 +28,12 @@
 _PAUSE_S = 0.2
 # Between rounds of questions while a keeper can't be reached.
 _ROUND_PAUSE_S = 0.5
+# Hosts that took each other for dead in a cut have all refuted it in this time
+# after it healed.
+_REJOIN_S = 3.0
 
 Outcome = work.Outcome
+Presence = presences.Presence
 # What each keeper of a ticket says; None without an answer.
 Findings = dict[ids.HostRef, work.Dispatched | None]
 
@@ -53,6 +59,7 @@
         counts: host_counts.Counts,
     ) -> None:
         self._view = view
+        self._presence = presences.PresenceJudge(view)
         self._placement = placement
         self._contracts = contract_store
         self._network = network
@@ -82,10 +89,18 @@
     ) -> Findings:
         """Asks keepers until another round could change nothing."""
         rounds = 1
+        cut_seen_at = -math.inf
         while True:
             found = await self._ask_each(order, keepers)
-            again_at = trio.current_time() + _ROUND_PAUSE_S
-            may_change = self._may_become_known(found)
+            now = trio.current_time()
+            silent = self._judge_silent(found)
+            if Presence.BEYOND_CUT in silent:
+                cut_seen_at = now
+            healed = now < cut_seen_at + _REJOIN_S
+            may_change = bool(silent) and (
+                Presence.GONE not in silent or healed
+            )
+            again_at = now + _ROUND_PAUSE_S
             if not may_change or again_at >= order.deadline:
                 break
             rounds += 1
@@ -134,48 +149,20 @@
                 nursery.start_soon(ask, keeper)
         return found
 
-    def _may_become_known(self, found: Findings) -> bool:
-        """Tells whether another round may change the conclusion."""
-        told = [dispatched for dispatched in found.values() if dispatched]
-        if any(d.outcome is not Outcome.NOT_RUN for d in told):
-            return False
-        silent = [keeper for keeper, told in found.items() if told is None]
-        return bool(silent) and all(map(self._may_return, silent))
-
-    def _may_return(self, keeper: ids.HostRef) -> bool:
-        """Tells whether a keeper without an answer may be beyond a cut.
-
-        A cut takes a whole domain away, or this host. Where others of its
-        domain answer, a keeper that is believed dead is dead, or so paused
-        that it comes back as another incarnation; one that is not even known
-        is gone too.
-        """
-        for member in self._view.all():
-            if member.ref == keeper:
-                return (
-                    member.answers
-                    or self._is_dark(member.domain)
-                    or self._is_isolated()
-                )
-        return False
-
-    def _is_dark(self, domain: ids.DomainId) -> bool:
-        return not any(
-            member.domain == domain and member.answers
-            for member in self._view.all()
-        )
-
-    def _is_isolated(self) -> bool:
-        """Tells whether this host itself is cut off from all domains.
+    def _judge_silent(self, found: Findings) -> set[presences.Presence]:
+        """Returns what is believed of silent keepers that could still tell.
 
-        Failure domains don't die together, so silence of all of them means
-        that this host can't hear them.
+        Returns:
+            An empty set if another round can't change the conclusion.
         """
-        mine = self._view.self_member
-        others = [m for m in self._view.all() if m.host != mine.host]
-        if any(member.answers for member in others):
-            return False
-        return any(member.domain != mine.domain for member in others)
+        told = [dispatched for dispatched in found.values() if dispatched]
+        if any(d.outcome is not Outcome.NOT_RUN for d in told):
+            return set()
+        return {
+            self._presence.judge(keeper)
+            for keeper, told in found.items()
+            if told is None
+        }
 
     async def _find(
         self, order: orders.Order, keeper: ids.HostRef
--- a/tests/test_flows/test_flows_recovery.py
+++ b/tests/test_flows/test_flows_recovery.py
@@ -336,6 +336,37 @@
     return [message for message in sent if message.code is not Code.EMPTY]
 
 
+@trios.clock_test
+async def test_home_waits_for_the_keeper_until_all_are_back_after_a_cut() -> (
+    None
+):
+    """A buyer hears "unknown" of a lot just as the cut of its home heals."""
+    world = home_fakes.HomeWorld()
+    async with world.running():
+        echo = await world.get_ticket()
+        message = home_fakes.make_request(
+            POST, "/reserve", echo=echo, mtype=types.CON
+        )
+        before = len(world.answers.sent)
+
+        async def lose_link(message: base.Message) -> base.Message:
+            _show_all(world, State.DEAD, None)
+            raise errors.PeerLinkLostError("cut", step="call")
+
+        world.keep_all(lose_link)
+        world.home.handle(home_fakes.FLOW, message)
+        await trio.sleep(2)
+        # Another domain is heard first.
+        far = home_fakes.make_member(_FAR)
+        world.view.put(dataclasses.replace(far, domain=ids.DomainId("south")))
+        await trio.sleep(1)
+        assert _list_replies(world, before) == []
+        _show_all(world, State.ALIVE, Outcome.ANSWERED)
+        await trio.sleep(1)
+        (reply,) = _list_replies(world, before)
+    assert reply.payload == b"kept"
+
+
 @trios.clock_test
 async def test_home_does_not_wait_for_a_keeper_that_died() -> None:
     """A buyer waits ten seconds to be told that an outcome is unknown."""
