Repeat no answer whose token its caller has used again

A buyer who books a second lot under the same token read the answer to the first: a late copy of the first request made the home send its answer again, and an answer whose confirmation was lost was repeated for up to 45 s.

A late retry of the earlier request ends nothing, so the answer to the newer one goes on being repeated.

--- a/persimmonhinge/flows/exchange.py
+++ b/persimmonhinge/flows/exchange.py
@@ -27,6 +27,7 @@
         begun: When its first copy came, on trio's clock.
         acknowledged: Whether an empty ACK was sent.
         reply: The answer as it was sent; None before.
+        is_received: Whether the caller has shown that it has the answer.
         scope: Cancels the work; None if nothing runs.
         shape: What the request says about the form of its answer.
     """
@@ -39,6 +40,7 @@
     begun: float
     acknowledged: bool = False
     reply: codec.Message | None = None
+    is_received: bool = False
     scope: trio.CancelScope | None = None
     shape: shapes.Shape = shapes.PLAIN
 
--- a/persimmonhinge/flows/exchanges.py
+++ b/persimmonhinge/flows/exchanges.py
@@ -15,6 +15,7 @@
 from persimmonhinge.flows import digests
 from persimmonhinge.flows import exchange as exchanges
 from persimmonhinge.flows import port
+from persimmonhinge.flows import token_uses
 from persimmonhinge.metrics import counts as host_counts
 
 logger = logging.getLogger(__name__)
@@ -48,6 +49,7 @@
         self._unacknowledged: collections.deque[exchanges.Exchange] = (
             collections.deque()
         )
+        self._token_uses = token_uses.TokenUses()
         self._wakeup = trio.Event()
         self._unconfirmed: dict[exchanges.ExchangeKey, trio.Event] = {}
 
@@ -82,8 +84,22 @@
         self._known[exchange.key] = exchange
         self._order.append(exchange)
         self._forget_oldest()
+        answered = self._token_uses.begin(exchange)
+        if answered is not None:
+            self._end_repetition(answered)
         return exchange
 
+    def _end_repetition(self, exchange: exchanges.Exchange) -> None:
+        """Sends an answer no more whose token its caller has used again.
+
+        Guards against a caller who takes the copy of an answer, which comes
+        late, for the answer to its next request.
+        """
+        exchange.is_received = True
+        self._counts.add("home_tokens_reused_total")
+        if exchange.reply is not None and exchange.is_separate:
+            self.acknowledge(exchange.flow, exchange.reply.mid)
+
     def await_answer(self, exchange: exchanges.Exchange) -> None:
         """Sees to an empty ACK if the answer takes its time."""
         if exchange.confirmable:
@@ -109,6 +125,7 @@
         """Forgets a request without an answer: a copy of it is a new one."""
         exchange.acknowledged = True
         exchange.scope = None
+        self._token_uses.forget(exchange)
         if self._known.get(exchange.key) is exchange:
             del self._known[exchange.key]
 
@@ -189,6 +206,8 @@
         send_empty(self._answers, exchange.flow, types.ACK, exchange.message_id)
 
     def _repeat(self, exchange: exchanges.Exchange) -> None:
+        if exchange.is_received:
+            return
         if exchange.reply is None:
             if exchange.confirmable and exchange.acknowledged:
                 self._send_empty_ack(exchange)
@@ -218,6 +237,7 @@
             # Still running: a copy must not start it a second time.
             self._order.append(exchange)
             return
+        self._token_uses.forget(exchange)
         if self._known.get(exchange.key) is exchange:
             del self._known[exchange.key]
 
--- a/tests/test_flows/test_flows_requests_ends.py
+++ b/tests/test_flows/test_flows_requests_ends.py
@@ -9,6 +9,7 @@
 from persimmonhinge.coap import codec
 from persimmonhinge.flows import replies
 from persimmonhinge.peers.messages import base
+from persimmonhinge.peers.messages import work
 from tests.support import trios
 from tests.test_flows import home_fakes
 
@@ -66,3 +67,86 @@
     message = replies.reject(Code.EMPTY)
     message.mtype, message.mid, message.token = types.RST, mid, b""
     world.home.handle(home_fakes.FLOW, codec.decode(codec.encode(message)))
+
+
+def _list_payloads(world: home_fakes.HomeWorld, before: int) -> list[bytes]:
+    return [message.payload for _, message in world.answers.sent[before:]]
+
+
+@trios.clock_test
+async def test_late_copy_is_not_answered_once_its_token_is_used_again() -> None:
+    """A buyer who books a second lot reads the answer to the first."""
+    world = home_fakes.HomeWorld()
+    world.keep_all(_answer_body)
+    async with world.running():
+        echo = await world.get_ticket()
+        for mid, lot in ((1, b"lot 1"), (2, b"lot 2")):
+            home_fakes.post(world, echo, b"a", mid, lot)
+            await trio.sleep(0.1)
+        before = len(world.answers.sent)
+        home_fakes.post(world, echo, b"a", 1, b"lot 1")
+        await trio.sleep(0.1)
+        assert _list_payloads(world, before) == []
+        home_fakes.post(world, echo, b"a", 2, b"lot 2")
+        await trio.sleep(0.1)
+        assert _list_payloads(world, before) == [b"lot 2"]
+
+
+@trios.clock_test
+async def test_answer_is_not_repeated_once_its_token_is_used_again() -> None:
+    """A buyer reads an answer whose confirmation was lost once more."""
+    world = home_fakes.HomeWorld()
+
+    async def answer_late(message: base.Message) -> base.Message:
+        await trio.sleep(2)
+        return await _answer_body(message)
+
+    world.keep_all(answer_late)
+    async with world.running():
+        echo = await world.get_ticket()
+        _post_confirmable(world, echo, 1, b"lot 1")
+        await trio.sleep(2.5)
+        before = len(world.answers.sent)
+        _post_confirmable(world, echo, 2, b"lot 2")
+        await trio.sleep(30)
+        later = _list_payloads(world, before)
+        assert b"lot 1" not in later
+        # The second answer is repeated until it is confirmed.
+        assert later.count(b"lot 2") > 1
+
+
+@trios.clock_test
+async def test_late_retry_does_not_end_the_answer_to_the_next_request() -> None:
+    """A buyer hears nothing of its second lot for a late copy of the first."""
+    world = home_fakes.HomeWorld()
+    world.keep_all(_answer_body)
+    async with world.running():
+        echo = await world.get_ticket()
+        for mid, lot in ((1, b"lot 1"), (2, b"lot 2"), (3, b"lot 1")):
+            home_fakes.post(world, echo, b"a", mid, lot)
+            await trio.sleep(0.1)
+        before = len(world.answers.sent)
+        home_fakes.post(world, echo, b"a", 2, b"lot 2")
+        await trio.sleep(0.1)
+        assert _list_payloads(world, before) == [b"lot 2"]
+
+
+async def _answer_body(message: base.Message) -> base.Message:
+    """Answers a request with its own body."""
+    assert isinstance(message, work.Dispatch)
+    return home_fakes.answered(codec.decode(message.request).payload)
+
+
+def _post_confirmable(
+    world: home_fakes.HomeWorld, echo: bytes, mid: int, lot: bytes
+) -> None:
+    message = home_fakes.make_request(
+        POST,
+        "/reserve",
+        token=b"a",
+        mid=mid,
+        mtype=types.CON,
+        payload=lot,
+        echo=echo,
+    )
+    world.home.handle(home_fakes.FLOW, message)
--- a/tests/test_integration/test_integration_answers_crossed.py
+++ b/tests/test_integration/test_integration_answers_crossed.py
@@ -4,10 +4,13 @@
 
 import json
 
+import trio
+
 from persimmonhinge.contracts import contract as contracts
 from tests.standins import answer_checks
 from tests.standins import faults_rules as rules
 from tests.standins import once_scene
+from tests.standins import raw_request
 from tests.support import trios
 
 _SERVICE = once_scene.SERVICE
@@ -15,6 +18,8 @@
 _ROUNDS = 3
 _OCTETS = 6000
 _REUSES = 12
+# By then what waited at a host that was paused has come, seconds.
+_LATE_S = 2.0
 
 
 @trios.trio_test
@@ -70,6 +75,30 @@
         }
 
 
+@trios.trio_test
+async def test_token_used_again_while_a_copy_is_late() -> None:
+    """A buyer who books a second lot reads the answer to the first."""
+    async with once_scene.run_scene(once_scene.make_plan()) as scene:
+        late = await scene.find_spare()
+        home = next(n for n in scene.deployment.names() if n != late)
+        (caller,) = await scene.open_callers(1, home)
+        first = caller.make_request("lot-0", token=b"\x01")
+        scene.deployment.pause_host(late)
+        await caller.send(first.octets, scene.address(late))
+        assert await caller.repeat_until(first, [scene.address(home)])
+        second = caller.make_request("lot-1", token=b"\x01")
+        assert await caller.repeat_until(second, [scene.address(home)])
+        scene.deployment.resume_host(late)
+        await trio.sleep(_LATE_S)
+        assert _read_keys(first) == {"lot-0"}
+        assert _read_keys(second) == {"lot-1"}
+        assert scene.count_runs() == {"lot-0": 1, "lot-1": 1}
+
+
+def _read_keys(request: raw_request.RawRequest) -> set[str]:
+    return {json.loads(answer.payload)["key"] for answer in request.answers}
+
+
 async def _put_proxy_before_upstreams(scene: once_scene.OnceScene) -> None:
     """Makes keepers reach the upstreams through the faulty proxy."""
     deployment = scene.deployment
