Let the raw caller of the tests match answers by message id

It filed answers by token alone, more loosely than RFC 7252: an answer on an ACK belongs to the request with its message id (5.3.2), and a message that comes twice counts once (4.5). So a late copy of an answer counted as the answer to the next request under the token.

As strict as before: each answer is filed with the request that it names, and judged there.

--- a/tests/standins/raw_caller.py
+++ b/tests/standins/raw_caller.py
@@ -30,7 +30,10 @@
 
     All hosts see the same address of it, as behind the fabric. It confirms
     what it gets, keeps every answer, and never changes a request: copies
-    have the same message id, token, ticket and body.
+    have the same message id, token, ticket and body. It matches answers as
+    RFC 7252 asks: one that rides on an ACK belongs to the request with its
+    message id (section 5.3.2), and a message that comes twice counts once
+    (section 4.5).
 
     Attributes:
         address: Its address, as hosts see it.
@@ -47,7 +50,8 @@
         self._socket = socket
         self._random = source
         self._message_id = source.getrandbits(16)
-        self._by_token: dict[bytes, requests.RawRequest] = {}
+        self._by_token: dict[bytes, list[requests.RawRequest]] = {}
+        self._separate: set[tuple[Address, int]] = set()
 
     async def run(self) -> None:
         """Takes answers until cancelled."""
@@ -59,9 +63,10 @@
                 continue
             if message.mtype is aiocoap.CON:
                 await self._confirm(message, host)
-            request = self._by_token.get(message.token)
-            if request is not None and message.code is not aiocoap.EMPTY:
-                request.answers.append(message)
+            if message.code is not aiocoap.EMPTY:
+                request = self._match(message, host)
+                if request is not None:
+                    request.answers.append(message)
 
     async def send(self, data: bytes, *hosts: Address) -> None:
         """Sends the same octets to hosts."""
@@ -148,9 +153,24 @@
         message.mid = self._message_id
         message.token = token or self._random.randbytes(_TOKEN_OCTETS)
         request = requests.RawRequest(key, codec.encode(message))
-        self._by_token[message.token] = request
+        self._by_token.setdefault(message.token, []).append(request)
         return request
 
+    def _match(
+        self, message: codec.Message, host: Address
+    ) -> requests.RawRequest | None:
+        """Returns the request that an answer is for; None for no more."""
+        under_token = self._by_token.get(message.token, [])
+        if message.mtype is aiocoap.ACK:
+            for request in under_token:
+                if message.mid in request.message_ids:
+                    return request
+            return None
+        if (host, message.mid) in self._separate:
+            return None
+        self._separate.add((host, message.mid))
+        return under_token[-1] if under_token else None
+
     async def _wait_more(self, request: requests.RawRequest) -> None:
         before = len(request.answers)
         with trio.move_on_after(_REPEAT_S):
--- a/tests/standins/raw_request.py
+++ b/tests/standins/raw_request.py
@@ -21,11 +21,16 @@
         key: Its key in the upstreams' logs.
         octets: The datagram.
         answers: Every answer, from whichever host, in order.
+        message_ids: Those of its copies.
     """
 
     key: str
     octets: bytes
     answers: list[codec.Message] = dataclasses.field(default_factory=list)
+    message_ids: set[int] = dataclasses.field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.message_ids.add(_read_message_id(self.octets))
 
     @property
     def outcomes(self) -> list[Outcome]:
@@ -49,7 +54,9 @@
 
     def change_message_id(self, source: random.Random) -> bytes:
         """Returns the datagram with another message id, as a retry has."""
-        return self.octets[:2] + source.randbytes(2) + self.octets[4:]
+        data = self.octets[:2] + source.randbytes(2) + self.octets[4:]
+        self.message_ids.add(_read_message_id(data))
+        return data
 
     def describe(self) -> list[str]:
         """Returns the answers for people."""
@@ -59,6 +66,10 @@
         ]
 
 
+def _read_message_id(data: bytes) -> int:
+    return int.from_bytes(data[2:4], "big")
+
+
 def read_outcome(answer: codec.Message) -> Outcome:
     """Returns what an answer says; 4.01 says that nothing ran."""
     if answer.code is aiocoap.UNAUTHORIZED:
