Read all that hosts follow in one call when the platform returns

When the platform comes back, each host that watches read four prefixes: 24 calls of six hosts at once, and more where a watch ended while the machine was busy. The store serves these before anything else, and each call is priced.

Evidence: in 5 of 10 runs of test_return_of_the_platform_meets_no_stampede at a load average of 17 to 30 it failed, with 27 to 38 calls that read where 30 are allowed, or 11 to 17 that watch where 12 are; once for failures before the outage. The stand-in of the store now logs each call, and hosts log when they begin to watch and read: 24 of the reads are those four prefixes of six hosts.

Going on from the last change instead of reading was tried and reverted: a store that was restored from an older copy and went on shows nothing of it then (test_copy_that_went_on_does_not_take_contracts_away).

All parts but the audit trail lie behind one key, so one range from there gives them, at one revision. The new test fails on the former code.

--- a/persimmonhinge/contracts/control.py
+++ b/persimmonhinge/contracts/control.py
@@ -114,10 +114,12 @@
         await self._wait_for_first_exchange()
         while True:
             await self._wait_for_role(wanted=True, settle_s=_GAIN_S)
+            logger.info("Begins to watch the platform for its domain.")
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._watcher.run)
                 await self._wait_for_role(wanted=False, settle_s=_LOSS_S)
                 nursery.cancel_scope.cancel()
+            logger.info("Watches the platform no more; others do.")
 
     async def _wait_for_first_exchange(self) -> None:
         """Gives peers a little time to tell what they know.
--- a/persimmonhinge/contracts/watcher.py
+++ b/persimmonhinge/contracts/watcher.py
@@ -139,37 +139,35 @@
         self._failed = False
 
     async def _read(self) -> int:
-        """Takes in all records as they stand.
+        """Takes in all records as they stand, by one call.
+
+        All hosts that watch read at one time when the platform returns.
 
         Returns:
             Revision from which on the watch is to begin.
         """
+        logger.info("Reads all records of the platform.")
         known = history.name_all(self._records.all())
         floor = max(self.revision, self._records.highest_revision())
-        values: list[port.KeyValue] = []
-        revisions: list[int] = []
-        for part in _PARTS:
-            state = await self._get_prefix(self._settings.prefix + part)
-            history.check_revision(state.revision, floor)
-            revisions.append(state.revision)
-            values += state.values
+        prefix = self._settings.prefix
+        state = await self._get_prefix(prefix, after=prefix + keys.AFTER_AUDIT)
+        history.check_revision(state.revision, floor)
         self._session = {}
-        found = self._take_values(values)
-        self.revision = min(revisions)
+        found = self._take_values(_select(state, prefix, _PARTS))
+        self.revision = state.revision
         start = self.history.compare(
             known, self._confirmed, found, self.revision
         )
         await self._create_ring(found)
-        listed = await self._get_prefix(self._settings.prefix + keys.HOSTS)
-        self._host_list.replace(listed.values)
+        self._host_list.replace(_select(state, prefix, (keys.HOSTS,)))
         self._set_ready()
         return start
 
     async def _get_prefix(
-        self, prefix: str, limit: int = 0
+        self, prefix: str, limit: int = 0, after: str = ""
     ) -> port.PrefixState:
         self._count("get-prefix")
-        return await self._platform.get_prefix(prefix, limit)
+        return await self._platform.get_prefix(prefix, limit, after)
 
     async def _create_ring(
         self, found: dict[str, record_sets.Record | None]
@@ -265,3 +263,11 @@
 
     def _count(self, kind: str) -> None:
         self._counts.add("control_platform_calls_total", kind=kind)
+
+
+def _select(
+    state: port.PrefixState, prefix: str, parts: tuple[str, ...]
+) -> list[port.KeyValue]:
+    """Returns the keys below some parts of a deployment."""
+    beginnings = tuple(prefix + part for part in parts)
+    return [v for v in state.values if v.key.startswith(beginnings)]
--- a/persimmonhinge/platform/store_reader.py
+++ b/persimmonhinge/platform/store_reader.py
@@ -72,8 +72,10 @@
             return None
         return decode_answer(response.body, answers.read_item, target)
 
-    async def get_prefix(self, prefix: str, limit: int = 0) -> port.PrefixState:
-        """See `port.PlatformReader`.
+    async def get_prefix(
+        self, prefix: str, limit: int = 0, after: str = ""
+    ) -> port.PrefixState:
+        """See `port.Platform`.
 
         The pages of a long prefix are no snapshot: the revision is that of
         the first page, so that a watch from there on misses no change.
@@ -81,6 +83,8 @@
         values: list[port.KeyValue] = []
         revision = 0
         parameters = {"Prefix": prefix}
+        if after:
+            parameters["after"] = after
         while True:
             target = _make_target("/kv-range", **parameters)
             response = await self._call("GET", target, b"", {OK})
--- a/persimmonhinge/store/keys.py
+++ b/persimmonhinge/store/keys.py
@@ -6,6 +6,8 @@
 
 CONTRACTS = "contracts/"
 AUDIT = "audit/"
+# Behind all keys of the audit trail, before all that hosts follow.
+AFTER_AUDIT = "audit0"
 # Written with every change that operators make; see `contracts.audit_trail`.
 AUDIT_HEAD = "audit-head"
 TICKET_KEYS = "keys/tickets"
--- a/persimmonhinge/store/port.py
+++ b/persimmonhinge/store/port.py
@@ -124,6 +124,17 @@
     A write that raises PlatformUnavailableError may have taken effect.
     """
 
+    async def get_prefix(
+        self, prefix: str, limit: int = 0, after: str = ""
+    ) -> PrefixState:
+        """Returns keys of a prefix at one revision.
+
+        Args:
+            prefix: Beginning of the keys.
+            limit: How many keys at most; 0 for all.
+            after: The keys begin behind this one; empty for all.
+        """
+
     async def write_if(
         self, compares: tuple[Compare, ...], writes: tuple[Write, ...]
     ) -> int | None:
--- a/tests/standins/platform_memory.py
+++ b/tests/standins/platform_memory.py
@@ -60,12 +60,15 @@
         await self._wait(next(self._read_faults, CallFault.NONE))
         return values[0] if values else None
 
-    async def get_prefix(self, prefix: str, limit: int = 0) -> port.PrefixState:
+    async def get_prefix(
+        self, prefix: str, limit: int = 0, after: str = ""
+    ) -> port.PrefixState:
         """See `port.Platform`."""
         octets = prefix.encode()
         values = self._select(octets, octets + b"\xff")
         revision = self.store.revision
         await self._wait(next(self._read_faults, CallFault.NONE))
+        values = [value for value in values if value.key > after]
         return port.PrefixState(revision, tuple(values))
 
     async def write_if(
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import datetime
 import json
 from typing import Any
 import urllib.parse
@@ -57,6 +58,7 @@
             await exchange.send_answer(200, self._command(exchange))
             return
         self._gateway.count(exchange.path)
+        _log_call(exchange, "down" if self._faults.down else "up")
         if self._faults.down:
             raise ConnectionDropped
         if self._faults.delay_s:
@@ -186,6 +188,14 @@
             self._gateway.leases.expire()
 
 
+def _log_call(exchange: Exchange, state: str) -> None:
+    """Writes who called what and when, for tests that count calls."""
+    now = datetime.datetime.now(datetime.UTC).time().isoformat("milliseconds")
+    peer = exchange.stream.socket.getpeername()[1]
+    query = urllib.parse.urlencode(exchange.query, safe="/")
+    print(now, state, peer, exchange.method, exchange.path, query, flush=True)
+
+
 async def _wait_store(
     store: platform_store.Store, version: int, nursery: trio.Nursery
 ) -> None:
--- a/tests/test_contracts/fake_platform.py
+++ b/tests/test_contracts/fake_platform.py
@@ -96,12 +96,16 @@
         await self._begin("get")
         return self._platform.values.get(key)
 
-    async def get_prefix(self, prefix: str, limit: int = 0) -> port.PrefixState:
+    async def get_prefix(
+        self, prefix: str, limit: int = 0, after: str = ""
+    ) -> port.PrefixState:
         """See `port.Platform`."""
         await self._begin("get-prefix")
         values = self._platform.values
         found = [
-            values[key] for key in sorted(values) if key.startswith(prefix)
+            values[key]
+            for key in sorted(values)
+            if key.startswith(prefix) and key > after
         ]
         return port.PrefixState(
             self._platform.revision, tuple(found[: limit or None])
--- a/tests/test_contracts/test_contracts_watcher.py
+++ b/tests/test_contracts/test_contracts_watcher.py
@@ -96,6 +96,21 @@
         assert fleet.knows("floor", revision)
 
 
+@trios.clock_test
+async def test_watchers_read_all_in_one_call_when_the_platform_returns() -> (
+    None
+):
+    """Guards against a platform that returns and goes down under reads."""
+    async with fleets.run_fleet(12) as fleet:
+        fleet.apply("floor")
+        fleet.platform.down = True
+        await trio.sleep(20)
+        fleet.platform.down = False
+        before = fleet.platform.calls["get-prefix"]
+        await trio.sleep(5)
+        assert fleet.platform.calls["get-prefix"] - before == 6
+
+
 @trios.clock_test
 async def test_contract_accepted_at_the_end_of_an_outage_comes_in_force() -> (
     None
