Let the second watcher of a domain begin only after five seconds

Hosts that are late are taken for dead for a moment, others begin to watch the platform in their place after 0.5 s and go on for three seconds after the first are back. So more than two hosts of a domain call the platform while it is down and read everything when it returns.

A domain whose first watcher answers has one that follows; the second is wanted only in case that one fails, and waits longer. The first one takes over after 0.5 s, as before.

The new test shows the first watchers as dead for two seconds, three times, in an outage: with 0.5 s for both, others call, too; now it is the six alone.

--- a/persimmonhinge/contracts/control.py
+++ b/persimmonhinge/contracts/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import logging
 import random
 
@@ -30,8 +31,10 @@
 
 # A host that starts waits so long for a peer before it turns to the platform.
 _FIRST_EXCHANGE_S = 2.0
-# A role of watcher that comes or goes counts after it has held for so long.
+# A role of watcher that comes or goes counts after it has held for so long,
+# seconds. The second watcher of a domain is one in reserve.
 _GAIN_S = 0.5
+_SECOND_GAIN_S = 5.0
 _LOSS_S = 3.0
 
 
@@ -113,11 +116,11 @@
     async def _run_watcher(self) -> None:
         await self._wait_for_first_exchange()
         while True:
-            await self._wait_for_role(wanted=True, settle_s=_GAIN_S)
+            await self._wait_for_watch()
             logger.info("Begins to watch the platform for its domain.")
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._watcher.run)
-                await self._wait_for_role(wanted=False, settle_s=_LOSS_S)
+                await self._wait_for_relief()
                 nursery.cancel_scope.cancel()
             logger.info("Watches the platform no more; others do.")
 
@@ -133,24 +136,44 @@
         with trio.move_on_after(_FIRST_EXCHANGE_S):
             await self._spread.wait_exchanged()
 
-    async def _wait_for_role(self, *, wanted: bool, settle_s: float) -> None:
-        """Waits until this host has held or lost the watch for some time.
+    async def _wait_for_watch(self) -> None:
+        """Waits until this host has been one that watches for some time.
+
+        Guards against hosts that take over in an outage from one that was
+        late and is taken for dead: while another one watches, a second is
+        wanted only in case that one fails.
+        """
+        await self._wait_for_place({0: _GAIN_S, 1: _SECOND_GAIN_S})
+
+    async def _wait_for_relief(self) -> None:
+        """Waits until others have watched in its place for some time.
 
         A former watcher goes on for a while, until its successor has begun.
         """
+        await self._wait_for_place({None: _LOSS_S})
+
+    async def _wait_for_place(
+        self, settle_s: Mapping[int | None, float]
+    ) -> None:
+        """Waits until this host has kept one of some places for long enough.
+
+        Args:
+            settle_s: How long it has to keep each of them, seconds.
+        """
         while True:
             version = self._view.changed.version
-            if self._partners.is_watcher() is not wanted:
+            place = self._partners.find_watch_place()
+            if place not in settle_s:
                 await self._view.changed.wait_beyond(version)
                 continue
-            with trio.move_on_after(settle_s) as scope:
-                await self._wait_while_role(wanted)
+            with trio.move_on_after(settle_s[place]) as scope:
+                await self._wait_while_at(place)
             if scope.cancelled_caught:
                 return
 
-    async def _wait_while_role(self, wanted: bool) -> None:
+    async def _wait_while_at(self, place: int | None) -> None:
         while True:
             version = self._view.changed.version
-            if self._partners.is_watcher() is not wanted:
+            if self._partners.find_watch_place() != place:
                 return
             await self._view.changed.wait_beyond(version)
--- a/persimmonhinge/contracts/partners.py
+++ b/persimmonhinge/contracts/partners.py
@@ -50,16 +50,25 @@
         self._chosen = _Partners([], [])
 
     def is_watcher(self) -> bool:
-        """Tells whether this host is to hold the watch in its domain.
+        """Tells whether this host is to hold the watch in its domain."""
+        return self.find_watch_place() is not None
+
+    def find_watch_place(self) -> int | None:
+        """Returns the place of this host among those that hold the watch.
 
         Guards against a domain whose hosts are all drained: none of them
         takes roles, and without a watch they might never learn that the
         operators take them back. There each of them watches.
+
+        Returns:
+            0 for the first of its domain; None if it is not to watch.
         """
         domain = self._view.self_member.domain
         ranked = self._placement.rank_hosts(_WATCH_ROLE, domain)
+        if not ranked:
+            return 0
         hosts = [m.host for m in ranked[:WATCHERS_IN_DOMAIN]]
-        return self._view.me in hosts or not hosts
+        return hosts.index(self._view.me) if self._view.me in hosts else None
 
     def pick_for_push(self, exclude: str) -> list[ids.HostId]:
         """Returns hosts to pass news to at once.
--- a/tests/test_contracts/test_contracts_watcher.py
+++ b/tests/test_contracts/test_contracts_watcher.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 
 import trio
 
+from persimmonhinge.membership import member as members
 from persimmonhinge.store import keys
 from tests.support import trios
 from tests.test_contracts import fleet as fleets
@@ -111,6 +113,34 @@
         assert fleet.platform.calls["get-prefix"] - before == 6
 
 
+def _show_watchers(fleet: fleets.Fleet, state: members.MemberState) -> None:
+    """Shows the first watcher of each domain in a state, to all others."""
+    shown = {host.member.domain: host.member for host in fleet.watchers()}
+    for member in shown.values():
+        seen = dataclasses.replace(member, state=state)
+        for host in fleet.hosts.values():
+            if host.member.host != member.host:
+                host.view.put(seen)
+
+
+@trios.clock_test
+async def test_hosts_taken_for_dead_for_a_moment_are_not_replaced() -> None:
+    """Guards against calls of all hosts while the platform is down.
+
+    Hosts that are late are taken for dead, and others watch in their place.
+    """
+    async with fleets.run_fleet(12) as fleet:
+        await trio.sleep(10)
+        fleet.platform.down = True
+        fleet.platform.callers.clear()
+        for _ in range(3):
+            _show_watchers(fleet, members.MemberState.DEAD)
+            await trio.sleep(2)
+            _show_watchers(fleet, members.MemberState.ALIVE)
+            await trio.sleep(2)
+        assert len(fleet.platform.callers) == 6, fleet.platform.callers
+
+
 @trios.clock_test
 async def test_contract_accepted_at_the_end_of_an_outage_comes_in_force() -> (
     None
