Pass confirmations on to hosts that leave

A planned stop waited 7 s, beside load up to its limit of 10 s, although each caller had its answer. An answer that takes more than a second is repeated until the caller confirms it; the confirmation names no ticket and goes by the hash, which never names a host that leaves.

test_confirmation_reaches_the_home_that_leaves fails without the change.

--- a/persimmonhinge/flows/router.py
+++ b/persimmonhinge/flows/router.py
@@ -6,11 +6,14 @@
 import logging
 from typing import Protocol
 
+from aiocoap.numbers import codes
+
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.coap import codec
 from persimmonhinge.flows import port
 from persimmonhinge.flows import tickets
+from persimmonhinge.membership import member as members
 from persimmonhinge.membership import placement as placements
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as host_counts
@@ -53,6 +56,8 @@
         message = self._decode(flow, data)
         if message is None:
             return
+        if message.code is codes.Code.EMPTY:
+            self._tell_leaving(flow, data)
         for host in self._list_homes(flow, message):
             if host == self._view.me:
                 self._home.handle(flow, message)
@@ -66,6 +71,18 @@
             self._counts.add("homes_passed_over_total")
         self._home.handle(flow, message)
 
+    def _tell_leaving(self, flow: port.Flow, data: bytes) -> None:
+        """Passes a confirmation on to hosts that leave.
+
+        Guards against a planned stop that waits for confirmations in vain:
+        they name no ticket, and by the hash they go to the next home.
+        """
+        for member in self._view.all():
+            if member.host == self._view.me:
+                continue
+            if member.state is members.MemberState.LEAVING:
+                self._network.send(member.host, self._wrap(flow, data))
+
     def _take_relayed(self, host: ids.HostId, message: relay.Relay) -> None:
         flow = port.Flow(
             message.service, (message.caller_host, message.caller_port)
--- /dev/null
+++ b/tests/test_flows/test_flows_router.py
@@ -0,0 +1,92 @@
+"""Tests of which hosts get a datagram."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from aiocoap.numbers import codes
+from aiocoap.numbers import types
+
+from persimmonhinge import ids
+from persimmonhinge.coap import codec
+from persimmonhinge.flows import port
+from persimmonhinge.flows import router as routers
+from persimmonhinge.flows import tickets
+from persimmonhinge.keys import store as key_stores
+from persimmonhinge.membership import member as members
+from persimmonhinge.membership import placement as placements
+from persimmonhinge.membership import view as views
+from persimmonhinge.metrics import counts as host_counts
+from persimmonhinge.peers.messages import base
+from persimmonhinge.peers.messages import relay
+from tests.test_flows import home_fakes
+
+_LEAVING = ids.HostId("entry-8")
+
+
+class Links:
+    """Keeps what is sent to other hosts.
+
+    Attributes:
+        sent: Messages by host.
+    """
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[ids.HostId, base.Message]] = []
+
+    def handle_sent(self, *_: object) -> None:
+        """Has no other hosts that send."""
+
+    def send(self, host: ids.HostId, message: base.Message) -> bool:
+        """Keeps a message."""
+        self.sent.append((host, message))
+        return True
+
+
+class Home:
+    """Keeps what this host is home of."""
+
+    def __init__(self) -> None:
+        self.taken: list[codec.Message] = []
+
+    def handle(self, flow: port.Flow, message: codec.Message) -> None:
+        """Keeps a datagram."""
+        self.taken.append(message)
+
+
+def _route(message: codec.Message) -> tuple[Links, Home]:
+    """Routes a datagram at a host that is alone with one that leaves."""
+    view = views.View(home_fakes.make_member(home_fakes.ME))
+    leaving = home_fakes.make_member(_LEAVING)
+    view.put(dataclasses.replace(leaving, state=members.MemberState.LEAVING))
+    links, home = Links(), Home()
+    router = routers.Router(
+        view,
+        placements.Placement(view),
+        tickets.TicketMint(
+            home_fakes.make_settings(), key_stores.KeyStore(), view
+        ),
+        links,  # type: ignore[arg-type]
+        home,
+        host_counts.Counts(),
+    )
+    router.receive(home_fakes.FLOW, codec.encode(message))
+    return links, home
+
+
+def test_confirmation_reaches_the_home_that_leaves() -> None:
+    """A planned stop waits for seconds though all callers have answers."""
+    message = codec.Message(code=codes.Code.EMPTY)
+    message.mtype, message.mid, message.token = types.ACK, 7, b""
+    links, home = _route(message)
+    ((host, sent),) = links.sent
+    assert host == _LEAVING
+    assert isinstance(sent, relay.Relay)
+    assert codec.decode(sent.data).mid == 7
+    assert len(home.taken) == 1
+
+
+def test_request_is_not_sent_to_a_host_that_leaves() -> None:
+    links, home = _route(home_fakes.make_request(codes.Code.GET, "/lots"))
+    assert not links.sent
+    assert len(home.taken) == 1
