Let the store's stand-in tell whether it got no processor

Set-ups of tests end now and then with "no answer of the store's stand-in within 2.0 s". The log of its calls shows a gap of 2.8 s in one such run, after which the calls of three clients come in one millisecond, while hosts ran on. The stand-in now prints each gap, and how much of it the kernel let it wait for a processor, which tells a busy machine from a fault of its own.

--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -14,6 +14,7 @@
 import trio
 
 from tests.standins import platform_server
+from tests.standins import starvation
 
 
 async def serve(address: str, port: int) -> None:
@@ -24,6 +25,7 @@
         bound = listeners[0].socket.getsockname()
         print(f"listening on {bound[0]}:{bound[1]}", flush=True)
         nursery.start_soon(server.expire_leases)
+        nursery.start_soon(starvation.report_gaps)
         nursery.start_soon(
             functools.partial(trio.serve_listeners, server.serve, listeners)
         )
