Bound the log of entry hosts by the same budget as that of forwarding ones

When a host dies with its requests, each of them now gets a line at the home that asks the keepers: thousands at once at the size designed for. The budget of structured logs moves to a module of its own and serves both programs; the line after a gap says how many were left out. Keepers are named in hexadecimal, as in their own lines.

--- a/persimmonhinge/flows/recovery.py
+++ b/persimmonhinge/flows/recovery.py
@@ -117,7 +117,9 @@
         may_change: bool,
     ) -> None:
         told = {
-            keeper: dispatched.outcome.value if dispatched else "silent"
+            f"{keeper:08x}": dispatched.outcome.value
+            if dispatched
+            else "silent"
             for keeper, dispatched in found.items()
         }
         logger.info(
--- a/persimmonhinge/logs.py
+++ b/persimmonhinge/logs.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import logging
 import sys
 import time
 
+from persimmonhinge import line_budgets
+
 _FORMAT = "%(asctime)s.%(msecs)03dZ %(levelname)-7s %(prefix)s: %(message)s"
 _DATE_FORMAT = "%Y-%m-%dT%H:%M:%S"
 _PACKAGE = "persimmonhinge"
@@ -25,6 +28,31 @@
         return True
 
 
+class BudgetFilter(logging.Filter):
+    """Leaves out lines beyond a budget; the next one says how many.
+
+    Guards against a host whose log takes its processor when another one dies
+    with thousands of requests.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        super().__init__()
+        self._budget = line_budgets.Budget(clock)
+        self._left_out = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Tells whether a record is within the budget."""
+        if not self._budget.take():
+            self._left_out += 1
+            return False
+        if self._left_out:
+            text = record.getMessage()
+            record.msg = f"{self._left_out} lines were left out. {text}"
+            record.args = ()
+            self._left_out = 0
+        return True
+
+
 def configure(name: str, level: str) -> None:
     """Sends the log of this process to standard error.
 
@@ -36,6 +64,7 @@
     formatter = logging.Formatter(_FORMAT, _DATE_FORMAT)
     formatter.converter = time.gmtime
     handler.setFormatter(formatter)
+    handler.addFilter(BudgetFilter())
     handler.addFilter(_PartFilter(name))
     install(handler, level)
 
--- a/persimmonhinge/structured_logs.py
+++ b/persimmonhinge/structured_logs.py
@@ -9,13 +9,9 @@
 
 import msgspec
 
+from persimmonhinge import line_budgets
 from persimmonhinge import logs
 
-# Lines that are written a second, and at once after a quiet time. A host at
-# the size designed for opens 50 flows a second, so all of its decisions fit;
-# at 30 us a line this is 0.6% of a core.
-_LINES_PER_S = 200.0
-_BURST_LINES = 1000.0
 # Time after which lines that were left out are counted in a line, seconds.
 _TELL_S = 1.0
 _STDOUT = 1
@@ -24,26 +20,6 @@
 _OWN_FIELDS = frozenset(logging.makeLogRecord({}).__dict__) | {"message"}
 
 
-class Budget:
-    """Allows so many lines a second, with room for a burst."""
-
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
-        self._clock = clock
-        self._left = _BURST_LINES
-        self._counted_at = clock()
-
-    def take(self) -> bool:
-        """Takes a line out of the budget; False if it is used up."""
-        now = self._clock()
-        earned = (now - self._counted_at) * _LINES_PER_S
-        self._left = min(_BURST_LINES, self._left + earned)
-        self._counted_at = now
-        if self._left < 1:
-            return False
-        self._left -= 1
-        return True
-
-
 class StructuredHandler(logging.Handler):
     """Writes each record as one JSON line to a file that must not block.
 
@@ -70,7 +46,7 @@
         self._host = host
         self._file = file
         self._clock = clock
-        self._budget = Budget(clock)
+        self._budget = line_budgets.Budget(clock)
         self._encoder = msgspec.json.Encoder(enc_hook=str)
         self._left_out = 0
         self._left_out_since = 0.0
