Hand a keeper's table over again while its successor lives

At a planned stop a part of the table was given up after three attempts within 0.15 s, as long as a link needs to be dialed again. The successor then lacks rows, says so, and a request of a home that dies later is "unknown".

It is the fault of the cut, looked for elsewhere: a bounded number of quick tries whose end is final. Parts are now tried for three seconds, and no longer than the successor lives. The first new test fails on the former code.

--- a/persimmonhinge/upstreams/handing.py
+++ b/persimmonhinge/upstreams/handing.py
@@ -24,7 +24,10 @@
 
 _LOOK_INTERVAL_S = 0.05
 _CALL_TIMEOUT_S = 2.0
-_ATTEMPTS = 3
+# How long a successor that lives is tried, and the pause between two attempts,
+# seconds: a link that broke is dialed again after 0.2 s at first.
+_TRY_S = 3.0
+_RETRY_S = 0.1
 _ROWS_IN_PART = 200
 _OCTETS_IN_PART = 262_144
 
@@ -180,14 +183,21 @@
     async def _call(
         self, host: ids.HostId, part: messages.KeeperHandover
     ) -> bool:
-        for _ in range(_ATTEMPTS):
+        """Hands a part over; False if the successor could not be reached."""
+        ends_at = trio.current_time() + _TRY_S
+        while True:
             try:
                 await self._network.call(host, part, _CALL_TIMEOUT_S)
                 return True
             except errors.PeerError as error:
                 logger.info("Hand-over failed: %s.", error)
-                await trio.sleep(_LOOK_INTERVAL_S)
-        return False
+            if trio.current_time() >= ends_at or not self._lives(host):
+                return False
+            await trio.sleep(_RETRY_S)
+
+    def _lives(self, host: ids.HostId) -> bool:
+        member = self._view.get(host)
+        return member is not None and member.answers
 
 
 def _split(
--- a/tests/test_upstreams/test_upstreams_recovery.py
+++ b/tests/test_upstreams/test_upstreams_recovery.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
 
 import aiocoap
 import trio
 
+from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.membership import member as members
+from persimmonhinge.peers.messages import base
 from persimmonhinge.peers.messages import handover
 from persimmonhinge.peers.messages import work
 from tests.support import trios
@@ -207,6 +210,64 @@
         assert (await successor.ask(other)).outcome is Outcome.NOT_RUN
 
 
+def _break_link_for(seconds: float) -> Callable[[base.Message], base.Message]:
+    """Returns replies of a successor whose link is down for a while."""
+    heals_at = trio.current_time() + seconds
+
+    def reply(part: base.Message) -> base.Message:
+        if trio.current_time() < heals_at:
+            raise errors.PeerUnreachableError("broken", step="call")
+        return handover.HandoverTaken()
+
+    return reply
+
+
+async def _leave(leaver: scene.Scene, successor: members.Member) -> list[bool]:
+    """Has a keeper leave; returns which parts its successor got."""
+    leaver.view.put(successor)
+    leaver.view.put(
+        scene.make_member("east-1", state=members.MemberState.LEAVING)
+    )
+    await leaver.keepers.leave()
+    parts = [part for _, part in leaver.network.sent]
+    return [
+        part.final
+        for part in parts
+        if isinstance(part, handover.KeeperHandover)
+    ]
+
+
+@trios.clock_test
+async def test_hand_over_outlasts_a_link_that_breaks_for_a_moment() -> None:
+    """A buyer hears "unknown" of a lot after a planned change of hosts."""
+    upstream = fake_upstream.FakeUpstream()
+    async with scene.open_scene(open_socket=upstream.open) as leaver:
+        make_scene_contract(leaver)
+        await leaver.ask(scene.make_dispatch())
+        replies = leaver.network.replies
+        replies[handover.KeeperHandover] = _break_link_for(1.0)
+        parts = await _leave(leaver, scene.make_member("east-2"))
+    assert parts[-1]
+
+
+@trios.clock_test
+async def test_hand_over_does_not_wait_for_a_dead_successor() -> None:
+    """A planned stop waits for a host that is gone."""
+    upstream = fake_upstream.FakeUpstream()
+    async with scene.open_scene(open_socket=upstream.open) as leaver:
+        make_scene_contract(leaver)
+        await leaver.ask(scene.make_dispatch())
+        leaver.nursery.start_soon(_bury_after, leaver, 0.5)
+        began = trio.current_time()
+        await _leave(leaver, scene.make_member("east-2"))
+        assert trio.current_time() - began < 1
+
+
+async def _bury_after(leaver: scene.Scene, seconds: float) -> None:
+    await trio.sleep(seconds)
+    leaver.view.put(scene.make_member("east-2", state=members.MemberState.DEAD))
+
+
 @trios.clock_test
 async def test_requests_of_a_former_keeper_count_against_the_slots() -> None:
     """The role moves while the former keeper's requests still run.
