Tell by the silence of all hosts that a home is cut off

A home gave up the first keeper that it took for dead as a cut began to show: deaths are concluded one after the other, so other hosts still counted as alive, and where the cut healed within that second the home never knew that it had been cut off. Callers heard "unknown" beside the upstream's answer.

In a larger fleet the deaths come one in 0.3 s, so the window would be longer.

Membership now notes when nothing came from any other host for three heartbeat intervals, which is before the first death, and until when.

--- a/persimmonhinge/flows/presence.py
+++ b/persimmonhinge/flows/presence.py
@@ -4,9 +4,15 @@
 
 import enum
 
+import trio
+
 from persimmonhinge import ids
 from persimmonhinge.membership import view as views
 
+# Hosts that took each other for dead in a cut have all refuted it in this time
+# after it healed, seconds.
+REJOIN_S = 3.0
+
 
 class Presence(enum.Enum):
     """What is believed of a keeper without an answer.
@@ -50,13 +56,12 @@
         )
 
     def _is_isolated(self) -> bool:
-        """Tells whether this host itself is cut off from all domains.
+        """Tells whether this host itself is, or just was, cut off from all.
 
         Failure domains don't die together, so silence of all of them means
         that this host can't hear them.
         """
-        mine = self._view.self_member
-        others = [m for m in self._view.all() if m.host != mine.host]
-        if any(member.answers for member in others):
+        mine = self._view.self_member.domain
+        if all(member.domain == mine for member in self._view.all()):
             return False
-        return any(member.domain != mine.domain for member in others)
+        return self._view.silence.is_recent(trio.current_time(), REJOIN_S)
--- a/persimmonhinge/flows/recovery.py
+++ b/persimmonhinge/flows/recovery.py
@@ -28,9 +28,6 @@
 _PAUSE_S = 0.2
 # Between rounds of questions while a keeper can't be reached.
 _ROUND_PAUSE_S = 0.5
-# Hosts that took each other for dead in a cut have all refuted it in this time
-# after it healed.
-_REJOIN_S = 3.0
 
 Outcome = work.Outcome
 Presence = presences.Presence
@@ -96,7 +93,7 @@
             silent = self._judge_silent(found)
             if Presence.BEYOND_CUT in silent:
                 cut_seen_at = now
-            healed = now < cut_seen_at + _REJOIN_S
+            healed = now < cut_seen_at + presences.REJOIN_S
             may_change = bool(silent) and (
                 Presence.GONE not in silent or healed
             )
--- a/persimmonhinge/membership/receiver.py
+++ b/persimmonhinge/membership/receiver.py
@@ -8,6 +8,7 @@
 from persimmonhinge.membership import messages
 from persimmonhinge.membership import parts as membership_parts
 from persimmonhinge.membership import record as records
+from persimmonhinge.membership import silence as silences
 from persimmonhinge.metrics import counts as host_counts
 
 
@@ -17,6 +18,7 @@
     def __init__(
         self,
         parts: membership_parts.Parts,
+        silence: silences.Silence,
         counts: host_counts.Counts,
         nursery: trio.Nursery,
     ) -> None:
@@ -24,10 +26,12 @@
 
         Args:
             parts: The parts of membership.
+            silence: Where it notes that it hears other hosts.
             counts: Counters of this host.
             nursery: Where relayed pings wait for their answers.
         """
         self._parts = parts
+        self._silence = silence
         self._counts = counts
         self._nursery = nursery
 
@@ -39,6 +43,7 @@
         """
         async for letter, source in self._parts.channel.receive():
             self._parts.pauses.check()
+            self._silence.note_heard(trio.current_time())
             await self._take_records(letter)
             await self._handle(letter, source)
 
--- a/persimmonhinge/membership/service.py
+++ b/persimmonhinge/membership/service.py
@@ -29,6 +29,9 @@
 
 # Members that are told of a planned stop by this host itself.
 _TOLD_DIRECTLY = 8
+# A host that hears nothing for so many heartbeat intervals is cut off: in each
+# of them it asks one member, and about one asks it.
+_SILENT_INTERVALS = 3
 
 
 def _no_hosts() -> tuple[settings_entry.SeedHost, ...]:
@@ -148,7 +151,11 @@
             self._around.counts.watch(
                 "membership_news_queued", lambda: len(parts.roster.gossip)
             )
-            receiver = receivers.Receiver(parts, self._around.counts, nursery)
+            silence = self._around.view.silence
+            silence.limit_s = _SILENT_INTERVALS * self._interval_s
+            receiver = receivers.Receiver(
+                parts, silence, self._around.counts, nursery
+            )
             nursery.start_soon(receiver.run)
             nursery.start_soon(self._beat, parts)
             self._started.set()
--- a/persimmonhinge/membership/view.py
+++ b/persimmonhinge/membership/view.py
@@ -7,6 +7,7 @@
 from persimmonhinge import changes
 from persimmonhinge import ids
 from persimmonhinge.membership import member as members
+from persimmonhinge.membership import silence as silences
 
 
 class View:
@@ -18,11 +19,13 @@
     Attributes:
         me: Name of this host.
         changed: Announced at each change.
+        silence: Tells whether this host hears any other one.
     """
 
     def __init__(self, me: members.Member) -> None:
         self.me = me.host
         self.changed = changes.ChangeSignal()
+        self.silence = silences.Silence()
         self._members: dict[ids.HostId, members.Member] = {me.host: me}
         # Each packet with a ticket asks for one: it is worked out once for
         # each change, as a hash of every member for each packet is not.
--- a/tests/test_flows/test_flows_recovery.py
+++ b/tests/test_flows/test_flows_recovery.py
@@ -292,6 +292,8 @@
     outcome: Outcome | None,
 ) -> None:
     """Shows all hosts in a state; keepers tell an outcome, None if cut off."""
+    if outcome is not None:
+        world.view.silence.note_heard(trio.current_time())
     far = dataclasses.replace(
         home_fakes.make_member(_FAR), domain=ids.DomainId("south")
     )
@@ -301,10 +303,18 @@
         world.network.keep[member.host] = _make_keeper(member.host, outcome)
 
 
+def _make_world_that_hears() -> home_fakes.HomeWorld:
+    """Returns a home that hears other hosts until now."""
+    world = home_fakes.HomeWorld()
+    world.view.silence.limit_s = 0.9
+    world.view.silence.note_heard(trio.current_time())
+    return world
+
+
 @trios.clock_test
 async def test_home_that_is_cut_off_waits_for_the_keeper() -> None:
     """A buyer hears "unknown" of a lot from a home whose cut soon heals."""
-    world = home_fakes.HomeWorld()
+    world = _make_world_that_hears()
     async with world.running():
         echo = await world.get_ticket()
         message = home_fakes.make_request(
@@ -341,7 +351,7 @@
     None
 ):
     """A buyer hears "unknown" of a lot just as the cut of its home heals."""
-    world = home_fakes.HomeWorld()
+    world = _make_world_that_hears()
     async with world.running():
         echo = await world.get_ticket()
         message = home_fakes.make_request(
@@ -350,6 +360,7 @@
         before = len(world.answers.sent)
 
         async def lose_link(message: base.Message) -> base.Message:
+            await trio.sleep(1.2)
             _show_all(world, State.DEAD, None)
             raise errors.PeerLinkLostError("cut", step="call")
 
@@ -357,6 +368,7 @@
         world.home.handle(home_fakes.FLOW, message)
         await trio.sleep(2)
         # Another domain is heard first.
+        world.view.silence.note_heard(trio.current_time())
         far = home_fakes.make_member(_FAR)
         world.view.put(dataclasses.replace(far, domain=ids.DomainId("south")))
         await trio.sleep(1)
@@ -367,6 +379,40 @@
     assert reply.payload == b"kept"
 
 
+@trios.clock_test
+async def test_home_waits_for_the_first_host_that_it_takes_for_dead() -> None:
+    """A buyer hears "unknown" of a lot as a cut begins to show.
+
+    Deaths are concluded one after the other: the keeper counts as dead while
+    other hosts of a cut still count as alive.
+    """
+    world = _make_world_that_hears()
+    async with world.running():
+        echo = await world.get_ticket()
+        message = home_fakes.make_request(
+            POST, "/reserve", echo=echo, mtype=types.CON
+        )
+        before = len(world.answers.sent)
+
+        async def lose_link(message: base.Message) -> base.Message:
+            await trio.sleep(1.2)
+            _show_all(world, State.DEAD, None)
+            far = home_fakes.make_member(_FAR)
+            world.view.put(
+                dataclasses.replace(far, domain=ids.DomainId("south"))
+            )
+            raise errors.PeerLinkLostError("cut", step="call")
+
+        world.keep_all(lose_link)
+        world.home.handle(home_fakes.FLOW, message)
+        await trio.sleep(4)
+        assert _list_replies(world, before) == []
+        _show_all(world, State.ALIVE, Outcome.ANSWERED)
+        await trio.sleep(1)
+        (reply,) = _list_replies(world, before)
+    assert reply.payload == b"kept"
+
+
 @trios.clock_test
 async def test_home_does_not_wait_for_a_keeper_that_died() -> None:
     """A buyer waits ten seconds to be told that an outcome is unknown."""
