Declare nothing not run for an incarnation that was given up

It did not run, so neither is wrong, but one request got two final answers of different kinds.

Cause: the change that lets a keeper answer for its former incarnation, of this work. It now tells what ran, and "unknown" of all else; the request stays fenced. The new test fails without it.

--- a/persimmonhinge/upstreams/keeper.py
+++ b/persimmonhinge/upstreams/keeper.py
@@ -125,10 +125,10 @@
         """Takes in that this host has become a new incarnation.
 
         It is the same process with the same table, so it goes on to answer
-        for requests that were handed to the former one.
+        for requests that ran through the former one.
         """
         logger.info("Answers for its former incarnation %08x.", former.ref)
-        self._inheritance.complete(former.ref)
+        self._inheritance.add_own(former.ref)
 
     async def leave(self) -> None:
         """Hands over what this host keeps and waits for what runs.
--- a/persimmonhinge/upstreams/recovering.py
+++ b/persimmonhinge/upstreams/recovering.py
@@ -11,6 +11,9 @@
 from persimmonhinge.upstreams import inheritance as inheritances
 
 _Outcome = work.Outcome
+_GIVEN_UP = work.Dispatched(
+    _Outcome.UNKNOWN, reason="keeper was given up before it ran"
+)
 
 
 class Recovering:
@@ -37,6 +40,10 @@
                 _Outcome.NOT_KEEPER, reason="is another incarnation"
             )
         outcome = await self._recover(question)
+        if outcome.outcome is _Outcome.NOT_RUN and self._inheritance.is_own(
+            question.keeper
+        ):
+            outcome = _GIVEN_UP
         self._counts.add(
             "keeper_recovered_total", outcome=outcome.outcome.value
         )
--- a/tests/test_upstreams/test_upstreams_recovery.py
+++ b/tests/test_upstreams/test_upstreams_recovery.py
@@ -210,6 +210,26 @@
         assert (await successor.ask(other)).outcome is Outcome.NOT_RUN
 
 
+@trios.clock_test
+async def test_new_incarnation_declares_nothing_not_run_for_the_former() -> (
+    None
+):
+    """A buyer hears "not run" of a lot after "unknown", as its keeper wakes."""
+    async with scene.open_scene() as here:
+        make_scene_contract(here)
+        former = here.view.self_member
+        present = dataclasses.replace(
+            former, incarnation=ids.Incarnation(former.incarnation + 1)
+        )
+        here.view.put(present)
+        here.keepers.note_incarnation(former, present)
+        dispatch = scene.make_dispatch()
+        question = scene.make_recover(dispatch, keeper=former.ref)
+        assert (await here.ask(question)).outcome is Outcome.UNKNOWN
+        # It is fenced all the same.
+        assert (await here.ask(dispatch)).outcome is Outcome.NOT_RUN
+
+
 def _break_link_for(seconds: float) -> Callable[[base.Message], base.Message]:
     """Returns replies of a successor whose link is down for a while."""
     heals_at = trio.current_time() + seconds
