Keep new flows away from evacuated failure domains, in one place of conditions

Cause: the hosts followed op/config and servers/ alone; nothing knew of op/evacuate/. Ruled out: late news. The key was in no table of any host.

Left: a service whose upstreams are all cold still gets flows beyond its limit (ColdPerS is 0 on all deployments so far); the operators' own command line.

--- a/benchmarks/fleet_store.py
+++ b/benchmarks/fleet_store.py
@@ -39,6 +39,8 @@
         self.revision = 0
         self.version = 0
         self._values: dict[str, port.KeyValue] = {}
+        # Revisions at which keys were deleted.
+        self._deleted: dict[str, int] = {}
         self._changed = trio.Event()
         self.change_state()
         for number in range(_UPSTREAMS):
@@ -58,6 +60,17 @@
         self.version += 1
         self._put("op/config", readers.make_state(self.version))
 
+    def evacuate(self, domain: str) -> None:
+        """Has an operator evacuate a failure domain."""
+        self._put(f"op/evacuate/{domain}", b"{}")
+
+    def end_evacuation(self, domain: str) -> None:
+        """Has an operator take an evacuation back."""
+        key = f"op/evacuate/{domain}"
+        del self._values[key]
+        self._note_change()
+        self._deleted[key] = self.revision
+
     def go_down(self) -> None:
         """Has it refuse all calls, until `is_down` is taken back."""
         self.is_down = True
@@ -94,14 +107,23 @@
             self._check()
             if after < self.forgotten:
                 raise errors.PlatformHistoryGoneError("gone", step="watch")
-            events = tuple(
-                port.WatchEvent(value.key, value.value, value.mod_revision)
-                for value in self._values.values()
-                if value.mod_revision > after
-            )
+            events = self._list_events(after)
             after = self.revision
             yield events
 
+    def _list_events(self, after: int) -> tuple[port.WatchEvent, ...]:
+        events = [
+            port.WatchEvent(value.key, value.value, value.mod_revision)
+            for value in self._values.values()
+            if value.mod_revision > after
+        ]
+        events += [
+            port.WatchEvent(key, None, revision)
+            for key, revision in self._deleted.items()
+            if revision > after and key not in self._values
+        ]
+        return tuple(sorted(events, key=lambda event: event.mod_revision))
+
     async def _begin_answer(self) -> None:
         await trio.sleep(_ANSWER_S)
         self._check()
@@ -111,9 +133,12 @@
             raise errors.PlatformUnavailableError("busy", step="call")
 
     def _put(self, key: str, value: bytes) -> None:
+        self._note_change()
+        self._values[key] = port.KeyValue(key, value, self.revision)
+
+    def _note_change(self) -> None:
         self.changed_at = trio.current_time()
         self.revision += 1
-        self._values[key] = port.KeyValue(key, value, self.revision)
         self._changed.set()
         self._changed = trio.Event()
 
--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -12,6 +12,7 @@
 from persimmonhinge.forwarding import sockets
 from persimmonhinge.forwarding import tracker as trackers
 from persimmonhinge.forwarding.decisions import chooser as choosers
+from persimmonhinge.forwarding.decisions import eligibility
 from persimmonhinge.forwarding.decisions import loads as load_books
 from persimmonhinge.forwarding.decisions import openings as opening_lists
 from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
@@ -88,7 +89,9 @@
             ids.DomainId(settings.domain),
             self.knowledge,
             self.loads,
-            self.suspicions,
+            eligibility.Eligibility(
+                self.knowledge, self.suspicions, settings.domain_regions()
+            ),
             choice.choices.get(settings.choice)(randomness),
             randomness,
         )
--- a/persimmonhinge/forwarding/decisions/candidates.py
+++ b/persimmonhinge/forwarding/decisions/candidates.py
@@ -24,9 +24,9 @@
     """The upstreams of a service that are ready.
 
     Attributes:
-        ready: All of them.
+        ready: All of them, in failure domains that are excluded, too.
         near: Those of the own failure domain.
-        far: The others.
+        far: Those of others.
     """
 
     ready: Sequence[upstreams.Upstream]
@@ -60,35 +60,43 @@
         self._domain = domain
         self._directory = directory
         self._random = randomness
-        self._places: dict[ids.ServiceName, _Places] = {}
+        self._places: dict[
+            tuple[ids.ServiceName, frozenset[ids.DomainId]], _Places
+        ] = {}
 
     def draw(
         self,
         service: ids.ServiceName,
         is_usable: Callable[[upstreams.Upstream], bool],
+        excluded: frozenset[ids.DomainId] = frozenset(),
     ) -> list[upstreams.Upstream]:
         """Returns some upstreams of both places that are ready and usable.
 
         Args:
             service: Their service.
             is_usable: Tells whether one may take the flow.
+            excluded: Failure domains of which none is drawn.
 
         Returns:
             An empty list if none of those that were drawn is usable.
         """
-        places = self._find_places(service)
+        places = self._find_places(service, excluded)
         near = draw_usable(places.near, is_usable, self._random)
         far = draw_usable(places.far, is_usable, self._random)
         return near + far
 
-    def _find_places(self, service: ids.ServiceName) -> _Places:
+    def _find_places(
+        self, service: ids.ServiceName, excluded: frozenset[ids.DomainId]
+    ) -> _Places:
         ready = self._directory.list_ready(service)
-        known = self._places.get(service)
+        known = self._places.get((service, excluded))
         if known is not None and known.ready is ready:
             return known
-        near = [u for u in ready if u.domain == self._domain]
-        far = [u for u in ready if u.domain != self._domain]
-        places = self._places[service] = _Places(ready, near, far)
+        allowed = [u for u in ready if u.domain not in excluded]
+        near = [u for u in allowed if u.domain == self._domain]
+        far = [u for u in allowed if u.domain != self._domain]
+        places = _Places(ready, near, far)
+        self._places[service, excluded] = places
         return places
 
 
--- a/persimmonhinge/forwarding/decisions/chooser.py
+++ b/persimmonhinge/forwarding/decisions/chooser.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Sequence
 
@@ -15,8 +14,8 @@
 from persimmonhinge.forwarding import route as routes
 from persimmonhinge.forwarding import upstream as upstreams
 from persimmonhinge.forwarding.decisions import candidates as candidate_pools
+from persimmonhinge.forwarding.decisions import eligibility as eligibilities
 from persimmonhinge.forwarding.decisions import loads as load_books
-from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.policies import choice
 
@@ -49,14 +48,14 @@
         domain: ids.DomainId,
         knowledge: knowledge_parts.Knowledge,
         loads: load_books.LoadBook,
-        suspicions: suspicion_lists.Suspicions,
+        eligibility: eligibilities.Eligibility,
         policy: choice.ChoicePolicy,
         randomness: random.Random,
     ) -> None:
         self._domain = domain
         self._knowledge = knowledge
         self._loads = loads
-        self._suspicions = suspicions
+        self._eligibility = eligibility
         self._policy = policy
         self._pool = candidate_pools.CandidatePool(
             domain, knowledge.directory, randomness
@@ -78,8 +77,13 @@
             without: Upstreams that have left an opening packet of this flow
                 unanswered; taken only where there is no other.
         """
-        service = choose_share(route, flow)
-        usable = self._list_usable(service, now, without)
+        wanted = eligibilities.NewFlow(
+            choose_share(route, flow),
+            self._eligibility.list_excluded(route),
+            without,
+            now,
+        )
+        usable = self._list_usable(wanted)
         if not usable:
             return None
         found = {upstream.id: upstream for upstream in usable}
@@ -88,39 +92,37 @@
         return Chosen(found[candidate.upstream], candidate, len(candidates))
 
     def _list_usable(
-        self,
-        service: ids.ServiceName,
-        now: float,
-        without: Collection[ids.UpstreamId],
+        self, flow: eligibilities.NewFlow
     ) -> Sequence[upstreams.Upstream]:
-        directory = self._knowledge.directory
-
         def is_usable(upstream: upstreams.Upstream) -> bool:
-            return (
-                upstream.id not in without
-                and directory.is_unique(upstream)
-                and not self._suspicions.holds(upstream.id, upstream.token, now)
-            )
-
-        return self._pool.draw(service, is_usable) or self._list_all(
-            service, is_usable, without
-        )
+            eligibility = self._eligibility
+            return eligibility.may_take(
+                upstream, flow
+            ) and eligibility.should_take(upstream, flow)
+
+        drawn = self._pool.draw(flow.service, is_usable, flow.excluded)
+        return drawn or self._list_all(flow)
 
     def _list_all(
-        self,
-        service: ids.ServiceName,
-        is_usable: Callable[[upstreams.Upstream], bool],
-        without: Collection[ids.UpstreamId],
+        self, flow: eligibilities.NewFlow
     ) -> Sequence[upstreams.Upstream]:
         """Returns those that are the least bad where hardly any is usable."""
-        directory = self._knowledge.directory
-        ready = [
-            u for u in directory.list_ready(service) if directory.is_unique(u)
-        ]
-        fresh = [u for u in ready if u.id not in without]
-        good = [u for u in fresh if is_usable(u)]
-        missing = upstreams.UpstreamState.MISSING
-        return good or fresh or ready or directory.select(service, missing)
+        ready = self._list_allowed(flow, upstreams.UpstreamState.READY)
+        fresh = [u for u in ready if u.id not in flow.without]
+        good = [u for u in fresh if self._eligibility.should_take(u, flow)]
+        return (
+            good
+            or fresh
+            or ready
+            or self._list_allowed(flow, upstreams.UpstreamState.MISSING)
+        )
+
+    def _list_allowed(
+        self, flow: eligibilities.NewFlow, state: upstreams.UpstreamState
+    ) -> list[upstreams.Upstream]:
+        """Returns those of a state that the flow may go to at all."""
+        found = self._knowledge.directory.select(flow.service, state)
+        return [u for u in found if self._eligibility.may_take(u, flow)]
 
     def _make_candidate(
         self, upstream: upstreams.Upstream, now: float
--- /dev/null
+++ b/persimmonhinge/forwarding/decisions/eligibility.py
@@ -0,0 +1,94 @@
+"""Which upstreams may take a new flow."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Mapping
+
+from persimmonhinge import ids
+from persimmonhinge import records
+from persimmonhinge.forwarding import knowledge as knowledge_parts
+from persimmonhinge.forwarding import route as routes
+from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
+
+
+class NewFlow(records.Record, frozen=True):
+    """What decides which upstreams may take a flow.
+
+    Attributes:
+        service: The service of the flow.
+        excluded: Failure domains that must not get it.
+        without: Upstreams that have left an opening packet of it unanswered.
+        at: The time.
+    """
+
+    service: ids.ServiceName
+    excluded: frozenset[ids.DomainId]
+    without: Collection[ids.UpstreamId]
+    at: float
+
+
+class Eligibility:
+    """Conditions for new flows; all choices of an upstream ask here.
+
+    Some conditions always hold, so that a flow is refused where no upstream
+    meets them. The others give way where nothing else is left.
+    """
+
+    def __init__(
+        self,
+        knowledge: knowledge_parts.Knowledge,
+        suspicions: suspicion_lists.Suspicions,
+        regions: Mapping[ids.DomainId, ids.RegionId],
+    ) -> None:
+        """Makes the conditions of one host.
+
+        Args:
+            knowledge: What it believes of the platform.
+            suspicions: Upstreams that left opening packets unanswered.
+            regions: The region of each failure domain.
+        """
+        self._knowledge = knowledge
+        self._suspicions = suspicions
+        self._regions = regions
+
+    def list_excluded(self, route: routes.Route) -> frozenset[ids.DomainId]:
+        """Returns the failure domains that no new flow of a route may go to.
+
+        These are the evacuated ones and those outside the route's regions.
+        """
+        evacuated = self._knowledge.evacuated
+        if not route.regions:
+            return evacuated
+        return evacuated | {
+            domain
+            for domain in self._knowledge.directory.domains
+            if self._regions.get(domain) not in route.regions
+        }
+
+    def may_take(self, upstream: upstreams.Upstream, flow: NewFlow) -> bool:
+        """Tells whether an upstream meets what always holds."""
+        return (
+            upstream.domain not in flow.excluded
+            and self._knowledge.directory.is_unique(upstream)
+        )
+
+    def should_take(self, upstream: upstreams.Upstream, flow: NewFlow) -> bool:
+        """Tells whether an upstream also meets what may give way."""
+        return (
+            upstream.id not in flow.without
+            and not self._suspicions.holds(upstream.id, upstream.token, flow.at)
+            and not self._is_too_cold(upstream, flow)
+        )
+
+    def _is_too_cold(self, upstream: upstreams.Upstream, flow: NewFlow) -> bool:
+        """Tells whether others are to take a flow until an upstream is warm.
+
+        Guards against the sum of what all hosts send to a cold upstream of a
+        service that bounds it.
+        """
+        state = self._knowledge.state
+        if state is None or flow.service not in state.cold_limited:
+            return False
+        return self._knowledge.directory.is_cold(upstream.id, flow.at)
--- a/persimmonhinge/forwarding/desired_state.py
+++ b/persimmonhinge/forwarding/desired_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from persimmonhinge import ids
 from persimmonhinge import records
 from persimmonhinge.forwarding import route as routes
 
@@ -14,8 +15,11 @@
         routes: The routes by what callers address.
         idle_timeout_s: Time after which an idle flow may be forgotten,
             seconds.
+        cold_limited: Services that bound what an upstream gets while it is
+            cold.
     """
 
     version: int
     routes: dict[routes.RouteAddress, routes.Route]
     idle_timeout_s: float
+    cold_limited: frozenset[ids.ServiceName] = frozenset()
--- a/persimmonhinge/forwarding/directory.py
+++ b/persimmonhinge/forwarding/directory.py
@@ -22,6 +22,9 @@
     One that has gone stays known for as long as a flow may last, so that
     packets of its flows are told apart from those of upstreams that this
     host has not heard of yet.
+
+    Attributes:
+        domains: Failure domains that an upstream has been in.
     """
 
     def __init__(self, keep_s: float) -> None:
@@ -31,6 +34,7 @@
             keep_s: How long upstreams that have gone are remembered, seconds.
         """
         self._keep_s = keep_s
+        self.domains: set[ids.DomainId] = set()
         self._by_id: dict[ids.UpstreamId, upstreams.Upstream] = {}
         self._by_token: dict[int, list[ids.UpstreamId]] = {}
         self._by_service: dict[ids.ServiceName, list[ids.UpstreamId]] = {}
@@ -52,6 +56,7 @@
             named = self._by_service.setdefault(upstream.service, [])
             named.append(upstream.id)
         self._by_id[upstream.id] = upstream
+        self.domains.add(upstream.domain)
         self._ready.pop(upstream.service, None)
         self._gone_at.pop(upstream.id, None)
         self._warm_at[upstream.id] = now + upstream.cold_s
--- a/persimmonhinge/forwarding/entry_reader.py
+++ b/persimmonhinge/forwarding/entry_reader.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+from persimmonhinge import ids
 from persimmonhinge.forwarding import desired_state as desired_states
 from persimmonhinge.forwarding import upstream as upstreams
 
@@ -14,10 +15,12 @@
     Attributes:
         state_key: Key of the desired state.
         upstreams_prefix: Prefix of the keys of upstreams.
+        evacuations_prefix: Prefix of the keys that evacuate failure domains.
     """
 
     state_key: str
     upstreams_prefix: str
+    evacuations_prefix: str
 
     def read_state(self, value: bytes) -> desired_states.DesiredState:
         """Reads the desired state.
@@ -32,3 +35,10 @@
         Raises:
             UnreadableEntryError: It is not one.
         """
+
+    def read_evacuated_domain(self, key: str) -> ids.DomainId:
+        """Reads which failure domain an entry evacuates.
+
+        Raises:
+            UnreadableEntryError: It names none.
+        """
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -251,5 +251,10 @@
         age_s = None
         if confirmed_at is not None:
             age_s = round(self._clock() - confirmed_at, 3)
-        version = state.version if state is not None else None
-        return {"version": version, "age_s": age_s}
+        described: dict[str, object] = {
+            "version": state.version if state is not None else None,
+            "age_s": age_s,
+        }
+        if self._knowledge.evacuated:
+            described["evacuated"] = sorted(self._knowledge.evacuated)
+        return described
--- a/persimmonhinge/forwarding/gauges.py
+++ b/persimmonhinge/forwarding/gauges.py
@@ -47,6 +47,7 @@
     counts.watch(
         "follows_store", lambda: float(following.is_due(time.monotonic()))
     )
+    counts.watch("domains_evacuated", lambda: len(core.knowledge.evacuated))
     counts.watch(
         "upstreams_in_doubt",
         lambda: core.suspicions.count_held(time.monotonic()),
--- a/persimmonhinge/forwarding/knowledge.py
+++ b/persimmonhinge/forwarding/knowledge.py
@@ -20,6 +20,7 @@
     Attributes:
         directory: The upstreams.
         trust: Whether what the store leaves out can be relied on.
+        evacuated: Failure domains whose upstreams get no new flows.
         confirmed_at: When the store last said that nothing is newer; None
             if it never did.
     """
@@ -35,6 +36,7 @@
         self._current_s = current_s
         self.directory = directories.Directory(flow_life_s)
         self.trust = trusts.StoreTrust()
+        self.evacuated: frozenset[ids.DomainId] = frozenset()
         self.confirmed_at: float | None = None
         self._state: desired_states.DesiredState | None = None
         self._dropped: set[routes.RouteAddress] = set()
@@ -118,6 +120,32 @@
         )
         return True
 
+    def evacuate(self, domain: ids.DomainId, source: str) -> None:
+        """Takes in that a failure domain is to get no new flows."""
+        self._set_evacuated(self.evacuated | {domain}, domain, source)
+
+    def end_evacuation(self, domain: ids.DomainId, source: str) -> None:
+        """Takes in that a failure domain gets new flows again."""
+        self._set_evacuated(self.evacuated - {domain}, domain, source)
+
+    def _set_evacuated(
+        self,
+        evacuated: frozenset[ids.DomainId],
+        domain: ids.DomainId,
+        source: str,
+    ) -> None:
+        if evacuated == self.evacuated:
+            return
+        self.evacuated = evacuated
+        logger.info(
+            "Evacuation of a failure domain changed.",
+            extra={
+                "evacuated_domain": domain,
+                "evacuated": domain in evacuated,
+                "source": source,
+            },
+        )
+
     def take_upstream(
         self, upstream: upstreams.Upstream, now: float, source: str
     ) -> None:
--- a/persimmonhinge/forwarding/reading.py
+++ b/persimmonhinge/forwarding/reading.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-import math
 import time
 
 from persimmonhinge import early_logs
 from persimmonhinge import errors
 from persimmonhinge.forwarding import completeness as completenesses
+from persimmonhinge.forwarding import entry_effects
 from persimmonhinge.forwarding import entry_line as entry_lines
 from persimmonhinge.forwarding import entry_table
 from persimmonhinge.forwarding import knowledge as knowledge_parts
@@ -17,7 +17,6 @@
 from persimmonhinge.metrics import counts as host_counts
 
 if TYPE_CHECKING:
-    from persimmonhinge import ids
     from persimmonhinge.forwarding import entry_reader
     from persimmonhinge.forwarding import flow as flows
     from persimmonhinge.forwarding.peers import messages
@@ -27,10 +26,6 @@
 
 _SOURCE = "store"
 _EVERYTHING = ""
-# Least time between two lines about entries that can't be read, seconds; the
-# counter counts them all.
-_TELL_UNREADABLE_S = 1.0
-
 # A desired state of more octets is passed on by itself, after all else: a link
 # of 5 Mbit/s carries so much in 0.03 s.
 _LONG_STATE_OCTETS = 16_384
@@ -59,9 +54,7 @@
         self._knowledge = knowledge
         self._counts = counts
         self._table = entry_table.EntryTable()
-        # Incarnation that the newest entry of each key was of.
-        self._named: dict[str, ids.UpstreamId] = {}
-        self._told_unreadable_at = -math.inf
+        self._effects = entry_effects.EntryEffects(reader, knowledge, counts)
         self.completeness = completenesses.Completeness()
         self.tell: Tell | None = None
 
@@ -114,7 +107,9 @@
                 event.key, event.value, event.mod_revision
             )
             is_newer = self._take_line(line, _SOURCE)
-            if is_newer or (line.revision > after and self._is_ours(line)):
+            if is_newer or (
+                line.revision > after and self._effects.is_used(line.key)
+            ):
                 told.append(line)
                 self._advance(line.revision)
         if told and self.tell is not None:
@@ -311,36 +306,13 @@
         Guards against going back: a peer that was cut off, or an answer that
         comes late, brings an entry as it was before.
         """
-        if not self._is_ours(line):
+        if not self._effects.is_used(line.key):
             return False
         if not self._table.put(line):
             return False
-        try:
-            self._apply(line.key, line.value, source)
-        except errors.UnreadableEntryError as error:
-            self._skip_unreadable(line.key, error, source)
+        self._effects.apply(line, source)
         return True
 
-    def _skip_unreadable(
-        self, key: str, error: errors.UnreadableEntryError, source: str
-    ) -> None:
-        """Uses an entry that can't be read for nothing.
-
-        Guards against another writer at an upstream's key: flows would go to
-        what it names, or to an upstream of which nothing is known any more.
-        The upstream keeps its open flows, and gets new ones once it has
-        written again. Lines are bounded, since a writer may do this for
-        thousands of keys.
-        """
-        self._counts.add("unreadable_entries_total")
-        known = self._named.get(key)
-        if known is not None:
-            self._knowledge.withhold_upstream(known, source)
-        now = time.monotonic()
-        if now - self._told_unreadable_at >= _TELL_UNREADABLE_S:
-            self._told_unreadable_at = now
-            logger.error("Can't use an entry: %s.", error)
-
     def _advance(self, revision: int) -> None:
         self.completeness.advance(revision)
         self._table.forget_deletions(self.revision)
@@ -349,40 +321,15 @@
         line = self._table.get(self._reader.state_key)
         return line.revision if line is not None else 0
 
-    def _is_ours(self, line: entry_lines.EntryLine) -> bool:
-        prefixes = (self._reader.state_key, self._reader.upstreams_prefix)
-        return line.key.startswith(prefixes)
-
-    def _apply(self, key: str, value: bytes | None, source: str) -> None:
-        reader = self._reader
-        if key == reader.state_key and value is not None:
-            self._knowledge.take_state(reader.read_state(value), source)
-        elif key.startswith(reader.upstreams_prefix):
-            self._apply_upstream(key, value, source)
-
-    def _apply_upstream(
-        self, key: str, value: bytes | None, source: str
-    ) -> None:
-        now = time.monotonic()
-        former = self._named.get(key)
-        if value is None:
-            if former is not None:
-                self._knowledge.miss_upstream(former, now, source)
-            if former is not None and self._knowledge.is_gone(former):
-                del self._named[key]
-            return
-        upstream = self._reader.read_upstream(key, value)
-        if former is not None and former != upstream.id:
-            self._knowledge.end_upstream(former, now, source)
-        self._named[key] = upstream.id
-        self._knowledge.take_upstream(upstream, now, source)
-
     def _miss_others(
         self, keys: set[str], revision: int, source: str = _SOURCE
     ) -> None:
-        """Takes all upstreams for deleted that a reading does not show."""
+        """Takes all entries for deleted that a reading does not show.
+
+        The desired state is never deleted: it stays as it was.
+        """
         for entry in self._table:
             if entry.key in keys or entry.value is None:
                 continue
-            if entry.key.startswith(self._reader.upstreams_prefix):
+            if entry.key != self._reader.state_key:
                 self.take(entry.key, None, revision, source)
--- a/persimmonhinge/forwarding/route.py
+++ b/persimmonhinge/forwarding/route.py
@@ -49,6 +49,7 @@
         shares: Services that new flows go to, by weight.
         priority: Rank of its requests; 0 is the most important.
         repetition: Whether its requests may run twice.
+        regions: Regions where its requests may run; empty for all.
     """
 
     name: str
@@ -56,3 +57,4 @@
     shares: tuple[Share, ...]
     priority: int
     repetition: Repetition
+    regions: frozenset[ids.RegionId] = frozenset()
--- a/persimmonhinge/forwarding/settings.py
+++ b/persimmonhinge/forwarding/settings.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from persimmonhinge import errors
+from persimmonhinge import ids
 from persimmonhinge import json_reader
 from persimmonhinge import records
 from persimmonhinge.forwarding import flow as flows
@@ -57,6 +58,9 @@
             flow any more, milliseconds.
         change_limit_ms: Time in which a change must be in force,
             milliseconds.
+        evacuation_limit_ms: Time in which an evacuated failure domain must get
+            no new flow any more, milliseconds; None for that of a drain.
+        regions: Names of failure domains, each with that of its region.
         stop_limit_s: Time between SIGTERM and SIGKILL, seconds.
         flow_life_s: Age after which a flow may be forgotten, seconds.
         call_limit_s: Limit of a call to the store, seconds. A slow store
@@ -77,6 +81,8 @@
     metrics_port: int = 0
     drain_limit_ms: float = 3000
     change_limit_ms: float = 3000
+    evacuation_limit_ms: float | None = None
+    regions: tuple[tuple[str, str], ...] = ()
     stop_limit_s: float = 6
     flow_life_s: float = 60
     call_limit_s: float = 1.0
@@ -126,7 +132,19 @@
 
     def _shortest_limit_s(self) -> float:
         """Returns the time in which any change must be in force, seconds."""
-        return min(self.drain_limit_ms, self.change_limit_ms) / 1000
+        shortest_ms = min(
+            self.drain_limit_ms,
+            self.change_limit_ms,
+            self.evacuation_limit_ms or self.drain_limit_ms,
+        )
+        return shortest_ms / 1000
+
+    def domain_regions(self) -> dict[ids.DomainId, ids.RegionId]:
+        """Returns the region of each failure domain."""
+        return {
+            ids.DomainId(domain): ids.RegionId(region)
+            for domain, region in self.regions
+        }
 
     def seed_addresses(self) -> list[str]:
         """Returns IP addresses of hosts to tell first."""
@@ -225,6 +243,14 @@
     return StoreAddress(address)
 
 
+def _read_regions(name: str, value: object) -> tuple[tuple[str, str], ...]:
+    document = json_reader.expect(value, dict, name)
+    return tuple(
+        (_read_text(name, domain), _read_text(f"{name}.{domain}", region))
+        for domain, region in document.items()
+    )
+
+
 def _read_port(name: str, value: object, least: int = 1) -> int:
     number = json_reader.expect(value, int, name)
     if not least <= number <= _LAST_PORT:
@@ -276,6 +302,8 @@
     "metrics_port": _read_port_or_none,
     "drain_limit_ms": _read_positive,
     "change_limit_ms": _read_positive,
+    "evacuation_limit_ms": _read_positive,
+    "regions": _read_regions,
     "stop_limit_s": _read_positive,
     "flow_life_s": _read_positive,
     "call_limit_s": _read_positive,
--- a/persimmonhinge/ids.py
+++ b/persimmonhinge/ids.py
@@ -6,6 +6,7 @@
 
 HostId = NewType("HostId", str)
 DomainId = NewType("DomainId", str)
+RegionId = NewType("RegionId", str)
 ServiceName = NewType("ServiceName", str)
 UpstreamId = NewType("UpstreamId", str)
 CallClassName = NewType("CallClassName", str)
--- a/persimmonhinge/platform/adapter.py
+++ b/persimmonhinge/platform/adapter.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+from persimmonhinge import ids
 from persimmonhinge.forwarding import desired_state as desired_states
 from persimmonhinge.forwarding import packet as packets
 from persimmonhinge.forwarding import settings as forward_settings
@@ -47,6 +48,7 @@
 
     state_key = entries.DESIRED_STATE
     upstreams_prefix = entries.UPSTREAMS
+    evacuations_prefix = entries.EVACUATIONS
 
     def read_state(self, value: bytes) -> desired_states.DesiredState:
         """See `entries.decode_desired_state`."""
@@ -56,6 +58,10 @@
         """See `entries.decode_upstream`."""
         return entries.decode_upstream(key, value)
 
+    def read_evacuated_domain(self, key: str) -> ids.DomainId:
+        """See `entries.decode_evacuated_domain`."""
+        return entries.decode_evacuated_domain(key)
+
 
 def make_reader(
     addresses: Iterable[str],
--- a/persimmonhinge/platform/entries.py
+++ b/persimmonhinge/platform/entries.py
@@ -23,6 +23,7 @@
 
 DESIRED_STATE = "op/config"
 UPSTREAMS = "servers/"
+EVACUATIONS = "op/evacuate/"
 HOSTS = "persimmonhinge/hosts/"
 
 # Kinds of requests that may run twice; all others run once at most.
@@ -60,6 +61,20 @@
         raise _make_error(key, error) from error
 
 
+def decode_evacuated_domain(key: str) -> ids.DomainId:
+    """Reads which failure domain an entry evacuates, from its key.
+
+    The entry evacuates it for as long as it is there; its value says nothing.
+
+    Raises:
+        UnreadableEntryError: The key names none.
+    """
+    domain = key.removeprefix(EVACUATIONS)
+    if not domain or "/" in domain:
+        raise _make_error(key, ValueError("no failure domain is named"))
+    return ids.DomainId(domain)
+
+
 def _convert_state(entry: dict[str, Any]) -> desired_states.DesiredState:
     read = json_reader.read_field
     found = [
@@ -72,9 +87,25 @@
         version=read(entry, "Version", int),
         routes={route.at: route for route in found},
         idle_timeout_s=idle_ms / 1000,
+        cold_limited=frozenset(_list_cold_limited(entry)),
     )
 
 
+def _list_cold_limited(entry: dict[str, Any]) -> list[ids.ServiceName]:
+    """Returns the services whose cold upstreams take a bounded rate.
+
+    A rate of 0 sets no bound.
+    """
+    read = json_reader.read_field
+    found = []
+    for listed in read(entry, "Services", list, []):
+        service = json_reader.expect(listed, dict, "service")
+        rate = json_reader.expect_number(service.get("ColdPerS", 0), "ColdPerS")
+        if rate > 0:
+            found.append(ids.ServiceName(read(service, "Name", str)))
+    return found
+
+
 def _convert_route(entry: dict[str, Any]) -> routes.Route:
     read = json_reader.read_field
     repetition = routes.Repetition.AT_MOST_ONCE
@@ -91,6 +122,10 @@
         shares=tuple(_convert_shares(entry)),
         priority=read(entry, "Priority", int, 0),
         repetition=repetition,
+        regions=frozenset(
+            ids.RegionId(json_reader.expect(region, str, "AllowedRegions"))
+            for region in read(entry, "AllowedRegions", list, [])
+        ),
     )
 
 
--- a/tests/test_forwarding/scene.py
+++ b/tests/test_forwarding/scene.py
@@ -18,6 +18,7 @@
 from persimmonhinge.forwarding import tracker as trackers
 from persimmonhinge.forwarding import upstream as upstreams
 from persimmonhinge.forwarding.decisions import chooser as choosers
+from persimmonhinge.forwarding.decisions import eligibility
 from persimmonhinge.forwarding.decisions import loads as load_books
 from persimmonhinge.forwarding.decisions import openings as opening_lists
 from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
@@ -30,6 +31,7 @@
 OTHER_SERVICE = ids.ServiceName("intake")
 HERE = ids.DomainId("north")
 ELSEWHERE = ids.DomainId("south")
+REGION = ids.RegionId("country")
 ADDRESS = 0xC6120001
 PORT = 443
 OTHER_PORT = 8443
@@ -94,7 +96,9 @@
             domain,
             self.knowledge,
             self.loads,
-            self.suspicions,
+            eligibility.Eligibility(
+                self.knowledge, self.suspicions, {HERE: REGION}
+            ),
             choice_near_first.NearFirstChoice(self.randomness),
             self.randomness,
         )
--- a/tests/test_forwarding/test_forwarding_reading.py
+++ b/tests/test_forwarding/test_forwarding_reading.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from persimmonhinge import ids
+from persimmonhinge.forwarding import entry_effects
 from persimmonhinge.forwarding import entry_line as entry_lines
 from persimmonhinge.forwarding import knowledge as knowledge_parts
 from persimmonhinge.forwarding import reading
@@ -118,7 +119,9 @@
     requests are left out. Cause: a line for each entry.
     """
     reader = Reader()
-    with unittest.TestCase().assertLogs(reading.__name__, "ERROR") as logged:
+    with unittest.TestCase().assertLogs(
+        entry_effects.__name__, "ERROR"
+    ) as logged:
         for number in range(500):
             reader.entries.take(make_key(str(number)), b"{", number + 1)
     assert reader.counts.get("unreadable_entries_total") == 500
--- a/tests/test_platform/test_platform_entries.py
+++ b/tests/test_platform/test_platform_entries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import unittest
+
 import msgspec
 
 from persimmonhinge import errors
@@ -39,6 +41,37 @@
 }
 
 
+def test_regions_and_limits_of_cold_upstreams_are_read() -> None:
+    document = {
+        **_STATE,
+        "Routes": [
+            {
+                "Name": "r-1",
+                "Host": "198.18.0.1",
+                "Prefix": "/8443/",
+                "Service": "a",
+                "AllowedRegions": ["coast", "hills"],
+            }
+        ],
+        "Services": [
+            {"Name": "a", "ColdPerS": 4.0},
+            {"Name": "b", "ColdPerS": 0.0},
+            {"Name": "c"},
+        ],
+    }
+    state = entries.decode_desired_state(msgspec.json.encode(document))
+    (route,) = state.routes.values()
+    assert route.regions == {"coast", "hills"}
+    assert state.cold_limited == {"a"}
+
+
+def test_evacuated_domain_is_read_from_its_key() -> None:
+    assert entries.decode_evacuated_domain("op/evacuate/hall") == "hall"
+    for key in ("op/evacuate/", "op/evacuate/a/b"):
+        with unittest.TestCase().assertRaises(errors.UnreadableEntryError):
+            entries.decode_evacuated_domain(key)
+
+
 def test_desired_state_is_read() -> None:
     state = entries.decode_desired_state(msgspec.json.encode(_STATE))
     assert state.version == 7
