Bound what cold upstreams of a service get from all hosts together

A service may say what an upstream bears while it is cold. Hosts used warm ones first, but where all were cold each host sent what it liked.

Ways weighed: an equal part for each host known (0 of a limit of 12 at 84 hosts); a few hosts for each cold upstream by rendezvous hash. The second: as many hosts as requests a second are allowed open one flow a second each; the excess and slack that the users allow above it cover hosts that do not know each other. What no host has a share for is refused at once.

A property test plays 1, 6, 84 and 195 hosts of which a tenth does not know a tenth of the others, all upstreams cold: it fails without the shares, and so does the test of the refusal.

--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -12,6 +12,7 @@
 from persimmonhinge.forwarding import sockets
 from persimmonhinge.forwarding import tracker as trackers
 from persimmonhinge.forwarding.decisions import chooser as choosers
+from persimmonhinge.forwarding.decisions import cold_shares
 from persimmonhinge.forwarding.decisions import eligibility
 from persimmonhinge.forwarding.decisions import loads as load_books
 from persimmonhinge.forwarding.decisions import openings as opening_lists
@@ -90,7 +91,10 @@
             self.knowledge,
             self.loads,
             eligibility.Eligibility(
-                self.knowledge, self.suspicions, settings.domain_regions()
+                self.knowledge,
+                self.suspicions,
+                cold_shares.ColdShares(settings.host, self.peers.list_hosts),
+                settings.domain_regions(),
             ),
             choice.choices.get(settings.choice)(randomness),
             randomness,
--- a/persimmonhinge/forwarding/decisions/chooser.py
+++ b/persimmonhinge/forwarding/decisions/chooser.py
@@ -89,16 +89,18 @@
         found = {upstream.id: upstream for upstream in usable}
         candidates = [self._make_candidate(u, now) for u in usable]
         candidate = self._policy.choose(candidates)
-        return Chosen(found[candidate.upstream], candidate, len(candidates))
+        upstream = found[candidate.upstream]
+        self._eligibility.record_opening(upstream, wanted)
+        return Chosen(upstream, candidate, len(candidates))
 
     def _list_usable(
         self, flow: eligibilities.NewFlow
     ) -> Sequence[upstreams.Upstream]:
         def is_usable(upstream: upstreams.Upstream) -> bool:
             eligibility = self._eligibility
-            return eligibility.may_take(
+            return eligibility.should_take(
                 upstream, flow
-            ) and eligibility.should_take(upstream, flow)
+            ) and eligibility.may_take(upstream, flow)
 
         drawn = self._pool.draw(flow.service, is_usable, flow.excluded)
         return drawn or self._list_all(flow)
--- a/persimmonhinge/forwarding/decisions/eligibility.py
+++ b/persimmonhinge/forwarding/decisions/eligibility.py
@@ -10,6 +10,7 @@
 from persimmonhinge.forwarding import knowledge as knowledge_parts
 from persimmonhinge.forwarding import route as routes
 from persimmonhinge.forwarding import upstream as upstreams
+from persimmonhinge.forwarding.decisions import cold_shares as cold_share_books
 from persimmonhinge.forwarding.decisions import suspicions as suspicion_lists
 
 
@@ -40,6 +41,7 @@
         self,
         knowledge: knowledge_parts.Knowledge,
         suspicions: suspicion_lists.Suspicions,
+        cold_shares: cold_share_books.ColdShares,
         regions: Mapping[ids.DomainId, ids.RegionId],
     ) -> None:
         """Makes the conditions of one host.
@@ -47,10 +49,12 @@
         Args:
             knowledge: What it believes of the platform.
             suspicions: Upstreams that left opening packets unanswered.
+            cold_shares: What it may send to upstreams that are cold.
             regions: The region of each failure domain.
         """
         self._knowledge = knowledge
         self._suspicions = suspicions
+        self._cold_shares = cold_shares
         self._regions = regions
 
     def list_excluded(self, route: routes.Route) -> frozenset[ids.DomainId]:
@@ -72,6 +76,7 @@
         return (
             upstream.domain not in flow.excluded
             and self._knowledge.directory.is_unique(upstream)
+            and self._has_cold_share(upstream, flow)
         )
 
     def should_take(self, upstream: upstreams.Upstream, flow: NewFlow) -> bool:
@@ -79,16 +84,34 @@
         return (
             upstream.id not in flow.without
             and not self._suspicions.holds(upstream.id, upstream.token, flow.at)
-            and not self._is_too_cold(upstream, flow)
+            and self._find_cold_limit(upstream, flow) is None
         )
 
-    def _is_too_cold(self, upstream: upstreams.Upstream, flow: NewFlow) -> bool:
-        """Tells whether others are to take a flow until an upstream is warm.
-
-        Guards against the sum of what all hosts send to a cold upstream of a
-        service that bounds it.
+    def record_opening(
+        self, upstream: upstreams.Upstream, flow: NewFlow
+    ) -> None:
+        """Records that a flow goes to an upstream."""
+        if self._find_cold_limit(upstream, flow) is not None:
+            self._cold_shares.record_opening(upstream.id, flow.at)
+
+    def _has_cold_share(
+        self, upstream: upstreams.Upstream, flow: NewFlow
+    ) -> bool:
+        limit_per_s = self._find_cold_limit(upstream, flow)
+        if limit_per_s is None:
+            return True
+        return self._cold_shares.has_room(upstream.id, limit_per_s, flow.at)
+
+    def _find_cold_limit(
+        self, upstream: upstreams.Upstream, flow: NewFlow
+    ) -> float | None:
+        """Returns the requests a second that an upstream bears; None for any.
+
+        It has a limit while it is cold, if its service has one.
         """
         state = self._knowledge.state
-        if state is None or flow.service not in state.cold_limited:
-            return False
-        return self._knowledge.directory.is_cold(upstream.id, flow.at)
+        limit_per_s = state.cold_limits.get(flow.service) if state else None
+        if limit_per_s is None:
+            return None
+        is_cold = self._knowledge.directory.is_cold(upstream.id, flow.at)
+        return limit_per_s if is_cold else None
--- a/persimmonhinge/forwarding/desired_state.py
+++ b/persimmonhinge/forwarding/desired_state.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
 from persimmonhinge import ids
 from persimmonhinge import records
 from persimmonhinge.forwarding import route as routes
@@ -15,11 +18,11 @@
         routes: The routes by what callers address.
         idle_timeout_s: Time after which an idle flow may be forgotten,
             seconds.
-        cold_limited: Services that bound what an upstream gets while it is
-            cold.
+        cold_limits: Requests a second that an upstream bears while it is cold,
+            by service; a service without a limit is left out.
     """
 
     version: int
     routes: dict[routes.RouteAddress, routes.Route]
     idle_timeout_s: float
-    cold_limited: frozenset[ids.ServiceName] = frozenset()
+    cold_limits: Mapping[ids.ServiceName, float] = MappingProxyType({})
--- a/persimmonhinge/forwarding/peers/book.py
+++ b/persimmonhinge/forwarding/peers/book.py
@@ -170,6 +170,10 @@
         """Returns the hosts whose reports count."""
         return [p for p in self._peers.values() if p.report is not None]
 
+    def list_hosts(self) -> list[str]:
+        """Returns the names of the hosts whose reports count."""
+        return [p.report.host for p in self._peers.values() if p.report]
+
     def list_near(self, domain: str) -> list[flows.Endpoint]:
         """Returns the hosts that are known to be of a failure domain."""
         return [p.address for p in self._peers.values() if p.domain == domain]
--- a/persimmonhinge/platform/entries.py
+++ b/persimmonhinge/platform/entries.py
@@ -87,23 +87,23 @@
         version=read(entry, "Version", int),
         routes={route.at: route for route in found},
         idle_timeout_s=idle_ms / 1000,
-        cold_limited=frozenset(_list_cold_limited(entry)),
+        cold_limits=_read_cold_limits(entry),
     )
 
 
-def _list_cold_limited(entry: dict[str, Any]) -> list[ids.ServiceName]:
-    """Returns the services whose cold upstreams take a bounded rate.
+def _read_cold_limits(entry: dict[str, Any]) -> dict[ids.ServiceName, float]:
+    """Returns the requests a second that cold upstreams of services bear.
 
-    A rate of 0 sets no bound.
+    A rate of 0 sets no limit.
     """
     read = json_reader.read_field
-    found = []
+    limits = {}
     for listed in read(entry, "Services", list, []):
         service = json_reader.expect(listed, dict, "service")
         rate = json_reader.expect_number(service.get("ColdPerS", 0), "ColdPerS")
         if rate > 0:
-            found.append(ids.ServiceName(read(service, "Name", str)))
-    return found
+            limits[ids.ServiceName(read(service, "Name", str))] = rate
+    return limits
 
 
 def _convert_route(entry: dict[str, Any]) -> routes.Route:
--- a/tests/test_forwarding/scene.py
+++ b/tests/test_forwarding/scene.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import random
 
@@ -18,6 +19,7 @@
 from persimmonhinge.forwarding import tracker as trackers
 from persimmonhinge.forwarding import upstream as upstreams
 from persimmonhinge.forwarding.decisions import chooser as choosers
+from persimmonhinge.forwarding.decisions import cold_shares
 from persimmonhinge.forwarding.decisions import eligibility
 from persimmonhinge.forwarding.decisions import loads as load_books
 from persimmonhinge.forwarding.decisions import openings as opening_lists
@@ -80,7 +82,18 @@
         clock: Clock | None = None,
         domain: ids.DomainId = HERE,
         randomness: random.Random | None = None,
+        host: str = "host-0",
+        others: Sequence[str] = (),
     ) -> None:
+        """Makes a host.
+
+        Args:
+            clock: Its clock.
+            domain: Its failure domain.
+            randomness: Source of its random numbers.
+            host: Its name.
+            others: Names of the other hosts.
+        """
         self.clock = clock or Clock()
         self.randomness = randomness or random.Random(1)
         self.output = Output()
@@ -97,7 +110,10 @@
             self.knowledge,
             self.loads,
             eligibility.Eligibility(
-                self.knowledge, self.suspicions, {HERE: REGION}
+                self.knowledge,
+                self.suspicions,
+                cold_shares.ColdShares(host, lambda: others),
+                {HERE: REGION},
             ),
             choice_near_first.NearFirstChoice(self.randomness),
             self.randomness,
--- a/tests/test_forwarding/test_forwarding_eligibility.py
+++ b/tests/test_forwarding/test_forwarding_eligibility.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import random
+
+import hypothesis
+from hypothesis import strategies
+
 from persimmonhinge import ids
 from persimmonhinge import records
 from persimmonhinge.forwarding import desired_state as desired_states
@@ -10,6 +15,10 @@
 
 _COLD_S = 2.0
 _FLOWS = 30
+_COLD_PER_S = 4.0
+# What the users allow above that: a share of it, and requests.
+_EXCESS = 1.5
+_SLACK = 5
 
 
 def make_scene() -> scenes.Scene:
@@ -21,17 +30,15 @@
 
 
 def set_route(
-    scene: scenes.Scene, *regions: ids.RegionId, cold_limited: bool = False
+    scene: scenes.Scene, *regions: ids.RegionId, cold_per_s: float = 0.0
 ) -> None:
     """Puts a version in force with one route."""
     route = records.replace(
         scenes.make_route(scenes.PORT, scenes.SERVICE),
         regions=frozenset(regions),
     )
-    limited = {scenes.SERVICE} if cold_limited else ()
-    state = desired_states.DesiredState(
-        2, {route.at: route}, 15.0, frozenset(limited)
-    )
+    limits = {scenes.SERVICE: cold_per_s} if cold_per_s else {}
+    state = desired_states.DesiredState(2, {route.at: route}, 15.0, limits)
     scene.knowledge.take_state(state, "test")
 
 
@@ -71,7 +78,7 @@
     """Guards against more at a cold upstream than its service allows."""
     scene = make_scene()
     cold = add_cold(scene, 3)
-    set_route(scene, cold_limited=True)
+    set_route(scene, cold_per_s=_COLD_PER_S)
     for port in range(1000, 1000 + _FLOWS):
         assert scene.open(port).id != cold.id
     scene.clock.sleep(_COLD_S)
@@ -86,3 +93,56 @@
     set_route(scene)
     opened = {scene.open(p).id for p in range(1000, 1000 + _FLOWS)}
     assert cold.id in opened
+
+
+@hypothesis.given(
+    hosts=strategies.sampled_from((1, 6, 84, 195)),
+    cold_per_s=strategies.floats(0.5, 20.0),
+    seed=strategies.integers(0, 1000),
+)
+@hypothesis.settings(max_examples=12)
+def test_cold_upstream_gets_no_more_than_its_limit_in_any_second(
+    hosts: int, cold_per_s: float, seed: int
+) -> None:
+    """Guards against hosts that keep to a limit each, and not together.
+
+    All upstreams of the service are cold, and a tenth of the hosts does not
+    know another tenth.
+    """
+    randomness = random.Random(seed)
+    clock = scenes.Clock()
+    names = [f"host-{number}" for number in range(hosts)]
+    fleet = []
+    for name in names:
+        known = [n for n in names if n != name and randomness.random() < 0.9]
+        scene = scenes.Scene(
+            clock, randomness=randomness, host=name, others=known
+        )
+        for number in range(3):
+            add_cold(scene, number)
+        set_route(scene, cold_per_s=cold_per_s)
+        fleet.append(scene)
+    sent_at: dict[ids.UpstreamId, list[float]] = {}
+    for caller in range(1000, 1000 + 600):
+        scene = randomness.choice(fleet)
+        sent = len(scene.output.to_upstreams)
+        scene.receive(scenes.make_packet(caller, scenes.SYN))
+        if len(scene.output.to_upstreams) > sent:
+            to = scene.last_upstream().id
+            sent_at.setdefault(to, []).append(clock.now)
+        clock.sleep(_COLD_S / 601)
+    for times in sent_at.values():
+        for first in times:
+            within = sum(first <= at < first + 1.0 for at in times)
+            assert within <= cold_per_s * _EXCESS + _SLACK
+
+
+def test_flow_beyond_what_cold_upstreams_bear_is_refused_at_once() -> None:
+    """Guards against callers that wait for what is known not to be served."""
+    scene = scenes.Scene()
+    add_cold(scene, 1)
+    set_route(scene, cold_per_s=_COLD_PER_S)
+    scene.confirm()
+    scene.open(1000)
+    scene.receive(scenes.make_packet(1001, scenes.SYN))
+    assert scene.count_sent() == (1, 1)
--- a/tests/test_platform/test_platform_entries.py
+++ b/tests/test_platform/test_platform_entries.py
@@ -62,7 +62,7 @@
     state = entries.decode_desired_state(msgspec.json.encode(document))
     (route,) = state.routes.values()
     assert route.regions == {"coast", "hills"}
-    assert state.cold_limited == {"a"}
+    assert state.cold_limits == {"a": 4.0}
 
 
 def test_evacuated_domain_is_read_from_its_key() -> None:
