--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -108,7 +108,7 @@
             domain: candidates.CandidatePool(
                 ids.DomainId(str(domain)), directory, self._random
             )
-            for domain in set(layout.domains)
+            for domain in {*layout.domains, *layout.hosts}
         }
         self._books = [
             load_books.LoadBook(lambda: self._queue.now) for _ in layout.hosts
--- a/benchmarks/choice_layouts.py
+++ b/benchmarks/choice_layouts.py
@@ -74,3 +74,27 @@
     report_s=1.9,
 )
 LAYOUTS["large-full"] = LAYOUTS["large"]._replace(work_s=0.2)
+# The Market's floor service after its work has shifted; the same at the peak of
+# a burst, and at that with one of three failure domains evacuated.
+LAYOUTS["shifted"] = Layout(
+    domains=_spread(60, 3),
+    hosts=_spread(84, 3),
+    slots=2,
+    queue=8,
+    work_s=0.033,
+    long_flows=1_000,
+    pause_s=2.0,
+    fresh_per_s=244.0,
+    report_s=1.3,
+)
+LAYOUTS["shifted-burst"] = LAYOUTS["shifted"]._replace(
+    long_flows=2_200, fresh_per_s=540.0
+)
+LAYOUTS["shifted-evacuated"] = LAYOUTS["shifted-burst"]._replace(
+    domains=_spread(40, 2)
+)
+# The same load before all of its upstreams, with half of the callers of two
+# failure domains moved to the third.
+LAYOUTS["shifted-moved"] = LAYOUTS["shifted-burst"]._replace(
+    hosts=(0,) * 56 + (1,) * 14 + (2,) * 14
+)
