Run a fleet on the event loop's clock in one place

The same patches and nursery stood in the benchmark of parts, in the tests of lost hosts and twice in those of evacuations. No check is changed.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 from collections.abc import Iterable
 import contextlib
 import functools
 import random
 import socket
+import time
+from unittest import mock
 
 import msgspec
 import trio
@@ -261,3 +264,20 @@
     def _count_silent(self, host: Host, address: flows.Endpoint) -> None:
         is_near = self._by_address[address.host].domain == host.domain
         self.silent[is_near] += 1
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(fleet: Fleet) -> AsyncIterator[trio.Nursery]:
+    """Runs a fleet meanwhile, by the clock of the event loop.
+
+    Yields:
+        The nursery of the hosts, which is cancelled in the end.
+    """
+    with (
+        mock.patch.object(time, "monotonic", trio.current_time),
+        mock.patch.object(trio, "open_tcp_stream", fleet.connect),
+    ):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.run)
+            yield nursery
+            nursery.cancel_scope.cancel()
--- a/benchmarks/host_cost.py
+++ b/benchmarks/host_cost.py
@@ -18,7 +18,6 @@
 import json
 import logging
 import time
-from unittest import mock
 
 import trio
 
@@ -86,16 +85,10 @@
     for host in fleet.hosts:
         heard = costs.count_heard(host.service.take_message)
         setattr(host.service, HEARD, heard)
-    with (
-        mock.patch.object(time, "monotonic", trio.current_time),
-        mock.patch.object(trio, "open_tcp_stream", fleet.connect),
-    ):
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(fleet.run)
-            await trio.sleep(_SETTLE_S)
-            costs.begin()
-            await trio.sleep(length_s)
-            nursery.cancel_scope.cancel()
+    async with fleets.run_fleet(fleet):
+        await trio.sleep(_SETTLE_S)
+        costs.begin()
+        await trio.sleep(length_s)
 
 
 def run(
--- a/tests/test_forwarding/lost_hosts.py
+++ b/tests/test_forwarding/lost_hosts.py
@@ -5,8 +5,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import functools
-import time
-from unittest import mock
 
 import trio
 
@@ -134,22 +132,16 @@
     """
     fleet = fleets.Fleet(_HOSTS, _DOMAINS, _SEED)
     watcher = Watcher(fleet)
-    with (
-        mock.patch.object(time, "monotonic", trio.current_time),
-        mock.patch.object(trio, "open_tcp_stream", fleet.connect),
-    ):
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(fleet.run)
-            nursery.start_soon(watcher.run)
-            await trio.sleep(_HEARD_S)
-            await lose(fleet, change)
-            await trio.sleep(_LIMIT_S)
-            late = [
-                host
-                for host in fleet.hosts
-                if not host.scope.cancel_called and not knows(fleet, host)
-            ]
-            nursery.cancel_scope.cancel()
+    async with fleets.run_fleet(fleet) as nursery:
+        nursery.start_soon(watcher.run)
+        await trio.sleep(_HEARD_S)
+        await lose(fleet, change)
+        await trio.sleep(_LIMIT_S)
+        late = [
+            host
+            for host in fleet.hosts
+            if not host.scope.cancel_called and not knows(fleet, host)
+        ]
     for seen in watcher.versions.values():
         assert seen == sorted(seen), seen
     return len(late)
--- a/tests/test_forwarding/test_forwarding_evacuation.py
+++ b/tests/test_forwarding/test_forwarding_evacuation.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-import functools
-import time
-from unittest import mock
-
 import trio
 
 from benchmarks import fleet as fleets
@@ -88,8 +84,8 @@
     return not host.core.knowledge.evacuated
 
 
-async def evacuate_and_take_back(fleet: fleets.Fleet) -> None:
-    """Evacuates a domain for a while, which all hosts come to know."""
+async def evacuate_all(fleet: fleets.Fleet) -> None:
+    """Evacuates a domain and waits until all hosts know."""
     evacuate(fleet)
     await trio.sleep(_LIMIT_S)
     assert all(knows_evacuation(fleet, host) for host in fleet.hosts)
@@ -223,24 +219,12 @@
 
 def test_end_of_an_evacuation_is_known_in_time() -> None:
     """Guards against a domain without new flows after its evacuation."""
-    late: list[int] = []
-
-    async def run() -> None:
-        late.append(await _count_late_ends(lambda _: None))
-
-    trios.run_in_order(_SEED, functools.partial(run))
-    assert late == [0]
+    assert play_end(lambda _: None) == 0
 
 
 def test_end_of_an_evacuation_is_known_without_history() -> None:
     """Guards against an end that the store's dropped history held."""
-    late: list[int] = []
-
-    async def run() -> None:
-        late.append(await _count_late_ends(lambda f: f.store.forget_history()))
-
-    trios.run_in_order(_SEED, functools.partial(run))
-    assert late == [0]
+    assert play_end(lambda f: f.store.forget_history()) == 0
 
 
 def test_host_that_starts_later_knows_an_evacuation() -> None:
@@ -248,41 +232,39 @@
 
     async def run() -> None:
         fleet = fleets.Fleet(6, 3, _SEED)
-        with (
-            mock.patch.object(time, "monotonic", trio.current_time),
-            mock.patch.object(trio, "open_tcp_stream", fleet.connect),
-        ):
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(fleet.run)
-                await trio.sleep(_HEARD_S)
-                await evacuate_and_take_back(fleet)
-                fleet.store.go_down()
-                fleet.stop(fleet.hosts[0])
-                started = fleet.restart(fleet.hosts[0])
-                await trio.sleep(_LIMIT_S)
-                assert knows_evacuation(fleet, started)
-                nursery.cancel_scope.cancel()
-
-    trios.run_in_order(_SEED, functools.partial(run))
+        async with fleets.run_fleet(fleet):
+            await trio.sleep(_HEARD_S)
+            await evacuate_all(fleet)
+            fleet.store.go_down()
+            fleet.stop(fleet.hosts[0])
+            started = fleet.restart(fleet.hosts[0])
+            await trio.sleep(_LIMIT_S)
+            assert knows_evacuation(fleet, started)
+
+    trios.run_in_order(_SEED, run)
+
+
+def play_end(disturb: lost_hosts.Change) -> int:
+    """Plays the end of an evacuation on a mock clock."""
+    late: list[int] = []
+
+    async def run() -> None:
+        late.append(await _count_late_ends(disturb))
+
+    trios.run_in_order(_SEED, run)
+    return late[0]
 
 
 async def _count_late_ends(disturb: lost_hosts.Change) -> int:
     """Takes an evacuation back; returns the hosts that know it too late."""
     fleet = fleets.Fleet(12, 3, _SEED)
-    with (
-        mock.patch.object(time, "monotonic", trio.current_time),
-        mock.patch.object(trio, "open_tcp_stream", fleet.connect),
-    ):
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(fleet.run)
-            await trio.sleep(_HEARD_S)
-            await evacuate_and_take_back(fleet)
-            fleet.store.end_evacuation(_DOMAIN)
-            disturb(fleet)
-            await trio.sleep(_LIMIT_S)
-            late = sum(not knows_end(fleet, host) for host in fleet.hosts)
-            nursery.cancel_scope.cancel()
-    return late
+    async with fleets.run_fleet(fleet):
+        await trio.sleep(_HEARD_S)
+        await evacuate_all(fleet)
+        fleet.store.end_evacuation(_DOMAIN)
+        disturb(fleet)
+        await trio.sleep(_LIMIT_S)
+        return sum(not knows_end(fleet, host) for host in fleet.hosts)
 
 
 def test_domains_one_after_the_other_are_kept_apart() -> None:
