--- a/deploy/forward.py
+++ b/deploy/forward.py
@@ -1,8 +1,7 @@
 """Starts a forwarding host on the platform.
 
 `python -m` imports `runpy` and what that needs first, and a restarted host
-forwards nothing meanwhile: 69 against 61 ms of processor time until the
-settings are read (best of 21 starts in turn, beside a busy machine).
+forwards nothing meanwhile.
 """
 
 import sys
--- a/persimmonhinge/flows/feeds/outline.py
+++ b/persimmonhinge/flows/feeds/outline.py
@@ -31,7 +31,7 @@
 
     Two registrations for the same state give the same octets.
     """
-    # Not `Message.copy`, whose deep copy takes 0.1 ms of each registration.
+    # Not `Message.copy`, whose deep copy is slow.
     request = codec.Message(code=message.code)
     request.mtype, request.mid, request.token = aiocoap.NON, 0, b""
     for option in message.opt.option_list():
--- a/persimmonhinge/forwarding/follower.py
+++ b/persimmonhinge/forwarding/follower.py
@@ -166,9 +166,8 @@
     def _next_retry(self) -> float:
         """Returns the longest wait after this failure in a row, seconds.
 
-        Guards against a store that is kept down by the calls of all hosts:
-        those of a failure domain of 24 made 816 calls in eight seconds, now
-        216, and those of a domain of four as many as before.
+        Guards against a store that is kept down by the calls of all hosts: the
+        more there are in a failure domain, the longer each of them waits.
         """
         shared_s = self._following.count_domain() * _SHARED_RETRY_S
         longest_s = max(_LAST_RETRY_S, shared_s)
--- a/persimmonhinge/platform/store_reader.py
+++ b/persimmonhinge/platform/store_reader.py
@@ -159,8 +159,8 @@
 def _quote(text: str) -> str:
     if _PLAIN.issuperset(text):
         return text
-    # Keys that need it are rare, and the import takes 6 ms of processor time
-    # that a host would spend before it serves.
+    # Keys that need it are rare, and the import takes processor time that a
+    # host would spend before it serves.
     import urllib.parse
 
     return urllib.parse.quote(text, safe="")
--- a/persimmonhinge/records.py
+++ b/persimmonhinge/records.py
@@ -2,7 +2,7 @@
 
 They stand in for a library of such classes in the modules that a host needs
 before its first packet: `dataclasses` draws in `inspect`, and `msgspec` takes
-half of that time (54 of 101 ms beside a busy machine, medians of 15 starts).
+half of that time.
 What is read from the network or from settings is checked where it is read.
 """
 
