Report drains of hosts and evacuations of domains by one piece of the commands

Waiting until hosts show a change, its document and its exit code stood in the commands of hosts and again in the new ones of failure domains.

--- a/persimmonhinge/ctl/changes.py
+++ b/persimmonhinge/ctl/changes.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+import dataclasses
+
 from persimmonhinge import errors
 from persimmonhinge.contracts import audit
 from persimmonhinge.contracts import diff
@@ -49,6 +52,73 @@
     return exits.ExitCode.NOT_IN_FORCE
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainSubject:
+    """What an operator drains or takes back.
+
+    Attributes:
+        kind: What it is, as the document names it.
+        name: Its name.
+        missing: What is told if hosts do not show the change in time.
+    """
+
+    kind: str
+    name: str
+    missing: str
+
+
+async def report_drain(
+    session: sessions.Session,
+    subject: DrainSubject,
+    record: audit.AuditRecord | None,
+    wait_s: float | None,
+    is_shown: Callable[[waiting.Reports], bool],
+) -> exits.ExitCode:
+    """Writes the result of a drain, or of one that was taken back.
+
+    Args:
+        session: The command.
+        subject: What was drained.
+        record: The change; None if there was nothing to do.
+        wait_s: How long to wait until hosts show it, seconds; None to return
+            at once.
+        is_shown: Tells whether hosts show it.
+
+    Returns:
+        OK, or NOT_IN_FORCE after a wait that was too short.
+    """
+    revision = record.revision if record else 0
+    show_record(session, subject.name, revision, record)
+    shows = None
+    if wait_s is not None:
+        shows = await _wait_shown(session, wait_s, is_shown)
+    session.printer.show_document(
+        {
+            subject.kind: subject.name,
+            **to_document(record),
+            "in_force": shows,
+        }
+    )
+    if shows is False:
+        session.printer.show_note(f"error: {subject.missing}")
+        return exits.ExitCode.NOT_IN_FORCE
+    return exits.ExitCode.OK
+
+
+async def _wait_shown(
+    session: sessions.Session,
+    wait_s: float,
+    is_shown: Callable[[waiting.Reports], bool],
+) -> bool:
+    """Waits until hosts show a change; False if they do not."""
+    try:
+        return is_shown(await waiting.poll_hosts(session, wait_s, is_shown))
+    except errors.PlatformError as error:
+        # The change is made: an outage now must not look like one before it.
+        session.printer.show_note(f"error: {error}")
+        return False
+
+
 def to_document(record: audit.AuditRecord | None) -> dict[str, object]:
     """Returns what was changed, as JSON."""
     if record is None:
--- a/persimmonhinge/ctl/domain_commands.py
+++ b/persimmonhinge/ctl/domain_commands.py
@@ -8,13 +8,11 @@
 
 from persimmonhinge import errors
 from persimmonhinge import ids
-from persimmonhinge.contracts import audit
 from persimmonhinge.ctl import changes
 from persimmonhinge.ctl import exits
 from persimmonhinge.ctl import host_client
 from persimmonhinge.ctl import options
 from persimmonhinge.ctl import session as sessions
-from persimmonhinge.ctl import waiting
 
 program = typer.Typer(
     help="Failure domains, with the upstreams in them.", no_args_is_help=True
@@ -112,7 +110,15 @@
         change = drains.evacuate if evacuated else drains.restore
         request = session.make_request(request_id, reason)
         record = await change(domain, request)
-        return await _report(session, domain, record, wait, evacuated)
+        return await changes.report_drain(
+            session,
+            changes.DrainSubject(
+                "domain", name, f"not all hosts know this of {name}"
+            ),
+            record,
+            wait,
+            lambda reports: _is_known(reports, domain, evacuated),
+        )
 
     sessions.run(context, output, work)
 
@@ -148,50 +154,17 @@
     return counted
 
 
-async def _report(
-    session: sessions.Session,
-    domain: ids.DomainId,
-    record: audit.AuditRecord | None,
-    wait_s: float | None,
-    evacuated: bool,
-) -> exits.ExitCode:
-    revision = record.revision if record else 0
-    changes.show_record(session, domain, revision, record)
-    shows = None
-    if wait_s is not None:
-        shows = await _wait(session, domain, wait_s, evacuated)
-    session.printer.show_document(
-        {"domain": domain, **changes.to_document(record), "in_force": shows}
-    )
-    if shows is False:
-        session.printer.show_note(f"error: not all hosts know this of {domain}")
-        return exits.ExitCode.NOT_IN_FORCE
-    return exits.ExitCode.OK
-
-
-async def _wait(
-    session: sessions.Session,
-    domain: ids.DomainId,
-    wait_s: float,
-    evacuated: bool,
+def _is_known(
+    reports: list[host_client.HostReport], domain: str, evacuated: bool
 ) -> bool:
-    """Waits until all hosts that answer show a change; False if not."""
-
-    def is_shown(reports: waiting.Reports) -> bool:
-        counts = _count_knowing(reports, domain, evacuated)
-        return 0 < counts["hosts_asked"] == counts["hosts_that_know"]
-
-    try:
-        return is_shown(await waiting.poll_hosts(session, wait_s, is_shown))
-    except errors.PlatformError as error:
-        # The change is made: an outage now must not look like one before it.
-        session.printer.show_note(f"error: {error}")
-        return False
+    """Tells whether all hosts that answer know of a change, one at least."""
+    counts = _count_knowing(reports, domain, evacuated)
+    return 0 < counts["hosts_asked"] == counts["hosts_that_know"]
 
 
 def _count_knowing(
     reports: list[host_client.HostReport],
-    domain: ids.DomainId,
+    domain: str,
     evacuated: bool,
 ) -> dict[str, int]:
     """Returns how many hosts answered, and how many of them know a change."""
--- a/persimmonhinge/ctl/host_commands.py
+++ b/persimmonhinge/ctl/host_commands.py
@@ -6,15 +6,12 @@
 
 import typer
 
-from persimmonhinge import errors
 from persimmonhinge import ids
-from persimmonhinge.contracts import audit
 from persimmonhinge.ctl import changes
 from persimmonhinge.ctl import exits
 from persimmonhinge.ctl import host_client
 from persimmonhinge.ctl import options
 from persimmonhinge.ctl import session as sessions
-from persimmonhinge.ctl import waiting
 from persimmonhinge.membership import member as members
 
 _State = members.MemberState
@@ -97,47 +94,19 @@
         record = await change(
             ids.HostId(host), session.make_request(request_id, reason)
         )
-        return await _report(session, host, record, wait, state.value)
+        return await changes.report_drain(
+            session,
+            changes.DrainSubject(
+                "host", host, f"{host} is not {state.value} yet"
+            ),
+            record,
+            wait,
+            lambda reports: _shows(reports, host, state.value),
+        )
 
     sessions.run(context, output, work)
 
 
-async def _report(
-    session: sessions.Session,
-    host: str,
-    record: audit.AuditRecord | None,
-    wait_s: float | None,
-    wanted: str,
-) -> exits.ExitCode:
-    revision = record.revision if record else 0
-    changes.show_record(session, host, revision, record)
-    shows = None
-    if wait_s is not None:
-        shows = await _wait(session, host, wait_s, wanted)
-    session.printer.show_document(
-        {"host": host, **changes.to_document(record), "in_force": shows}
-    )
-    if shows is False:
-        session.printer.show_note(f"error: {host} is not {wanted} yet")
-        return exits.ExitCode.NOT_IN_FORCE
-    return exits.ExitCode.OK
-
-
-async def _wait(
-    session: sessions.Session, host: str, wait_s: float, wanted: str
-) -> bool:
-    """Waits until a host is in a state; False if it does not show."""
-    try:
-        reports = await waiting.poll_hosts(
-            session, wait_s, lambda answers: _shows(answers, host, wanted)
-        )
-    except errors.PlatformError as error:
-        # The change is made: an outage now must not look like one before it.
-        session.printer.show_note(f"error: {error}")
-        return False
-    return _shows(reports, host, wanted)
-
-
 def _shows(
     reports: list[host_client.HostReport], host: str, wanted: str
 ) -> bool:
