Hold events of a feed until its home confirms them, and give them again

What callers saw: a feed skipped ticks when its home died.

Cause: a keeper forgot an event once it was given to the link. What a home confirms (each 8 events or a second) served numbers and digests alone, so what had been given since died with the home. Evidence: all gaps end at the newest state when another home goes on, and none is longer than what was given since the home stood still.

Ruled out: that to send again could step back. It could where homes numbered notifications for themselves. Now a keeper's numbers are kept by each home, so a caller drops what it has had (RFC 7641, 3.4): - numbers of two events lie 16 apart; answers to registrations take those between; - a keeper that opens a feed counts from 64 events above the former one, so that a move between upstreams or homes needs no numbers of the home's own; - the keeper holds events until they are confirmed (256 a feed, 16 MiB a host, drops counted and logged) and gives them again, marked, to whichever home goes on. The mark stands in place of digests: a state may have come back to an earlier value.

The same elsewhere: a notification that was being completed by blocks when the link broke was dropped; the word that a feed has to move or has ended went to the dead home alone; a held feed was refused where the role of its keeper had moved; a keeper's offer to a home that was prepared for a planned move repeated ticks. All four go on now.

Tests changed with the interface, none asks for less: the first number of a feed is 16 above the caller's; an event that a home has not confirmed comes again, marked; FeedAck has a third field. The freezing test asks for whole feeds now.

--- a/persimmonhinge/flows/feeds/caller_side.py
+++ b/persimmonhinge/flows/feeds/caller_side.py
@@ -70,6 +70,13 @@
         feed.sent_at = trio.current_time()
         self._reply(feed, _compose(feed, read_current(feed)))
 
+    def note_current(self, feed: feeds.Feed, event: events.Event) -> None:
+        """Takes in an answer that a former home sent to the caller."""
+        feed.current = event.answer
+        feed.sent_at = trio.current_time()
+        if feed.reply is not feeds.Reply.DONE and feed.outbox is None:
+            self.send_current(feed)
+
     def hold(self, feed: feeds.Feed) -> None:
         """Holds back what is to be sent, while the home may move."""
         if feed.outbox is None:
@@ -81,6 +88,8 @@
         feed.outbox = None
         for event in held:
             self._transmit(feed, event)
+        if feed.source is not None:
+            feed.confirmed = feed.source.newest
         if feed.reply is not feeds.Reply.DONE and feed.current:
             self.send_current(feed)
 
--- a/persimmonhinge/flows/feeds/event.py
+++ b/persimmonhinge/flows/feeds/event.py
@@ -16,12 +16,14 @@
 
     Attributes:
         sequence: Number that the keeper gave it.
+        resumed: True if a former stream of the feed may have brought it.
         answer: CoAP message with code, options and whole body.
         digest: Digest of the answer.
         message: The same, read; for the one time that it is sent.
     """
 
     sequence: int
+    resumed: bool
     answer: bytes
     digest: bytes
     message: codec.Message
@@ -35,7 +37,9 @@
     """
     answer = read_answer(message.answer, peer)
     digest = digests.compute(answer)
-    return Event(message.sequence, message.answer, digest, answer)
+    return Event(
+        message.sequence, message.resumed, message.answer, digest, answer
+    )
 
 
 def read_answer(data: bytes, peer: str) -> codec.Message:
--- a/persimmonhinge/flows/feeds/feed.py
+++ b/persimmonhinge/flows/feeds/feed.py
@@ -38,6 +38,8 @@
         request: The request as keepers get it.
         call_class: Its class in the contract.
         sequence: Observe number of the newest answer sent; more than 24 bits.
+        confirmed: Number of the newest event that was sent or passed over.
+        floor: Highest number that a keeper gave an event.
         lost_at: Since when no upstream serves it, trio's time.
         reply: What the newest request still waits for.
         request_id: Message id of the newest request.
@@ -45,7 +47,8 @@
         recent: Digests of the newest answers; see `digests`.
         current: The newest answer; empty before the first.
         sent_at: When that was sent, trio's time.
-        reported: `sequence` as the keeper knows it.
+        reported: `sequence`, or `confirmed` if that is higher, as the keeper
+            knows it.
         source: The upstream that serves it.
         candidate: The upstream that it moves to.
         searching: True while a task looks for an upstream.
@@ -65,6 +68,8 @@
     call_class: contracts.CallClass
     sequence: int
     lost_at: float
+    confirmed: int = 0
+    floor: int = 0
     reply: Reply = Reply.DONE
     request_id: int = -1
     confirmable: bool = False
--- a/persimmonhinge/flows/feeds/limits.py
+++ b/persimmonhinge/flows/feeds/limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from persimmonhinge.peers.messages import feeds as messages
+
 # An answer within this time travels in the acknowledgement of its request.
 PIGGYBACK_S = 0.3
 
@@ -11,12 +13,13 @@
 # A new feed starts at a number taken from the wall clock in this unit, as
 # RFC 7641, 4.4 proposes: a caller that registers again after its former home
 # and keeper both died would else take the new numbers for old ones.
-SEQUENCES_PER_S = 8
+SEQUENCES_PER_S = 8 * messages.SEQUENCE_STRIDE
 
+# Numbers that a keeper leaves to the former one of a feed, which goes on
+# giving events while the feed moves.
+MOVE_MARGIN = 64 * messages.SEQUENCE_STRIDE
 # A keeper learns what the caller was sent in steps of `ACK_EVENTS` or of
-# `ACK_INTERVAL_S`; a home that adopts a feed goes on above all that the
-# former one can have sent in between.
-ADOPT_MARGIN = 256
+# `ACK_INTERVAL_S`.
 ACK_EVENTS = 8
 ACK_INTERVAL_S = 1.0
 # Ceiling of acknowledgements by time (about 150 octets each), so that this
@@ -42,6 +45,11 @@
 BEHIND_S = 0.1
 SEAM_EVENTS = 64
 
+# A host that goes on after it was given up asks the keepers of its feeds for so
+# long whether other homes have them, before it opens them elsewhere.
+GIVEN_UP_S = 2.0
+GIVEN_UP_RETRY_S = 0.1
+
 # Wait between two rounds over all upstreams: doubles from first to last.
 RETRY_FIRST_S = 0.1
 RETRY_LAST_S = 2.0
--- a/persimmonhinge/flows/feeds/outline.py
+++ b/persimmonhinge/flows/feeds/outline.py
@@ -11,6 +11,7 @@
 from persimmonhinge.flows import port
 from persimmonhinge.flows.feeds import digests
 from persimmonhinge.flows.feeds import feed as feeds
+from persimmonhinge.flows.feeds import limits
 from persimmonhinge.peers.messages import feeds as messages
 
 _Option = optionnumbers.OptionNumber
@@ -43,7 +44,13 @@
 def make_open(
     feed: feeds.Feed, upstream: ids.UpstreamId, revision: ids.Revision
 ) -> messages.FeedOpen:
-    """Returns a feed as it stands now."""
+    """Returns a feed as it stands now.
+
+    The floor leaves room for events of the keeper that serves it now.
+    """
+    floor = max(feed.floor, feed.sequence)
+    if feed.recent:
+        floor += limits.MOVE_MARGIN
     return messages.FeedOpen(
         feed.flow.service,
         revision,
@@ -54,9 +61,18 @@
         feed.token,
         feed.sequence,
         digests.split(feed.recent),
+        find_taken(feed),
+        floor,
     )
 
 
+def find_taken(feed: feeds.Feed) -> int:
+    """Returns the number of the newest event that needs not come again."""
+    if not feed.outbox:
+        return feed.confirmed
+    return max(feed.confirmed, feed.outbox[-1].sequence)
+
+
 def read_flow(opened: messages.FeedOpen) -> port.Flow:
     """Returns the flow of a feed that another host describes."""
     caller = (opened.caller_host, opened.caller_port)
--- a/persimmonhinge/flows/feeds/search.py
+++ b/persimmonhinge/flows/feeds/search.py
@@ -27,6 +27,7 @@
         answer: What an upstream answered when it refused.
         retry_after_s: When refusing upstreams say to come back.
         delay_s: Wait before the next round.
+        patient_until: Until when `preferred` is tried again, trio's time.
         permit: What was acquired for the attempt that runs.
     """
 
@@ -40,6 +41,7 @@
     answer: bytes = b""
     retry_after_s: int = 0
     delay_s: float = limits.RETRY_FIRST_S
+    patient_until: float = 0.0
     permit: trio.Semaphore | None = None
 
     def begin_round(self) -> None:
--- a/persimmonhinge/flows/feeds/service.py
+++ b/persimmonhinge/flows/feeds/service.py
@@ -73,7 +73,12 @@
         """Carries feeds until it is cancelled."""
         async with trio.open_nursery() as nursery:
             self._upstreams = upstream_side.UpstreamSide(
-                self._around, nursery, self._callers, self._reports, self._end
+                self._around,
+                nursery,
+                self._callers,
+                self._reports,
+                self._end,
+                self._forget,
             )
             watch = watches.Watches(
                 self._around, self._upstreams, self.close_all_of
@@ -220,6 +225,7 @@
             call_class,
             sequence,
             trio.current_time(),
+            floor=sequence,
             reported=sequence,
         )
         self._callers.take_request(feed, message)
--- a/persimmonhinge/flows/feeds/source.py
+++ b/persimmonhinge/flows/feeds/source.py
@@ -32,6 +32,8 @@
         taken: True once the feed has used it.
         cause: Why its keeper wants the feed to move, if it does.
         end: How its keeper ended it, if it did.
+        newest: Number of the newest event that was taken from it.
+        given_up: True if its keeper counts this host as dead.
         position: While it repeats what the caller was sent by the former
             upstream: place of its newest event among the recent answers.
         held: Events that wait for the former upstream to come level.
@@ -47,5 +49,7 @@
     taken: bool = False
     cause: messages.FeedEndCause | None = None
     end: messages.FeedEnd | None = None
+    newest: int = 0
+    given_up: bool = False
     position: int | None = None
     held: list[events.Event] | None = None
--- a/persimmonhinge/flows/feeds/upstream_side.py
+++ b/persimmonhinge/flows/feeds/upstream_side.py
@@ -25,6 +25,7 @@
 from persimmonhinge.flows.feeds import search as searches
 from persimmonhinge.flows.feeds import source as sources
 from persimmonhinge.flows.feeds import surroundings
+from persimmonhinge.peers import errors as link_errors
 from persimmonhinge.peers import network as networks
 from persimmonhinge.peers.messages import base
 from persimmonhinge.peers.messages import feeds as messages
@@ -60,11 +61,13 @@
         callers: caller_side.CallerSide,
         reporter: reports.Reports,
         end: End,
+        forget: Callable[[feeds.Feed], None],
     ) -> None:
         self._around = around
         self._nursery = nursery
         self._reports = reporter
         self._end = end
+        self._forget = forget
         self.choices = choices.Choices(around)
         self._seam = seams.Seam(around, callers, self._note_taken)
         self._permits = trio.Semaphore(limits.MOVES_AT_A_TIME)
@@ -111,6 +114,9 @@
             source = self._make_source(feed, choice)
             await self._read(source, search)
             if not source.taken:
+                if self._waits_for_keeper(source, search):
+                    await trio.sleep(limits.GIVEN_UP_RETRY_S)
+                    continue
                 if not self._goes_on(feed, search, source):
                     return
                 continue
@@ -132,6 +138,25 @@
             trio.CancelScope(),
         )
 
+    def _waits_for_keeper(
+        self, source: sources.Source, search: searches.Search
+    ) -> bool:
+        """Tells whether the keeper that had the feed is to be asked again.
+
+        Guards against two homes of one feed: a host that was paused learns
+        late that it counts as dead, and its keepers may have found other
+        homes. Until they take its link again only they can tell.
+        """
+        now = trio.current_time()
+        if source.given_up and not search.patient_until:
+            search.patient_until = now + limits.GIVEN_UP_S
+        if source.started or source.end or now >= search.patient_until:
+            return False
+        search.preferred = port.Choice(
+            source.upstream, source.keeper, source.keeper_ref
+        )
+        return True
+
     def _goes_on(
         self,
         feed: feeds.Feed,
@@ -188,6 +213,7 @@
             with source.scope:
                 await self._read_stream(source, search)
         except errors.PeerError as error:
+            source.given_up = isinstance(error, link_errors.PeerGaveUpError)
             logger.debug("A feed's stream ended: %s.", error)
         finally:
             search.release()
@@ -227,6 +253,10 @@
             return False
         if isinstance(message, messages.FeedEnd):
             return self._take_end(source, message)
+        if isinstance(message, messages.FeedTaken):
+            self._around.counts.add("feeds_closed_total", cause="taken")
+            self._forget(source.feed)
+            return True
         return False
 
     def _take_event(
@@ -240,6 +270,7 @@
             return
         source.started = True
         source.scope.deadline = math.inf
+        source.feed.floor = max(source.feed.floor, event.sequence)
         self._seam.take(source, event)
 
     def _take_end(self, source: sources.Source, end: messages.FeedEnd) -> bool:
@@ -258,6 +289,8 @@
     def _note_taken(self, feed: feeds.Feed) -> None:
         if feed.opened is not None:
             feed.opened.set()
+        if feed.recent:
+            self._nursery.start_soon(self._reports.report, feed)
         # Its keeper may have asked for a move while it was a candidate.
         if feed.source is not None and self.choices.must_move(feed.source):
             self.move(feed)
--- /dev/null
+++ b/persimmonhinge/peers/errors.py
@@ -0,0 +1,9 @@
+"""Errors of links that tell more than that a host can't be reached."""
+
+from __future__ import annotations
+
+from persimmonhinge import errors
+
+
+class PeerGaveUpError(errors.PeerUnreachableError):
+    """The host refused the link, as it counts this one as dead."""
--- a/persimmonhinge/peers/handshake.py
+++ b/persimmonhinge/peers/handshake.py
@@ -7,6 +7,7 @@
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge.membership import view as views
+from persimmonhinge.peers import errors as link_errors
 from persimmonhinge.peers import frames
 from persimmonhinge.peers.messages import base
 from persimmonhinge.peers.messages import link as link_messages
@@ -94,6 +95,7 @@
 
     Raises:
         PeerProtocolError: It sent something else, or refused the link.
+        PeerGaveUpError: It counts this host as dead.
         PeerCredentialError: It refused the credential.
         PeerLinkLostError: It closed the link.
     """
@@ -102,6 +104,12 @@
     reader.most_octets = frames.MAX_FRAME_OCTETS
     if frame.kind is frames.FrameKind.REFUSE:
         refusal = frames.read_body(frame, link_messages.Refusal, reader.peer)
+        if refusal.cause == link_messages.RefusalCause.DEAD.value:
+            raise link_errors.PeerGaveUpError(
+                f"{refusal.cause}: {refusal.text}",
+                step="open link",
+                peer=reader.peer,
+            )
         raise make_error(refusal, step="open link", peer=reader.peer)
     if frame.kind is not frames.FrameKind.HELLO:
         raise errors.PeerProtocolError(
--- a/persimmonhinge/peers/link.py
+++ b/persimmonhinge/peers/link.py
@@ -15,6 +15,7 @@
 from persimmonhinge.peers import connection as connections
 from persimmonhinge.peers import dialed
 from persimmonhinge.peers import dialing
+from persimmonhinge.peers import errors as link_errors
 from persimmonhinge.peers import network
 from persimmonhinge.peers import outbox as outboxes
 from persimmonhinge.peers.messages import base
@@ -155,6 +156,10 @@
         attempt = self._attempt
         assert attempt is not None
         await attempt.done.wait()
+        if isinstance(attempt.error, link_errors.PeerGaveUpError):
+            raise link_errors.PeerGaveUpError(
+                str(attempt.error), step="open link", peer=self.host
+            ) from attempt.error
         if attempt.connection is None:
             text = str(attempt.error or "this host stops")
             raise self._make_unreachable("open link", text) from attempt.error
--- a/persimmonhinge/peers/messages/feeds.py
+++ b/persimmonhinge/peers/messages/feeds.py
@@ -8,6 +8,10 @@
 from persimmonhinge.peers.messages import base
 from persimmonhinge.peers.messages import work
 
+# Distance between the numbers of two events. A home answers registrations with
+# the numbers between, and events keep theirs at whichever home sends them.
+SEQUENCE_STRIDE = 16
+
 
 class FeedEndCause(enum.Enum):
     """Why a keeper ended a feed.
@@ -28,7 +32,9 @@
 
 @base.message_kind("feed-open")
 class FeedOpen(base.Message, array_like=True, frozen=True):
-    """Opens a feed at an upstream; `FeedEvent` and `FeedEnd` are pushed back.
+    """Opens a feed at an upstream.
+
+    `FeedEvent`, `FeedEnd` and `FeedTaken` are pushed back.
 
     The stream lives as long as this call: a home that closes its side
     cancels the observation at the upstream.
@@ -43,6 +49,10 @@
         token: The caller's token.
         last_sequence: Highest observe number that the caller was sent.
         recent: Digests of the last answers sent, newest last.
+        confirmed: Number of the newest event that a home sent to the caller
+            or passed over as known.
+        floor: Numbers up to this one may be in use. A keeper that opens the
+            feed anew counts from here.
     """
 
     service: ids.ServiceName
@@ -54,6 +64,8 @@
     token: bytes
     last_sequence: int = 0
     recent: tuple[bytes, ...] = ()
+    confirmed: int = 0
+    floor: int = 0
 
 
 @base.message_kind("feed-event")
@@ -63,10 +75,13 @@
     Attributes:
         sequence: Observe number, above all earlier ones of this feed.
         answer: CoAP message with code, options and whole body.
+        resumed: True if it was given to a home before, under this number,
+            and the home may not have sent it to the caller.
     """
 
     sequence: int
     answer: bytes
+    resumed: bool = False
 
 
 @base.message_kind("feed-end")
@@ -87,6 +102,11 @@
     load: work.UpstreamLoad | None = None
 
 
+@base.message_kind("feed-taken")
+class FeedTaken(base.Message, array_like=True, frozen=True):
+    """The keeper gave the feed to another home, which carries it on."""
+
+
 @base.message_kind("feed-adopt")
 class FeedAdopt(base.Message, array_like=True, frozen=True):
     """Hands a feed to the home that is to carry it on.
@@ -126,7 +146,10 @@
     Attributes:
         sequence: Highest observe number sent.
         recent: Digests of the last answers sent, newest last.
+        confirmed: Number of the newest event of this stream that was sent or
+            passed over as known.
     """
 
     sequence: int
     recent: tuple[bytes, ...]
+    confirmed: int = 0
--- a/persimmonhinge/upstreams/context.py
+++ b/persimmonhinge/upstreams/context.py
@@ -14,6 +14,7 @@
 from persimmonhinge.contracts import store as stores
 from persimmonhinge.metrics import counts as host_counts
 from persimmonhinge.upstreams import arrival
+from persimmonhinge.upstreams import event_budget
 
 logger = logging.getLogger(__name__)
 
@@ -29,6 +30,7 @@
         open_socket: Opens a socket towards an upstream.
         timers: Timers of retransmission.
         nursery: Runs what outlives a call.
+        event_budget: Bounds the events that feeds hold.
     """
 
     contracts: stores.ContractStore
@@ -37,6 +39,7 @@
     open_socket: arrival.SocketOpener
     timers: transmissions.Transmission
     nursery: trio.Nursery
+    event_budget: event_budget.EventBudget
 
     def start_soon(
         self, function: Callable[..., Awaitable[object]], *args: object
--- a/persimmonhinge/upstreams/feed.py
+++ b/persimmonhinge/upstreams/feed.py
@@ -4,6 +4,7 @@
 
 import logging
 
+import msgspec
 import trio
 
 from persimmonhinge import errors
@@ -16,6 +17,7 @@
 from persimmonhinge.upstreams import observation as observations
 from persimmonhinge.upstreams import requests
 from persimmonhinge.upstreams import transfer as transfers
+from persimmonhinge.upstreams import unconfirmed as unconfirmed_events
 
 logger = logging.getLogger(__name__)
 
@@ -31,6 +33,8 @@
         observation: The feed at the upstream.
         kept: The upstream.
         home: The home as it was known when it opened the feed.
+        sequence: Number of the newest event.
+        unconfirmed: What homes were given and have not confirmed.
     """
 
     def __init__(
@@ -45,11 +49,45 @@
         self.observation = observation
         self.kept = kept
         self.home = home
-        self.sequence = opened.last_sequence
-        self.recent = opened.recent
+        self.unconfirmed = unconfirmed_events.UnconfirmedEvents(
+            context.event_budget
+        )
+        self.sequence = max(opened.last_sequence, opened.floor)
+        # The highest number that the caller was sent, as far as it is known.
+        self._sent = opened.last_sequence
+        self._confirmed = opened.confirmed
+        self._recent = opened.recent
         self._context = context
         self._due: messages.FeedEndCause | None = None
         self._told: messages.FeedEndCause | None = None
+        self._replays: tuple[messages.FeedEvent, ...] = ()
+        self._gave_last = False
+
+    def resume(self, former: Feed) -> None:
+        """Goes on where the stream to a former home, or to this one, ended.
+
+        Guards against events that are lost with a host: what it did not
+        confirm is given again, under the same numbers, so that a caller who
+        had it drops it as a copy (RFC 7641, 3.4).
+        """
+        self.unconfirmed = former.unconfirmed
+        self._due = former._told or former._due
+        self._gave_last = former._gave_last
+        if self.opened.confirmed > former.sequence:
+            # The feed was open elsewhere meanwhile, with higher numbers.
+            self._renumber_newest()
+            return
+        self.sequence = former.sequence
+        self._sent = max(self._sent, former._sent)
+        self._confirmed = max(self._confirmed, former._confirmed)
+        self.unconfirmed.confirm(self._confirmed)
+        self._replays = self.unconfirmed.list_all()
+
+    def is_open(self) -> bool:
+        """Tells whether a home has something to take from it."""
+        if self.observation.state is _State.OPEN:
+            return True
+        return bool(self.unconfirmed.list_all())
 
     def ask_to_move(self, cause: messages.FeedEndCause) -> None:
         """Has the home asked to move the feed; events go on meanwhile."""
@@ -64,8 +102,11 @@
 
     def note_ack(self, ack: messages.FeedAck) -> None:
         """Takes in what the home has sent to the caller."""
-        self.sequence = max(self.sequence, ack.sequence)
-        self.recent = ack.recent
+        self._sent = max(self._sent, ack.sequence)
+        self._recent = ack.recent
+        # A host of an earlier release tells one number for both.
+        self._confirmed = ack.confirmed or ack.sequence
+        self.unconfirmed.confirm(self._confirmed)
 
     async def end(self) -> None:
         """Cancels the feed at its upstream; it counts until that is done."""
@@ -73,6 +114,7 @@
         try:
             await self.observation.cancel(silence_s)
         finally:
+            self.unconfirmed.clear()
             self.kept.feeds -= 1
 
     def describe(self) -> messages.FeedOpen:
@@ -86,8 +128,10 @@
             opened.caller_host,
             opened.caller_port,
             opened.token,
-            self.sequence,
-            self.recent,
+            self._sent,
+            self._recent,
+            self._confirmed,
+            max(self.sequence, self._sent) + messages.SEQUENCE_STRIDE,
         )
 
     async def follow_home(self, caller: networks.Caller) -> None:
@@ -106,6 +150,7 @@
         Raises:
             PeerLinkLostError: The home is gone.
         """
+        await self._push_replays(caller)
         while True:
             await self._push_waiting(caller)
             if self._due is not None:
@@ -116,19 +161,39 @@
             if not await self._wait():
                 self._find_silent()
 
+    def _renumber_newest(self) -> None:
+        newest = self.unconfirmed.list_all()[-1:]
+        self.unconfirmed.clear()
+        self._replays = tuple(self._make_event(e.answer) for e in newest)
+
+    async def _push_replays(self, caller: networks.Caller) -> None:
+        replays, self._replays = self._replays, ()
+        for event in replays:
+            await caller.push(msgspec.structs.replace(event, resumed=True))
+        self._context.counts.add("feed_events_replayed_total", len(replays))
+
     async def _push_waiting(self, caller: networks.Caller) -> None:
         while (answer := self.observation.take()) is not None:
-            whole = await self._complete(answer)
+            try:
+                whole = await self._complete(answer)
+            except trio.Cancelled:
+                # The link was lost; the next home is to get it.
+                self.observation.put_back(answer)
+                raise
             if whole is None:
                 self._context.counts.add("feed_events_incomplete_total")
                 continue
-            self.sequence += 1
-            event = messages.FeedEvent(
-                self.sequence, requests.write_answer(whole)
-            )
-            await caller.push(event)
+            await caller.push(self._make_event(requests.write_answer(whole)))
             self._context.counts.add("feed_events_total")
 
+    def _make_event(self, answer: bytes) -> messages.FeedEvent:
+        """Numbers an event and holds it until a home has confirmed it."""
+        used = max(self.sequence, self._sent)
+        self.sequence = used + messages.SEQUENCE_STRIDE
+        event = messages.FeedEvent(self.sequence, answer)
+        self.unconfirmed.add(event)
+        return event
+
     async def _complete(self, answer: codec.Message) -> codec.Message | None:
         """Returns a notification with its whole body."""
         block2 = answer.opt.block2
@@ -162,7 +227,7 @@
         answer = b""
         if last is not None and not last.code.is_successful():
             answer = requests.write_answer(last)
-        elif last is not None:
+        elif last is not None and not self._gave_last:
             await self._push_last(caller, last)
         load = self.kept.read_load()
         await caller.push(messages.FeedEnd(_Cause.LOST, answer, load=load))
@@ -173,11 +238,11 @@
     async def _push_last(
         self, caller: networks.Caller, last: codec.Message
     ) -> None:
-        self.sequence += 1
         whole = await self._complete(last)
+        self._gave_last = True
         if whole is not None:
-            answer = requests.write_answer(whole)
-            await caller.push(messages.FeedEvent(self.sequence, answer))
+            event = self._make_event(requests.write_answer(whole))
+            await caller.push(event)
 
     async def _wait(self) -> bool:
         """Waits for something to push; checks a feed that is silent.
--- a/persimmonhinge/upstreams/keeper.py
+++ b/persimmonhinge/upstreams/keeper.py
@@ -25,6 +25,7 @@
 from persimmonhinge.upstreams import arrival
 from persimmonhinge.upstreams import context as contexts
 from persimmonhinge.upstreams import dispatching as dispatching_parts
+from persimmonhinge.upstreams import event_budget
 from persimmonhinge.upstreams import executed as executed_tables
 from persimmonhinge.upstreams import feeding as feeding_parts
 from persimmonhinge.upstreams import handing as handing_parts
@@ -160,6 +161,7 @@
             self._open_socket,
             self._timers,
             nursery,
+            event_budget.EventBudget(self._counts),
         )
 
     def _register(
--- /dev/null
+++ b/persimmonhinge/upstreams/unconfirmed.py
@@ -0,0 +1,57 @@
+"""Events of a feed that its home has not confirmed."""
+
+from __future__ import annotations
+
+from persimmonhinge.peers.messages import feeds as messages
+from persimmonhinge.upstreams import event_budget
+
+_MOST_EVENTS = 256
+
+
+class UnconfirmedEvents:
+    """Holds what a home was given until it says that the caller was sent it.
+
+    The newest event is held even if it is confirmed: another home that goes
+    on with the feed answers registrations with it.
+    """
+
+    __slots__ = ("_budget", "_events")
+
+    def __init__(self, budget: event_budget.EventBudget) -> None:
+        self._budget = budget
+        # A list, because an empty deque takes ten times the memory.
+        self._events: list[messages.FeedEvent] = []
+
+    def list_all(self) -> tuple[messages.FeedEvent, ...]:
+        """Returns the events, oldest first."""
+        return tuple(self._events)
+
+    def add(self, event: messages.FeedEvent) -> None:
+        """Holds one more event, and the oldest no more if there is no room."""
+        octets = len(event.answer)
+        while len(self._events) >= _MOST_EVENTS:
+            self._drop_oldest()
+        while not self._budget.take(octets):
+            if not self._events:
+                self._budget.note_drop(event.sequence)
+                return
+            self._drop_oldest()
+        self._events.append(event)
+
+    def confirm(self, sequence: int) -> None:
+        """Forgets events up to a number, except the newest."""
+        while len(self._events) > 1 and self._events[0].sequence <= sequence:
+            self._forget_oldest()
+
+    def clear(self) -> None:
+        """Forgets all events."""
+        while self._events:
+            self._forget_oldest()
+
+    def _drop_oldest(self) -> None:
+        self._budget.note_drop(self._events[0].sequence)
+        self._forget_oldest()
+
+    def _forget_oldest(self) -> None:
+        event = self._events.pop(0)
+        self._budget.give_back(len(event.answer))
