--- a/persimmonhinge/flows/feeds/source.py
+++ b/persimmonhinge/flows/feeds/source.py
@@ -34,7 +34,7 @@
         cause: Why its keeper wants the feed to move, if it does.
         end: How its keeper ended it, if it did.
         newest: Number of the newest event that was taken from it.
-        given_up: True if its keeper counts this host as dead.
+        given_up: True if its keeper has given up this host.
         position: While it repeats what the caller was sent by the former
             upstream: place of its newest event among the recent answers.
         held: Events that wait for the former upstream to come level.
--- a/persimmonhinge/peers/errors.py
+++ b/persimmonhinge/peers/errors.py
@@ -6,4 +6,7 @@
 
 
 class PeerGaveUpError(errors.PeerUnreachableError):
-    """The host refused the link, as it counts this one as dead."""
+    """The host refused the link, as it has given up the one that dialed.
+
+    It counts that incarnation as dead, or knows a newer one.
+    """
--- a/persimmonhinge/peers/handshake.py
+++ b/persimmonhinge/peers/handshake.py
@@ -13,6 +13,10 @@
 from persimmonhinge.peers.messages import link as link_messages
 
 _READ_OCTETS = 4096
+_GAVE_UP = (
+    link_messages.RefusalCause.DEAD.value,
+    link_messages.RefusalCause.OLD_INCARNATION.value,
+)
 
 
 def make_hello(
@@ -95,7 +99,8 @@
 
     Raises:
         PeerProtocolError: It sent something else, or refused the link.
-        PeerGaveUpError: It counts this host as dead.
+        PeerGaveUpError: It counts this incarnation of this host as dead, or
+            knows a newer one.
         PeerCredentialError: It refused the credential.
         PeerLinkLostError: It closed the link.
     """
@@ -104,7 +109,7 @@
     reader.most_octets = frames.MAX_FRAME_OCTETS
     if frame.kind is frames.FrameKind.REFUSE:
         refusal = frames.read_body(frame, link_messages.Refusal, reader.peer)
-        if refusal.cause == link_messages.RefusalCause.DEAD.value:
+        if refusal.cause in _GAVE_UP:
             raise link_errors.PeerGaveUpError(
                 f"{refusal.cause}: {refusal.text}",
                 step="open link",
--- a/persimmonhinge/peers/network.py
+++ b/persimmonhinge/peers/network.py
@@ -126,7 +126,7 @@
 
         Raises:
             PeerUnreachableError: No link.
-            PeerGaveUpError: No link, as the host counts this one as dead.
+            PeerGaveUpError: No link, as the host has given up this one.
         """
 
 
--- a/tests/test_peers/test_peers_failures.py
+++ b/tests/test_peers/test_peers_failures.py
@@ -221,21 +221,23 @@
 
 
 @trios.trio_test
-async def test_host_that_counts_as_dead_is_told_so() -> None:
+async def test_host_that_was_given_up_is_told_so() -> None:
     """A host that was paused takes a peer for gone, and not itself.
 
     It would then serve beside the hosts that have taken its place.
     """
-    async with pairs.open_pair() as (a, b):
-        dead = members.MemberState.DEAD
-        b.learn(dataclasses.replace(a.member, state=dead))
-        try:
-            await a.network.call(pairs.B, work.LoadQuery(), _LIMIT_S)
-        except link_errors.PeerGaveUpError as error:
-            assert "dead" in str(error)
-            assert error.peer == pairs.B
-            return
-        raise AssertionError("the call was answered")
+    for cause, change in (
+        ("dead", {"state": members.MemberState.DEAD}),
+        ("old-incarnation", {"incarnation": ids.Incarnation(2)}),
+    ):
+        async with pairs.open_pair() as (a, b):
+            b.learn(dataclasses.replace(a.member, **change))
+            try:
+                await a.network.call(pairs.B, work.LoadQuery(), _LIMIT_S)
+                raise AssertionError("the call was answered")
+            except link_errors.PeerGaveUpError as error:
+                assert cause in str(error)
+                assert error.peer == pairs.B
 
 
 @trios.trio_test
