--- a/tests/test_flows/rescue_world.py
+++ b/tests/test_flows/rescue_world.py
@@ -158,6 +158,11 @@
             if other.name != name:
                 other.put(dead)
 
+    def lose_host(self, name: str) -> None:
+        """Ends a silent host; all others count it as dead from now on."""
+        self.hosts[name].is_up = False
+        self.give_up(name)
+
     def take_back(self, name: str) -> None:
         """Lets a host that was given up come back as a new incarnation."""
         present = self.hosts[name].become_new()
--- a/tests/test_flows/test_flows_feeds_rescue.py
+++ b/tests/test_flows/test_flows_feeds_rescue.py
@@ -26,6 +26,13 @@
     await trio.sleep(1.0)
 
 
+async def _lose_power(world: World, home: str) -> None:
+    """Publishes while a host is silent, until others find it dead."""
+    world.set_wires(home, Wires.SILENT)
+    await world.publish_for(_DETECTION_S)
+    world.lose_host(home)
+
+
 @trios.clock_test
 async def test_feed_misses_nothing_when_its_home_is_killed() -> None:
     """A tick that a home was just given dies with it."""
@@ -47,10 +54,7 @@
     async with rescue_world.run_world() as world:
         await world.publish_for(1.0)
         home = world.home().name
-        world.set_wires(home, Wires.SILENT)
-        await world.publish_for(_DETECTION_S)
-        world.give_up(home)
-        world.hosts[home].is_up = False
+        await _lose_power(world, home)
         await _go_on(world)
         world.check_whole()
 
@@ -113,10 +117,7 @@
         home = world.home()
         for _ in range(5):
             home.register()
-        world.set_wires(home.name, Wires.SILENT)
-        await world.publish_for(_DETECTION_S)
-        world.give_up(home.name)
-        home.is_up = False
+        await _lose_power(world, home.name)
         await _go_on(world)
         states = world.list_ticks()
         assert sorted(set(states)) == list(range(states[-1] + 1))
@@ -156,10 +157,7 @@
             home = world.home().name
             world.set_contract("u1")
             await trio.sleep(number * 0.001)
-            world.set_wires(home, Wires.SILENT)
-            await world.publish_for(_DETECTION_S)
-            world.give_up(home)
-            world.hosts[home].is_up = False
+            await _lose_power(world, home)
             await _go_on(world)
             world.check_whole()
 
@@ -177,8 +175,7 @@
         await world.publish_for(1.0)
         await world.move_role("u1")
         await world.publish_for(1.0)
-        world.give_up(home)
-        world.hosts[home].is_up = False
+        world.lose_host(home)
         await _go_on(world)
         world.check_whole()
         assert not world.hosts["k1"].keepers.loads()
@@ -197,8 +194,7 @@
         await world.publish_for(0.5)
         world.set_contract("u1")
         await world.publish_for(1.5)
-        world.give_up(home)
-        world.hosts[home].is_up = False
+        world.lose_host(home)
         await _go_on(world)
         world.check_whole()
         assert world.boards["u1"].count() == 0
@@ -216,10 +212,7 @@
                 host.view.put(leaving)
             with trio.move_on_after(number * 0.001):
                 await home.feeds.leave()
-            world.set_wires(home.name, Wires.SILENT)
-            await world.publish_for(_DETECTION_S)
-            world.give_up(home.name)
-            home.is_up = False
+            await _lose_power(world, home.name)
             await _go_on(world)
             world.check_whole()
 
@@ -240,8 +233,7 @@
         for state in (b"11", b"10", b"12", b"11"):
             world.publish(state)
             await trio.sleep(_TICK_S)
-        world.give_up(home)
-        world.hosts[home].is_up = False
+        world.lose_host(home)
         await trio.sleep(1.0)
         assert world.list_ticks() == [0, 10, 11, 10, 11, 10, 12, 11]
 
@@ -255,10 +247,7 @@
         ) as world:
             await world.publish_for(1.0)
             home = world.home().name
-            world.set_wires(home, Wires.SILENT)
-            await world.publish_for(_DETECTION_S)
-            world.give_up(home)
-            world.hosts[home].is_up = False
+            await _lose_power(world, home)
             await _go_on(world)
             world.check_whole()
             assert min(world.caller.numbers) < 4096
@@ -279,8 +268,7 @@
                 await trio.sleep(_TICK_S)
             world.publish(padding=3000)
             await trio.sleep(number * 0.001)
-            world.give_up(home)
-            world.hosts[home].is_up = False
+            world.lose_host(home)
             await trio.sleep(_TICK_S)
             for _ in range(4):
                 world.publish(padding=3000)
@@ -297,10 +285,7 @@
         home = world.home()
         home.register(world.caller.make_get(aiocoap.CON))
         await world.publish_for(1.0)
-        world.set_wires(home.name, Wires.SILENT)
-        await world.publish_for(_DETECTION_S)
-        world.give_up(home.name)
-        home.is_up = False
+        await _lose_power(world, home.name)
         world.caller.acknowledges = True
         await _go_on(world)
         ticks = world.list_ticks()
@@ -323,7 +308,6 @@
         world.publish()
         world.boards["u1"].ends = False
         await trio.sleep(1.0)
-        world.give_up(home)
-        world.hosts[home].is_up = False
+        world.lose_host(home)
         await _go_on(world)
         world.check_whole()
--- a/tests/test_flows/test_flows_feeds_rescue_courses.py
+++ b/tests/test_flows/test_flows_feeds_rescue_courses.py
@@ -42,7 +42,7 @@
     world.set_wires(home, Wires.SILENT)
     world.hosts[home].is_up = False
     await trio.sleep(_DETECTION_S)
-    world.give_up(home)
+    world.lose_host(home)
 
 
 async def _stand_still(world: World, home: str) -> None:
