Keep what homes were given, and broken links of feeds, in parts of their own

Tests for six more were added here: the call that stays open until the home closes it, the word to the keeper of a broken link, the later of two keepers, going back when a link breaks during a move, a move that is told again, in two ways. One guard that nothing could reach is removed, and one that another one covers.

--- a/persimmonhinge/flows/feeds/adoption.py
+++ b/persimmonhinge/flows/feeds/adoption.py
@@ -83,7 +83,7 @@
         if feed.reply is not feeds.Reply.DONE:
             return False
         if _is_of_keeper(opened):
-            return feed.outbox is not None or opened.confirmed > feed.confirmed
+            return opened.confirmed > feed.confirmed
         return feed.source is None and feed.opened is None
 
     def _make(
@@ -114,7 +114,7 @@
         if message.prepares:
             feed.prepared = True
             self._callers.hold(feed)
-            self._expect_commit(feed)
+            self._expect_commit(feed, sender)
         self._adopt(feed, self._find_former(sender, opened))
         return feed
 
@@ -165,25 +165,39 @@
         feed.opened = None
         return True
 
-    def _expect_commit(self, feed: feeds.Feed) -> None:
+    def _expect_commit(self, feed: feeds.Feed, former: ids.HostId) -> None:
         """Goes on without the former home if that says no more.
 
         Guards against a former home that dies between its two messages: no
         one else may know of the feed, and the caller would wait for good.
         """
-        expire = functools.partial(self._expire, feed, feed.outbox)
+        expire = functools.partial(self._expire, feed, feed.outbox, former)
         self._around.timers.call_after(limits.PREPARED_S, expire)
 
     def _expire(
-        self, feed: feeds.Feed, outbox: list[events.Event] | None
+        self,
+        feed: feeds.Feed,
+        outbox: list[events.Event] | None,
+        former: ids.HostId,
     ) -> None:
         if feed.closed or feed.outbox is not outbox:
             return
         self._around.counts.add("feeds_adopted_uncommitted_total")
         feed.prepared = False
-        if self._around.find_home(feed.flow) != self._around.view.me:
-            # Its keeper may have given it to the home of this moment.
-            self._misplace(feed)
+        home = self._around.find_home(feed.flow)
+        if home in (former, self._around.view.me):
+            self._go_on(feed, outbox)
+            return
+        # Its keeper may have given it to the home of this moment.
+        self._misplace(feed)
+        go_on = functools.partial(self._go_on, feed, outbox)
+        self._around.timers.call_after(limits.UNCOMMITTED_S, go_on)
+
+    def _go_on(
+        self, feed: feeds.Feed, outbox: list[events.Event] | None
+    ) -> None:
+        """Sends what was held back, unless another home has the feed."""
+        if feed.closed or feed.outbox is not outbox:
             return
         self._callers.release(feed)
         self._report(feed)
--- a/persimmonhinge/flows/feeds/choices.py
+++ b/persimmonhinge/flows/feeds/choices.py
@@ -46,20 +46,6 @@
             entry, contracts.CallKind.FEED, exclude=search.tried
         )
 
-    def prefer_lost(self, feed: feeds.Feed, search: searches.Search) -> None:
-        """Has a feed whose link broke opened where it was, once in a search.
-
-        Its keeper holds what came meanwhile, also if the feed has to move.
-        """
-        lost = feed.lost
-        if lost is None or feed.source is not None or search.asked is lost:
-            return
-        search.asked = lost
-        if self._around.view.find_ref(lost.keeper_ref) is not None:
-            search.preferred = port.Choice(
-                lost.upstream, lost.keeper, lost.keeper_ref
-            )
-
     def is_in_time(self, feed: feeds.Feed, delay_s: float) -> bool:
         """Tells whether a feed may go without an upstream so much longer."""
         if self._around.contracts.get(feed.flow.service) is None:
--- a/persimmonhinge/flows/feeds/handover.py
+++ b/persimmonhinge/flows/feeds/handover.py
@@ -42,7 +42,6 @@
         self._callers = callers
         self._forget = forget
         self._end = end
-        self._report = report
         self._adoption = adoption.Adoption(
             around, callers, adopt, forget, report, self.note
         )
@@ -197,10 +196,6 @@
             except errors.PeerError as error:
                 failed.add(home)
                 logger.info("Feeds stay here for now: %s.", error)
-        if feed.outbox is not None:
-            # It was prepared here, and nobody else carries it on.
-            self._callers.release(feed)
-            self._report(feed)
         return False
 
     async def _hand_over(self, feed: feeds.Feed, home: ids.HostId) -> bool:
--- a/persimmonhinge/flows/feeds/limits.py
+++ b/persimmonhinge/flows/feeds/limits.py
@@ -71,6 +71,9 @@
 # A successor that was prepared and hears no more goes on by itself: the
 # former home died in between. Longer than a slow second message takes.
 PREPARED_S = 5.0
+# So long another home is asked to take it then: more than hosts take to find
+# that one has died.
+UNCOMMITTED_S = 2.4
 # Part of the limit of a planned stop after which callers are sent away.
 LEAVE_PART = 0.8
 
--- a/persimmonhinge/flows/feeds/seam.py
+++ b/persimmonhinge/flows/feeds/seam.py
@@ -45,7 +45,7 @@
     def take(self, source: sources.Source, event: events.Event) -> None:
         """Takes an event of the present, the next or a former upstream."""
         feed = source.feed
-        if event.resumed and feed.source in (None, source):
+        if event.resumed:
             self._take_resumed(source, event)
         elif feed.source is source:
             self._pass_on(source, event)
--- a/persimmonhinge/flows/feeds/upstream_side.py
+++ b/persimmonhinge/flows/feeds/upstream_side.py
@@ -13,6 +13,7 @@
 from persimmonhinge import ids
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.flows import port
+from persimmonhinge.flows.feeds import broken_links
 from persimmonhinge.flows.feeds import caller_side
 from persimmonhinge.flows.feeds import choices
 from persimmonhinge.flows.feeds import event as events
@@ -69,6 +70,7 @@
         self._end = end
         self._forget = forget
         self.choices = choices.Choices(around)
+        self._broken = broken_links.BrokenLinks(around)
         self._seam = seams.Seam(around, callers, self._note_taken)
         self._permits = trio.Semaphore(limits.MOVES_AT_A_TIME)
 
@@ -110,7 +112,7 @@
 
     async def _carry(self, feed: feeds.Feed, search: searches.Search) -> None:
         while not feed.closed:
-            self.choices.prefer_lost(feed, search)
+            self._broken.prefer_keeper(feed, search)
             resumes = search.preferred is not None
             choice = self.choices.choose(feed, search)
             if choice is None:
@@ -120,7 +122,7 @@
             source = self._make_source(feed, choice, resumes=resumes)
             await self._read(source, search)
             if not source.taken:
-                if self._waits_for_keeper(source, search):
+                if self._broken.wants_retry(source, search):
                     await trio.sleep(limits.GIVEN_UP_RETRY_S)
                     continue
                 if not self._goes_on(feed, search, source):
@@ -128,9 +130,8 @@
                 continue
             if feed.closed or feed.source is not None:
                 return
-            feed.lost = None if source.end else source
+            self._broken.note(source)
             if feed.searching:
-                self._go_back_first(feed)
                 return
             # The upstream that served is gone and no one looks for another.
             feed.searching = True
@@ -150,34 +151,6 @@
             resumes,
         )
 
-    def _go_back_first(self, feed: feeds.Feed) -> None:
-        """Ends an attempt elsewhere when the link of the present keeper broke.
-
-        Guards against a gap: what that keeper holds is missing at the other
-        upstream, which may be ahead.
-        """
-        if feed.lost is not None and feed.candidate is not None:
-            feed.candidate.scope.cancel()
-
-    def _waits_for_keeper(
-        self, source: sources.Source, search: searches.Search
-    ) -> bool:
-        """Tells whether the keeper that had the feed is to be asked first.
-
-        Guards against two homes of one feed: a host that was paused learns
-        late that it counts as dead, and its keepers may have found other
-        homes. Only they can tell, once they take its links again.
-        """
-        now = trio.current_time()
-        if source.given_up and not search.patient_until:
-            search.patient_until = now + limits.GIVEN_UP_S
-        if source.feed.lost is None or source.end is not None:
-            return False
-        if now >= search.patient_until:
-            return False
-        search.asked = None
-        return True
-
     def _goes_on(
         self,
         feed: feeds.Feed,
@@ -309,26 +282,8 @@
             self.move(source.feed)
         return False
 
-    def _leave_lost(self, feed: feeds.Feed) -> None:
-        """Tells the keeper of a broken link that the feed is open elsewhere.
-
-        Guards against a keeper that gives another home what it holds, after
-        this one has sent it from elsewhere and died.
-        """
-        lost, feed.lost = feed.lost, None
-        if lost is None or feed.source is None:
-            return
-        upstream = ids.UpstreamId(lost.upstream.id)
-        if (lost.keeper, upstream) == (
-            feed.source.keeper,
-            feed.source.upstream.id,
-        ):
-            return
-        left = outline.make_open(feed, upstream, ids.Revision(0))
-        self._around.network.send(lost.keeper, messages.FeedLeft(left))
-
     def _note_taken(self, feed: feeds.Feed) -> None:
-        self._leave_lost(feed)
+        self._broken.leave_keeper(feed)
         if feed.opened is not None:
             feed.opened.set()
         if feed.recent:
--- a/persimmonhinge/upstreams/feed.py
+++ b/persimmonhinge/upstreams/feed.py
@@ -4,7 +4,6 @@
 
 import logging
 
-import msgspec
 import trio
 
 from persimmonhinge import errors
@@ -13,11 +12,11 @@
 from persimmonhinge.peers import network as networks
 from persimmonhinge.peers.messages import feeds as messages
 from persimmonhinge.upstreams import context as contexts
+from persimmonhinge.upstreams import given_events
 from persimmonhinge.upstreams import kept as kept_parts
 from persimmonhinge.upstreams import observation as observations
 from persimmonhinge.upstreams import requests
 from persimmonhinge.upstreams import transfer as transfers
-from persimmonhinge.upstreams import unconfirmed as unconfirmed_events
 
 logger = logging.getLogger(__name__)
 
@@ -33,8 +32,7 @@
         observation: The feed at the upstream.
         kept: The upstream.
         home: The home as it was known when it opened the feed.
-        sequence: Number of the newest event.
-        unconfirmed: What homes were given and have not confirmed.
+        given: What homes were given.
     """
 
     def __init__(
@@ -49,46 +47,27 @@
         self.observation = observation
         self.kept = kept
         self.home = home
-        self.unconfirmed = unconfirmed_events.UnconfirmedEvents(
-            context.event_budget
-        )
-        self.sequence = max(opened.last_sequence, opened.floor)
-        self._first = self.sequence
-        # The highest number that the caller was sent, as far as it is known.
-        self._sent = opened.last_sequence
-        # 0 until a home has confirmed an event of this stream.
-        self._confirmed = 0
-        self._recent = opened.recent
+        self.given = given_events.GivenEvents(opened, context.event_budget)
         self._context = context
         self._due: messages.FeedEndCause | None = None
         self._told: messages.FeedEndCause | None = None
-        self._replays: tuple[messages.FeedEvent, ...] = ()
+        self._replays: list[messages.FeedEvent] = []
         self._gave_last = False
-        self._collecting = trio.CancelScope()
+        self._collecting: trio.CancelScope | None = None
         self._collected: trio.Event | None = None
 
     def resume(self, former: Feed) -> None:
-        """Goes on where the stream to a former home, or to this one, ended.
-
-        Guards against events that are lost with a host: what it did not
-        confirm is given again, under the same numbers, so that a caller who
-        had it drops it as a copy (RFC 7641, 3.4).
-        """
-        self.unconfirmed = former.unconfirmed
+        """Goes on where the stream to a former home, or to this one, ended."""
         self._due = former._told or former._due
         self._gave_last = former._gave_last
-        self.sequence = former.sequence
-        self._sent = max(self._sent, former._sent)
-        self._first = former._first
-        self._confirmed = former._confirmed
-        self._confirm(self.opened.confirmed)
-        self._replays = self.unconfirmed.list_all()
+        self.given = former.given
+        self._replays = self.given.resume(self.opened)
 
     def is_open(self) -> bool:
         """Tells whether a home has something to take from it."""
         if self.observation.state is _State.OPEN:
             return True
-        return bool(self.unconfirmed.list_all())
+        return not self.given.is_empty
 
     def ask_to_move(self, cause: messages.FeedEndCause) -> None:
         """Has the home asked to move the feed; events go on meanwhile."""
@@ -101,32 +80,19 @@
         self.observation.heard_at = min(self.observation.heard_at, silent_since)
         self.observation.wake()
 
-    def note_ack(self, ack: messages.FeedAck) -> None:
-        """Takes in what the home has sent to the caller."""
-        self._sent = max(self._sent, ack.sequence)
-        self._recent = ack.recent
-        # A host of an earlier release tells one number for both.
-        self._confirm(ack.confirmed or ack.sequence)
-
-    def _confirm(self, sequence: int) -> None:
-        if sequence > self._first:
-            self._confirmed = max(self._confirmed, sequence)
-            self.unconfirmed.confirm(sequence)
-
-    @property
-    def is_confirmed(self) -> bool:
-        """True once a home has taken it over from where the feed was before."""
-        return self._confirmed > 0
-
-    async def collect(self) -> None:
+    def begin_collecting(self) -> None:
         """Takes in what comes while no home has the feed.
 
         Guards against large states that are gone when the next home opens the
         feed: an upstream gives later blocks of the newest one alone.
         """
+        self._collecting = trio.CancelScope()
+        self._context.start_soon(self._collect, self._collecting)
+
+    async def _collect(self, scope: trio.CancelScope) -> None:
         self._collected = trio.Event()
         try:
-            with self._collecting:
+            with scope:
                 while self.observation.state is _State.OPEN:
                     await self.observation.wait_news()
                     while (answer := self.observation.take()) is not None:
@@ -135,8 +101,9 @@
             self._collected.set()
 
     async def stop_collecting(self) -> None:
-        """Returns once `collect` takes nothing in any more."""
-        self._collecting.cancel()
+        """Returns once nothing more is taken in without a home."""
+        if self._collecting is not None:
+            self._collecting.cancel()
         if self._collected is not None:
             await self._collected.wait()
 
@@ -147,25 +114,12 @@
         try:
             await self.observation.cancel(silence_s)
         finally:
-            self.unconfirmed.clear()
+            self.given.clear()
             self.kept.feeds -= 1
 
     def describe(self) -> messages.FeedOpen:
         """Returns the feed as another home is to open it."""
-        opened = self.opened
-        return messages.FeedOpen(
-            opened.service,
-            opened.revision,
-            opened.upstream,
-            opened.request,
-            opened.caller_host,
-            opened.caller_port,
-            opened.token,
-            self._sent,
-            self._recent,
-            self._confirmed,
-            max(self.sequence, self._sent) + messages.SEQUENCE_STRIDE,
-        )
+        return self.given.describe(self.opened)
 
     async def follow_home(self, caller: networks.Caller) -> None:
         """Takes in what the home says, until it closes the call."""
@@ -173,7 +127,7 @@
             while True:
                 message = await caller.receive()
                 if isinstance(message, messages.FeedAck):
-                    self.note_ack(message)
+                    self.given.note_ack(message)
         except errors.PeerLinkLostError:
             return
 
@@ -195,9 +149,9 @@
                 self._find_silent()
 
     async def _push_replays(self, caller: networks.Caller) -> None:
-        replays, self._replays = self._replays, ()
+        replays, self._replays = self._replays, []
         for event in replays:
-            await caller.push(msgspec.structs.replace(event, resumed=True))
+            await caller.push(event)
         self._context.counts.add("feed_events_replayed_total", len(replays))
 
     async def _push_waiting(self, caller: networks.Caller) -> None:
@@ -217,15 +171,7 @@
         if whole is None:
             self._context.counts.add("feed_events_incomplete_total")
             return None
-        return self._make_event(requests.write_answer(whole))
-
-    def _make_event(self, answer: bytes) -> messages.FeedEvent:
-        """Numbers an event and holds it until a home has confirmed it."""
-        used = max(self.sequence, self._sent)
-        self.sequence = used + messages.SEQUENCE_STRIDE
-        event = messages.FeedEvent(self.sequence, answer)
-        self.unconfirmed.add(event)
-        return event
+        return self.given.add(requests.write_answer(whole))
 
     async def _complete(self, answer: codec.Message) -> codec.Message | None:
         """Returns a notification with its whole body."""
--- a/persimmonhinge/upstreams/orphans.py
+++ b/persimmonhinge/upstreams/orphans.py
@@ -86,7 +86,7 @@
             del self._feeds[key]
             self._context.counts.add("feeds_resumed_total")
             await found.stop_collecting()
-            self._rescues.note(key, caller, found.sequence)
+            self._rescues.note(key, caller, found.given.sequence)
             return found
         held = self._feeds.get(key)
         if held is not None and held.opened.request != opened.request:
@@ -111,13 +111,13 @@
         if former is not None:
             self._context.start_soon(former.end)
         self._feeds[_make_key(feed.opened)] = feed
-        self._context.start_soon(feed.collect)
+        feed.begin_collecting()
         self._context.start_soon(self._find_home, feed)
 
     async def _find_home(self, feed: feed_parts.Feed) -> None:
         with trio.move_on_after(HOLD_S):
             await self._wait_until_gone(feed)
-            if not feed.is_confirmed:
+            if not feed.given.is_confirmed:
                 # The feed was moving; where it was open before knows more.
                 await trio.sleep(_MOVING_S)
             while self._holds(feed):
@@ -169,7 +169,9 @@
         accepted = isinstance(answer, messages.Adopted) and answer.accepted
         if accepted:
             self._context.counts.add("feeds_rescued_total")
-            self._rescues.note(_make_key(feed.opened), host, feed.sequence)
+            self._rescues.note(
+                _make_key(feed.opened), host, feed.given.sequence
+            )
         return accepted
 
     def _holds(self, feed: feed_parts.Feed) -> bool:
--- a/tests/test_flows/rescue_world.py
+++ b/tests/test_flows/rescue_world.py
@@ -41,6 +41,7 @@
         random: Draws what a test leaves open.
         hosts: The hosts, by name.
         boards: The upstreams, by name.
+        lags_s: How late each upstream publishes a state.
         caller: The caller; its home is not a keeper.
     """
 
@@ -48,6 +49,7 @@
         self.random = random.Random(seed)
         self.hosts: dict[str, rescue_host.RescueHost] = {}
         self.boards = {name: rescue_board.Board() for name in _PLACES}
+        self.lags_s = dict.fromkeys(_PLACES, 0.0)
         self.nursery: trio.Nursery
         self._wires: dict[tuple[str, str], rescue_links.Wire] = {}
         self._members = [_make_member(name, _HOMES) for name in _NAMES]
@@ -109,8 +111,12 @@
         """Publishes a state at all upstreams, the next tick by default."""
         self._tick += 1
         state = state or str(self._tick).encode()
-        for board in self.boards.values():
-            board.publish(state.ljust(padding, b"."))
+        state = state.ljust(padding, b".")
+        for name, lag_s in self.lags_s.items():
+            if lag_s:
+                self.nursery.start_soon(self._publish_late, name, state)
+            else:
+                self.boards[name].publish(state)
 
     async def publish_for(
         self, seconds: float, interval_s: float = 0.2
@@ -196,6 +202,10 @@
         assert self.count_feeds() == 1
         assert self.count_observers() == 1
 
+    async def _publish_late(self, upstream: str, state: bytes) -> None:
+        await trio.sleep(self.lags_s[upstream])
+        self.boards[upstream].publish(state)
+
     def _offer(self, host: rescue_host.RescueHost) -> None:
         record = control.ContractRecord(
             feeds_values.SERVICE, ids.Revision(self._revision), self._contract
--- a/tests/test_flows/test_flows_feeds_rescue.py
+++ b/tests/test_flows/test_flows_feeds_rescue.py
@@ -162,6 +162,92 @@
             world.check_whole()
 
 
+@trios.clock_test
+async def test_feed_that_just_moved_is_given_on_under_free_numbers() -> None:
+    """A home dies after a move that its new keeper heard nothing of.
+
+    The former keeper went on meanwhile. The caller drops what the new one
+    gives the next home, if that has numbers which the former one used.
+    """
+    async with rescue_world.run_world() as world:
+        await world.publish_for(1.5)
+        world.lags_s["u1"] = 1.0
+        world.publish()
+        world.set_contract("u1")
+        await trio.sleep(_TICK_S)
+        home = world.home().name
+        world.wire(home, "k2").state = Wires.SILENT
+        # They come almost at one moment at the former upstream.
+        for lag_s in (0.801, 0.602, 0.403, 0.204):
+            world.lags_s["u1"] = lag_s
+            world.publish()
+            await trio.sleep(_TICK_S)
+        await world.publish_for(0.4)
+        await _lose_power(world, home)
+        await _go_on(world)
+        world.check_whole()
+
+
+@trios.clock_test
+async def test_keeper_of_a_broken_link_is_told_that_its_feed_is_elsewhere() -> (
+    None
+):
+    """A feed stays open at an upstream that serves it no more."""
+    async with rescue_world.run_world() as world:
+        home = world.home()
+        world.wire(home.name, "k1").state = Wires.HELD
+        home.network.lose(world.hosts["k1"].name)
+        world.hosts["k1"].network.lose(home.view.me)
+        await world.publish_for(6.0)
+        assert world.boards["u2"].count() == 1
+        world.wire(home.name, "k1").release()
+        await trio.sleep(0.1)
+        assert world.boards["u1"].count() == 0
+
+
+@trios.clock_test
+async def test_later_keeper_goes_on_where_an_earlier_one_offers_too() -> None:
+    """A keeper that was cut off from a home still holds its feed.
+
+    The home opened it elsewhere and died. What the earlier keeper offers has
+    numbers that the caller takes for old ones.
+    """
+    for seed in range(6):
+        async with rescue_world.run_world(seed) as world:
+            await world.publish_for(1.5)
+            home = world.home()
+            for sender, receiver in ((home.name, "k1"), ("k1", home.name)):
+                world.wire(sender, receiver).state = Wires.SILENT
+            home.network.lose(world.hosts["k1"].name)
+            world.hosts["k1"].network.lose(home.view.me)
+            await world.publish_for(4.5)
+            assert world.boards["u2"].count() == 1
+            seen = world.list_ticks()[-1]
+            await _lose_power(world, home.name)
+            await _go_on(world)
+            ticks = world.list_ticks()
+            rest = ticks[ticks.index(seen) :]
+            assert rest == list(range(seen, ticks[-1] + 1)), rest
+
+
+@trios.clock_test
+async def test_feed_that_moves_goes_back_when_its_link_breaks() -> None:
+    """A link breaks while its feed waits to move to an upstream ahead.
+
+    What the former keeper has yet to give is missing at the new one.
+    """
+    async with rescue_world.run_world() as world:
+        world.lags_s["u1"] = 0.5
+        await world.publish_for(1.5)
+        world.set_contract("u1")
+        await world.publish_for(0.2)
+        assert world.count_observers() == 2
+        home = world.home()
+        home.network.lose(world.hosts["k1"].name)
+        await _go_on(world)
+        world.check_whole()
+
+
 @trios.clock_test
 async def test_feed_is_whole_when_the_role_of_its_keeper_moves() -> None:
     """A home dies, and its keeper hands its role on before that is found.
--- a/tests/test_flows/test_flows_feeds_rescue_courses.py
+++ b/tests/test_flows/test_flows_feeds_rescue_courses.py
@@ -96,6 +96,67 @@
 )
 
 
+# Steps, deaths, interval of ticks and seed of courses that broke feeds.
+_FOUND: tuple[tuple[list[tuple[Step, float]], list[Step], float, int], ...] = (
+    ([(_drain_upstream, 0.0), (_break_links, 0.01)], [_lose_power], 0.02, 34),
+    (
+        [
+            (_drain_upstream, 0.001),
+            (_break_links, 0.002),
+            (_take_upstream_back, 0.0),
+        ],
+        [_kill],
+        0.02,
+        44,
+    ),
+    ([(_break_links, 0.0)], [_stand_still], 0.2, 324),
+    ([(_move_role, 0.001), (_break_links, 0.3)], [_kill], 0.02, 369),
+    (
+        [
+            (_move_role, 0.001),
+            (_break_links, 1.2),
+            (_take_upstream_back, 1.2),
+        ],
+        [_lose_power],
+        0.02,
+        480,
+    ),
+    (
+        [(_stop, 0.01), (_drain_upstream, 0.001), (_break_links, 0.002)],
+        [_kill],
+        0.02,
+        44,
+    ),
+    ([(_stop, 0.01), (_move_role, 0.002)], [_lose_power], 0.02, 135),
+    (
+        [(_stop, 0.001), (_move_role, 0.0), (_drain_upstream, 0.001)],
+        [_stand_still],
+        0.2,
+        504,
+    ),
+    (
+        [(_stop, 0.001), (_move_role, 0.0), (_break_links, 0.002)],
+        [_lose_power],
+        0.2,
+        643,
+    ),
+    (
+        [(_stop, 0.01), (_break_links, 0.002)],
+        [_stand_still, _stand_still],
+        0.02,
+        262,
+    ),
+    ([(_break_links, 1.2), (_stop, 0.001)], [_kill, _kill], 0.2, 579),
+    ([(_stop, 0.002), (_move_role, 0.001)], [_stand_still, _kill], 0.02, 7065),
+    (
+        [(_drain_upstream, 1.2), (_stop, 0.001), (_break_links, 0.002)],
+        [_stand_still, _kill],
+        0.2,
+        674,
+    ),
+)
+
+
 async def _follow(
     steps: list[tuple[Step, float]],
     deaths: list[Step],
@@ -155,3 +216,19 @@
         await _follow(steps, deaths, interval_s, seed)
 
     run()
+
+
+def test_courses_that_broke_feeds_once_are_whole() -> None:
+    """A fault that a course has found comes back."""
+    for steps, deaths, interval_s, seed in _FOUND:
+
+        @trios.clock_test
+        async def run(
+            steps: list[tuple[Step, float]] = steps,
+            deaths: list[Step] = deaths,
+            interval_s: float = interval_s,
+            seed: int = seed,
+        ) -> None:
+            await _follow(steps, deaths, interval_s, seed)
+
+        run()
--- a/tests/test_upstreams/test_upstreams_feeds.py
+++ b/tests/test_upstreams/test_upstreams_feeds.py
@@ -253,6 +253,42 @@
         assert not board.registrations
 
 
+@trios.clock_test
+async def test_next_home_is_told_that_a_feed_has_to_move() -> None:
+    """An upstream drains while no home has the feed; nobody moves it."""
+    opened = scene.make_feed_open(resumes=True)
+    async with open_board() as (here, _):
+        async with here.network.open_call(opened, "west-1") as caller:
+            await receive_state(caller)
+            caller.lost = True
+        await trio.sleep(1)
+        draining = scene.make_contract(
+            {"u1": 9}, upstream={"state": "draining"}
+        )
+        here.store.offer(scene.make_record(draining, 2))
+        async with here.network.open_call(opened, "west-1") as again:
+            await receive_state(again)
+            assert (await receive_end(again)).cause is _Cause.DRAINING
+
+
+@trios.clock_test
+async def test_next_home_is_told_that_a_feed_is_silent() -> None:
+    """A home dies after it was told to move a feed that stands still."""
+    opened = scene.make_feed_open(resumes=True)
+    async with open_board() as (here, board):
+        async with here.network.open_call(opened, "west-1") as caller:
+            await receive_state(caller)
+            board.silent = set(board.registrations)
+            assert (await receive_end(caller)).cause is _Cause.SILENT
+            caller.lost = True
+        await trio.sleep(1)
+        async with here.network.open_call(opened, "west-1") as again:
+            await receive_state(again)
+            began_at = trio.current_time()
+            assert (await receive_end(again)).cause is _Cause.SILENT
+            assert trio.current_time() - began_at < 1
+
+
 @trios.clock_test
 async def test_feed_that_can_not_be_read_is_refused() -> None:
     async with open_board() as (here, board):
@@ -273,6 +309,21 @@
             assert (await receive_end(caller)).cause is _Cause.LOST
 
 
+@trios.clock_test
+async def test_feed_that_its_home_has_ended_is_not_held() -> None:
+    """A connection of an upstream stays taken after its feed has ended."""
+    async with open_board() as (here, board):
+        async with here.network.open_call(scene.make_feed_open()) as caller:
+            await receive_state(caller)
+            [registration] = board.registrations.values()
+            board.notify(registration, None, b"last")
+            assert await receive_state(caller) == b"last"
+            assert (await receive_end(caller)).cause is _Cause.LOST
+            await trio.sleep(0.1)
+        await trio.sleep(1)
+        assert here.keepers.loads()[0].feeds == 0
+
+
 @trios.clock_test
 async def test_large_notification_is_completed() -> None:
     body = bytes(range(256)) * 12
