--- a/persimmonhinge/upstreams/orphans.py
+++ b/persimmonhinge/upstreams/orphans.py
@@ -8,6 +8,7 @@
 
 from persimmonhinge import errors
 from persimmonhinge import ids
+from persimmonhinge import line_budgets
 from persimmonhinge.membership import member as members
 from persimmonhinge.membership import placement as placements
 from persimmonhinge.membership import view as views
@@ -53,6 +54,7 @@
         self._network = network
         self._feeds: dict[rescues.FeedKey, feed_parts.Feed] = {}
         self._rescues = rescues.Rescues()
+        self._lines = line_budgets.Budget()
         self._limiter = trio.CapacityLimiter(_MOST_AT_A_TIME)
 
     def __len__(self) -> int:
@@ -74,7 +76,18 @@
         """Tells whether another home than the one that opens a feed has it."""
         if self.find(opened) is not None:
             return False
-        return self._rescues.is_elsewhere(_make_key(opened), caller, opened)
+        key = _make_key(opened)
+        if not self._rescues.is_elsewhere(key, caller, opened):
+            return False
+        if self._lines.take():
+            logger.info(
+                "Feed %s is not opened for %s, which has sent up to %d:"
+                " another home has it.",
+                _describe(opened),
+                caller,
+                opened.confirmed,
+            )
+        return True
 
     async def take(
         self, caller: ids.HostId, opened: messages.FeedOpen
@@ -87,6 +100,7 @@
             self._context.counts.add("feeds_resumed_total")
             await found.stop_collecting()
             self._rescues.note(key, caller, found.given.sequence)
+            self._log_resumed(caller, opened, found)
             return found
         held = self._feeds.get(key)
         if held is not None and held.opened.request != opened.request:
@@ -95,6 +109,24 @@
             self._context.start_soon(held.end)
         return None
 
+    def _log_resumed(
+        self,
+        caller: ids.HostId,
+        opened: messages.FeedOpen,
+        found: feed_parts.Feed,
+    ) -> None:
+        if not self._lines.take():
+            return
+        logger.info(
+            "Feed %s goes on at %s after event %d, the newest is %d;"
+            " before: %s.",
+            _describe(opened),
+            caller,
+            opened.confirmed,
+            found.given.sequence,
+            found.home.host if found.home is not None else "unknown",
+        )
+
     async def release(
         self, caller: networks.Caller, left: messages.FeedLeft
     ) -> None:
@@ -188,5 +220,11 @@
     )
 
 
+def _describe(opened: messages.FeedOpen) -> str:
+    """Returns how the log names a feed: service, caller and token."""
+    caller = f"{opened.caller_host}:{opened.caller_port}"
+    return f"{opened.service}/{caller}/{opened.token.hex()}"
+
+
 def _is_same(member: members.Member, home: members.Member | None) -> bool:
     return home is not None and member.ref == home.ref
