Log how a feed is opened, offered, moved and answered

Cause: the logs of a run in which a feed showed a tick twice did not tell a reply to a registration from a notification, nor one home from two, so the hypotheses about feeds_deaths.test_feeds_go_on_after_a_host_was_killed could not be told apart.

Homes now log, by service, caller and token: a feed opened at a host that is not its home, an offer of a home or keeper and what the host had of the feed, a failed attempt with its cause and time, the stream that goes on serving and the numbers sent and confirmed, and the reply to a further registration with the age of its answer and its number. Openings at the home itself and removals are DEBUG: they are routine.

The client's Notification tells whether it came in an acknowledgement, its Feed has the token by which hosts log it, and the watchers of the tests show tick, number and kind of both notifications of a repeat. They judge as before.

--- a/persimmonhinge/client/feed.py
+++ b/persimmonhinge/client/feed.py
@@ -71,6 +71,11 @@
         self._ticket = b""
         self._start_anew()
 
+    @property
+    def token(self) -> bytes:
+        """Token of the present registration, by which hosts log the feed."""
+        return self._inbox.token
+
     def __aiter__(self) -> Feed:
         return self
 
@@ -155,7 +160,11 @@
         self._renewed = False
         whole = await self._read_rest(message)
         return notifications.Notification(
-            whole.payload, message.opt.observe, message.code, renewed
+            whole.payload,
+            message.opt.observe,
+            message.code,
+            renewed,
+            message.mtype is aiocoap.ACK,
         )
 
     async def _read_rest(self, message: codec.Message) -> codec.Message:
--- a/persimmonhinge/client/notification.py
+++ b/persimmonhinge/client/notification.py
@@ -17,9 +17,12 @@
         code: CoAP code.
         renewed: True if it is the first since the feed was registered anew,
             so that it may repeat a state that was seen.
+        piggybacked: True if it came in the acknowledgement of a registration,
+            so that it is the reply to it.
     """
 
     payload: bytes
     sequence: int | None
     code: aiocoap.Code
     renewed: bool = False
+    piggybacked: bool = False
--- a/persimmonhinge/flows/feeds/adoption.py
+++ b/persimmonhinge/flows/feeds/adoption.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import functools
+import logging
 
 import trio
 
@@ -21,6 +22,8 @@
 from persimmonhinge.flows.feeds import source as source_module
 from persimmonhinge.peers.messages import feeds
 
+logger = logging.getLogger(__name__)
+
 
 class Adoption:
     """Implements the hand-over of feeds on the side of the new home.
@@ -60,6 +63,7 @@
         opened = message.feed
         flow = open_messages.read_flow(opened)
         feed = self._context.table.get(flow, opened.token)
+        _log_offer(sender, message, feed)
         if feed is not None and self._is_outdated(feed, message):
             self._remove_feed(feed)
             feed = None
@@ -297,3 +301,29 @@
     source.replay_position = (
         None if found == digests.count(new_digests) - 1 else found
     )
+
+
+def _log_offer(
+    sender: ids.HostId,
+    message: feeds.FeedAdopt,
+    feed: feed_module.Feed | None,
+) -> None:
+    """Logs what the sender and this host know of a feed."""
+    opened = message.feed
+    here = "not open"
+    if feed is not None:
+        here = (
+            f"newest number sent {feed.sequence}, event {feed.confirmed}"
+            f" confirmed, upstream {feed.source and feed.source.upstream.id}"
+        )
+    logger.info(
+        "Feed %s offered by %s %s%s: newest number sent %d, event %d"
+        " confirmed; here: %s.",
+        feed_module.format_name(open_messages.read_flow(opened), opened.token),
+        "keeper" if _is_from_keeper(opened) else "home",
+        sender,
+        ", which goes on serving it" if message.prepares else "",
+        opened.last_sequence,
+        opened.confirmed,
+        here,
+    )
--- a/persimmonhinge/flows/feeds/caller_side.py
+++ b/persimmonhinge/flows/feeds/caller_side.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import functools
+import logging
 
 import aiocoap
 import trio
@@ -17,6 +18,8 @@
 from persimmonhinge.flows.feeds import feed_context
 from persimmonhinge.flows.feeds import limits
 
+logger = logging.getLogger(__name__)
+
 
 class CallerSide:
     """Sends answers and notifications with increasing Observe numbers.
@@ -84,6 +87,14 @@
     def send_current(self, feed: feed_module.Feed) -> None:
         """Replies to a request with the newest answer and a new number."""
         feed.sequence += 1
+        logger.info(
+            "Feed %s: request %d answered with the answer of %.3f s ago,"
+            " number %d.",
+            feed.name,
+            feed.request_id,
+            trio.current_time() - feed.sent_at,
+            feed.sequence,
+        )
         feed.sent_at = trio.current_time()
         self._reply(feed, _make_notification(feed, read_current(feed)))
 
--- a/persimmonhinge/flows/feeds/feed.py
+++ b/persimmonhinge/flows/feeds/feed.py
@@ -102,3 +102,13 @@
     message_id: int = -1
     exchange: exchange_module.Exchange | None = None
     closed: bool = False
+
+    @property
+    def name(self) -> str:
+        """Name of the feed in the log."""
+        return format_name(self.flow, self.token)
+
+
+def format_name(flow: port.Flow, token: bytes) -> str:
+    """Returns the name of a feed in the log: service, caller and token."""
+    return f"{flow.service}/{flow.caller[0]}:{flow.caller[1]}/{token.hex()}"
--- a/persimmonhinge/flows/feeds/service.py
+++ b/persimmonhinge/flows/feeds/service.py
@@ -258,6 +258,16 @@
             self._send_final(feed, b"", 0)
             return
         self._context.table.add(feed)
+        home = self._context.find_home(flow)
+        is_home = home == self._context.view.me
+        logger.log(
+            logging.DEBUG if is_home else logging.INFO,
+            "Feed %s opened by request %d, first number %d; its home is %s.",
+            feed.name,
+            message.mid,
+            sequence,
+            home,
+        )
         self._context.counts.add("feeds_opened_total")
         self._upstreams.open(feed)
         self._handover.check_home(feed)
@@ -276,6 +286,9 @@
     def _remove_feed(self, feed: feed_module.Feed) -> None:
         """Closes a feed and sends nothing to its caller."""
         feed.closed = True
+        logger.debug(
+            "Feed %s removed; newest number sent %d.", feed.name, feed.sequence
+        )
         self._context.table.remove(feed)
         self._callers.confirmations.end_exchange(feed)
         for source in (feed.source, feed.candidate):
--- a/persimmonhinge/flows/feeds/switchover.py
+++ b/persimmonhinge/flows/feeds/switchover.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import functools
+import logging
 
 import trio
 
@@ -17,6 +18,8 @@
 from persimmonhinge.flows.feeds import source as source_module
 from persimmonhinge.peers.messages import feeds
 
+logger = logging.getLogger(__name__)
+
 _DEFAULT_MAX_AGE_S = 60
 
 
@@ -84,7 +87,7 @@
         """
         feed = source.feed
         if feed.candidate is source:
-            self._switch(source)
+            self._switch(source, f"it resumes at event {event.sequence}")
             feed.is_newest_unconfirmed = False
             if feed.confirmed:
                 source.replay_position = None
@@ -102,7 +105,7 @@
             or digests.find(feed.recent_digests, event.digest) >= 0
         ):
             # Any held events are older than this event and are dropped.
-            self._switch(source)
+            self._switch(source, f"event {event.sequence} is known")
             self._forward(source, event)
             return
         if source.held_events is None:
@@ -144,14 +147,16 @@
             return
         held = source.held_events
         source.held_events = None
-        self._switch(source)
+        self._switch(source, f"{len(held)} events were held back")
         source.replay_position = None
         for event in held:
             self._forward(source, event)
 
-    def _switch(self, source: source_module.Source) -> None:
+    def _switch(self, source: source_module.Source, cause: str) -> None:
         feed = source.feed
         former = feed.source
+        if feed.recent_digests:
+            _log_switch(source, former, cause)
         feed.candidate = None
         feed.source = source
         source.held_events = None
@@ -211,3 +216,22 @@
         if max_age is None:
             max_age = _DEFAULT_MAX_AGE_S
         return trio.current_time() < feed.sent_at + max_age / 2
+
+
+def _log_switch(
+    source: source_module.Source,
+    former: source_module.Source | None,
+    cause: str,
+) -> None:
+    feed = source.feed
+    logger.info(
+        "Feed %s is now served by %s of keeper %s: %s; newest number sent %d,"
+        " newest event confirmed %d, former upstream %s.",
+        feed.name,
+        source.upstream.id,
+        source.keeper,
+        cause,
+        feed.sequence,
+        feed.confirmed,
+        former.upstream.id if former is not None else "gone",
+    )
--- a/persimmonhinge/flows/feeds/upstream_side.py
+++ b/persimmonhinge/flows/feeds/upstream_side.py
@@ -136,8 +136,10 @@
                     return
                 continue
             source = self._make_source(feed, choice, resumes=resumes)
+            started_at = trio.current_time()
             await self._read(source, search)
             if not source.used:
+                _log_attempt(source, trio.current_time() - started_at)
                 if self._broken_links.should_retry_keeper(source, search):
                     await trio.sleep(limits.DECLARED_DEAD_RETRY_INTERVAL_S)
                     continue
@@ -333,3 +335,15 @@
         # candidate.
         if feed.source is not None and self.selector.must_move(feed.source):
             self.move(feed)
+
+
+def _log_attempt(source: source_module.Source, took_s: float) -> None:
+    """Logs that a feed was not opened at an upstream."""
+    logger.info(
+        "Feed %s not opened at %s of keeper %s in %.3f s: %s.",
+        source.feed.name,
+        source.upstream.id,
+        source.keeper,
+        took_s,
+        source.end.cause.value if source.end is not None else "no answer",
+    )
--- a/tests/standins/watchers.py
+++ b/tests/standins/watchers.py
@@ -42,12 +42,19 @@
         at: When it came, in seconds of trio's clock.
         renewed: True if the caller had registered its feed again.
         sequence: Its Observe number, None if it had none.
+        piggybacked: True if it came in the acknowledgement of a registration.
     """
 
     tick: int
     at: float
     renewed: bool
     sequence: int | None
+    piggybacked: bool = False
+
+    def __str__(self) -> str:
+        """Returns tick and number, A if in an acknowledgement, R if renewed."""
+        marks = "A" * self.piggybacked + "R" * self.renewed
+        return f"{self.tick}/{self.sequence}{marks}"
 
 
 class Watchers:
@@ -56,6 +63,7 @@
     Attributes:
         sights: What each caller saw, in order.
         renewals: How often each caller registered again.
+        tokens: Token of each feed, by which the logs of hosts name it.
     """
 
     def __init__(
@@ -67,6 +75,7 @@
     ) -> None:
         self.sights: list[list[Sight]] = [[] for _ in range(count)]
         self.renewals = [0] * count
+        self.tokens = [b""] * count
         self._deployment = deployment
         self._service = service
         self._settings = settings
@@ -153,7 +162,8 @@
     def steps_back(self) -> list[str]:
         """Returns each repeat and each step back, gaps passed over."""
         return [
-            f"feed {number}: {former.tick}, then {later.tick}"
+            f"feed {number} ({self.tokens[number].hex()}): {former}, then"
+            f" {later} {later.at - former.at:.2f} s later"
             for number, seen in enumerate(self.sights)
             for former, later in itertools.pairwise(seen)
             if later.tick <= former.tick and not later.renewed
@@ -204,10 +214,15 @@
         ):
             async for notification in feed:
                 self.renewals[number] = feed.renewals
+                self.tokens[number] = feed.token
                 tick = json.loads(notification.payload)["tick"]
                 now = trio.current_time()
                 sight = Sight(
-                    tick, now, notification.renewed, notification.sequence
+                    tick,
+                    now,
+                    notification.renewed,
+                    notification.sequence,
+                    notification.piggybacked,
                 )
                 self.sights[number].append(sight)
 
