Answer a further registration under the number of its notification

What callers saw: after a host died, one to five feeds of 40 showed one tick twice in a row (feeds_deaths.test_feeds_go_on_after_a_host_was_killed).

Cause: a caller that hears nothing registers again. Its registration and the newest notification cross, and the home answered with the same state under a number of its own, one above the notification's, which the caller took for news (RFC 7641, 3.4).

Ruled out: loss or repetition by the stand-ins (numbers differ, and the home logs both). A change of the client alone would not help other callers.

Fix: the reply has the notification's number, so who had it discards it and who had not takes it. Due for a refresh (5 s after Max-Age, before which RFC 7641, 3.3.1 advises against one) it has a new number.

The same elsewhere: the new home of a hand-over answers with the former's number, and not at all with a state that the former home has sent a newer one after (a step back).

--- a/persimmonhinge/flows/feeds/adoption.py
+++ b/persimmonhinge/flows/feeds/adoption.py
@@ -248,6 +248,8 @@
             _update_replay_position(
                 feed.source, old_digests, feed.recent_digests
             )
+        if not unsent:
+            self._callers.match_newest_answer(feed)
         feed.outbox = unsent
         self._callers.release_answers(feed)
         self._report(feed)
--- a/persimmonhinge/flows/feeds/feed.py
+++ b/persimmonhinge/flows/feeds/feed.py
@@ -51,6 +51,8 @@
             stores them.
         newest_answer: Newest answer as an encoded CoAP message with its whole
             body; empty before the first answer.
+        answer_sequence: Observe number under which the newest answer was sent,
+            not truncated.
         sent_at: Time at which the newest answer was sent, by trio's clock.
         reported: Highest of `sequence` and `confirmed` in the newest report
             to the keeper.
@@ -88,6 +90,7 @@
     confirmable: bool = False
     recent_digests: bytes = b""
     newest_answer: bytes = b""
+    answer_sequence: int = 0
     sent_at: float = 0.0
     reported: int = 0
     source: source_module.Source | None = None
--- a/persimmonhinge/flows/feeds/limits.py
+++ b/persimmonhinge/flows/feeds/limits.py
@@ -29,6 +29,12 @@
 # control traffic constant when the number of feeds grows.
 MAX_ACKS_PER_INTERVAL = 100
 
+# Max-Age of an answer without the option (RFC 7252, 5.10.5).
+DEFAULT_MAX_AGE_S = 60
+# Callers should not refresh an answer earlier than this after its Max-Age
+# (RFC 7641, 3.3.1), so an earlier registration is not a refresh.
+REFRESH_GRACE_S = 5.0
+
 # Number of digests of answers that a home stores per feed.
 MAX_RECENT_ANSWERS = 16
 
--- a/tests/test_flows/feeds_caller.py
+++ b/tests/test_flows/feeds_caller.py
@@ -27,6 +27,7 @@
         ticks: States accepted as newer than the previous ones, in order.
         senders: Names of the hosts that sent `messages`.
         acknowledges: False to send no acknowledgements.
+        is_deaf: True to lose all messages on their way.
     """
 
     def __init__(self, world: feeds_world.World) -> None:
@@ -35,6 +36,7 @@
         self.ticks: list[int] = []
         self.senders: list[str] = []
         self.acknowledges = True
+        self.is_deaf = False
         self._order = order.NotificationOrder()
         self._ids = 0
 
@@ -45,6 +47,8 @@
 
     def receive(self, host: feeds_hosts.Host, message: codec.Message) -> None:
         """Processes a message that a host sends."""
+        if self.is_deaf:
+            return
         self.messages.append(codec.decode(codec.encode(message)))
         self.senders.append(host.name)
         if message.mtype is aiocoap.CON and self.acknowledges:
--- a/tests/test_flows/rescue_caller.py
+++ b/tests/test_flows/rescue_caller.py
@@ -30,6 +30,7 @@
         seen_at: Time at which each state was accepted, by trio's clock.
         sequences: Observe numbers of the accepted states.
         hosts: Names of the hosts that sent the accepted states.
+        received: All messages with a state, in order, also those ignored.
         acknowledges: False to send no acknowledgements.
     """
 
@@ -39,6 +40,7 @@
         self.seen_at: list[float] = []
         self.sequences: list[int] = []
         self.hosts: list[str] = []
+        self.received: list[codec.Message] = []
         self.acknowledges = True
         self._order = order.NotificationOrder()
         self._message_ids: set[int] = set()
@@ -56,6 +58,7 @@
             host.feeds.acknowledge(self.flow, message.mid)
         if message.opt.observe is None or not message.code.is_successful():
             return
+        self.received.append(message)
         if message.mtype is not aiocoap.ACK:
             if message.mid in self._message_ids:
                 return
