Show no held-back state under the number of an older one

What callers may see: a caller repeats a confirmable registration, as its acknowledgement was lost, while its home hands the feed over. The home holds a new state back and answered with it under the number of the state before. The caller takes it if it has lost that one, and sees it again when it is released under its own number; else it discards it.

Found by reading, when looking for other places where an answer gets a number without being news; not seen in a run. The test of it fails on the former code: the reply is a state, not an empty acknowledgement.

Fix: the request is acknowledged by an empty message, and the state that is released is its reply.

--- a/persimmonhinge/flows/feeds/caller_side.py
+++ b/persimmonhinge/flows/feeds/caller_side.py
@@ -59,6 +59,9 @@
         """Repeats the reply to a request received again with the same id."""
         if not feed.confirmable or feed.reply is feed_module.Reply.OWED:
             return
+        if feed.outbox:
+            # The newest answer has not been sent yet. It will be the reply.
+            feed.reply = feed_module.Reply.SEPARATE
         if (
             feed.reply is feed_module.Reply.SEPARATE
             or feed.exchange is not None
--- a/tests/test_flows/test_flows_feeds_renewals.py
+++ b/tests/test_flows/test_flows_feeds_renewals.py
@@ -85,3 +85,28 @@
             # A retransmission or a second registration refreshes nothing.
             _register(world)
         assert world.caller.ticks == [0, 1, 1, 1, 1]
+
+
+@trios.clock_test
+async def test_repeated_request_shows_no_state_that_is_held_back() -> None:
+    """Guards against a state that is shown under the number of an older one.
+
+    A caller repeats its registration while its home hands the feed over and
+    holds back a new state.
+    """
+    async with feeds_fakes.run_world() as world:
+        home = world.find_home()
+        home.register()
+        await trio.sleep(_QUICK_S)
+        world.publish(1)
+        await trio.sleep(_QUICK_S)
+        registration = world.caller.make_get(mtype=aiocoap.CON)
+        _register(world, registration)
+        (feed,) = home.feeds._context.table
+        home.feeds._callers.hold_answers(feed)
+        world.publish(2)
+        await trio.sleep(_QUICK_S)
+        assert _register(world, registration).code is aiocoap.EMPTY
+        home.feeds._callers.release_answers(feed)
+        assert world.caller.ticks == [0, 1, 2]
+        assert world.caller.get_last_message().mtype is aiocoap.CON
