Tell the keeper the numbers of refreshes

What callers may see: a board that changes rarely, whose caller refreshes it after Max-Age. After more than 15 refreshes in one gap the home dies, and the next change never shows: its number, 16 above the event before, is below that of the last refresh, so the caller discards it as late.

Cause: homes told keepers their numbers with the next event only. A keeper skips numbers that it knows to be used, but knew none of these.

Found by reading, for the question whether a keeper's next event can be below the last reply; not seen in a run. The test (20 refreshes before a death, 5 as before) fails on the former code: the tick after the death is missing.

Fix: a refresh queues the feed for the reports that are sent once a second and limited to 100. At most one refresh is then unknown to the keeper.

--- a/persimmonhinge/flows/feeds/reports.py
+++ b/persimmonhinge/flows/feeds/reports.py
@@ -35,6 +35,11 @@
             return
         await self._push(feed)
 
+    def report_later(self, feed: feed_module.Feed) -> None:
+        """Queues a feed for `run` if its keeper lacks its newest number."""
+        if max(feed.sequence, feed.confirmed) > feed.reported:
+            self._due[feed] = None
+
     async def report(self, feed: feed_module.Feed) -> None:
         """Reports at once, for example to a new keeper after a move."""
         await self._push_within_limit(feed)
--- a/persimmonhinge/flows/feeds/service.py
+++ b/persimmonhinge/flows/feeds/service.py
@@ -227,6 +227,8 @@
         self._callers.record_request(feed, message)
         if feed.newest_answer and feed.outbox is None:
             self._callers.send_current(feed)
+            # The next home may use no number that this reply has used.
+            self._reports.report_later(feed)
 
     def _open_new(
         self,
--- a/tests/test_flows/test_flows_feeds_rescue.py
+++ b/tests/test_flows/test_flows_feeds_rescue.py
@@ -148,7 +148,7 @@
     Each refresh of an answer takes a number. If the next ticks got the same
     numbers, the caller would drop them as outdated.
     """
-    for refreshes in (5,):
+    for refreshes in (5, 20):
         async with rescue_world.run_world() as world:
             await world.publish_for(1.0)
             home = world.find_home()
