Keep a feed that has sent more than the host that offers it

What callers saw: half of the hosts stood still for 1.3 to 2.3 s and were declared dead; feeds whose home was one of them showed a tick twice, 0.1 to 0.2 s apart, the later one 1,040 or 1,056 numbers above (1 to 16 feeds of 40).

Cause: the host goes on, loses its links and looks for the keeper of its feed. The keeper holds the feed and offers it to the same host, as a new incarnation. A home that looked for an upstream took any offer for newer and replaced its feed by what the keeper knew, which lacked the reports that were lost with the link. The feed was then opened anew beside the one that the keeper gave back, and its first state, known but forgotten, was sent again.

Evidence: in each of five feeds traced, 'offered by keeper entry-3: newest number sent ...; here: newest number sent ..., upstream None', then 'now served by ...: 1 events were held back; newest number sent'.

Fix: an offer replaces such a feed only if it has more, by the newest event confirmed (keepers) or the newest number (homes). Else the offer waits for the feed's own search, up to the time limit of offers: refused at once, the keeper would offer it to another host.

The new test fails on the former code.

--- a/persimmonhinge/flows/feeds/adoption.py
+++ b/persimmonhinge/flows/feeds/adoption.py
@@ -67,13 +67,18 @@
             return None
         feed = self._context.table.get(flow, opened.token)
         _log_offer(sender, message, feed)
-        if feed is None or self._is_outdated(feed, message):
+        is_new = feed is None or self._is_outdated(feed, message)
+        if feed is None or is_new:
             feed = self._make_feed(sender, message, call_class, feed)
         else:
             feed.sequence = max(
                 feed.sequence, _find_highest_sequence(feed, opened)
             )
-        if feed is None or not await self._is_served(feed):
+        if feed is None:
+            return None
+        if not await self._wait_until_served(feed):
+            if is_new and not feed.closed:
+                self._give_back(feed)
             return None
         if not message.prepares and feed.outbox is not None:
             self._commit(feed, digests.join(opened.recent))
@@ -91,7 +96,8 @@
         - A former home died between its two messages. Its keeper has all
           events that the caller may not have been sent.
         - This host was paused and searches for the keeper of a feed that
-          other hosts have served since.
+          other hosts have served since. If none has, it has sent all that
+          the sender knows, and perhaps more.
         - An earlier keeper offers events that it has buffered since the
           former home opened the feed at another upstream. The offer of the
           later keeper is newer and wins, whichever arrives first.
@@ -100,11 +106,12 @@
         if feed.request != opened.request:
             # The caller uses the token for another resource now.
             return False
-        if feed.source is None and feed.served is None:
-            return (
-                feed.reply is feed_module.Reply.DONE or not feed.newest_answer
-            )
-        return _is_from_keeper(opened) and opened.confirmed > feed.confirmed
+        is_unserved = feed.source is None and feed.served is None
+        if is_unserved and not feed.recent_digests:
+            return True
+        if _is_from_keeper(opened):
+            return opened.confirmed > feed.confirmed
+        return is_unserved and opened.last_sequence > feed.sequence
 
     def _make_feed(
         self,
@@ -182,31 +189,26 @@
         path = "/" + "/".join(request.opt.uri_path)
         return entry.contract.classify(contract.Method.GET, path, observes=True)
 
-    async def _is_served(self, feed: feed_module.Feed) -> bool:
+    async def _wait_until_served(self, feed: feed_module.Feed) -> bool:
         """Waits until an upstream serves a feed.
 
-        A feed that was created for the sender is given back if no upstream
-        serves it in time.
-
         Returns:
-            True if an upstream serves the feed.
+            False if none does in time, or if the feed was removed.
         """
-        if feed.served is None and feed.source is None:
-            return False
-        if feed.served is not None and feed.source is None:
+        if feed.source is None:
+            if feed.served is None:
+                feed.served = trio.Event()
+            served = feed.served
             with trio.move_on_after(limits.ADOPT_TIMEOUT_S):
-                await feed.served.wait()
-        if feed.closed:
-            return False
-        if feed.served is not None and not feed.served.is_set():
-            # The sender keeps the feed and retries the hand-over.
-            self._give_back(feed)
-            return False
+                await served.wait()
+            if not served.is_set():
+                feed.served = None
+                return False
         feed.served = None
-        return True
+        return not feed.closed
 
     def _give_back(self, feed: feed_module.Feed) -> None:
-        """Removes a feed that no upstream serves in time.
+        """Removes a feed that was made for the sender, which keeps its own.
 
         A feed whose caller awaits a reply from this host stays, as if the
         caller had opened it here.
@@ -215,7 +217,6 @@
             self._remove_feed(feed)
             return
         feed.prepared = False
-        feed.served = None
         self._callers.release_answers(feed)
 
     def _expect_commit(
--- a/tests/test_flows/test_flows_feeds_homes.py
+++ b/tests/test_flows/test_flows_feeds_homes.py
@@ -97,6 +97,37 @@
         assert world.caller.ticks == [0, 1]
 
 
+@trios.clock_test
+async def test_feeds_are_not_replaced_by_an_offer_that_knows_less() -> None:
+    """Guards against states that are sent again after a lost link.
+
+    A host that was declared dead looks for the keeper of its feed. The keeper
+    offers it the feed without the last states, whose reports were lost.
+    """
+    async with feeds_fakes.run_world() as world:
+        home = await _open(world)
+        (stream,) = [
+            s for u in world.upstreams.values() for s in u.open_streams()
+        ]
+        first_state, first_sequence = stream.recent, stream.sequence
+        for tick in (1, 2, 3):
+            world.publish(tick)
+            await trio.sleep(_QUICK_S)
+        keepers = {u.keeper for u in world.upstreams.values()}
+        world.down_hosts |= keepers
+        stream.cut()
+        await trio.sleep(_QUICK_S)
+        stream.recent, stream.sequence = first_state, first_sequence
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stream.hand_over, home)
+            await trio.sleep(_QUICK_S)
+            world.down_hosts -= keepers
+        world.publish(4)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.ticks == [0, 1, 2, 3, 4]
+        assert world.count_feeds() == world.count_streams() == 1
+
+
 @trios.clock_test
 async def test_feeds_of_two_homes_become_one() -> None:
     """Guards against events accepted twice and against two permanent homes.
