Log why a process did not run, and show it when a test fails

Cause: six listed tests failed while the machine was busy, and each could be provoked by a process that did not run for a while, but no log told whether one had not run in the run that failed.

A host's line 'This process did not run for N s' (membership/pauses.py, no second detector) says how much of it was spent on a processor and in the queue for one, by the kernel: stopped, starved and busy by itself can be told apart. /metrics has process_longest_gap_seconds and process_queued_seconds. Stand-ins (platform, fabric, upstreams, faults) and the tests' own process print the same with the time, from 0.3 s on (0.5 s before, the platform alone); a command that is ended after its limit is shown with its times; and a test that fails prints these lines of all its processes, 60 at most.

--- a/persimmonhinge/membership/service.py
+++ b/persimmonhinge/membership/service.py
@@ -10,6 +10,7 @@
 import trio
 
 from persimmonhinge import ids
+from persimmonhinge import processor_times
 from persimmonhinge.membership import codec
 from persimmonhinge.membership import contacts
 from persimmonhinge.membership import identity
@@ -36,6 +37,11 @@
 _ISOLATION_INTERVALS = 3
 
 
+def _read_queued_s() -> float:
+    times = processor_times.read()
+    return math.nan if times is None else times.queued_s
+
+
 def _no_hosts() -> tuple[entry.SeedHost, ...]:
     return ()
 
@@ -157,6 +163,11 @@
             self._context.counts.watch(
                 "membership_news_queued", lambda: len(parts.roster.gossip)
             )
+            self._context.counts.watch(
+                "process_longest_gap_seconds",
+                lambda: parts.pauses.longest_gap_s,
+            )
+            self._context.counts.watch("process_queued_seconds", _read_queued_s)
             isolation = self._context.view.isolation
             isolation.max_silence_s = _ISOLATION_INTERVALS * self._interval_s
             receiver = receiver_module.Receiver(
--- a/tests/standins/fabric.py
+++ b/tests/standins/fabric.py
@@ -28,6 +28,8 @@
 import trio
 import xxhash
 
+from tests.standins import starvation
+
 Address = tuple[str, int]
 Send = Callable[[bytes, Address], Awaitable[int]]
 Command = dict[str, Any]
@@ -223,6 +225,7 @@
     """Runs a fabric until cancelled."""
     async with trio.open_nursery() as nursery:
         fabric = Fabric(hosts, seed, nursery)
+        nursery.start_soon(starvation.report_gaps)
         for service in services:
             nursery.start_soon(fabric.serve, service)
         listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
--- a/tests/standins/faults.py
+++ b/tests/standins/faults.py
@@ -19,12 +19,14 @@
 
 from tests.standins import faults_control as control
 from tests.standins import faults_proxy
+from tests.standins import starvation
 
 
 async def run(seed: int) -> None:
     """Serves until cancelled."""
     listeners = await trio.open_tcp_listeners(0, host=faults_proxy.LOOPBACK)
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(starvation.report_gaps)
         proxy = faults_proxy.FaultProxy(nursery, seed)
         server = control.ControlServer(proxy)
         print(listeners[0].socket.getsockname()[1], flush=True)
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -15,6 +15,7 @@
 import yaml
 
 from persimmonhinge import ids
+from persimmonhinge import processor_times
 from persimmonhinge.contracts import contract as contracts
 from persimmonhinge.platform import opening as platform_opening
 from persimmonhinge.settings import entry
@@ -34,6 +35,7 @@
 # The fabric learns late that a host leaves, as the platform's list does.
 _FABRIC_LAG_S = 0.5
 _COMMAND_LIMIT_S = 30.0
+_NO_TIMES = processor_times.ProcessorTimes(0.0, 0.0)
 
 
 class Deployment:
@@ -222,6 +224,7 @@
                 capture_stderr=True,
                 check=False,
                 cwd=children.ROOT,
+                deliver_cancel=_report_and_kill,
             )
         if check and done.returncode:
             raise children.ChildError(
@@ -303,6 +306,15 @@
             await client.write_if((), (write,))
 
 
+async def _report_and_kill(process: trio.Process) -> None:
+    """Ends a command that takes too long; prints what it did meanwhile."""
+    times = processor_times.describe(
+        _NO_TIMES, processor_times.read(process.pid)
+    )
+    print(f"ended a command after {_COMMAND_LIMIT_S} s: {times}", flush=True)
+    process.kill()
+
+
 async def _is_good(client: httpx.AsyncClient, url: str) -> bool:
     try:
         response = await client.get(url)
--- a/tests/standins/starvation.py
+++ b/tests/standins/starvation.py
@@ -2,43 +2,33 @@
 
 from __future__ import annotations
 
-import pathlib
+import datetime
 import time
 
 import trio
 
+from persimmonhinge import processor_times
+
 _INTERVAL_S = 0.1
-_LEAST_GAP_S = 0.5
-_NANOSECONDS = 1e9
-# Time on a processor, time in the queue for one, and turns, by the kernel.
-_STATISTICS = pathlib.Path("/proc/self/schedstat")
+_LEAST_GAP_S = 0.3
 
 
 async def report_gaps() -> None:
-    """Prints each gap, and how much of it the kernel let the process wait.
+    """Prints when and for how long the process did not run, and why.
 
-    A gap that the process spent in the queue for a processor comes from
-    outside; of any other gap it is itself the cause.
+    A gap that the process spent in the queue for a processor, or stopped,
+    comes from outside; of one that it spent on a processor it is the cause.
     """
-    last, queued_s = time.monotonic(), _read_queued_s()
+    last, times = time.monotonic(), processor_times.read()
     while True:
         await trio.sleep(_INTERVAL_S)
-        now, queued_now_s = time.monotonic(), _read_queued_s()
+        now, times_now = time.monotonic(), processor_times.read()
         gap_s = now - last - _INTERVAL_S
         if gap_s > _LEAST_GAP_S:
-            waited_s = queued_now_s - queued_s
+            clock = datetime.datetime.now(datetime.UTC).isoformat()
             print(
-                f"did not run for {gap_s:.2f} s, of which {waited_s:.2f} s"
-                " in the queue for a processor",
+                f"{clock} did not run for {gap_s:.2f} s:"
+                f" {processor_times.describe(times, times_now)}",
                 flush=True,
             )
-        last, queued_s = now, queued_now_s
-
-
-def _read_queued_s() -> float:
-    """Returns how long the process has waited for a processor, seconds."""
-    try:
-        fields = _STATISTICS.read_text().split()
-    except OSError:
-        return 0.0
-    return int(fields[1]) / _NANOSECONDS
+        last, times = now, times_now
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -13,6 +13,7 @@
 import trio
 import typer
 
+from tests.standins import starvation
 from tests.standins import upstream_board
 from tests.standins import upstream_server
 from tests.standins import upstream_settings
@@ -54,6 +55,7 @@
 
 async def _run_process(settings: upstream_settings.UpstreamSettings) -> None:
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(starvation.report_gaps)
         address = await nursery.start(run, settings)
         print(f"listening on {address[0]}:{address[1]}", flush=True)
         with trio.open_signal_receiver(
--- a/tests/support/kept_folders.py
+++ b/tests/support/kept_folders.py
@@ -9,6 +9,9 @@
 import sys
 import tempfile
 
+# What hosts and stand-ins write after a time in which they did not run.
+_PAUSE = "did not run for"
+_MOST_PAUSES = 60
 _KEPT = pathlib.Path(__file__).parents[2] / "out" / "failed"
 
 
@@ -58,6 +61,19 @@
         shutil.copytree(folder, place, dirs_exist_ok=True)
         shutil.rmtree(folder, ignore_errors=True)
         print(f"Logs of the processes are kept in {place}", file=sys.stderr)
+        for line in _find_pauses(pathlib.Path(place)):
+            print(line, file=sys.stderr)
+
+
+def _find_pauses(folder: pathlib.Path) -> list[str]:
+    """Returns the lines in which processes say that they did not run."""
+    found = [
+        f"{log.stem}: {line}"
+        for log in sorted(folder.glob("*.log"))
+        for line in log.read_text(errors="replace").splitlines()
+        if _PAUSE in line
+    ]
+    return found[:_MOST_PAUSES]
 
 
 FOLDERS = KeptFolders()
--- a/tests/support/trios.py
+++ b/tests/support/trios.py
@@ -13,6 +13,8 @@
 from trio._core import _run as scheduler
 import trio.testing
 
+from tests.standins import starvation
+
 # Seed of the order of tasks in all tests on a mock clock.
 _ORDER = 1
 
@@ -22,13 +24,19 @@
 
     @functools.wraps(test)
     def run(*args: Any, **kwargs: Any) -> None:
-        trio.run(functools.partial(test, *args, **kwargs))
+        trio.run(_run_watched, functools.partial(test, *args, **kwargs))
 
     # A wrapped function would be taken for one with arguments.
     del run.__wrapped__
     return run
 
 
+async def _run_watched(test: Callable[[], Awaitable[None]]) -> None:
+    """Runs a test and prints when its own process did not run meanwhile."""
+    trio.lowlevel.spawn_system_task(starvation.report_gaps)
+    await test()
+
+
 def clock_test(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
     """Makes a test that runs on a mock clock which jumps when all wait."""
 
--- a/tests/test_membership/test_membership_pauses.py
+++ b/tests/test_membership/test_membership_pauses.py
@@ -9,9 +9,11 @@
 import signal
 import subprocess
 import sys
+import unittest
 
 import trio
 
+from persimmonhinge import processor_times
 from persimmonhinge.membership import pauses as pauses_module
 from tests.support import trios
 
@@ -125,6 +127,26 @@
     assert pauses.longest_pause_s == 0
 
 
+def test_log_tells_why_a_process_did_not_run() -> None:
+    """Guards against pauses whose cause can't be told from the log."""
+    clock = iter([0.0, 5.0])
+    times = iter(
+        [
+            processor_times.ProcessorTimes(1.0, 2.0),
+            processor_times.ProcessorTimes(1.5, 6.0),
+        ]
+    )
+    pauses = pauses_module.PauseDetector(
+        1.0, lambda: next(clock), read_times=lambda: next(times)
+    )
+    with unittest.TestCase().assertLogs(pauses_module.logger) as logged:
+        pauses.check()
+    assert (
+        "did not run for 5.00 s: 0.50 s on a processor, 4.00 s in the queue"
+    ) in logged.output[0]
+    assert pauses.longest_gap_s == 5.0
+
+
 def test_pause_is_forgotten_after_retention_time() -> None:
     """Guards against a new incarnation because of a pause long ago.
 
--- a/tests/test_support/test_support_kept_folders.py
+++ b/tests/test_support/test_support_kept_folders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import io
 import pathlib
 import tempfile
 
@@ -28,6 +30,23 @@
         assert not folder.exists()
 
 
+def test_pauses_of_processes_are_shown_when_a_test_fails() -> None:
+    """Guards against a failure that can't be told from a busy machine."""
+    shown = io.StringIO()
+    with (
+        tempfile.TemporaryDirectory() as name,
+        contextlib.redirect_stderr(shown),
+    ):
+        folders = kept_folders.KeptFolders(pathlib.Path(name) / "failed")
+        folders.begin_test()
+        with folders.open_folder() as folder:
+            log = "started\nThis process did not run for 2.00 s\n"
+            (folder / "host.log").write_text(log)
+        folders.end_test("test_scene", failed=True)
+    assert "host: This process did not run for 2.00 s" in shown.getvalue()
+    assert "started" not in shown.getvalue()
+
+
 def test_folder_of_a_test_that_passes_is_removed() -> None:
     with tempfile.TemporaryDirectory() as name:
         kept = pathlib.Path(name) / "failed"
