Tell a suspected host at once, and others that it refuted

What was seen: control_cuts.test_both_sides_of_a_cut_serve_and_agree_when_it_ heals failed, as a host was not seen as alive 3 s after a cut had healed.

Cause: a suspicion reaches the suspected host, and its refutation the others, with the next datagram between the two, each up to a round of the ring later. A host that stood still found no suspicion in the datagrams that waited.

--- a/persimmonhinge/membership/parts.py
+++ b/persimmonhinge/membership/parts.py
@@ -17,6 +17,7 @@
 from persimmonhinge.membership import pauses as pauses_module
 from persimmonhinge.membership import probe_ring
 from persimmonhinge.membership import probes as probes_module
+from persimmonhinge.membership import refutations as refutations_module
 from persimmonhinge.membership import roster as roster_module
 from persimmonhinge.membership import suspicions as suspicions_module
 from persimmonhinge.membership import table as table_module
@@ -58,6 +59,7 @@
     roster: roster_module.Roster
     channel: channel_module.Channel
     probes: probes_module.Probes
+    refutations: refutations_module.Refutations
     suspicions: suspicions_module.Suspicions
     exchange: exchange_module.Exchange
     ring: probe_ring.ProbeRing
@@ -93,6 +95,9 @@
         roster=roster,
         channel=channel,
         probes=probes,
+        refutations=refutations_module.Refutations(
+            peers.heartbeat_interval_s, roster, probes, randomness
+        ),
         suspicions=suspicions_module.Suspicions(peers, roster, probes, nursery),
         exchange=exchange_module.Exchange(
             peers, channel, roster, codec.measure_record, randomness
--- a/persimmonhinge/membership/roster.py
+++ b/persimmonhinge/membership/roster.py
@@ -7,6 +7,7 @@
 import random
 
 import msgspec
+import trio
 
 from persimmonhinge import ids
 from persimmonhinge.membership import gossip as gossip_module
@@ -66,12 +67,18 @@
         self._counts = counts
         self._listeners: list[UpdateListener] = []
         self._unconfirmed_deaths: dict[ids.HostId, tuple[int, int]] = {}
+        self._refuted = trio.Event()
         self.publish_own_record()
 
     def add_listener(self, listener: UpdateListener) -> None:
         """Registers a function that is called at each update of a host."""
         self._listeners.append(listener)
 
+    async def wait_until_refuted(self) -> None:
+        """Waits until this host refutes a claim, or has done so unnoticed."""
+        await self._refuted.wait()
+        self._refuted = trio.Event()
+
     def publish_own_record(self) -> None:
         """Updates the table and the view from the record of this host."""
         record = self.identity.record
@@ -213,6 +220,7 @@
             return
         self._counts.add("membership_refutations_total")
         self.publish_own_record()
+        self._refuted.set()
 
     def _record_unconfirmed_death(
         self, record: record_module.Record, *, sent_by_subject: bool
--- a/persimmonhinge/membership/service.py
+++ b/persimmonhinge/membership/service.py
@@ -175,6 +175,7 @@
             )
             nursery.start_soon(receiver.run)
             nursery.start_soon(self._run_heartbeats, parts)
+            nursery.start_soon(parts.refutations.run)
             self._started.set()
             task_status.started(self._context.view.self_member.heartbeat_port)
             try:
@@ -217,6 +218,9 @@
         if not await parts.probes.probe(host):
             parts.roster.suspect(host, record.full_version)
             parts.suspicions.start_suspicion(host)
+            # Carries the suspicion, so that the host can refute it as soon as
+            # it runs or can be reached again.
+            await parts.probes.ping_address(record.heartbeat_address, host)
 
     async def _get_parts(self) -> parts_module.Parts:
         await self._started.wait()
--- a/tests/test_membership/test_membership_service.py
+++ b/tests/test_membership/test_membership_service.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import itertools
 import pathlib
 import tempfile
 from typing import Any
@@ -411,3 +412,23 @@
             await trio.sleep(30)
             octets.append((fleet.network.sent_octets - before) / count)
     assert octets[1] < 1.1 * octets[0]
+
+
+@trios.clock_test
+async def test_reachable_host_is_not_shown_as_suspect_for_long() -> None:
+    """Guards against views that show a suspicion long after it was refuted.
+
+    A host is cut off for less than the suspicion time. Afterwards all must
+    show all as alive within two heartbeats: one until a datagram tells of the
+    suspicion, one for the news of its refutation.
+    """
+    for seed, cut_s in itertools.product(range(20), (0.5, 1.1)):
+        async with run_fleet(6, seed) as fleet:
+            await trio.sleep(_MAX_JOIN_S)
+            fleet.partition(lambda a, b: (a == 0) is not (b == 0))
+            await trio.sleep(cut_s)
+            fleet.heal()
+            interval_s = fleet.hosts[0].settings.peers.heartbeat_interval_s
+            await trio.sleep(2 * interval_s)
+            for host in fleet.hosts.values():
+                assert set(host.states().values()) == {"alive"}
