Take three mended tests off the list; say what is learnt of the others

A host that does not run for suspicion_s (1.2 s) and its last try (0.3 s) is rightly dead, else a dead one would be found too late for feeds to go on within 3 s.

control_cuts stays for a failure that is not traced, control_keys twice for two that are not provoked; commands that take more than 3 s are now shown.

--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -35,6 +35,7 @@
 # The fabric learns late that a host leaves, as the platform's list does.
 _FABRIC_LAG_S = 0.5
 _COMMAND_LIMIT_S = 30.0
+_SLOW_COMMAND_S = 3.0
 _NO_TIMES = processor_times.ProcessorTimes(0.0, 0.0)
 
 
@@ -217,6 +218,7 @@
             *("--config", str(self._write_ctl_settings())),
             *arguments,
         ]
+        began_at = trio.current_time()
         with trio.fail_after(_COMMAND_LIMIT_S):
             done = await trio.run_process(
                 command,
@@ -226,6 +228,9 @@
                 cwd=children.ROOT,
                 deliver_cancel=_report_and_kill,
             )
+        took_s = trio.current_time() - began_at
+        if took_s > _SLOW_COMMAND_S:
+            print(f"ctl {' '.join(arguments)} took {took_s:.1f} s", flush=True)
         if check and done.returncode:
             raise children.ChildError(
                 f"ctl {' '.join(arguments)} ended with {done.returncode}: "
--- a/tests/support/known_red.py
+++ b/tests/support/known_red.py
@@ -12,7 +12,7 @@
 from tests.support import kept_folders
 
 _LIST = pathlib.Path(__file__).parents[2] / "KNOWN-RED.txt"
-_MOST = 6
+_MOST = 3
 
 
 def read_known_red(text: str) -> dict[str, str]:
