--- a/persimmonhinge/flows/feeds/adoption.py
+++ b/persimmonhinge/flows/feeds/adoption.py
@@ -348,9 +348,10 @@
     opened = message.feed
     here = "not open"
     if feed is not None:
+        upstream = feed.source.upstream.id if feed.source else "none"
         here = (
             f"newest number sent {feed.sequence}, event {feed.confirmed}"
-            f" confirmed, upstream {feed.source and feed.source.upstream.id}"
+            f" confirmed, upstream {upstream}"
         )
     logger.info(
         "Feed %s offered by %s %s%s: newest number sent %d, event %d"
--- a/persimmonhinge/flows/feeds/caller_side.py
+++ b/persimmonhinge/flows/feeds/caller_side.py
@@ -121,6 +121,7 @@
     ) -> None:
         """Stores an answer that a former home has sent to the caller."""
         feed.newest_answer = event.answer
+        # The former home has used no number above these two for it.
         feed.answer_sequence = min(event.sequence, feed.sequence)
         feed.sent_at = trio.current_time()
         if feed.reply is not feed_module.Reply.DONE and feed.outbox is None:
--- a/persimmonhinge/membership/roster.py
+++ b/persimmonhinge/membership/roster.py
@@ -75,7 +75,7 @@
         self._listeners.append(listener)
 
     async def wait_until_refuted(self) -> None:
-        """Waits until this host refutes a claim, or has done so unnoticed."""
+        """Returns once this host has refuted a claim since the last call."""
         await self._refuted.wait()
         self._refuted = trio.Event()
 
