--- a/tests/test_flows/test_flows_feeds_homes.py
+++ b/tests/test_flows/test_flows_feeds_homes.py
@@ -128,6 +128,41 @@
         assert world.count_feeds() == world.count_streams() == 1
 
 
+@trios.clock_test
+async def test_new_home_answers_with_no_state_older_than_the_former_sent() -> (
+    None
+):
+    """Guards against a step back after a hand-over.
+
+    The upstream of the new home is behind the one of the former home when the
+    caller registers again at the new one.
+    """
+    async with feeds_fakes.run_world(*_HOSTS) as world:
+        home = await _open(world)
+        (stream,) = [
+            s for u in world.upstreams.values() for s in u.open_streams()
+        ]
+        heir = next(h for h in world.list_live_hosts() if h is not home)
+        assert await stream.hand_over(heir, prepares=True)
+        (later,) = [
+            s
+            for u in world.upstreams.values()
+            for s in u.open_streams()
+            if s is not stream
+        ]
+        stream.send_tick(1)
+        await trio.sleep(_QUICK_S)
+        heir.register()
+        assert await stream.hand_over(heir)
+        await trio.sleep(_QUICK_S)
+        later.send_tick(1)
+        await trio.sleep(_QUICK_S)
+        assert world.caller.ticks == [0, 1]
+        reply = world.caller.get_last_message()
+        assert reply.payload == feeds_values.make_payload(1)
+        assert world.caller.senders[-1] == heir.name
+
+
 @trios.clock_test
 async def test_feeds_of_two_homes_become_one() -> None:
     """Guards against events accepted twice and against two permanent homes.
