Wait for settled watchers before the platform's outage in a test

Trace (logs of that run): the outage began at 20:03:23.69. entry-2 and entry-12 had begun to watch at 23.48 and 23.51, in place of entry-11 and one of south that watched only while others started; entry-11 went on until 25.94 ('Watches the platform no more; others do'). So three watched in two domains, as designed: a former watcher goes on until its successor has begun. The test had waited until each domain showed two watchers, which was so for a moment before the successors began; a second one begins after 5 s (entry-3 at 28.07).

Ruled out: a host that did not run (no process says so), and calls by hosts that don't watch (all eight watched).

The wait now wants the same two watchers in each domain for 6 s, longer than any of them waits to begin; its limit, the outage and the bounds are as they were.

--- a/tests/test_integration/test_integration_control_outage.py
+++ b/tests/test_integration/test_integration_control_outage.py
@@ -21,6 +21,8 @@
 _OUTAGE_S = 4.0
 _CALM_S = 3.0
 _ROLES_LIMIT_S = 30.0
+# Longer than a host waits until it watches as the second one of its domain.
+_ROLES_SETTLED_S = 6.0
 _POLL_S = 0.2
 _NEW_HOST = plans.HostPlan("entry-13", "north", "127.1.0.13")
 
@@ -115,20 +117,30 @@
 
 
 async def _wait_roles(deployment: cut_deployment.CutDeployment) -> None:
-    """Waits until hosts that watched only while others started have ended."""
+    """Waits until the same two hosts of each domain have watched for long.
+
+    Others watch as well while hosts start: until their successor has begun.
+    """
+    former: dict[str, set[str]] = {}
+    since = trio.current_time()
     with trio.fail_after(_ROLES_LIMIT_S):
-        while set((await _count_watchers(deployment)).values()) != {2}:
+        while trio.current_time() - since < _ROLES_SETTLED_S:
+            watchers = await _find_watchers(deployment)
+            counts = {len(hosts) for hosts in watchers.values()}
+            if watchers != former or counts != {2}:
+                former, since = watchers, trio.current_time()
             await trio.sleep(_POLL_S)
 
 
-async def _count_watchers(
+async def _find_watchers(
     deployment: cut_deployment.CutDeployment,
-) -> collections.Counter[str]:
-    """Returns how many hosts of each domain hold the watch."""
-    watchers: collections.Counter[str] = collections.Counter()
+) -> dict[str, set[str]]:
+    """Returns the hosts of each domain that hold the watch."""
+    watchers: dict[str, set[str]] = collections.defaultdict(set)
     for host in deployment.names():
         status = await deployment.pages.status(host)
-        watchers[status["domain"]] += status["control"]["platform"] != "idle"
+        if status["control"]["platform"] != "idle":
+            watchers[status["domain"]].add(host)
     return watchers
 
 
