Record refused and failed inputs with source, key, field and reason

What a host refused was counted under five names or none, and its log line did not name the field. No input is handled differently yet, but for numbers beyond the range of floats in JSON, which json_reader now refuses with its own error.

--- a/persimmonhinge/errors.py
+++ b/persimmonhinge/errors.py
@@ -37,11 +37,36 @@
     """A datagram is not a CoAP message."""
 
 
-class MalformedPacketError(PersimmonhingeError):
+class RefusedInputError(PersimmonhingeError):
+    """An input from outside was refused where it was decoded.
+
+    Attributes:
+        field: Name of the field that was refused; empty for the whole input.
+        reason: Why it was refused.
+    """
+
+    def __init__(
+        self, reason: str, *, step: str, peer: str = "", field: str = ""
+    ) -> None:
+        text = f"{field}: {reason}" if field else reason
+        super().__init__(text, step=step, peer=peer)
+        self.field = field
+        self.reason = reason
+
+
+class MalformedPacketError(RefusedInputError):
     """A datagram is not a packet of a flow."""
 
 
-class UnreadableEntryError(PersimmonhingeError):
+class MalformedMessageError(RefusedInputError):
+    """Another host sent a message that can't be read or used."""
+
+
+class MalformedRequestError(RefusedInputError):
+    """A request for a page can't be read."""
+
+
+class UnreadableEntryError(RefusedInputError):
     """An entry of the platform can't be read; the former stays in force."""
 
 
--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -9,6 +9,7 @@
 from persimmonhinge.forwarding import flow_table
 from persimmonhinge.forwarding import forwarder
 from persimmonhinge.forwarding import knowledge
+from persimmonhinge.forwarding import refusals
 from persimmonhinge.forwarding import sockets
 from persimmonhinge.forwarding import tracker
 from persimmonhinge.forwarding.decisions.placement import (
@@ -44,6 +45,7 @@
     Attributes:
         settings: Settings of the host.
         counts: Counters of the host.
+        refusals: Inputs from outside that the host did not use.
         knowledge: The host's view of the desired state and the upstreams.
         entries: Reads entries of the store into `knowledge`.
         overload: The parts of overload control; None if it is switched off or
@@ -79,6 +81,7 @@
         """
         self.settings = settings
         self.counts = counts.Counts()
+        self.refusals = refusals.Refusals(self.counts)
         self.knowledge = knowledge.Knowledge(
             settings.flow_life_s, settings.max_current_age_s
         )
--- a/persimmonhinge/json_reader.py
+++ b/persimmonhinge/json_reader.py
@@ -13,6 +13,21 @@
     T = TypeVar("T")
 
 _SPACE = " \t\r\n"
+_INFINITY = float("inf")
+
+
+class FieldError(ValueError):
+    """A field of a document is missing, or has a value that is not allowed.
+
+    Attributes:
+        field: Name of the field.
+        reason: Why the value is refused.
+    """
+
+    def __init__(self, field: str, reason: str) -> None:
+        super().__init__(f"{field} {reason}")
+        self.field = field
+        self.reason = reason
 
 
 def _refuse_constant(text: str) -> object:
@@ -77,24 +92,56 @@
     """Returns a value if it is of a type; true and false are no numbers.
 
     Raises:
-        ValueError: It is of another type.
+        FieldError: It is of another type.
     """
     if isinstance(value, kind) and (
         not isinstance(value, bool) or kind is bool
     ):
         return value
-    raise ValueError(f"{name} is {value!r:.40}, not of type {kind.__name__}")
+    raise FieldError(name, f"is {value!r:.40}, not of type {kind.__name__}")
 
 
 def expect_number(value: object, name: str) -> float:
-    """Returns a value if it is a number.
+    """Returns a value if it is a finite number.
 
     Raises:
-        ValueError: It is of another type.
+        FieldError: It is of another type, or beyond the range of floats.
     """
     if isinstance(value, int) and not isinstance(value, bool):
-        return float(value)
-    return expect(value, float, name)
+        try:
+            return float(value)
+        except OverflowError as error:
+            raise FieldError(name, "is out of range") from error
+    number = expect(value, float, name)
+    if not -_INFINITY < number < _INFINITY:
+        raise FieldError(name, f"is {number}, not a finite number")
+    return number
+
+
+def read_integer(
+    document: dict[str, Any],
+    name: str,
+    smallest: int,
+    largest: int,
+    default: int | None = None,
+) -> int:
+    """Returns a field of an object if it is a whole number in a range.
+
+    Args:
+        document: The object.
+        name: Name of the field.
+        smallest: The smallest number that is allowed.
+        largest: The largest number that is allowed.
+        default: What a field that is not there counts as; None if it must be
+            there.
+
+    Raises:
+        FieldError: It is not there, of another type, or out of range.
+    """
+    number = read_field(document, name, int, default)
+    if not smallest <= number <= largest:
+        raise FieldError(name, f"is not from {smallest} to {largest}")
+    return number
 
 
 def read_field(
@@ -113,10 +160,10 @@
             there.
 
     Raises:
-        ValueError: It is not there, or of another type.
+        FieldError: It is not there, or of another type.
     """
     if name not in document:
         if default is None:
-            raise ValueError(f"{name} is missing")
+            raise FieldError(name, "is missing")
         return default
     return expect(document[name], kind, name)
