Check the form of each known failure in place of their number

Each line now needs a test that exists (or a case of review/, named by its folder), what was seen, an issue, a command and its seed, and stands once; any other line ends the run.

--- a/tests/support/known_red.py
+++ b/tests/support/known_red.py
@@ -10,21 +10,9 @@
 from nose2 import events
 
 from tests.support import kept_folders
+from tests.support import red_list
 
 _LIST = pathlib.Path(__file__).parents[2] / "KNOWN-RED.txt"
-_MOST = 3
-
-
-def read_known_red(text: str) -> dict[str, str]:
-    """Returns cause by test id, from lines `test, cause, issue`.
-
-    Raises:
-        ValueError: More tests are listed than may be.
-    """
-    lines = [line for line in text.splitlines() if line.strip()]
-    if len(lines) > _MOST:
-        raise ValueError(f"{len(lines)} known red tests; {_MOST} at most")
-    return {line.split(",", 1)[0].strip(): line for line in lines}
 
 
 class KnownRed(events.Plugin):
@@ -33,8 +21,10 @@
     configSection = "known-red"  # noqa: N815
 
     def __init__(self) -> None:
-        self._known = read_known_red(_LIST.read_text(encoding="utf-8"))
+        text = _LIST.read_text(encoding="utf-8")
+        self._known = red_list.read(text, _LIST.parent)
         self._red: list[str] = []
+        self._listed_passed: list[str] = []
         self._passed = 0
         self._failed = 0
         self._skipped = 0
@@ -49,7 +39,7 @@
             return
         name = event.test.id()
         if name in self._known:
-            self._red.append(self._known[name])
+            self._red.append(self._known[name].line)
             _print_failure(event)
             # Where it ended with an error, the runner would fail all the same.
             event.outcome = "failed"
@@ -65,13 +55,17 @@
             self._skipped += 1
         elif event.outcome == "passed" or event.expected:
             self._passed += 1
+            if event.outcome == "passed" and event.test.id() in self._known:
+                self._listed_passed.append(self._known[event.test.id()].line)
         else:
             self._failed += 1
 
     def afterSummaryReport(self, event: events.ReportSummaryEvent) -> None:  # noqa: N802
-        """Prints the red tests that were passed over, and the totals."""
+        """Prints the listed tests of this run, and the totals."""
         for line in self._red:
             print(f"KNOWN RED, passed over: {line}", file=sys.stderr)
+        for line in self._listed_passed:
+            print(f"KNOWN RED, passed in this run: {line}", file=sys.stderr)
         passed = self._passed - len(self._red)
         totals = f"{passed} passed, {self._failed} failed"
         if self._skipped:
--- a/tests/support/suites.py
+++ b/tests/support/suites.py
@@ -18,6 +18,7 @@
 from typing import NamedTuple
 
 from tests.standins import ports
+from tests.support import red_list
 
 _ROOT = pathlib.Path(__file__).parents[2]
 _TOTALS = re.compile(
@@ -135,6 +136,14 @@
     totals.add(unit, text)
 
 
+def _print_review_cases() -> None:
+    """Prints the listed cases that no test file runs."""
+    text = (_ROOT / "KNOWN-RED.txt").read_text(encoding="utf-8")
+    for entry in red_list.read(text, _ROOT).values():
+        if entry.is_review_case:
+            print(f"KNOWN RED, not run here: {entry.line}")
+
+
 def main() -> None:
     """Reads the command line and runs the tests."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -145,6 +154,7 @@
     folder.mkdir(parents=True, exist_ok=True)
     modules = list_modules(arguments.names)
     totals = run_units(modules, arguments.jobs, folder)
+    _print_review_cases()
     for module in totals.broken:
         print(f"FAILED: {module}")
     counts = f"{totals.passed} passed, {totals.failed} failed"
--- a/tests/test_support/test_support_known_red.py
+++ b/tests/test_support/test_support_known_red.py
@@ -13,14 +13,25 @@
 def test_listed():
     raise ExceptionGroup("several", [ValueError("one")])
 """
+_PASSING_MODULE = """
+
+def test_listed():
+    pass
+"""
+_LINE = (
+    "test_red.test_listed, ended with a ValueError in each of 5 runs, issue 2, "
+    "python -m nose2 test_red, no seed"
+)
 
 
-def run_listed(listed: bool) -> subprocess.CompletedProcess[str]:
-    """Runs a test that ends with an error, on the list or not."""
+def run_listed(
+    listed: bool, module: str = _MODULE
+) -> subprocess.CompletedProcess[str]:
+    """Runs a test, by default one that ends with an error, listed or not."""
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder)
-        (path / "test_red.py").write_text(_MODULE)
-        line = "test_red.test_listed, cause, issue 2\n" if listed else ""
+        (path / "test_red.py").write_text(module)
+        line = f"{_LINE}\n" if listed else ""
         (path / "KNOWN-RED.txt").write_text(line)
         start = (
             "import pathlib, sys\n"
@@ -63,3 +74,11 @@
     ended = run_listed(False)
     assert ended.returncode == 1
     assert "0 passed, 1 failed" in ended.stdout
+
+
+def test_listed_test_that_passes_is_still_printed() -> None:
+    """Guards against entries that nobody looks at once their test passes."""
+    ended = run_listed(True, _PASSING_MODULE)
+    assert ended.returncode == 0, ended.stderr
+    assert f"KNOWN RED, passed in this run: {_LINE}" in ended.stderr
+    assert "1 passed, 0 failed" in ended.stdout
