Play inputs that no sane sender sends in the soak, on hosts as deployed

The soak played faults of hosts, links and the store, and none of its inputs was ever wrong, so it ran for hours beside decoders that ended the process. A host that says that it failed to handle an input is a finding, too.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -24,6 +24,12 @@
 _FEWEST_MINUTES = 0.4
 _MOST_PROCESSES = 200
 _FEWEST_UPSTREAMS = 7
+# Hosts in each failure domain of the users' small deployments.
+_DEPLOYMENTS = {
+    "hinokuni-lb": (2, 3, 1),
+    "marche-central": (3, 2, 1),
+    "tmtu-railbridge": (3, 2, 2),
+}
 
 program = typer.Typer(add_completion=False)
 
@@ -54,6 +60,15 @@
     load: Annotated[
         float, typer.Option(min=0.1, max=10, help="Part of the usual load.")
     ] = 1.0,
+    deployment: Annotated[
+        str, typer.Option(help=f"Hosts as at one of {', '.join(_DEPLOYMENTS)}.")
+    ] = "",
+    hostile: Annotated[
+        bool,
+        typer.Option(
+            "--hostile", help="Only inputs that no sane sender sends."
+        ),
+    ] = False,
     again: Annotated[
         bool,
         typer.Option("--regressions", help="Run the seeds that once failed."),
@@ -67,19 +82,25 @@
     Ends with 1 if a promise was broken, 3 if a run proves nothing.
     """
     length_s = minutes * 60
+    only = plans.HOSTILE_KINDS if hostile else ()
     if plan:
-        for fault in plans.make_plan(seed, length_s):
+        for fault in plans.make_plan(seed, length_s, only=only):
             typer.echo(fault)
         return
+    if deployment and deployment not in _DEPLOYMENTS:
+        raise typer.BadParameter(f"no deployment is called {deployment!r}")
+    sizes = _DEPLOYMENTS.get(deployment, ())
     planned = [
         soak_settings.SoakSettings(
             number,
             length_s,
             _make_folder(number),
-            hosts,
+            sum(sizes) or hosts,
             upstreams,
             load,
             domains=domains,
+            only=only,
+            deployment=sizes,
         )
         for number in range(seed, seed + runs)
     ]
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -27,6 +27,9 @@
 # Datagrams of one host may overtake each other by so much, seconds.
 _OVERTAKE_S = 0.25
 _FEWEST_CALM_REQUESTS = 20
+# Event of a log line about an input that a decoder accepted and that raised an
+# error later.
+_FAILURE = "Failed to handle an input."
 
 
 class Evidence:
@@ -219,14 +222,14 @@
 
 @checks.register("processes")
 def _check_processes(evidence: Evidence) -> Iterator[str]:
-    """A host ended by itself, did not stop, or wrote what is no log."""
+    """A host ended by itself, did not stop, or failed to handle an input."""
     yield from evidence.scene.failures
     for host in evidence.scene.deployment.hosts:
         if host.process is None or host.process.poll() is not None:
             yield f"{host.name} does not run"
         path = host.settings.with_suffix(".log")
         for line in path.read_text().splitlines():
-            if not _is_log_line(line):
+            if not _is_log_line(line) or _FAILURE in line:
                 yield f"{host.name}: {line}"
 
 
--- a/tests/soak/injectors/base.py
+++ b/tests/soak/injectors/base.py
@@ -10,9 +10,14 @@
 from persimmonhinge import registry
 from tests.soak import plan as plans
 from tests.soak import scene as scenes
+from tests.soak import upstreams
 from tests.standins import faults_rules as rules
 from tests.standins import forwarding_deployment as deployments
 
+# These places never lose their upstream, so that each service has two live
+# ones at any time.
+LASTING_PLACES = 6
+
 Injector = Callable[[scenes.SoakScene, plans.Fault], Awaitable[None]]
 injectors: registry.Registry[Injector] = registry.Registry("injector")
 
@@ -30,6 +35,14 @@
     return hosts[fault.place % len(hosts)]
 
 
+def find_spare_place(
+    scene: scenes.SoakScene, fault: plans.Fault
+) -> upstreams.UpstreamPlace | None:
+    """Returns a place that may lose its upstream, None if there is none."""
+    places = scene.places[LASTING_PLACES:]
+    return places[fault.place % len(places)] if places else None
+
+
 async def harm_mapping(
     scene: scenes.SoakScene,
     what: str,
--- a/tests/soak/injectors/upstreams.py
+++ b/tests/soak/injectors/upstreams.py
@@ -6,7 +6,6 @@
 
 from tests.soak import plan as plans
 from tests.soak import scene as scenes
-from tests.soak import upstreams
 from tests.soak.injectors import base
 
 # The platform removes the entry of a dead upstream after three heartbeats.
@@ -17,22 +16,11 @@
 _REUSE_S = 2.0
 # Time for callers to find that their upstream has ended, seconds.
 _END_S = 4.0
-# These places never lose their upstream, so that each service has two live
-# ones at any time.
-_LASTING_PLACES = 6
-
-
-def _place(
-    scene: scenes.SoakScene, fault: plans.Fault
-) -> upstreams.UpstreamPlace | None:
-    """Returns a place that may lose its upstream."""
-    places = scene.places[_LASTING_PLACES:]
-    return places[fault.place % len(places)] if places else None
 
 
 @base.injectors.register(plans.FaultKind.CRASH_UPSTREAM.value)
 async def _crash_upstream(scene: scenes.SoakScene, fault: plans.Fault) -> None:
-    place = _place(scene, fault)
+    place = base.find_spare_place(scene, fault)
     if place is None:
         return
     async with place.lock:
@@ -49,7 +37,7 @@
 async def _replace_upstream(
     scene: scenes.SoakScene, fault: plans.Fault
 ) -> None:
-    place = _place(scene, fault)
+    place = base.find_spare_place(scene, fault)
     if place is None:
         return
     async with place.lock:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -46,6 +46,12 @@
     CUT_DOMAIN: The hosts of a failure domain and those of others hear nothing
         of each other.
     LOSE_REPORTS: What others tell a host is lost, doubled and out of order.
+    FOREIGN_ENTRIES: Another writer writes entries that can't be read, some of
+        them at the keys of upstreams.
+    HOSTILE_DATAGRAMS: A host gets datagrams that are no packets and no reports.
+    HOSTILE_REQUESTS: A host gets connections that ask for nothing it has.
+    HOSTILE_ANSWERS: The store's answers can't be read.
+    GROW_STATE: The desired state has a thousand routes more.
     """
 
     KILL_HOST = "kill-host"
@@ -73,6 +79,11 @@
     CUT_PEERS = "cut-peers"
     CUT_DOMAIN = "cut-domain"
     LOSE_REPORTS = "lose-reports"
+    FOREIGN_ENTRIES = "foreign-entries"
+    HOSTILE_DATAGRAMS = "hostile-datagrams"
+    HOSTILE_REQUESTS = "hostile-requests"
+    HOSTILE_ANSWERS = "hostile-answers"
+    GROW_STATE = "grow-state"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,13 +109,25 @@
 # one has time to find it, and then the limit of a change is still to pass.
 _STRETCHES = {FaultKind.CUT_PEERS: 2.5, FaultKind.CUT_DOMAIN: 2.5}
 
+# Inputs that no sane sender sends.
+HOSTILE_KINDS = (
+    FaultKind.FOREIGN_ENTRIES,
+    FaultKind.HOSTILE_DATAGRAMS,
+    FaultKind.HOSTILE_REQUESTS,
+    FaultKind.HOSTILE_ANSWERS,
+    FaultKind.GROW_STATE,
+)
+
 # New kinds are added at the end: plans of seeds that failed before there were
 # so many draw from the first ones alone, and stay what they were.
 ALL_KINDS = len(FaultKind)
 
 
 def make_plan(
-    seed: int, length_s: float, kinds: int = ALL_KINDS
+    seed: int,
+    length_s: float,
+    kinds: int = ALL_KINDS,
+    only: tuple[FaultKind, ...] = (),
 ) -> list[Fault]:
     """Returns the faults of a run, in the order of their beginnings.
 
@@ -112,9 +135,10 @@
         seed: Seed of the plan.
         length_s: Length of the run with its calm end, seconds.
         kinds: How many kinds it draws from, the first ones.
+        only: The kinds that it draws from instead; empty for those.
     """
     source = random.Random(f"soak/{seed}")
-    drawn = list(FaultKind)[:kinds]
+    drawn = list(only) or list(FaultKind)[:kinds]
     faults: list[Fault] = []
     at_s = _CALM_START_S
     while True:
--- a/tests/soak/probes.py
+++ b/tests/soak/probes.py
@@ -56,6 +56,7 @@
         applied_at: When the store had taken a version in.
         probes: All probes.
         stop_probes: Those sent to a host that had been told to stop.
+        further_routes: Routes that each version has beside its own.
     """
 
     def __init__(
@@ -81,11 +82,13 @@
         self.applied_at: dict[int, float] = {}
         self.probes: list[Probe] = []
         self.stop_probes: list[Probe] = []
+        self.further_routes: dict[int, str] = {}
 
     async def write_version(self) -> None:
         """Writes the next version; it drops the route of the last."""
         version = max(self.applied_at, default=0) + 1
         routes = {**self._routes, FIRST_PORT + version: deployments.SERVICE}
+        routes.update(self.further_routes)
         self.written_at[version] = time.monotonic()
         await self._deployment.put_routes(version, routes)
         self.applied_at[version] = time.monotonic()
--- a/tests/soak/scene.py
+++ b/tests/soak/scene.py
@@ -20,6 +20,7 @@
 from tests.soak import proxies as proxy_parts
 from tests.soak import settings as soak_settings
 from tests.soak import upstreams
+from tests.standins import deployed_host
 from tests.standins import forwarding_deployment as deployments
 from tests.standins import ports
 
@@ -86,8 +87,10 @@
         self.socket = sockets.CallerSocket(_PROBER, deployment.packet_port)
         routes = {_FLOOR_PORT: FLOOR, _INTAKE_PORT: INTAKE}
         self.domains = {
-            host.name: _name_domain(number % settings.domains)
-            for number, host in enumerate(deployment.hosts)
+            host.name: _name_domain(number)
+            for host, number in zip(
+                deployment.hosts, _spread_hosts(settings), strict=True
+            )
         }
         self.operator = probes.Operator(deployment, self.socket, routes, seed)
         self.lateness = lateness.Lateness()
@@ -193,6 +196,14 @@
         return flow_load.FlowLoadSettings.model_validate(document)
 
 
+def _spread_hosts(settings: soak_settings.SoakSettings) -> list[int]:
+    """Returns the number of the failure domain of each host."""
+    if settings.deployment:
+        sizes = enumerate(settings.deployment)
+        return [number for number, size in sizes for _ in range(size)]
+    return [number % settings.domains for number in range(settings.hosts)]
+
+
 def _name_domain(number: int) -> str:
     return _DOMAINS[number] if number < len(_DOMAINS) else f"domain-{number}"
 
@@ -207,8 +218,11 @@
     settings: soak_settings.SoakSettings,
 ) -> AsyncIterator[SoakScene]:
     """Runs everything; ends all that it started on the way out."""
+    make_host: deployments.HostFactory = deployments.ForwardHost
+    if settings.deployment:
+        make_host = deployed_host.DeployedHost
     async with deployments.run_deployment(
-        settings.hosts, settings.folder
+        settings.hosts, settings.folder, make_host
     ) as deployment:
         async with (
             proxy_parts.run_proxies(settings.seed) as proxies,
--- a/tests/soak/settings.py
+++ b/tests/soak/settings.py
@@ -21,7 +21,10 @@
         load: Part of the usual load, for machines that do other work.
         faults: Faults to make; None for those of the seed.
         kinds: How many kinds of faults the seed draws from, the first ones.
+        only: Kinds of faults that the seed draws from instead; empty for those.
         domains: Number of failure domains.
+        deployment: Hosts by failure domain, started as the deploy file says;
+            empty for hosts with the settings of the soak.
     """
 
     seed: int
@@ -32,4 +35,6 @@
     load: float = 1.0
     faults: tuple[plans.Fault, ...] | None = None
     kinds: int = plans.ALL_KINDS
+    only: tuple[plans.FaultKind, ...] = ()
     domains: int = 3
+    deployment: tuple[int, ...] = ()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -60,7 +60,9 @@
     faults = settings.faults
     if faults is None:
         faults = tuple(
-            plans.make_plan(settings.seed, settings.length_s, settings.kinds)
+            plans.make_plan(
+                settings.seed, settings.length_s, settings.kinds, settings.only
+            )
         )
     async with scenes.run_scene(settings) as scene:
         async with trio.open_nursery() as nursery:
--- a/tests/standins/forwarding_deployment.py
+++ b/tests/standins/forwarding_deployment.py
@@ -58,17 +58,21 @@
         """Starts its process."""
         with self.settings.with_suffix(".log").open("ab") as log:
             self.process = await trio.lowlevel.open_process(
-                [
-                    sys.executable,
-                    "-m",
-                    self.program,
-                    str(self.settings),
-                ],
+                self.make_command(),
                 cwd=_ROOT,
+                env=self.make_environment(),
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
 
+    def make_command(self) -> list[str]:
+        """Returns the program and its arguments."""
+        return [sys.executable, "-m", self.program, str(self.settings)]
+
+    def make_environment(self) -> dict[str, str] | None:
+        """Returns its environment; None for that of this process."""
+        return None
+
     async def stop(self, number: int = signal.SIGTERM) -> int:
         """Sends a signal and waits for the end; returns the exit code."""
         assert self.process is not None
@@ -111,6 +115,9 @@
         return [json.loads(line) for line in text.splitlines()]
 
 
+HostFactory = Callable[[str, str, pathlib.Path], ForwardHost]
+
+
 class ForwardingDeployment:
     """Some hosts, the store, and what callers and upstreams see.
 
@@ -127,7 +134,9 @@
         store: platform_process.PlatformProcess,
         folder: pathlib.Path,
         count: int,
+        make_host: HostFactory = ForwardHost,
     ) -> None:
+        self._make_one = make_host
         self.store = store
         self._folder = folder
         addresses = [f"127.0.0.{11 + number}" for number in range(count)]
@@ -155,7 +164,7 @@
         }
         path = self._folder / f"{name}.yaml"
         path.write_text(json.dumps(settings))
-        return ForwardHost(name, str(settings["packets"]), path)
+        return self._make_one(name, str(settings["packets"]), path)
 
     async def put_state(self, version: int, *routes: int) -> None:
         """Writes a desired state with routes at the ports given."""
@@ -241,17 +250,22 @@
 
 @contextlib.asynccontextmanager
 async def run_deployment(
-    count: int, kept: pathlib.Path | None = None
+    count: int,
+    kept: pathlib.Path | None = None,
+    make_host: HostFactory = ForwardHost,
 ) -> AsyncIterator[ForwardingDeployment]:
     """Gives a deployment whose hosts are not yet started.
 
     Args:
         count: Number of hosts.
         kept: Folder of settings and logs; None for one that is removed.
+        make_host: Makes a host of its name, packet address and settings.
     """
     async with platform_process.run_platform() as store:
         with kept_folders.FOLDERS.open_folder() as folder:
-            deployment = ForwardingDeployment(store, kept or folder, count)
+            deployment = ForwardingDeployment(
+                store, kept or folder, count, make_host
+            )
             try:
                 yield deployment
             finally:
--- a/tests/standins/platform_faults.py
+++ b/tests/standins/platform_faults.py
@@ -19,6 +19,8 @@
         late_writes: So many transactions get no answer and run `late_s`
             later.
         late_s: How much later, seconds.
+        body: Answers of reads and watches have this body, as Latin-1 text;
+            empty for their own.
         silent_from: Watches with a number below this got silent for good;
             a test sets `silence_watches` instead.
     """
@@ -31,6 +33,7 @@
     drop_writes: int = 0
     late_writes: int = 0
     late_s: float = 0.5
+    body: str = ""
     silent_from: int = 0
 
 
@@ -50,6 +53,7 @@
     drop_writes: int | None = None
     late_writes: int | None = None
     late_s: float | None = None
+    body: str | None = None
     silence_watches: bool = False
 
 
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -67,6 +67,10 @@
             refusal = {"Error": "refused by a test"}
             await exchange.send_answer(self._faults.refuse_status, refusal)
             return
+        if self._faults.body and exchange.method == "GET":
+            content = self._faults.body.encode("latin-1")
+            await exchange.send_octets(200, content)
+            return
         try:
             if exchange.path == "/kv-watch":
                 answer = await self._wait_for_events(exchange)
@@ -242,7 +246,10 @@
 
     async def send_answer(self, status: int, body: Body) -> None:
         """Sends a whole answer."""
-        content = json.dumps(body).encode() + b"\n"
+        await self.send_octets(status, json.dumps(body).encode() + b"\n")
+
+    async def send_octets(self, status: int, content: bytes) -> None:
+        """Sends a whole answer with a body that need not be JSON."""
         headers = [
             ("content-type", "application/json"),
             ("content-length", str(len(content))),
