Refuse messages of other hosts that are nested too deep

Operators saw a host end with a traceback after one datagram at its port of reports, or at its start while a seed answered nonsense. Any process that reaches the ports could send it.

A message with more members than a host knows is skipped member by member, and msgspec raises RecursionError, which is no MsgspecError, for one that is nested some thousand deep. The callers expected MsgspecError only.

The codec now raises MalformedMessageError for each kind of error that msgspec, zlib and the interpreter raise for octets, with the reason and, where msgspec names it, the path of the member.

Lengths beyond the message, text that is no UTF-8, extension types and broken zlib streams raised MsgspecError already and are refused as before.

--- a/persimmonhinge/forwarding/peers/codec.py
+++ b/persimmonhinge/forwarding/peers/codec.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from persimmonhinge import errors
 from persimmonhinge.forwarding.peers import messages
 
 M = TypeVar("M", bound=msgspec.Struct)
@@ -21,6 +22,18 @@
 # Maximum size of a message after decompression, octets: a value of the store
 # takes up to a megabyte, and the entries of all upstreams take as much.
 _MAX_DECOMPRESSED_OCTETS = 4_000_000
+_DECODING_STEP = "decode message"
+# What decoders raise: members nested too deep raise RecursionError, even where
+# a type has no such member, as in messages of later releases. Lengths that
+# exceed the memory raise MemoryError.
+_DECODING_ERRORS = (
+    msgspec.MsgspecError,
+    zlib.error,
+    RecursionError,
+    MemoryError,
+    OverflowError,
+    ValueError,
+)
 
 
 class MessageCodec(Generic[M]):
@@ -58,19 +71,39 @@
         """Decodes a message.
 
         Raises:
-            msgspec.MsgspecError: The octets are no valid message.
+            MalformedMessageError: The octets are no valid message.
         """
-        message = self._decoder.decode(octets)
-        if isinstance(message, messages.CompressedMessage):
-            return self._uncompressed_decoder.decode(
-                _decompress(message.octets)
-            )
+        try:
+            message = self._decoder.decode(octets)
+            if isinstance(message, messages.CompressedMessage):
+                message = self._uncompressed_decoder.decode(
+                    _decompress(message.octets)
+                )
+        except _DECODING_ERRORS as error:
+            raise _make_error(error) from error
         return message
 
 
 SNAPSHOT_CODEC: MessageCodec[messages.Snapshot] = MessageCodec(
     messages.Snapshot
 )
+REQUEST_CODEC: MessageCodec[messages.PullRequest] = MessageCodec(
+    messages.PullRequest
+)
+
+
+def _make_error(error: Exception) -> errors.MalformedMessageError:
+    """Returns the error of a message for an error of a decoder.
+
+    The decoder ends its messages with the path of a member, as in
+    `Expected `int`, got `str` - at `$[2]``.
+    """
+    reason, _, path = str(error).partition(" - at ")
+    return errors.MalformedMessageError(
+        reason or type(error).__name__,
+        step=_DECODING_STEP,
+        field=path.strip("`"),
+    )
 
 
 def _decompress(octets: bytes) -> bytes:
@@ -80,16 +113,12 @@
     decompressed.
 
     Raises:
+        zlib.error: The octets are no zlib stream.
         msgspec.DecodeError: The octets are no complete zlib stream, or exceed
             the limit when decompressed.
     """
     stream = zlib.decompressobj()
-    try:
-        decompressed = stream.decompress(octets, _MAX_DECOMPRESSED_OCTETS)
-    except zlib.error as error:
-        raise msgspec.DecodeError(
-            f"message is not valid zlib data: {error}"
-        ) from error
+    decompressed = stream.decompress(octets, _MAX_DECOMPRESSED_OCTETS)
     if not stream.eof:
         raise msgspec.DecodeError(
             f"message is truncated or exceeds {_MAX_DECOMPRESSED_OCTETS} octets"
--- a/persimmonhinge/forwarding/peers/early_pull.py
+++ b/persimmonhinge/forwarding/peers/early_pull.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from persimmonhinge import errors
 from persimmonhinge import random_sampling
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding.peers import codec
@@ -34,7 +35,7 @@
         try:
             blocking_transport.run(_request_snapshot(core, attempt))
             snapshot = codec.SNAPSHOT_CODEC.decode(attempt.octets)
-        except (OSError, msgspec.MsgspecError) as error:
+        except (OSError, errors.MalformedMessageError) as error:
             attempt.record_failure(error)
             continue
         attempt.apply_snapshot(snapshot)
--- a/persimmonhinge/forwarding/peers/pull_attempt.py
+++ b/persimmonhinge/forwarding/peers/pull_attempt.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import time
 
 from persimmonhinge import early_logs
+from persimmonhinge import errors
 from persimmonhinge.forwarding import core as core_module
+from persimmonhinge.forwarding import input_source
 from persimmonhinge.forwarding.peers import messages
 
 logger = early_logs.get_logger(__name__)
 
+_SOURCE = input_source.InputSource.SNAPSHOT
+
 
 class PullAttempt:
     """Records the progress of a pull and applies the snapshot.
@@ -35,13 +40,23 @@
 
     def apply_snapshot(self, snapshot: messages.Snapshot) -> None:
         """Applies a full snapshot, which has the desired state."""
-        self._record_success(snapshot)
-        self._core.entries.apply_snapshot(snapshot, self.host)
+        self._apply(self._core.entries.apply_snapshot, snapshot)
 
     def apply_short_snapshot(self, snapshot: messages.Snapshot) -> None:
         """Applies a short snapshot, which omits a long desired state."""
+        self._apply(self._core.entries.apply_short_snapshot, snapshot)
+
+    def _apply(
+        self,
+        apply_entries: Callable[[messages.Snapshot, str], None],
+        snapshot: messages.Snapshot,
+    ) -> None:
         self._record_success(snapshot)
-        self._core.entries.apply_short_snapshot(snapshot, self.host)
+        try:
+            apply_entries(snapshot, self.host)
+        except Exception as error:
+            self._core.counts.add("snapshot_errors_total")
+            self._core.refusals.record_failure(_SOURCE, self.host, error)
 
     def _record_success(self, snapshot: messages.Snapshot) -> None:
         self._core.counts.observe(
@@ -64,6 +79,8 @@
         text.
         """
         self._core.counts.add("snapshot_errors_total")
+        if isinstance(error, errors.RefusedInputError):
+            self._core.refusals.record_refusal(_SOURCE, self.host, error)
         logger.warning(
             "Failed to pull a snapshot from a peer: %s %s.",
             type(error).__name__,
--- a/persimmonhinge/forwarding/peers/pulls.py
+++ b/persimmonhinge/forwarding/peers/pulls.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from persimmonhinge import errors
 from persimmonhinge.forwarding import auto_reset_event
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import flow
@@ -176,7 +177,7 @@
             OSError,
             trio.BrokenResourceError,
             trio.TooSlowError,
-            msgspec.MsgspecError,
+            errors.MalformedMessageError,
         ) as error:
             attempt.record_failure(error)
             self._exclude(peer, _FAILURE_BACKOFF_S)
--- a/persimmonhinge/forwarding/peers/service.py
+++ b/persimmonhinge/forwarding/peers/service.py
@@ -6,12 +6,13 @@
 import logging
 import time
 
-import msgspec
 import trio
 
+from persimmonhinge import errors
 from persimmonhinge.forwarding import auto_reset_event
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import flow
+from persimmonhinge.forwarding import input_source
 from persimmonhinge.forwarding import store_entry
 from persimmonhinge.forwarding.peers import channel as channel_module
 from persimmonhinge.forwarding.peers import codec
@@ -30,6 +31,7 @@
 _MAX_DATAGRAM_OCTETS = 65_535
 # Maximum size of an update datagram, octets.
 _MAX_UPDATE_OCTETS = 8192
+_SOURCE = input_source.InputSource.PEER_MESSAGE
 # Minimum time between two checks for silent hosts, seconds.
 _MIN_SILENCE_CHECK_S = 0.1
 
@@ -147,15 +149,25 @@
             self.handle_datagram(octets, flow.Endpoint(*source[:2]))
 
     def handle_datagram(self, octets: bytes, source: flow.Endpoint) -> None:
-        """Handles a datagram from another host."""
+        """Handles a datagram from another host.
+
+        Guards against a process that one datagram ends: a datagram that can't
+        be decoded, or whose handling fails, is recorded and dropped.
+        """
+        refusals = self._core.refusals
         try:
-            message = self._codec.decode(octets)
-        except msgspec.MsgspecError as error:
+            self._handle_message(self._codec.decode(octets), source)
+        except errors.MalformedMessageError as error:
             self._core.counts.add("malformed_reports_total")
-            logger.warning(
-                "Dropped a malformed datagram from another host: %s.", error
-            )
-            return
+            refusals.record_refusal(_SOURCE, str(source), error)
+        except Exception as error:
+            refusals.record_failure(_SOURCE, str(source), error)
+
+    def _handle_message(
+        self,
+        message: messages.Report | messages.EntryUpdate,
+        source: flow.Endpoint,
+    ) -> None:
         if isinstance(message, messages.EntryUpdate):
             self._core.entries.apply_update(message, source.host)
         else:
--- a/persimmonhinge/forwarding/peers/snapshot_server.py
+++ b/persimmonhinge/forwarding/peers/snapshot_server.py
@@ -8,12 +8,15 @@
 import msgspec
 import trio
 
+from persimmonhinge import errors
 from persimmonhinge.forwarding import core as core_module
+from persimmonhinge.forwarding import input_source
 from persimmonhinge.forwarding.peers import codec
 from persimmonhinge.forwarding.peers import messages
 
 logger = logging.getLogger(__name__)
 
+_SOURCE = input_source.InputSource.SNAPSHOT_REQUEST
 # Time that a host may take to send its request, and to accept each chunk of the
 # answer, before the connection is closed, seconds.
 _IO_TIMEOUT_S = 1.0
@@ -81,17 +84,27 @@
             stream: The connection, which is left open.
             peer: Address of the other host, for log lines.
         """
+        refusals = self._core.refusals
+        try:
+            await self._answer(stream, peer)
+        except errors.MalformedMessageError as error:
+            refusals.record_refusal(_SOURCE, peer, error)
+        except Exception as error:
+            refusals.record_failure(_SOURCE, peer, error)
+
+    async def _answer(self, stream: trio.abc.Stream, peer: str) -> None:
+        """Answers one request; logs a connection that fails.
+
+        Raises:
+            MalformedMessageError: The other host sent no valid request.
+        """
         answer = b""
         try:
             with trio.fail_after(_IO_TIMEOUT_S):
                 request = await _receive_request(stream)
             answer = self._make_answer(request)
             await self._send(stream, answer)
-        except (
-            trio.BrokenResourceError,
-            trio.TooSlowError,
-            msgspec.MsgspecError,
-        ) as error:
+        except (trio.BrokenResourceError, trio.TooSlowError) as error:
             logger.info(
                 "Failed to send a snapshot to a peer: %s %s.",
                 type(error).__name__,
@@ -152,7 +165,7 @@
     """Receives a request, which may arrive in several pieces.
 
     Raises:
-        msgspec.MsgspecError: The peer sent no valid request.
+        MalformedMessageError: The peer sent no valid request.
     """
     octets = bytearray()
     while len(octets) < _MAX_REQUEST_OCTETS:
@@ -160,6 +173,6 @@
         if not data:
             break
         octets += data
-        with contextlib.suppress(msgspec.MsgspecError):
-            return msgspec.msgpack.decode(octets, type=messages.PullRequest)
-    return msgspec.msgpack.decode(octets, type=messages.PullRequest)
+        with contextlib.suppress(errors.MalformedMessageError):
+            return codec.REQUEST_CODEC.decode(octets)
+    return codec.REQUEST_CODEC.decode(octets)
--- a/tests/test_forwarding/test_forwarding_peers_codec.py
+++ b/tests/test_forwarding/test_forwarding_peers_codec.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 import msgspec
 
+from persimmonhinge import errors
 from persimmonhinge.forwarding import store_entry
 from persimmonhinge.forwarding.peers import codec as codec_module
 from persimmonhinge.forwarding.peers import messages
@@ -28,7 +29,7 @@
     """Returns whether decoding octets fails with the documented error."""
     try:
         make_codec().decode(octets)
-    except msgspec.MsgspecError:
+    except errors.MalformedMessageError:
         return True
     return False
 
--- /dev/null
+++ b/tests/test_forwarding/test_forwarding_peers_hostile.py
@@ -0,0 +1,104 @@
+"""Tests of messages that no host of this release sends."""
+
+from __future__ import annotations
+
+import zlib
+
+import msgspec
+import trio
+import trio.testing
+
+from persimmonhinge import errors
+from persimmonhinge.forwarding.peers import codec
+from persimmonhinge.forwarding.peers import messages
+from persimmonhinge.forwarding.peers import pull_attempt
+from persimmonhinge.forwarding.peers import snapshot_server
+from tests.support import trios
+from tests.test_forwarding import test_forwarding_peers_early_pull as hosts
+from tests.test_forwarding import test_forwarding_peers_service as services
+
+_REPORT = messages.Report("h-2", 1, 1, 100, "north", 1, 0, False, True, (), ())
+_PEER = "10.0.0.2"
+_DEPTH = 20_000
+
+
+def make_deep(message: msgspec.Struct) -> bytes:
+    """Returns a message with a further member that is nested deeply."""
+    octets = msgspec.msgpack.encode(message)
+    return bytes([octets[0] + 1]) + octets[1:] + b"\x91" * _DEPTH
+
+
+def compress(octets: bytes) -> bytes:
+    """Returns a compressed message."""
+    return msgspec.msgpack.encode(
+        messages.CompressedMessage(zlib.compress(octets))
+    )
+
+
+def count_failures(host: services.ReceivingHost) -> int:
+    """Returns the number of inputs whose handling raised an error."""
+    return host.core.counts.sum("input_failures_total")
+
+
+def test_datagram_with_deep_member_does_not_end_the_process() -> None:
+    """Guards against a RecursionError, which is no error of the decoder."""
+    host = services.ReceivingHost()
+    deep = make_deep(_REPORT)
+    for octets in (deep, compress(deep), b"\x91" * _DEPTH):
+        host.service.handle_datagram(octets, services.PEER_ADDRESS)
+    assert host.core.counts.get("malformed_reports_total") == 3
+    assert count_failures(host) == 0
+
+
+def test_seed_with_deep_snapshot_does_not_end_the_start() -> None:
+    """Guards against a host that can't start while a peer answers nonsense."""
+    deep = make_deep(messages.Snapshot(1, True, (), ()))
+    for answer in (deep, compress(deep)):
+        with hosts.run_seed(answer) as port:
+            core = hosts.make_core(port)
+            assert not hosts.start_host(core)
+        assert core.counts.get("snapshot_errors_total") == 1
+        assert core.counts.sum("input_failures_total") == 0
+
+
+@trios.clock_test
+async def test_request_that_can_not_be_read_is_counted() -> None:
+    core = hosts.make_core(7721)
+    server = snapshot_server.SnapshotServer(core)
+    for octets in (b"\xc1", b"\x91" * 64, b"\xdd\xff\xff\xff\xff"):
+        async with trio.open_nursery() as nursery:
+            ours, theirs = trio.testing.memory_stream_pair()
+            nursery.start_soon(server.answer, theirs, _PEER)
+            await ours.send_all(octets)
+            await ours.send_eof()
+    refused = core.counts.get("inputs_refused_total", source="snapshot-request")
+    assert refused == 3
+    assert core.counts.sum("input_failures_total") == 0
+
+
+def test_snapshot_that_fails_later_is_recorded_and_the_host_goes_on() -> None:
+    """Guards against a fault of this program that one snapshot makes fatal."""
+    core = hosts.make_core(7721)
+
+    def fail(snapshot: messages.Snapshot, source: str) -> None:
+        raise TypeError("no snapshot")
+
+    core.entries.apply_snapshot = fail  # type: ignore[method-assign]
+    attempt = pull_attempt.PullAttempt(core, _PEER)
+    attempt.apply_snapshot(messages.Snapshot(1, True, (), ()))
+    assert core.counts.get("input_failures_total", source="snapshot") == 1
+
+
+def test_codec_of_snapshots_raises_the_typed_error() -> None:
+    deep = make_deep(messages.Snapshot(1, True, (), ()))
+    trailing = msgspec.msgpack.encode(messages.PullRequest(1)) + b"\x00"
+    for decode, octets in (
+        (codec.SNAPSHOT_CODEC.decode, deep),
+        (codec.REQUEST_CODEC.decode, trailing),
+    ):
+        try:
+            decode(octets)
+        except errors.MalformedMessageError as error:
+            assert error.reason
+        else:
+            raise AssertionError("the message was accepted")
