Ignore addresses of peers that no host can have

Operators saw a host end at one that holds a NUL or a surrogate; others were sent datagrams to everybody, or looked a name up.

`inet_aton` raises ValueError for such texts, not OSError, and takes short forms ("1", "127.1"), octal numbers and addresses followed by other text. The early pull did not check its seeds at all.

Only the usual form of a unicast address is used now: what inet_ntoa gives for the result of inet_aton, with a first octet from 1 to 223. Names were ignored by the table before, too; the early pull ignores them now, so that it can't wait for a look-up. The log line escapes what a line can't hold.

--- a/persimmonhinge/forwarding/peers/early_pull.py
+++ b/persimmonhinge/forwarding/peers/early_pull.py
@@ -7,8 +7,10 @@
 from persimmonhinge import errors
 from persimmonhinge import random_sampling
 from persimmonhinge.forwarding import core as core_module
+from persimmonhinge.forwarding import flow
 from persimmonhinge.forwarding.peers import codec
 from persimmonhinge.forwarding.peers import messages
+from persimmonhinge.forwarding.peers import peer_table
 from persimmonhinge.forwarding.peers import pull_attempt
 from persimmonhinge.store import blocking_transport
 
@@ -29,8 +31,12 @@
     """
     seeds = core.settings.seed_addresses()
     for host in random_sampling.sample(seeds, len(seeds)):
+        address = flow.Endpoint(host, core.settings.snapshot_port)
         if host == core.settings.own_address:
             continue
+        if not peer_table.is_usable_address(address):
+            # `PeerTable.add` logs it later.
+            continue
         attempt = pull_attempt.PullAttempt(core, host)
         try:
             blocking_transport.run(_request_snapshot(core, attempt))
--- a/persimmonhinge/forwarding/peers/peer_table.py
+++ b/persimmonhinge/forwarding/peers/peer_table.py
@@ -38,6 +38,10 @@
 # report, seconds. A host that is alive is added again by its next report.
 _REMOVAL_TIMEOUT_S = 30.0
 _MAX_PORT = 65_535
+# First octets of unicast addresses: those below are of the own network, those
+# above are multicast, reserved and broadcast.
+_MIN_FIRST_OCTET = 1
+_MAX_FIRST_OCTET = 223
 
 
 class Peer(records.Record):
@@ -122,10 +126,11 @@
         An unusable address is ignored: sending to it would terminate this
         host's process.
         """
-        if not _is_usable(address):
+        if not is_usable_address(address):
+            text = str(address).encode("ascii", "backslashreplace")
             logger.warning(
                 "Ignored a host with an unusable address.",
-                extra={"address": str(address)},
+                extra={"address": text.decode()},
             )
             return
         if address != self._own_address and address not in self._peers:
@@ -322,12 +327,22 @@
     )
 
 
-def _is_usable(address: flow.Endpoint) -> bool:
+def is_usable_address(address: flow.Endpoint) -> bool:
+    """Returns whether an address can be that of one other host.
+
+    Names are refused, as they would be looked up, and so are short forms of
+    addresses: two forms of one address would count as two hosts.
+    """
     try:
-        _socket.inet_aton(address.host)
-    except OSError:
+        octets = _socket.inet_aton(address.host)
+    except (OSError, ValueError):
+        # Texts with a NUL or a surrogate raise ValueError.
         return False
-    return 0 < address.port <= _MAX_PORT
+    return (
+        _socket.inet_ntoa(octets) == address.host
+        and _MIN_FIRST_OCTET <= octets[0] <= _MAX_FIRST_OCTET
+        and 0 < address.port <= _MAX_PORT
+    )
 
 
 def _is_newer(previous: messages.Report, report: messages.Report) -> bool:
--- a/tests/test_forwarding/test_forwarding_peers_hostile.py
+++ b/tests/test_forwarding/test_forwarding_peers_hostile.py
@@ -9,7 +9,10 @@
 import trio.testing
 
 from persimmonhinge import errors
+from persimmonhinge import records
+from persimmonhinge.forwarding import flow
 from persimmonhinge.forwarding.peers import codec
+from persimmonhinge.forwarding.peers import early_pull
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import pull_attempt
 from persimmonhinge.forwarding.peers import snapshot_server
@@ -102,3 +105,25 @@
             assert error.reason
         else:
             raise AssertionError("the message was accepted")
+
+
+def test_peer_with_an_address_of_no_host_is_ignored() -> None:
+    """Guards against addresses that end the process, or that are looked up."""
+    host = services.ReceivingHost()
+    for text in (
+        *("a\0", "\ud800", "", "localhost", "1", "127.1", "10.0.0.2 x"),
+        *("0.0.0.0", "0.1.2.3", "224.0.0.1", "255.255.255.255", "010.0.0.2"),
+    ):
+        host.core.peers.add(flow.Endpoint(text, 7), 1.0)
+    for port in (0, -1, 65_536, 2**63):
+        host.core.peers.add(flow.Endpoint("10.0.0.2", port), 1.0)
+    assert host.core.peers.list_remote("north") == []
+
+
+def test_seed_with_an_address_of_no_host_is_not_asked() -> None:
+    """Guards against a start that looks up a name, or ends at a NUL."""
+    core = hosts.make_core(7721)
+    for seed in ("a\0", "\ud800", "localhost", "0.0.0.0"):
+        core.settings = records.replace(core.settings, seeds=(f"{seed}:7",))
+        early_pull.pull_from_seeds(core)
+    assert core.counts.get("snapshot_errors_total") == 0
