Limit the table of peers, and refuse reports from no host's address

A report was taken from any source, and each source became a peer: memory and traffic grew with the number of forged addresses, without a bound, up to the 300 MB at which a host is killed. A source with port 0 became a peer, too, and was named to others in this host's reports, where it can't be used.

The table holds 1,024 hosts now, against 610 in the largest deployment. When it is full, a host that reports takes the place of one that was only named or is silent; if all report, the report is refused with the field `source`, and named hosts are ignored, with a log line a second at most. A source that is this host or no host's address is refused.

Before, the two tests saw 1,100 reporting hosts of 1,100 sources, and two hosts at addresses that can't be used.

--- a/tests/test_forwarding/test_forwarding_peers_hostile.py
+++ b/tests/test_forwarding/test_forwarding_peers_hostile.py
@@ -127,3 +127,32 @@
         core.settings = records.replace(core.settings, seeds=(f"{seed}:7",))
         early_pull.pull_from_seeds(core)
     assert core.counts.get("snapshot_errors_total") == 0
+
+
+def test_reports_from_very_many_addresses_take_little_memory() -> None:
+    """Guards against a table that grows with forged sources.
+
+    A host that was only named gives way to one that reports.
+    """
+    host = services.ReceivingHost()
+    octets = msgspec.msgpack.encode(_REPORT)
+    named = flow.Endpoint("10.0.0.2", 7)
+    host.core.peers.add(named, 0.0)
+    for number in range(1_100):
+        source = flow.Endpoint(f"10.1.{number >> 8}.{number & 255}", 7)
+        host.service.handle_datagram(octets, source)
+        host.core.peers.add(flow.Endpoint("10.0.0.3", 1 + number), 0.0)
+    assert len(host.core.peers.list_reporting()) == 1_024
+    assert len(host.core.peers.list_remote("")) == 1_024
+    assert host.core.counts.get("malformed_reports_total") == 1_100 - 1_024
+    assert count_failures(host) == 0
+
+
+def test_report_from_an_address_of_no_other_host_is_refused() -> None:
+    """Guards against reports to port 0, and to a host itself."""
+    host = services.ReceivingHost()
+    octets = msgspec.msgpack.encode(_REPORT)
+    for source in (flow.Endpoint("10.0.0.2", 0), flow.Endpoint("127.0.0.1", 3)):
+        host.service.handle_datagram(octets, source)
+    assert host.core.peers.list_reporting() == []
+    assert host.core.counts.get("malformed_reports_total") == 2
