Refuse reported values out of range, and never send any

Operators saw hosts end at the report after one that another host had sent. The decoder checked types only, and whole numbers of 64 bits went on into times and sums.

Other values ended nothing but had no sense: an interval of 2**63 ms makes a host count as alive for ever, an entry with a revision of 2**63 is replaced by no later change of its key, and a negative load makes an upstream look idle.

Values of messages are checked in one place after decoding. Loads, demands and peers out of range, and those beyond 64 of a kind, are left out of a report and the rest is used, as a host whose report is refused looks dead, and its failure domain may then have nobody who follows the store. Both are counted in malformed_reports_total and logged with field and reason.

What a host sends is kept within the same limits; otherwise one forged value that it passes on would make all others refuse its reports.

Reports of hosts of earlier releases have all fields within the limits: names have 200 characters at most in the settings, loads and demands 32 items, and fewer fields are accepted as before. A report may still claim a revision up to 2**53 - 1 that the store has not reached; nothing in the protocol tells it.

--- a/persimmonhinge/forwarding/decisions/reports/demand_lines.py
+++ b/persimmonhinge/forwarding/decisions/reports/demand_lines.py
@@ -60,6 +60,14 @@
     total = picture.own_domain_demand(service, now).slots
     return service_demand.ServiceDemand(
         service_demand.hash_service(service),
-        round(rates.demand(service, now) * _HUNDREDTHS),
-        round(total * _HUNDREDTHS),
+        _round_to_hundredths(rates.demand(service, now)),
+        _round_to_hundredths(total),
     )
+
+
+def _round_to_hundredths(slots: float) -> int:
+    """Returns slots in hundredths, at most what other hosts accept.
+
+    The total of a failure domain is a multiple of what others reported.
+    """
+    return round(min(slots * _HUNDREDTHS, service_demand.MAX_VALUE))
--- a/persimmonhinge/forwarding/peers/codec.py
+++ b/persimmonhinge/forwarding/peers/codec.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from persimmonhinge import errors
+from persimmonhinge.forwarding.peers import message_checks
 from persimmonhinge.forwarding.peers import messages
 
 M = TypeVar("M", bound=msgspec.Struct)
@@ -71,7 +72,8 @@
         """Decodes a message.
 
         Raises:
-            MalformedMessageError: The octets are no valid message.
+            MalformedMessageError: The octets are no valid message, or one of
+                its values is out of range.
         """
         try:
             message = self._decoder.decode(octets)
@@ -81,6 +83,7 @@
                 )
         except _DECODING_ERRORS as error:
             raise _make_error(error) from error
+        message_checks.check_message(message)
         return message
 
 
--- /dev/null
+++ b/persimmonhinge/forwarding/peers/message_limits.py
@@ -0,0 +1,27 @@
+"""Limits of the values in messages between hosts.
+
+Hosts refuse values beyond these limits, and never send any.
+"""
+
+from __future__ import annotations
+
+# Maximum revision of the store: the largest integer that JSON numbers hold
+# exactly in all implementations.
+MAX_REVISION = 2**53 - 1
+# Maximum time between two reports to the same host, milliseconds. The budget
+# for reports allows half of it for the largest table of peers.
+MAX_INTERVAL_MS = 600_000
+# Maximum time since the store confirmed the entries, milliseconds: ten years.
+MAX_AGE_MS = 10 * 365 * 86_400_000
+# Age in a report of a host that the store never confirmed its entries to.
+NO_AGE_MS = -1
+# Maximum length of the name of a host or failure domain, as in the settings,
+# characters.
+MAX_NAME_CHARACTERS = 200
+# Maximum length of a key of the store, characters; the store allows 200 octets.
+MAX_KEY_CHARACTERS = 200
+# Maximum numbers of upstreams, services and other hosts that are used of one
+# message. Hosts send 32 at most.
+MAX_LOADS = 64
+MAX_DEMANDS = 64
+MAX_PEERS = 64
--- a/persimmonhinge/forwarding/peers/pulls.py
+++ b/persimmonhinge/forwarding/peers/pulls.py
@@ -13,6 +13,7 @@
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import flow
 from persimmonhinge.forwarding.peers import codec
+from persimmonhinge.forwarding.peers import message_limits
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import peer_table
 from persimmonhinge.forwarding.peers import pull_attempt
@@ -200,5 +201,5 @@
 
     def _add_peers(self, snapshot: messages.Snapshot) -> None:
         now = time.monotonic()
-        for address in snapshot.peers:
+        for address in snapshot.peers[: message_limits.MAX_PEERS]:
             self._peers.add(address, now)
--- a/persimmonhinge/forwarding/peers/reporter.py
+++ b/persimmonhinge/forwarding/peers/reporter.py
@@ -20,6 +20,7 @@
 from persimmonhinge.forwarding.peers import (
     follower_role as follower_role_module,
 )
+from persimmonhinge.forwarding.peers import message_limits
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import peer_table
 from persimmonhinge.forwarding.peers import report_schedule
@@ -201,14 +202,20 @@
             sequence=self._sequence,
             interval_ms=0,
             domain=core.settings.domain,
-            revision=core.entries.revision,
-            age_ms=core.knowledge.compute_age_ms(time.monotonic()),
+            revision=min(core.entries.revision, message_limits.MAX_REVISION),
+            age_ms=min(
+                core.knowledge.compute_age_ms(time.monotonic()),
+                message_limits.MAX_AGE_MS,
+            ),
             leaving=self._follower_role.leaving,
             reaches_store=self._follower_role.reaches_store,
             loads=tuple(upstream_loads),
             peers=core.peers.sample_addresses(_NAMED_SAME_DOMAIN_HOSTS, domain)
             + core.peers.sample_addresses(_NAMED_ANY_DOMAIN_HOSTS),
-            upstreams_revision=core.entries.completeness.upstreams_revision,
+            upstreams_revision=min(
+                core.entries.completeness.upstreams_revision,
+                message_limits.MAX_REVISION,
+            ),
             demands=self._list_demands(),
         )
 
@@ -231,7 +238,7 @@
     suddenly when many hosts were added; otherwise a live host would be
     considered silent.
     """
-    interval_ms = int(interval_s * 1000)
+    interval_ms = min(int(interval_s * 1000), message_limits.MAX_INTERVAL_MS)
     lines = tuple(upstream_load.trim(load) for load in report.loads)
     return msgspec.msgpack.encode(
         msgspec.structs.replace(report, interval_ms=interval_ms, loads=lines)
--- a/persimmonhinge/forwarding/peers/service.py
+++ b/persimmonhinge/forwarding/peers/service.py
@@ -20,6 +20,7 @@
 from persimmonhinge.forwarding.peers import (
     follower_role as follower_role_module,
 )
+from persimmonhinge.forwarding.peers import message_checks
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import pulls
 from persimmonhinge.forwarding.peers import reporter
@@ -171,7 +172,16 @@
         if isinstance(message, messages.EntryUpdate):
             self._core.entries.apply_update(message, source.host)
         else:
-            self.handle_report(message, source)
+            self._handle_decoded_report(message, source)
+
+    def _handle_decoded_report(
+        self, report: messages.Report, source: flow.Endpoint
+    ) -> None:
+        usable, error = message_checks.omit_unusable_items(report)
+        if error is not None:
+            self._core.counts.add("malformed_reports_total")
+            self._core.refusals.record_refusal(_SOURCE, str(source), error)
+        self.handle_report(usable, source)
 
     def handle_report(
         self, report: messages.Report, address: flow.Endpoint
--- a/persimmonhinge/forwarding/service_demand.py
+++ b/persimmonhinge/forwarding/service_demand.py
@@ -23,6 +23,10 @@
     domain: int
 
 
+# Maximum value of each field: hashes have 32 bits.
+MAX_VALUE = 2**32 - 1
+
+
 def hash_service(service: ids.ServiceName) -> int:
     """Returns the hash that identifies a service in reports, 32 bits."""
     return xxhash.xxh32_intdigest(service.encode())
--- a/persimmonhinge/forwarding/upstream_load.py
+++ b/persimmonhinge/forwarding/upstream_load.py
@@ -35,6 +35,8 @@
     troubles: int = 0
 
 
+# Maximum value of each field: tokens have 32 bits.
+MAX_VALUE = 2**32 - 1
 # Number of fields that hosts of all releases understand.
 _FIRST_FIELDS = 4
 
--- a/tests/test_forwarding/test_forwarding_peers_hostile.py
+++ b/tests/test_forwarding/test_forwarding_peers_hostile.py
@@ -11,12 +11,17 @@
 from persimmonhinge import errors
 from persimmonhinge import records
 from persimmonhinge.forwarding import flow
+from persimmonhinge.forwarding import service_demand
+from persimmonhinge.forwarding import store_entry
+from persimmonhinge.forwarding import upstream_load
 from persimmonhinge.forwarding.peers import codec
 from persimmonhinge.forwarding.peers import early_pull
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import pull_attempt
 from persimmonhinge.forwarding.peers import snapshot_server
 from tests.support import trios
+from tests.test_forwarding import hostile_scene
+from tests.test_forwarding import scene as scenes
 from tests.test_forwarding import test_forwarding_peers_early_pull as hosts
 from tests.test_forwarding import test_forwarding_peers_service as services
 
@@ -129,6 +134,114 @@
     assert core.counts.get("snapshot_errors_total") == 0
 
 
+def test_report_with_a_field_out_of_range_is_refused() -> None:
+    """Guards against a silent host that is taken for alive, among others."""
+    host = services.ReceivingHost()
+    values = {
+        "host": ("", "x" * 201),
+        "domain": ("", "x" * 201),
+        "interval_ms": (-1, 600_001, 2**63),
+        "revision": (-1, 2**53, 2**64 - 1),
+        "upstreams_revision": (-1, 2**53),
+        "age_ms": (-2, 2**53, 2**64 - 1),
+    }
+    reports = [
+        msgspec.structs.replace(_REPORT, **{field: value})
+        for field, refused in values.items()
+        for value in refused
+    ]
+    for report in reports:
+        octets = msgspec.msgpack.encode(report)
+        host.service.handle_datagram(octets, services.PEER_ADDRESS)
+    assert host.core.peers.list_reporting() == []
+    assert host.core.counts.get("malformed_reports_total") == len(reports)
+    assert count_failures(host) == 0
+
+
+def test_items_out_of_range_are_omitted_and_the_rest_is_used() -> None:
+    """Guards against a host that counts as dead for one value of its report."""
+    host = services.ReceivingHost()
+    loads = [upstream_load.UpstreamLoad(7, 3, 300)]
+    for value in (-1, 2**32, 2**64 - 1):
+        loads += [loads[0]._replace(**{f: value}) for f in loads[0]._fields]
+    peers = [flow.Endpoint("10.0.0.3", 7), flow.Endpoint("127.1", 7)]
+    report = msgspec.structs.replace(
+        _REPORT, loads=tuple(loads), peers=tuple(peers)
+    )
+    octets = msgspec.msgpack.encode(report)
+    host.service.handle_datagram(octets, services.PEER_ADDRESS)
+    (peer,) = host.core.peers.list_reporting()
+    assert peer.report is not None
+    assert (list(peer.report.loads), list(peer.report.peers)) == (
+        loads[:1],
+        peers[:1],
+    )
+    assert host.core.loads.reported_in_flight(7) == 3
+    assert host.core.counts.get("malformed_reports_total") == 1
+
+
+def test_report_with_very_many_items_takes_little_memory() -> None:
+    host = services.ReceivingHost()
+    loads = tuple(
+        upstream_load.UpstreamLoad(token, 1, 100) for token in range(5_000)
+    )
+    report = msgspec.structs.replace(_REPORT, loads=loads)
+    octets = msgspec.msgpack.encode(report)
+    host.service.handle_datagram(octets, services.PEER_ADDRESS)
+    (peer,) = host.core.peers.list_reporting()
+    assert peer.report is not None and len(peer.report.loads) == 64
+
+
+def test_what_others_report_can_always_be_sent_on() -> None:
+    """Guards against values that others send and that this host can't encode.
+
+    Its reports have the age of the newest confirmation, and the demand of its
+    failure domain, and other hosts have to accept them.
+    """
+    line = service_demand.ServiceDemand(
+        service_demand.hash_service(scenes.SERVICE), 2**32 - 1, 2**32 - 1
+    )
+    over = line._replace(own=2**64 - 1, domain=2**64 - 1)
+    for fields in (
+        {"age_ms": 2**64 - 1},
+        {"age_ms": 10 * 365 * 86_400_000},
+        {"demands": (line,)},
+        {"demands": (over,)},
+    ):
+        scene = hostile_scene.HostileScene()
+        report = msgspec.structs.replace(
+            _REPORT, domain="north", revision=0, **fields
+        )
+        octets = msgspec.msgpack.encode(report)
+        scene.service.handle_datagram(octets, services.PEER_ADDRESS)
+        scene.decide()
+        assert scene.run_reports()
+        scene.check()
+
+
+def test_entry_out_of_range_makes_the_message_unusable() -> None:
+    """Guards against an entry that no later change of its key replaces."""
+    host = services.ReceivingHost()
+    for key, revision in (
+        ("servers/a", 2**63),
+        ("servers/a", -1),
+        ("servers/" + "x" * 200, 5),
+    ):
+        entry = store_entry.StoreEntry(key, b"{}", revision)
+        update = messages.EntryUpdate(0, 5, True, (entry,))
+        octets = msgspec.msgpack.encode(update)
+        host.service.handle_datagram(octets, services.PEER_ADDRESS)
+        snapshot = messages.Snapshot(5, True, (entry,), ())
+        try:
+            codec.SNAPSHOT_CODEC.decode(msgspec.msgpack.encode(snapshot))
+        except errors.MalformedMessageError as error:
+            assert error.field.startswith("entries.")
+        else:
+            raise AssertionError("the snapshot was accepted")
+    assert host.core.entries.revision == 0
+    assert host.core.counts.get("malformed_reports_total") == 3
+
+
 def test_reports_from_very_many_addresses_take_little_memory() -> None:
     """Guards against a table that grows with forged sources.
 
