--- a/persimmonhinge/forwarding/peers/snapshot_server.py
+++ b/persimmonhinge/forwarding/peers/snapshot_server.py
@@ -33,6 +33,12 @@
 # one, a host that freezes while it receives would block all others for
 # `_IO_TIMEOUT_S`.
 _MAX_LONG_ANSWERS = 2
+# Maximum number of connections; others are closed at once, and their hosts ask
+# another one. A host may have 4,100 descriptors.
+_MAX_CONNECTIONS = 512
+# Maximum length of all answers that are being sent, octets. Hosts of earlier
+# releases are not refused by `_MAX_LONG_ANSWERS`.
+_MAX_PENDING_OCTETS = 64_000_000
 
 
 class SnapshotServer:
@@ -48,7 +54,9 @@
     def __init__(self, core: core_module.ForwardCore) -> None:
         """Initializes the server; nothing is answered before `run`."""
         self._core = core
+        self._connections = 0
         self._long_answers = 0
+        self._pending_octets = 0
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -66,6 +74,14 @@
         await trio.serve_listeners(self._serve, listeners)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
+        self._connections += 1
+        try:
+            await self._serve_peer(stream)
+        finally:
+            self._connections -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_peer(self, stream: trio.SocketStream) -> None:
         try:
             peer = stream.socket.getpeername()[0]
         except OSError as error:
@@ -73,9 +89,15 @@
                 "A peer closed its snapshot connection before the request: %s.",
                 error,
             )
-        else:
-            await self.answer(stream, peer)
-        await trio.aclose_forcefully(stream)
+            return
+        if self._connections > _MAX_CONNECTIONS:
+            self._core.refusals.record_refusal(
+                _SOURCE,
+                peer,
+                _make_error(f"over {_MAX_CONNECTIONS} connections are open"),
+            )
+            return
+        await self.answer(stream, peer)
 
     async def answer(self, stream: trio.abc.Stream, peer: str) -> None:
         """Answers one request.
@@ -87,7 +109,7 @@
         refusals = self._core.refusals
         try:
             await self._answer(stream, peer)
-        except errors.MalformedMessageError as error:
+        except errors.RefusedInputError as error:
             refusals.record_refusal(_SOURCE, peer, error)
         except Exception as error:
             refusals.record_failure(_SOURCE, peer, error)
@@ -96,7 +118,8 @@
         """Answers one request; logs a connection that fails.
 
         Raises:
-            MalformedMessageError: The other host sent no valid request.
+            RefusedInputError: The other host sent no valid request, or too many
+                octets are being sent already.
         """
         answer = b""
         try:
@@ -150,15 +173,21 @@
         Raises:
             trio.BrokenResourceError: The connection has failed.
             trio.TooSlowError: The host accepted no octets in time.
+            RefusedInputError: Too many octets are being sent already.
         """
+        pending = self._pending_octets
+        if pending and pending + len(answer) > _MAX_PENDING_OCTETS:
+            raise _make_error(f"{pending} octets are being sent")
         is_long = len(answer) > _LONG_ANSWER_OCTETS
         self._long_answers += is_long
+        self._pending_octets += len(answer)
         try:
             for start in range(0, len(answer), _CHUNK_OCTETS):
                 with trio.fail_after(_IO_TIMEOUT_S):
                     await stream.send_all(answer[start : start + _CHUNK_OCTETS])
         finally:
             self._long_answers -= is_long
+            self._pending_octets -= len(answer)
 
 
 async def _receive_request(stream: trio.abc.Stream) -> messages.PullRequest:
@@ -176,3 +205,7 @@
         with contextlib.suppress(errors.MalformedMessageError):
             return codec.REQUEST_CODEC.decode(octets)
     return codec.REQUEST_CODEC.decode(octets)
+
+
+def _make_error(reason: str) -> errors.RefusedInputError:
+    return errors.RefusedInputError(reason, step="answer snapshot request")
