--- a/persimmonhinge/forwarding/peers/codec.py
+++ b/persimmonhinge/forwarding/peers/codec.py
@@ -11,6 +11,7 @@
 
 from persimmonhinge import errors
 from persimmonhinge.forwarding.peers import message_checks
+from persimmonhinge.forwarding.peers import message_limits
 from persimmonhinge.forwarding.peers import messages
 
 M = TypeVar("M", bound=msgspec.Struct)
@@ -20,9 +21,6 @@
 _MAX_UNCOMPRESSED_OCTETS = 1_000
 # The fastest compression level of zlib.
 _COMPRESSION_LEVEL = 1
-# Maximum size of a message after decompression, octets: a value of the store
-# takes up to a megabyte, and the entries of all upstreams take as much.
-_MAX_DECOMPRESSED_OCTETS = 4_000_000
 _DECODING_STEP = "decode message"
 # What decoders raise: members nested too deep raise RecursionError, even where
 # a type has no such member, as in messages of later releases. Lengths that
@@ -121,9 +119,10 @@
             the limit when decompressed.
     """
     stream = zlib.decompressobj()
-    decompressed = stream.decompress(octets, _MAX_DECOMPRESSED_OCTETS)
+    limit = message_limits.MAX_SNAPSHOT_OCTETS
+    decompressed = stream.decompress(octets, limit)
     if not stream.eof:
         raise msgspec.DecodeError(
-            f"message is truncated or exceeds {_MAX_DECOMPRESSED_OCTETS} octets"
+            f"message is truncated or exceeds {limit} octets"
         )
     return decompressed
--- a/persimmonhinge/forwarding/peers/early_pull.py
+++ b/persimmonhinge/forwarding/peers/early_pull.py
@@ -8,7 +8,6 @@
 from persimmonhinge import random_sampling
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import flow
-from persimmonhinge.forwarding.peers import codec
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import peer_table
 from persimmonhinge.forwarding.peers import pull_attempt
@@ -40,10 +39,13 @@
         attempt = pull_attempt.PullAttempt(core, host)
         try:
             blocking_transport.run(_request_snapshot(core, attempt))
-            snapshot = codec.SNAPSHOT_CODEC.decode(attempt.octets)
+            snapshot = attempt.decode_snapshot()
         except (OSError, errors.MalformedMessageError) as error:
             attempt.record_failure(error)
             continue
+        except Exception as error:
+            attempt.record_unexpected_error(error)
+            continue
         attempt.apply_snapshot(snapshot)
         if core.knowledge.is_complete():
             return
@@ -65,7 +67,7 @@
         await transport.open()
         await transport.send_all(msgspec.msgpack.encode(request))
         while data := await transport.receive_some():
-            attempt.octets.extend(data)
+            attempt.add_octets(data)
 
     try:
         await transport.run_within(
--- a/persimmonhinge/forwarding/peers/message_limits.py
+++ b/persimmonhinge/forwarding/peers/message_limits.py
@@ -20,6 +20,9 @@
 MAX_NAME_CHARACTERS = 200
 # Maximum length of a key of the store, characters; the store allows 200 octets.
 MAX_KEY_CHARACTERS = 200
+# Maximum length of a snapshot, octets: a value of the store takes up to a
+# megabyte, and the entries of all upstreams take as much.
+MAX_SNAPSHOT_OCTETS = 4_000_000
 # Maximum numbers of upstreams, services and other hosts that are used of one
 # message. Hosts send 32 at most.
 MAX_LOADS = 64
--- a/persimmonhinge/forwarding/peers/pull_attempt.py
+++ b/persimmonhinge/forwarding/peers/pull_attempt.py
@@ -9,6 +9,8 @@
 from persimmonhinge import errors
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import input_source
+from persimmonhinge.forwarding.peers import codec
+from persimmonhinge.forwarding.peers import message_limits
 from persimmonhinge.forwarding.peers import messages
 
 logger = early_logs.get_logger(__name__)
@@ -38,6 +40,31 @@
         self.host = host
         self.octets = bytearray()
 
+    def add_octets(self, octets: bytes | bytearray) -> None:
+        """Adds octets of the answer.
+
+        Raises:
+            MalformedMessageError: The answer is longer than any snapshot.
+        """
+        self.octets += octets
+        if len(self.octets) > message_limits.MAX_SNAPSHOT_OCTETS:
+            raise errors.MalformedMessageError(
+                f"is over {message_limits.MAX_SNAPSHOT_OCTETS} octets",
+                step="pull snapshot",
+                peer=self.host,
+            )
+
+    def decode_snapshot(self) -> messages.Snapshot:
+        """Returns the snapshot after the connection was closed.
+
+        Raises:
+            ConnectionError: There was no answer.
+            MalformedMessageError: The answer is no snapshot.
+        """
+        if not self.octets:
+            raise ConnectionError("the host closed the connection")
+        return codec.SNAPSHOT_CODEC.decode(self.octets)
+
     def apply_snapshot(self, snapshot: messages.Snapshot) -> None:
         """Applies a full snapshot, which has the desired state."""
         self._apply(self._core.entries.apply_snapshot, snapshot)
@@ -55,8 +82,7 @@
         try:
             apply_entries(snapshot, self.host)
         except Exception as error:
-            self._core.counts.add("snapshot_errors_total")
-            self._core.refusals.record_failure(_SOURCE, self.host, error)
+            self.record_unexpected_error(error)
 
     def _record_success(self, snapshot: messages.Snapshot) -> None:
         self._core.counts.observe(
@@ -88,6 +114,11 @@
             extra=self._make_log_fields(),
         )
 
+    def record_unexpected_error(self, error: Exception) -> None:
+        """Records an error that no step of a pull is expected to raise."""
+        self._core.counts.add("snapshot_errors_total")
+        self._core.refusals.record_failure(_SOURCE, self.host, error)
+
     def record_refusal(self) -> None:
         """Records that the host is busy sending its desired state to others."""
         self._core.counts.add("snapshot_refusals_total")
--- a/persimmonhinge/forwarding/peers/pulls.py
+++ b/persimmonhinge/forwarding/peers/pulls.py
@@ -12,7 +12,6 @@
 from persimmonhinge.forwarding import auto_reset_event
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import flow
-from persimmonhinge.forwarding.peers import codec
 from persimmonhinge.forwarding.peers import message_limits
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import peer_table
@@ -173,7 +172,7 @@
         try:
             with trio.fail_after(_MAX_PULL_S):
                 await self._receive(request, attempt)
-            return codec.SNAPSHOT_CODEC.decode(attempt.octets)
+            return attempt.decode_snapshot()
         except (
             OSError,
             trio.BrokenResourceError,
@@ -181,8 +180,10 @@
             errors.MalformedMessageError,
         ) as error:
             attempt.record_failure(error)
-            self._exclude(peer, _FAILURE_BACKOFF_S)
-            return None
+        except Exception as error:
+            attempt.record_unexpected_error(error)
+        self._exclude(peer, _FAILURE_BACKOFF_S)
+        return None
 
     async def _receive(
         self,
@@ -194,7 +195,7 @@
             async with stream:
                 await stream.send_all(msgspec.msgpack.encode(request))
                 async for data in stream:
-                    attempt.octets += data
+                    attempt.add_octets(data)
                     idle_limit.deadline = (
                         trio.current_time() + _RECEIVE_TIMEOUT_S
                     )
--- a/tests/test_forwarding/test_forwarding_peers_hostile_connections.py
+++ b/tests/test_forwarding/test_forwarding_peers_hostile_connections.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
+import threading
 from unittest import mock
 
 import msgspec
@@ -10,7 +12,9 @@
 
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import flow
+from persimmonhinge.forwarding.peers import early_pull
 from persimmonhinge.forwarding.peers import messages
+from persimmonhinge.forwarding.peers import pulls
 from persimmonhinge.forwarding.peers import snapshot_server
 from tests.standins import ports
 from tests.support import trios
@@ -31,6 +35,54 @@
 _SOURCE = "snapshot-request"
 
 
+def test_answer_without_end_is_cut() -> None:
+    """Guards against memory that grows with what a peer sends."""
+    sent: list[int] = []
+    with socket.create_server(("127.0.0.1", 0)) as server:
+
+        def send() -> None:
+            connection, _ = server.accept()
+            with connection, contextlib.suppress(OSError):
+                for _ in range(_CHUNKS):
+                    connection.sendall(_CHUNK)
+                    sent.append(1)
+
+        thread = threading.Thread(target=send)
+        thread.start()
+        core = hosts.make_core(server.getsockname()[1])
+        early_pull.pull_from_seeds(core)
+        thread.join()
+    core.socket.socket.close()
+    assert len(sent) < _MAX_TAKEN_CHUNKS
+    assert core.counts.get("inputs_refused_total", source="snapshot") == 1
+    assert core.counts.sum("input_failures_total") == 0
+
+
+@trios.trio_test
+async def test_answer_without_end_is_cut_in_the_event_loop() -> None:
+    sent: list[int] = []
+
+    async def send(stream: trio.SocketStream) -> None:
+        with contextlib.suppress(trio.BrokenResourceError):
+            for _ in range(_CHUNKS):
+                await stream.send_all(_CHUNK)
+                sent.append(1)
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host=_HOST)
+        port = listener.socket.getsockname()[1]
+        nursery.start_soon(trio.serve_listeners, send, [listener])
+        core = hosts.make_core(port, _BEHIND)
+        receive_report(core, _HOST, port, 5)
+        nursery.start_soon(pulls.SnapshotPuller(core).run)
+        with trio.fail_after(_MAX_WAIT_S):
+            while not core.counts.get("snapshot_errors_total"):
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+    assert len(sent) < _MAX_TAKEN_CHUNKS
+    assert core.counts.sum("input_failures_total") == 0
+
+
 @trios.trio_test
 async def test_silent_connections_beyond_the_limit_are_closed() -> None:
     """Guards against descriptors that run out, and hosts shut out for long."""
