--- a/persimmonhinge/forwarding/peers/pulls.py
+++ b/persimmonhinge/forwarding/peers/pulls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 import time
 
@@ -17,6 +18,8 @@
 from persimmonhinge.forwarding.peers import peer_table
 from persimmonhinge.forwarding.peers import pull_attempt
 
+logger = logging.getLogger(__name__)
+
 # Time without any octets from the other host after which a pull is aborted,
 # seconds.
 _RECEIVE_TIMEOUT_S = 1.0
@@ -140,6 +143,8 @@
             return
         attempt.apply_short_snapshot(snapshot)
         self._add_peers(snapshot)
+        if self._core.entries.completeness.upstreams_revision <= since:
+            self._exclude_without_progress(peer)
 
     async def _pull_full_snapshot(self, peer: peer_table.Peer) -> None:
         since = self._core.entries.revision
@@ -156,6 +161,8 @@
             return
         attempt.apply_snapshot(snapshot)
         self._add_peers(snapshot)
+        if self._core.entries.revision <= since:
+            self._exclude_without_progress(peer)
 
     async def _request_snapshot(
         self,
@@ -200,6 +207,18 @@
                         trio.current_time() + _RECEIVE_TIMEOUT_S
                     )
 
+    def _exclude_without_progress(self, peer: peer_table.Peer) -> None:
+        """Asks other hosts before one whose snapshot had nothing newer.
+
+        Guards against a host that reports a revision it doesn't have, and that
+        would be the only one asked, as the newest.
+        """
+        logger.warning(
+            "A peer reported entries that its snapshot did not have.",
+            extra={"peer": str(peer.address)},
+        )
+        self._exclude(peer, _FAILURE_BACKOFF_S)
+
     def _add_peers(self, snapshot: messages.Snapshot) -> None:
         now = time.monotonic()
         for address in snapshot.peers[: message_limits.MAX_PEERS]:
--- a/tests/test_forwarding/test_forwarding_peers_hostile_connections.py
+++ b/tests/test_forwarding/test_forwarding_peers_hostile_connections.py
@@ -12,12 +12,14 @@
 
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import flow
+from persimmonhinge.forwarding import store_entry
 from persimmonhinge.forwarding.peers import early_pull
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import pulls
 from persimmonhinge.forwarding.peers import snapshot_server
 from tests.standins import ports
 from tests.support import trios
+from tests.test_forwarding import test_forwarding_entry_replica as readers
 from tests.test_forwarding import test_forwarding_peers_early_pull as hosts
 from tests.test_forwarding import test_forwarding_peers_pulls as pull_tests
 from tests.test_forwarding import (
@@ -139,6 +141,32 @@
     assert core.counts.sum("input_failures_total") == 0
 
 
+@trios.trio_test
+async def test_host_that_claims_too_much_is_not_asked_alone() -> None:
+    """Guards against a forged revision that keeps a host behind for good."""
+    port = ports.find_tcp_port(_HOST)
+    honest = hosts.make_core(port, _HOST)
+    liar = hosts.make_core(port, _LIAR)
+    behind = hosts.make_core(port, _BEHIND)
+    key = readers.make_key("1")
+    honest.entries.apply_update(
+        messages.EntryUpdate(
+            0, 5, True, (store_entry.StoreEntry(key, readers.make_entry(), 5),)
+        ),
+        _HOST,
+    )
+    receive_report(behind, _LIAR, port, 2**50)
+    receive_report(behind, _HOST, port, 5)
+    async with trio.open_nursery() as nursery:
+        for core in (honest, liar):
+            await nursery.start(snapshot_server.SnapshotServer(core).run)
+        nursery.start_soon(pulls.SnapshotPuller(behind).run)
+        with trio.fail_after(_MAX_WAIT_S):
+            while behind.entries.completeness.upstreams_revision < 5:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+
+
 async def ask(port: int) -> bytes:
     """Asks for a snapshot; returns nothing if the connection is closed."""
     try:
