--- a/persimmonhinge/forwarding/peers/service.py
+++ b/persimmonhinge/forwarding/peers/service.py
@@ -95,10 +95,17 @@
     def _queue_updates(
         self, base_revision: int, entries: list[store_entry.StoreEntry]
     ) -> None:
+        """Queues changes; entries that can't be sent are left out.
+
+        Their keys are none of an upstream, so other hosts don't need them.
+        """
         is_absence_final = self._core.entries.is_absence_final()
+        sendable = [e for e in entries if message_checks.is_sendable(e)]
+        if entries and not sendable:
+            return
         self._pending_updates.extend(
             entry_updates.split_into_updates(
-                base_revision, is_absence_final, entries
+                base_revision, is_absence_final, sendable
             )
         )
         self._updates_queued.set()
@@ -109,19 +116,31 @@
         A host that misses an update, or a desired state that is too long for a
         datagram, sees from a report that it is behind and pulls a snapshot.
         """
-        state_key = self._core.entries.state_key
         while True:
             await self._updates_queued.wait()
             updates, self._pending_updates = self._pending_updates, []
             local_hosts = self._peers.list_local(self._core.settings.domain)
             for update in updates:
-                octets = self._codec.encode(update)
-                if len(octets) > _MAX_UPDATE_OCTETS:
-                    update = entry_updates.omit_desired_state(update, state_key)
-                    octets = self._codec.encode(update)
+                try:
+                    octets = self._encode_update(update)
+                except Exception as error:
+                    self._core.refusals.record_failure(
+                        input_source.InputSource.ENTRY,
+                        f"revision {update.revision}",
+                        error,
+                    )
+                    continue
                 if len(octets) <= _MAX_UPDATE_OCTETS:
                     await channel.send_all(octets, local_hosts)
 
+    def _encode_update(self, update: messages.EntryUpdate) -> bytes:
+        octets = self._codec.encode(update)
+        if len(octets) <= _MAX_UPDATE_OCTETS:
+            return octets
+        state_key = self._core.entries.state_key
+        shortened = entry_updates.omit_desired_state(update, state_key)
+        return self._codec.encode(shortened)
+
     async def expire_silent_hosts(
         self, on_silent: Callable[[flow.Endpoint], None]
     ) -> None:
--- a/persimmonhinge/forwarding/peers/snapshot_server.py
+++ b/persimmonhinge/forwarding/peers/snapshot_server.py
@@ -12,6 +12,7 @@
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import input_source
 from persimmonhinge.forwarding.peers import codec
+from persimmonhinge.forwarding.peers import message_checks
 from persimmonhinge.forwarding.peers import messages
 
 logger = logging.getLogger(__name__)
@@ -164,8 +165,15 @@
         entries = self._core.entries
         peers = self._core.peers.sample_addresses(_MAX_NAMED_PEERS)
         if request.omits_long_state:
-            return entries.make_short_snapshot(request.after_revision, peers)
-        return entries.make_snapshot(request.after_revision, peers)
+            snapshot = entries.make_short_snapshot(
+                request.after_revision, peers
+            )
+        else:
+            snapshot = entries.make_snapshot(request.after_revision, peers)
+        return msgspec.structs.replace(
+            snapshot,
+            entries=tuple(filter(message_checks.is_sendable, snapshot.entries)),
+        )
 
     async def _send(self, stream: trio.abc.Stream, answer: bytes) -> None:
         """Sends an answer for as long as the other host accepts octets.
--- a/tests/test_forwarding/test_forwarding_peers_hostile.py
+++ b/tests/test_forwarding/test_forwarding_peers_hostile.py
@@ -22,7 +22,10 @@
 from tests.support import trios
 from tests.test_forwarding import hostile_scene
 from tests.test_forwarding import scene as scenes
+from tests.test_forwarding import test_forwarding_entry_replica as readers
 from tests.test_forwarding import test_forwarding_peers_early_pull as hosts
+from tests.test_forwarding import test_forwarding_peers_large_state as states
+from tests.test_forwarding import test_forwarding_peers_reporter as reporters
 from tests.test_forwarding import test_forwarding_peers_service as services
 
 _REPORT = messages.Report("h-2", 1, 1, 100, "north", 1, 0, False, True, (), ())
@@ -269,3 +272,54 @@
         host.service.handle_datagram(octets, source)
     assert host.core.peers.list_reporting() == []
     assert host.core.counts.get("malformed_reports_total") == 2
+
+
+@trios.clock_test
+async def test_entries_that_can_not_be_sent_hold_back_no_others() -> None:
+    """Guards against a follower of the store that ends at another's entry.
+
+    Another writer may use any key, and the store any revision.
+    """
+    host = services.ReceivingHost()
+    channel = reporters.RecordingChannel()
+    bad, good = "servers/\ud800", readers.make_key("1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(host.service.send_updates, channel)
+        states.apply_change(host.core, bad, b"{}", 4)
+        states.apply_change(host.core, good, readers.make_entry(), 5)
+        await trio.sleep(1.0)
+        states.apply_change(host.core, good, readers.make_entry(), 2**64)
+        await trio.sleep(1.0)
+        nursery.cancel_scope.cancel()
+    sent = [
+        msgspec.msgpack.decode(octets, type=messages.EntryUpdate)
+        for octets in channel.octets
+    ]
+    assert [e.key for update in sent for e in update.entries] == [good]
+    assert count_failures(host) == 0
+
+
+@trios.clock_test
+async def test_snapshot_omits_entries_that_can_not_be_sent() -> None:
+    core = hosts.make_core(7721)
+    good = readers.make_key("1")
+    states.apply_change(core, "servers/\ud800", b"{}", 4)
+    states.apply_change(core, good, readers.make_entry(), 5)
+    server = snapshot_server.SnapshotServer(core)
+    octets = bytearray()
+    async with trio.open_nursery() as nursery:
+        ours, theirs = trio.testing.memory_stream_pair()
+        nursery.start_soon(answer, server, theirs)
+        await ours.send_all(msgspec.msgpack.encode(messages.PullRequest(0)))
+        async for data in ours:
+            octets += data
+    snapshot = codec.SNAPSHOT_CODEC.decode(octets)
+    assert [entry.key for entry in snapshot.entries] == [good]
+
+
+async def answer(
+    server: snapshot_server.SnapshotServer, stream: trio.abc.Stream
+) -> None:
+    """Answers a request and closes the connection."""
+    await server.answer(stream, _PEER)
+    await stream.aclose()
