Name a port that can't be bound, and pause after errors of reports

The log now names the port and the error before.

Receiving of reports went on after an error of the kernel without a pause, which uses up the processor while the error stays; it now waits 50 ms. Errors that the kernel may return for sends (ENOBUFS, EMSGSIZE, EPERM, ENETUNREACH) ended nothing before; the test keeps it so.

--- a/persimmonhinge/forwarding/peers/service.py
+++ b/persimmonhinge/forwarding/peers/service.py
@@ -33,6 +33,8 @@
 # Maximum size of an update datagram, octets.
 _MAX_UPDATE_OCTETS = 8192
 _SOURCE = input_source.InputSource.PEER_MESSAGE
+# Time after an error of the socket until the next attempt, seconds.
+_RECEIVE_RETRY_S = 0.05
 # Minimum time between two checks for silent hosts, seconds.
 _MIN_SILENCE_CHECK_S = 0.1
 
@@ -80,11 +82,19 @@
         for seed in settings.seed_addresses():
             self._peers.add(flow.Endpoint(seed, settings.report_port), now)
         bound = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
-        await bound.bind((settings.own_address, settings.report_port))
+        try:
+            await bound.bind((settings.own_address, settings.report_port))
+        except OSError as error:
+            bound.close()
+            logger.error(
+                "Can't bind the port of reports.",
+                extra={"port": settings.report_port, "error": str(error)},
+            )
+            raise
         channel = channel_module.PeerChannel(bound, self._core.counts)
         async with trio.open_nursery() as nursery:
             await nursery.start(self._server.run)
-            nursery.start_soon(self._receive, bound)
+            nursery.start_soon(self.receive, bound)
             nursery.start_soon(self._reporter.send_local_reports, channel)
             nursery.start_soon(self._reporter.send_remote_reports, channel)
             nursery.start_soon(self.send_updates, channel)
@@ -156,7 +166,8 @@
             for address in self._peers.expire_silent(time.monotonic()):
                 on_silent(address)
 
-    async def _receive(self, socket: trio.socket.SocketType) -> None:
+    async def receive(self, socket: trio.socket.SocketType) -> None:
+        """Handles datagrams of other hosts until cancelled."""
         while True:
             try:
                 octets, source = await socket.recvfrom(_MAX_DATAGRAM_OCTETS)
@@ -165,6 +176,7 @@
                 logger.debug(
                     "Can't receive datagrams from other hosts: %s.", error
                 )
+                await trio.sleep(_RECEIVE_RETRY_S)
                 continue
             self.handle_datagram(octets, flow.Endpoint(*source[:2]))
 
--- a/persimmonhinge/forwarding/peers/snapshot_server.py
+++ b/persimmonhinge/forwarding/peers/snapshot_server.py
@@ -68,9 +68,16 @@
             OSError: The port can't be bound.
         """
         settings = self._core.settings
-        listeners = await trio.open_tcp_listeners(
-            settings.snapshot_port, host=settings.own_address
-        )
+        try:
+            listeners = await trio.open_tcp_listeners(
+                settings.snapshot_port, host=settings.own_address
+            )
+        except OSError as error:
+            logger.error(
+                "Can't bind the port of snapshots.",
+                extra={"port": settings.snapshot_port, "error": str(error)},
+            )
+            raise
         task_status.started()
         await trio.serve_listeners(self._serve, listeners)
 
--- a/tests/test_forwarding/test_forwarding_peers_hostile.py
+++ b/tests/test_forwarding/test_forwarding_peers_hostile.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import errno
+import itertools
+import socket
+from typing import cast
+import unittest
 import zlib
 
 import msgspec
@@ -14,11 +19,14 @@
 from persimmonhinge.forwarding import service_demand
 from persimmonhinge.forwarding import store_entry
 from persimmonhinge.forwarding import upstream_load
+from persimmonhinge.forwarding.peers import channel as channel_module
 from persimmonhinge.forwarding.peers import codec
 from persimmonhinge.forwarding.peers import early_pull
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import pull_attempt
+from persimmonhinge.forwarding.peers import service
 from persimmonhinge.forwarding.peers import snapshot_server
+from tests.standins import ports
 from tests.support import trios
 from tests.test_forwarding import hostile_scene
 from tests.test_forwarding import scene as scenes
@@ -323,3 +331,65 @@
     """Answers a request and closes the connection."""
     await server.answer(stream, _PEER)
     await stream.aclose()
+
+
+@trios.trio_test
+async def test_error_of_the_socket_of_reports_does_not_end_the_process() -> (
+    None
+):
+    """Guards against a host that ends at, or spins on, errors of the kernel."""
+    host = services.ReceivingHost()
+    numbers = [errno.ENOBUFS, errno.EMSGSIZE, errno.EPERM, errno.ENETUNREACH]
+    failing = FailingSocket(numbers)
+    sender = channel_module.PeerChannel(
+        cast("trio.socket.SocketType", failing), host.core.counts
+    )
+    await sender.send_all(b"x", [services.PEER_ADDRESS] * len(numbers))
+    with trio.move_on_after(0.1):
+        await host.service.receive(cast("trio.socket.SocketType", failing))
+    calls = host.core.counts.get("report_errors_total")
+    assert len(numbers) < calls < 3 * len(numbers)
+
+
+@trios.trio_test
+async def test_port_that_is_taken_ends_the_process_and_is_named() -> None:
+    """Guards against a host that ends and doesn't say why."""
+    for kind, module in (
+        (socket.SOCK_DGRAM, service),
+        (socket.SOCK_STREAM, snapshot_server),
+    ):
+        host = hostile_scene.HostileScene()
+        settings = host.core.settings
+        first = ports.find_tcp_port(settings.own_address)
+        host.core.settings = records.replace(
+            settings, peer_ports=(first, first + 1)
+        )
+        taken = first + (kind == socket.SOCK_STREAM)
+        with socket.socket(type=kind) as other:
+            other.bind((settings.own_address, taken))
+            if kind == socket.SOCK_STREAM:
+                other.listen()
+            with unittest.TestCase().assertLogs(module.logger) as lines:
+                try:
+                    await host.service.run()
+                except* OSError:
+                    pass
+        assert lines.records[0].__dict__["port"] == taken
+        host.check()
+
+
+class FailingSocket:
+    """A socket whose every call fails with one error after the other."""
+
+    def __init__(self, numbers: list[int]) -> None:
+        self._numbers = itertools.cycle(numbers)
+
+    async def sendto(self, octets: bytes, address: flow.Endpoint) -> None:
+        """See `trio.socket.SocketType`."""
+        await trio.lowlevel.checkpoint()
+        raise OSError(next(self._numbers), "failed")
+
+    async def recvfrom(self, max_octets: int) -> None:
+        """See `trio.socket.SocketType`."""
+        await trio.lowlevel.checkpoint()
+        raise OSError(next(self._numbers), "failed")
