Limit what a compressed datagram may become

A compressed datagram of 4 KB could hold a report of 4 MB with 990,000 loads.

The test before: no datagram was refused.

--- a/persimmonhinge/forwarding/peers/codec.py
+++ b/persimmonhinge/forwarding/peers/codec.py
@@ -44,12 +44,18 @@
     the packets that it forwards by 0.3 s, so that it suspects all upstreams.
     """
 
-    def __init__(self, message_type: Any) -> None:
+    def __init__(
+        self,
+        message_type: Any,
+        max_octets: int = message_limits.MAX_SNAPSHOT_OCTETS,
+    ) -> None:
         """Initializes the codec.
 
         Args:
             message_type: The type of the messages, or the union of their types.
+            max_octets: Maximum length of a message after decompression, octets.
         """
+        self._max_octets = max_octets
         self._encoder = msgspec.msgpack.Encoder()
         self._uncompressed_decoder = msgspec.msgpack.Decoder(message_type)
         self._decoder = msgspec.msgpack.Decoder(
@@ -77,7 +83,7 @@
             message = self._decoder.decode(octets)
             if isinstance(message, messages.CompressedMessage):
                 message = self._uncompressed_decoder.decode(
-                    _decompress(message.octets)
+                    _decompress(message.octets, self._max_octets)
                 )
         except _DECODING_ERRORS as error:
             raise _make_error(error) from error
@@ -107,7 +113,7 @@
     )
 
 
-def _decompress(octets: bytes) -> bytes:
+def _decompress(octets: bytes, max_octets: int) -> bytes:
     """Returns the decompressed octets.
 
     The size limit keeps a small message from exhausting memory when it is
@@ -119,10 +125,9 @@
             the limit when decompressed.
     """
     stream = zlib.decompressobj()
-    limit = message_limits.MAX_SNAPSHOT_OCTETS
-    decompressed = stream.decompress(octets, limit)
+    decompressed = stream.decompress(octets, max_octets)
     if not stream.eof:
         raise msgspec.DecodeError(
-            f"message is truncated or exceeds {limit} octets"
+            f"message is truncated or exceeds {max_octets} octets"
         )
     return decompressed
--- a/persimmonhinge/forwarding/peers/message_checks.py
+++ b/persimmonhinge/forwarding/peers/message_checks.py
@@ -40,6 +40,10 @@
     },
     messages.PullRequest: {"after_revision": _REVISIONS},
 }
+_MAX_ENTRIES: dict[type[msgspec.Struct], int] = {
+    messages.EntryUpdate: limits.MAX_UPDATE_ENTRIES,
+    messages.Snapshot: limits.MAX_SNAPSHOT_ENTRIES,
+}
 
 
 def check_message(message: msgspec.Struct) -> None:
@@ -58,8 +62,7 @@
         _check_name("host", message.host)
         _check_name("domain", message.domain)
     elif isinstance(message, messages.EntryUpdate | messages.Snapshot):
-        for entry in message.entries:
-            _check_entry(entry)
+        _check_entries(message.entries, _MAX_ENTRIES[type(message)])
 
 
 def omit_unusable_items(
@@ -106,6 +109,15 @@
         )
 
 
+def _check_entries(
+    entries: Sequence[store_entry.StoreEntry], max_entries: int
+) -> None:
+    if len(entries) > max_entries:
+        raise _make_error("entries", f"has over {max_entries} items")
+    for entry in entries:
+        _check_entry(entry)
+
+
 def _check_entry(entry: store_entry.StoreEntry) -> None:
     if not 0 <= entry.revision <= limits.MAX_REVISION:
         raise _make_error(
--- a/persimmonhinge/forwarding/peers/message_limits.py
+++ b/persimmonhinge/forwarding/peers/message_limits.py
@@ -23,6 +23,13 @@
 # Maximum length of a snapshot, octets: a value of the store takes up to a
 # megabyte, and the entries of all upstreams take as much.
 MAX_SNAPSHOT_OCTETS = 4_000_000
+# Maximum length of the message in a compressed datagram, octets: an update has
+# a value of the store at most and a few entries of upstreams.
+MAX_DATAGRAM_MESSAGE_OCTETS = 1_100_000
+# Maximum numbers of entries. Hosts send 8 in an update; a snapshot has 5,000
+# upstreams at most and 1,000 deletions.
+MAX_UPDATE_ENTRIES = 64
+MAX_SNAPSHOT_ENTRIES = 50_000
 # Maximum numbers of upstreams, services and other hosts that are used of one
 # message. Hosts send 32 at most.
 MAX_LOADS = 64
--- a/persimmonhinge/forwarding/peers/service.py
+++ b/persimmonhinge/forwarding/peers/service.py
@@ -21,6 +21,7 @@
     follower_role as follower_role_module,
 )
 from persimmonhinge.forwarding.peers import message_checks
+from persimmonhinge.forwarding.peers import message_limits
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import pulls
 from persimmonhinge.forwarding.peers import reporter
@@ -64,7 +65,10 @@
         self._server = snapshot_server.SnapshotServer(core)
         self._codec: codec.MessageCodec[
             messages.Report | messages.EntryUpdate
-        ] = codec.MessageCodec(messages.Report | messages.EntryUpdate)
+        ] = codec.MessageCodec(
+            messages.Report | messages.EntryUpdate,
+            message_limits.MAX_DATAGRAM_MESSAGE_OCTETS,
+        )
         self._pending_updates: list[messages.EntryUpdate] = []
         self._updates_queued = auto_reset_event.AutoResetEvent()
         core.entries.on_changes = self._queue_updates
--- a/tests/test_forwarding/test_forwarding_peers_hostile.py
+++ b/tests/test_forwarding/test_forwarding_peers_hostile.py
@@ -282,6 +282,24 @@
     assert host.core.counts.get("malformed_reports_total") == 2
 
 
+def test_short_datagram_does_not_become_a_message_of_megabytes() -> None:
+    """Guards against a process that is killed for its memory."""
+    host = services.ReceivingHost()
+    entry = store_entry.StoreEntry("servers/a", None, 5)
+    long_entry = entry._replace(value=bytes(1_200_000))
+    for entries in ((entry,) * 65, (long_entry,)):
+        update = messages.EntryUpdate(0, 5, True, entries)
+        octets = compress(msgspec.msgpack.encode(update))
+        host.service.handle_datagram(octets, services.PEER_ADDRESS)
+    assert host.core.counts.get("malformed_reports_total") == 2
+    assert host.core.entries.revision == 0
+    long_entry = entry._replace(value=bytes(1_048_576))
+    update = messages.EntryUpdate(0, 5, True, (long_entry, *(entry,) * 7))
+    octets = compress(msgspec.msgpack.encode(update))
+    host.service.handle_datagram(octets, services.PEER_ADDRESS)
+    assert host.core.entries.revision == 5
+
+
 @trios.clock_test
 async def test_entries_that_can_not_be_sent_hold_back_no_others() -> None:
     """Guards against a follower of the store that ends at another's entry.
