--- a/persimmonhinge/forwarding/peers/message_limits.py
+++ b/persimmonhinge/forwarding/peers/message_limits.py
@@ -8,8 +8,8 @@
 # Maximum revision of the store: the largest integer that JSON numbers hold
 # exactly in all implementations.
 MAX_REVISION = 2**53 - 1
-# Maximum time between two reports to the same host, milliseconds. The budget
-# for reports allows half of it for the largest table of peers.
+# Maximum time between two reports to the same host, milliseconds: about twice
+# as long as the budget for reports requires with a full table of peers.
 MAX_INTERVAL_MS = 600_000
 # Maximum time since the store confirmed the entries, milliseconds: ten years.
 MAX_AGE_MS = 10 * 365 * 86_400_000
--- a/persimmonhinge/forwarding/peers/peer_table.py
+++ b/persimmonhinge/forwarding/peers/peer_table.py
@@ -203,9 +203,8 @@
     def _add_reporting(self, address: flow.Endpoint, now: float) -> Peer:
         """Adds a host that has just reported.
 
-        Guards against memory that grows with the addresses that reports come
-        from: a full table has room for a host only instead of one that does
-        not report.
+        Guards against memory that grows with the number of source addresses. If
+        the table is full, the host replaces one that does not report.
         """
         if address == self._own_address or not is_usable_address(address):
             raise _make_source_error("is no address of another host")
--- a/persimmonhinge/forwarding/peers/service.py
+++ b/persimmonhinge/forwarding/peers/service.py
@@ -109,9 +109,9 @@
     def _queue_updates(
         self, base_revision: int, entries: list[store_entry.StoreEntry]
     ) -> None:
-        """Queues changes; entries that can't be sent are left out.
+        """Queues updates with changes; leaves out entries that can't be sent.
 
-        Their keys are none of an upstream, so other hosts don't need them.
+        No upstream has the key of such an entry.
         """
         is_absence_final = self._core.entries.is_absence_final()
         sendable = [e for e in entries if message_checks.is_sendable(e)]
