--- a/persimmonhinge/forwarding/peers/codec.py
+++ b/persimmonhinge/forwarding/peers/codec.py
@@ -9,6 +9,9 @@
 
 import msgspec
 
+from persimmonhinge import errors
+from persimmonhinge.forwarding.peers import message_checks
+from persimmonhinge.forwarding.peers import message_limits
 from persimmonhinge.forwarding.peers import messages
 
 M = TypeVar("M", bound=msgspec.Struct)
@@ -18,9 +21,18 @@
 _MAX_UNCOMPRESSED_OCTETS = 1_000
 # The fastest compression level of zlib.
 _COMPRESSION_LEVEL = 1
-# Maximum size of a message after decompression, octets: a value of the store
-# takes up to a megabyte, and the entries of all upstreams take as much.
-_MAX_DECOMPRESSED_OCTETS = 4_000_000
+_DECODING_STEP = "decode message"
+# What decoders raise: members nested too deep raise RecursionError, even where
+# a type has no such member, as in messages of later releases. Lengths that
+# exceed the memory raise MemoryError.
+_DECODING_ERRORS = (
+    msgspec.MsgspecError,
+    zlib.error,
+    RecursionError,
+    MemoryError,
+    OverflowError,
+    ValueError,
+)
 
 
 class MessageCodec(Generic[M]):
@@ -32,12 +44,18 @@
     the packets that it forwards by 0.3 s, so that it suspects all upstreams.
     """
 
-    def __init__(self, message_type: Any) -> None:
+    def __init__(
+        self,
+        message_type: Any,
+        max_octets: int = message_limits.MAX_SNAPSHOT_OCTETS,
+    ) -> None:
         """Initializes the codec.
 
         Args:
             message_type: The type of the messages, or the union of their types.
+            max_octets: Maximum length of a message after decompression, octets.
         """
+        self._max_octets = max_octets
         self._encoder = msgspec.msgpack.Encoder()
         self._uncompressed_decoder = msgspec.msgpack.Decoder(message_type)
         self._decoder = msgspec.msgpack.Decoder(
@@ -58,40 +76,58 @@
         """Decodes a message.
 
         Raises:
-            msgspec.MsgspecError: The octets are no valid message.
+            MalformedMessageError: The octets are no valid message, or one of
+                its values is out of range.
         """
-        message = self._decoder.decode(octets)
-        if isinstance(message, messages.CompressedMessage):
-            return self._uncompressed_decoder.decode(
-                _decompress(message.octets)
-            )
+        try:
+            message = self._decoder.decode(octets)
+            if isinstance(message, messages.CompressedMessage):
+                message = self._uncompressed_decoder.decode(
+                    _decompress(message.octets, self._max_octets)
+                )
+        except _DECODING_ERRORS as error:
+            raise _make_error(error) from error
+        message_checks.check_message(message)
         return message
 
 
 SNAPSHOT_CODEC: MessageCodec[messages.Snapshot] = MessageCodec(
     messages.Snapshot
 )
+REQUEST_CODEC: MessageCodec[messages.PullRequest] = MessageCodec(
+    messages.PullRequest
+)
 
 
-def _decompress(octets: bytes) -> bytes:
+def _make_error(error: Exception) -> errors.MalformedMessageError:
+    """Returns the error of a message for an error of a decoder.
+
+    The decoder ends its messages with the path of a member, as in
+    `Expected `int`, got `str` - at `$[2]``.
+    """
+    reason, _, path = str(error).partition(" - at ")
+    return errors.MalformedMessageError(
+        reason or type(error).__name__,
+        step=_DECODING_STEP,
+        field=path.strip("`"),
+    )
+
+
+def _decompress(octets: bytes, max_octets: int) -> bytes:
     """Returns the decompressed octets.
 
     The size limit keeps a small message from exhausting memory when it is
     decompressed.
 
     Raises:
+        zlib.error: The octets are no zlib stream.
         msgspec.DecodeError: The octets are no complete zlib stream, or exceed
             the limit when decompressed.
     """
     stream = zlib.decompressobj()
-    try:
-        decompressed = stream.decompress(octets, _MAX_DECOMPRESSED_OCTETS)
-    except zlib.error as error:
-        raise msgspec.DecodeError(
-            f"message is not valid zlib data: {error}"
-        ) from error
+    decompressed = stream.decompress(octets, max_octets)
     if not stream.eof:
         raise msgspec.DecodeError(
-            f"message is truncated or exceeds {_MAX_DECOMPRESSED_OCTETS} octets"
+            f"message is truncated or exceeds {max_octets} octets"
         )
     return decompressed
--- a/persimmonhinge/forwarding/peers/early_pull.py
+++ b/persimmonhinge/forwarding/peers/early_pull.py
@@ -4,10 +4,12 @@
 
 import msgspec
 
+from persimmonhinge import errors
 from persimmonhinge import random_sampling
 from persimmonhinge.forwarding import core as core_module
-from persimmonhinge.forwarding.peers import codec
+from persimmonhinge.forwarding import flow
 from persimmonhinge.forwarding.peers import messages
+from persimmonhinge.forwarding.peers import peer_table
 from persimmonhinge.forwarding.peers import pull_attempt
 from persimmonhinge.store import blocking_transport
 
@@ -28,15 +30,22 @@
     """
     seeds = core.settings.seed_addresses()
     for host in random_sampling.sample(seeds, len(seeds)):
+        address = flow.Endpoint(host, core.settings.snapshot_port)
         if host == core.settings.own_address:
             continue
+        if not peer_table.is_usable_address(address):
+            # `PeerTable.add` logs it later.
+            continue
         attempt = pull_attempt.PullAttempt(core, host)
         try:
             blocking_transport.run(_request_snapshot(core, attempt))
-            snapshot = codec.SNAPSHOT_CODEC.decode(attempt.octets)
-        except (OSError, msgspec.MsgspecError) as error:
+            snapshot = attempt.decode_snapshot()
+        except (OSError, errors.MalformedMessageError) as error:
             attempt.record_failure(error)
             continue
+        except Exception as error:
+            attempt.record_unexpected_error(error)
+            continue
         attempt.apply_snapshot(snapshot)
         if core.knowledge.is_complete():
             return
@@ -58,7 +67,7 @@
         await transport.open()
         await transport.send_all(msgspec.msgpack.encode(request))
         while data := await transport.receive_some():
-            attempt.octets.extend(data)
+            attempt.add_octets(data)
 
     try:
         await transport.run_within(
--- a/persimmonhinge/forwarding/peers/pull_attempt.py
+++ b/persimmonhinge/forwarding/peers/pull_attempt.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import time
 
 from persimmonhinge import early_logs
+from persimmonhinge import errors
 from persimmonhinge.forwarding import core as core_module
+from persimmonhinge.forwarding import input_source
+from persimmonhinge.forwarding.peers import codec
+from persimmonhinge.forwarding.peers import message_limits
 from persimmonhinge.forwarding.peers import messages
 
 logger = early_logs.get_logger(__name__)
 
+_SOURCE = input_source.InputSource.SNAPSHOT
+
 
 class PullAttempt:
     """Records the progress of a pull and applies the snapshot.
@@ -33,15 +40,49 @@
         self.host = host
         self.octets = bytearray()
 
+    def add_octets(self, octets: bytes | bytearray) -> None:
+        """Adds octets of the answer.
+
+        Raises:
+            MalformedMessageError: The answer is longer than any snapshot.
+        """
+        self.octets += octets
+        if len(self.octets) > message_limits.MAX_SNAPSHOT_OCTETS:
+            raise errors.MalformedMessageError(
+                f"is over {message_limits.MAX_SNAPSHOT_OCTETS} octets",
+                step="pull snapshot",
+                peer=self.host,
+            )
+
+    def decode_snapshot(self) -> messages.Snapshot:
+        """Returns the snapshot after the connection was closed.
+
+        Raises:
+            ConnectionError: There was no answer.
+            MalformedMessageError: The answer is no snapshot.
+        """
+        if not self.octets:
+            raise ConnectionError("the host closed the connection")
+        return codec.SNAPSHOT_CODEC.decode(self.octets)
+
     def apply_snapshot(self, snapshot: messages.Snapshot) -> None:
         """Applies a full snapshot, which has the desired state."""
-        self._record_success(snapshot)
-        self._core.entries.apply_snapshot(snapshot, self.host)
+        self._apply(self._core.entries.apply_snapshot, snapshot)
 
     def apply_short_snapshot(self, snapshot: messages.Snapshot) -> None:
         """Applies a short snapshot, which omits a long desired state."""
+        self._apply(self._core.entries.apply_short_snapshot, snapshot)
+
+    def _apply(
+        self,
+        apply_entries: Callable[[messages.Snapshot, str], None],
+        snapshot: messages.Snapshot,
+    ) -> None:
         self._record_success(snapshot)
-        self._core.entries.apply_short_snapshot(snapshot, self.host)
+        try:
+            apply_entries(snapshot, self.host)
+        except Exception as error:
+            self.record_unexpected_error(error)
 
     def _record_success(self, snapshot: messages.Snapshot) -> None:
         self._core.counts.observe(
@@ -64,6 +105,8 @@
         text.
         """
         self._core.counts.add("snapshot_errors_total")
+        if isinstance(error, errors.RefusedInputError):
+            self._core.refusals.record_refusal(_SOURCE, self.host, error)
         logger.warning(
             "Failed to pull a snapshot from a peer: %s %s.",
             type(error).__name__,
@@ -71,6 +114,11 @@
             extra=self._make_log_fields(),
         )
 
+    def record_unexpected_error(self, error: Exception) -> None:
+        """Records an error that no step of a pull is expected to raise."""
+        self._core.counts.add("snapshot_errors_total")
+        self._core.refusals.record_failure(_SOURCE, self.host, error)
+
     def record_refusal(self) -> None:
         """Records that the host is busy sending its desired state to others."""
         self._core.counts.add("snapshot_refusals_total")
--- a/persimmonhinge/forwarding/peers/pulls.py
+++ b/persimmonhinge/forwarding/peers/pulls.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
+import logging
 import random
 import time
 
 import msgspec
 import trio
 
+from persimmonhinge import errors
 from persimmonhinge.forwarding import auto_reset_event
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import flow
-from persimmonhinge.forwarding.peers import codec
+from persimmonhinge.forwarding.peers import message_limits
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import peer_table
 from persimmonhinge.forwarding.peers import pull_attempt
 
+logger = logging.getLogger(__name__)
+
 # Time without any octets from the other host after which a pull is aborted,
 # seconds.
 _RECEIVE_TIMEOUT_S = 1.0
@@ -139,6 +143,8 @@
             return
         attempt.apply_short_snapshot(snapshot)
         self._add_peers(snapshot)
+        if self._core.entries.completeness.upstreams_revision <= since:
+            self._exclude_without_progress(peer)
 
     async def _pull_full_snapshot(self, peer: peer_table.Peer) -> None:
         since = self._core.entries.revision
@@ -155,6 +161,8 @@
             return
         attempt.apply_snapshot(snapshot)
         self._add_peers(snapshot)
+        if self._core.entries.revision <= since:
+            self._exclude_without_progress(peer)
 
     async def _request_snapshot(
         self,
@@ -171,16 +179,18 @@
         try:
             with trio.fail_after(_MAX_PULL_S):
                 await self._receive(request, attempt)
-            return codec.SNAPSHOT_CODEC.decode(attempt.octets)
+            return attempt.decode_snapshot()
         except (
             OSError,
             trio.BrokenResourceError,
             trio.TooSlowError,
-            msgspec.MsgspecError,
+            errors.MalformedMessageError,
         ) as error:
             attempt.record_failure(error)
-            self._exclude(peer, _FAILURE_BACKOFF_S)
-            return None
+        except Exception as error:
+            attempt.record_unexpected_error(error)
+        self._exclude(peer, _FAILURE_BACKOFF_S)
+        return None
 
     async def _receive(
         self,
@@ -192,12 +202,24 @@
             async with stream:
                 await stream.send_all(msgspec.msgpack.encode(request))
                 async for data in stream:
-                    attempt.octets += data
+                    attempt.add_octets(data)
                     idle_limit.deadline = (
                         trio.current_time() + _RECEIVE_TIMEOUT_S
                     )
 
+    def _exclude_without_progress(self, peer: peer_table.Peer) -> None:
+        """Asks other hosts before one whose snapshot had nothing newer.
+
+        Guards against a host that reports a revision it doesn't have, and that
+        would be the only one asked, as the newest.
+        """
+        logger.warning(
+            "A peer reported entries that its snapshot did not have.",
+            extra={"peer": str(peer.address)},
+        )
+        self._exclude(peer, _FAILURE_BACKOFF_S)
+
     def _add_peers(self, snapshot: messages.Snapshot) -> None:
         now = time.monotonic()
-        for address in snapshot.peers:
+        for address in snapshot.peers[: message_limits.MAX_PEERS]:
             self._peers.add(address, now)
--- a/persimmonhinge/forwarding/peers/service.py
+++ b/persimmonhinge/forwarding/peers/service.py
@@ -6,12 +6,13 @@
 import logging
 import time
 
-import msgspec
 import trio
 
+from persimmonhinge import errors
 from persimmonhinge.forwarding import auto_reset_event
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import flow
+from persimmonhinge.forwarding import input_source
 from persimmonhinge.forwarding import store_entry
 from persimmonhinge.forwarding.peers import channel as channel_module
 from persimmonhinge.forwarding.peers import codec
@@ -19,6 +20,8 @@
 from persimmonhinge.forwarding.peers import (
     follower_role as follower_role_module,
 )
+from persimmonhinge.forwarding.peers import message_checks
+from persimmonhinge.forwarding.peers import message_limits
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.forwarding.peers import pulls
 from persimmonhinge.forwarding.peers import reporter
@@ -30,6 +33,9 @@
 _MAX_DATAGRAM_OCTETS = 65_535
 # Maximum size of an update datagram, octets.
 _MAX_UPDATE_OCTETS = 8192
+_SOURCE = input_source.InputSource.PEER_MESSAGE
+# Time after an error of the socket until the next attempt, seconds.
+_RECEIVE_RETRY_S = 0.05
 # Minimum time between two checks for silent hosts, seconds.
 _MIN_SILENCE_CHECK_S = 0.1
 
@@ -59,7 +65,10 @@
         self._server = snapshot_server.SnapshotServer(core)
         self._codec: codec.MessageCodec[
             messages.Report | messages.EntryUpdate
-        ] = codec.MessageCodec(messages.Report | messages.EntryUpdate)
+        ] = codec.MessageCodec(
+            messages.Report | messages.EntryUpdate,
+            message_limits.MAX_DATAGRAM_MESSAGE_OCTETS,
+        )
         self._pending_updates: list[messages.EntryUpdate] = []
         self._updates_queued = auto_reset_event.AutoResetEvent()
         core.entries.on_changes = self._queue_updates
@@ -77,11 +86,19 @@
         for seed in settings.seed_addresses():
             self._peers.add(flow.Endpoint(seed, settings.report_port), now)
         bound = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
-        await bound.bind((settings.own_address, settings.report_port))
+        try:
+            await bound.bind((settings.own_address, settings.report_port))
+        except OSError as error:
+            bound.close()
+            logger.error(
+                "Can't bind the port of reports.",
+                extra={"port": settings.report_port, "error": str(error)},
+            )
+            raise
         channel = channel_module.PeerChannel(bound, self._core.counts)
         async with trio.open_nursery() as nursery:
             await nursery.start(self._server.run)
-            nursery.start_soon(self._receive, bound)
+            nursery.start_soon(self.receive, bound)
             nursery.start_soon(self._reporter.send_local_reports, channel)
             nursery.start_soon(self._reporter.send_remote_reports, channel)
             nursery.start_soon(self.send_updates, channel)
@@ -92,10 +109,17 @@
     def _queue_updates(
         self, base_revision: int, entries: list[store_entry.StoreEntry]
     ) -> None:
+        """Queues updates with changes; leaves out entries that can't be sent.
+
+        No upstream has the key of such an entry.
+        """
         is_absence_final = self._core.entries.is_absence_final()
+        sendable = [e for e in entries if message_checks.is_sendable(e)]
+        if entries and not sendable:
+            return
         self._pending_updates.extend(
             entry_updates.split_into_updates(
-                base_revision, is_absence_final, entries
+                base_revision, is_absence_final, sendable
             )
         )
         self._updates_queued.set()
@@ -106,19 +130,31 @@
         A host that misses an update, or a desired state that is too long for a
         datagram, sees from a report that it is behind and pulls a snapshot.
         """
-        state_key = self._core.entries.state_key
         while True:
             await self._updates_queued.wait()
             updates, self._pending_updates = self._pending_updates, []
             local_hosts = self._peers.list_local(self._core.settings.domain)
             for update in updates:
-                octets = self._codec.encode(update)
-                if len(octets) > _MAX_UPDATE_OCTETS:
-                    update = entry_updates.omit_desired_state(update, state_key)
-                    octets = self._codec.encode(update)
+                try:
+                    octets = self._encode_update(update)
+                except Exception as error:
+                    self._core.refusals.record_failure(
+                        input_source.InputSource.ENTRY,
+                        f"revision {update.revision}",
+                        error,
+                    )
+                    continue
                 if len(octets) <= _MAX_UPDATE_OCTETS:
                     await channel.send_all(octets, local_hosts)
 
+    def _encode_update(self, update: messages.EntryUpdate) -> bytes:
+        octets = self._codec.encode(update)
+        if len(octets) <= _MAX_UPDATE_OCTETS:
+            return octets
+        state_key = self._core.entries.state_key
+        shortened = entry_updates.omit_desired_state(update, state_key)
+        return self._codec.encode(shortened)
+
     async def expire_silent_hosts(
         self, on_silent: Callable[[flow.Endpoint], None]
     ) -> None:
@@ -134,7 +170,8 @@
             for address in self._peers.expire_silent(time.monotonic()):
                 on_silent(address)
 
-    async def _receive(self, socket: trio.socket.SocketType) -> None:
+    async def receive(self, socket: trio.socket.SocketType) -> None:
+        """Handles datagrams of other hosts until cancelled."""
         while True:
             try:
                 octets, source = await socket.recvfrom(_MAX_DATAGRAM_OCTETS)
@@ -143,23 +180,43 @@
                 logger.debug(
                     "Can't receive datagrams from other hosts: %s.", error
                 )
+                await trio.sleep(_RECEIVE_RETRY_S)
                 continue
             self.handle_datagram(octets, flow.Endpoint(*source[:2]))
 
     def handle_datagram(self, octets: bytes, source: flow.Endpoint) -> None:
-        """Handles a datagram from another host."""
+        """Handles a datagram from another host.
+
+        Guards against a process that one datagram ends: a datagram that can't
+        be decoded, or whose handling fails, is recorded and dropped.
+        """
+        refusals = self._core.refusals
         try:
-            message = self._codec.decode(octets)
-        except msgspec.MsgspecError as error:
+            self._handle_message(self._codec.decode(octets), source)
+        except errors.MalformedMessageError as error:
             self._core.counts.add("malformed_reports_total")
-            logger.warning(
-                "Dropped a malformed datagram from another host: %s.", error
-            )
-            return
+            refusals.record_refusal(_SOURCE, str(source), error)
+        except Exception as error:
+            refusals.record_failure(_SOURCE, str(source), error)
+
+    def _handle_message(
+        self,
+        message: messages.Report | messages.EntryUpdate,
+        source: flow.Endpoint,
+    ) -> None:
         if isinstance(message, messages.EntryUpdate):
             self._core.entries.apply_update(message, source.host)
         else:
-            self.handle_report(message, source)
+            self._handle_decoded_report(message, source)
+
+    def _handle_decoded_report(
+        self, report: messages.Report, source: flow.Endpoint
+    ) -> None:
+        usable, error = message_checks.omit_unusable_items(report)
+        if error is not None:
+            self._core.counts.add("malformed_reports_total")
+            self._core.refusals.record_refusal(_SOURCE, str(source), error)
+        self.handle_report(usable, source)
 
     def handle_report(
         self, report: messages.Report, address: flow.Endpoint
