Isolate a packet, opening, verdict or swept flow that fails

Cause: the loops over packets, openings, verdicts and swept flows had no place where one input is kept apart from the others; `sendto` raises OverflowError, TypeError or ValueError for addresses, and `_send` expects OSError alone.

Each of these loops now records the failed input and goes on.

--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -99,6 +99,7 @@
             flow_table.FlowTable(_MAX_FLOWS),
             self.loads,
             self.counts,
+            refusals=self.refusals,
         )
         self.peers = peer_table.PeerTable(
             flow.Endpoint(settings.own_address, settings.report_port),
@@ -137,6 +138,7 @@
             self.openings,
             self.suspicions,
             self.counts,
+            refusals=self.refusals,
         )
 
     def receive_batch(self) -> int:
@@ -152,8 +154,7 @@
         """
         while self.receive_batch() == sockets.MAX_BATCH_DATAGRAMS:
             pass
-        for opening in self.openings.pop_due():
-            self.forwarder.retry_opening(opening)
+        self.forwarder.retry_openings(self.openings.pop_due())
 
     def start_overload_control(
         self, sources: demand_sources.DemandSources | None = None
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import time
 
 from persimmonhinge import early_logs
@@ -10,8 +11,10 @@
 from persimmonhinge import ids
 from persimmonhinge.forwarding import flow as flow_module
 from persimmonhinge.forwarding import flow_table
+from persimmonhinge.forwarding import input_source
 from persimmonhinge.forwarding import knowledge as knowledge_module
 from persimmonhinge.forwarding import packet as packet_module
+from persimmonhinge.forwarding import refusals as refusals_module
 from persimmonhinge.forwarding import route as route_module
 from persimmonhinge.forwarding import tracker as tracker_module
 from persimmonhinge.forwarding import upstream as upstream_module
@@ -62,6 +65,7 @@
         suspicions: suspicions_module.Suspicions,
         counts: counts_module.Counts,
         clock: Callable[[], float] = time.monotonic,
+        refusals: refusals_module.Refusals | None = None,
     ) -> None:
         self._codec = codec
         self._output = output
@@ -72,6 +76,7 @@
         self._suspicions = suspicions
         self._counts = counts
         self._clock = clock
+        self._refusals = refusals or refusals_module.Refusals(counts)
         self._overload: overload_module.OverloadControl | None = None
         self._gate: admission_gate.AdmissionGate | None = None
         self._budget = retry_budget.RetryBudget()
@@ -95,17 +100,29 @@
         return self._gate is not None and self._gate.has_waiting
 
     def handle_datagram(self, octets: bytes) -> None:
-        """Handles one datagram received from the fabric."""
+        """Handles one datagram received from the fabric; raises no error."""
+        packet = None
         try:
             packet = self._codec.decode(octets)
+            if packet.opens:
+                self._handle_opening(packet)
+            else:
+                self._handle_later_packet(packet)
         except errors.MalformedPacketError as error:
             self._counts.add("packets_dropped_total", reason="malformed")
-            logger.warning("Dropped a malformed datagram: %s.", error)
-            return
-        if packet.opens:
-            self._handle_opening(packet)
-        else:
-            self._handle_later_packet(packet)
+            self._refusals.record_refusal(
+                input_source.InputSource.PACKET, error.peer, error
+            )
+        except Exception as error:
+            self._record_failure(packet, error)
+
+    def retry_openings(self, openings: list[openings_module.Opening]) -> None:
+        """Retries unanswered openings; an error of one affects no other."""
+        for opening in openings:
+            try:
+                self.retry_opening(opening)
+            except Exception as error:
+                self._record_failure(opening.packet, error)
 
     def retry_opening(self, opening: openings_module.Opening) -> None:
         """Sends an unanswered opening packet to another upstream.
@@ -131,16 +148,46 @@
         if self._gate is None or not self._gate.has_waiting:
             return
         now = self._clock()
-        for verdict in self._gate.pop_due(now):
-            self._apply_verdict(verdict, now)
+        verdicts = self._gate.pop_due(now)
+        while self._apply_next_verdict(verdicts, now):
+            pass
 
     def place_waiting_flows(self) -> None:
         """Places all waiting flows, before a planned stop of the host."""
         if self._gate is None:
             return
         now = self._clock()
-        for verdict in self._gate.begin_stop(now):
+        verdicts = self._gate.begin_stop(now)
+        while self._apply_next_verdict(verdicts, now):
+            pass
+
+    def _apply_next_verdict(
+        self, verdicts: Iterator[verdict_module.Verdict], now: float
+    ) -> bool:
+        """Applies one verdict; returns False if there was none.
+
+        An iterator that raised an error has no further verdict. The flows that
+        still wait are tried again with the next release.
+        """
+        packet = None
+        try:
+            verdict = next(verdicts, None)
+            if verdict is None:
+                return False
+            packet = verdict.packet
             self._apply_verdict(verdict, now)
+        except Exception as error:
+            self._record_failure(packet, error)
+        return True
+
+    def _record_failure(
+        self, packet: packet_module.Packet | None, error: Exception
+    ) -> None:
+        self._refusals.record_failure(
+            input_source.InputSource.PACKET,
+            str(packet.flow) if packet is not None else "",
+            error,
+        )
 
     def _apply_verdict(
         self, verdict: verdict_module.Verdict, now: float
--- a/persimmonhinge/forwarding/tracker.py
+++ b/persimmonhinge/forwarding/tracker.py
@@ -9,7 +9,9 @@
 from persimmonhinge import ids
 from persimmonhinge.forwarding import flow as flow_module
 from persimmonhinge.forwarding import flow_table as flow_table_module
+from persimmonhinge.forwarding import input_source
 from persimmonhinge.forwarding import packet as packet_module
+from persimmonhinge.forwarding import refusals as refusals_module
 from persimmonhinge.forwarding import route as route_module
 from persimmonhinge.forwarding.decisions.placement import loads as loads_module
 from persimmonhinge.light_typing import TYPE_CHECKING
@@ -43,6 +45,7 @@
         clock: Callable[[], float] = time.monotonic,
         observers: Sequence[request_observer.RequestObserver] = (),
         flow_observer: flow_observer_module.FlowObserver | None = None,
+        refusals: refusals_module.Refusals | None = None,
     ) -> None:
         """Creates a tracker.
 
@@ -53,6 +56,7 @@
             clock: Returns the current time, seconds.
             observers: See the attribute.
             flow_observer: See the attribute.
+            refusals: Receives errors of a sweep; None for a new record.
         """
         self._flows = flow_table
         self._loads = loads
@@ -60,6 +64,7 @@
         self._clock = clock
         self.observers = observers
         self.flow_observer = flow_observer
+        self._refusals = refusals or refusals_module.Refusals(counts)
 
     def get(
         self, flow: flow_module.FlowId
@@ -168,9 +173,27 @@
         """
         now = self._clock()
         for record in self._flows.remove_idle(now - idle_s):
-            self._end_flow(record)
+            self._sweep_flow(record, self._end_flow)
         for record in self._flows.list_waiting(now - _REQUEST_TIMEOUT_S):
-            self._report_loss(record, now)
+            self._sweep_flow(record, self._end_lost_request)
+
+    def _sweep_flow(
+        self,
+        record: flow_table_module.FlowRecord,
+        sweep: Callable[[flow_table_module.FlowRecord], None],
+    ) -> None:
+        """Sweeps one flow; an error of it affects no other."""
+        try:
+            sweep(record)
+        except Exception as error:
+            self._refusals.record_failure(
+                input_source.InputSource.PACKET, record.upstream, error
+            )
+
+    def _end_lost_request(self, record: flow_table_module.FlowRecord) -> None:
+        try:
+            self._report_loss(record, self._clock())
+        finally:
             self._finish_request(record)
             if not record.established:
                 self._end_flow(record)
--- a/persimmonhinge/platform/packets.py
+++ b/persimmonhinge/platform/packets.py
@@ -13,7 +13,8 @@
 
     Raises:
         MalformedPacketError: It is too short or too long, or its length is
-            not the one that it states.
+            not the one that it states. Its peer is the caller's address and
+            port if there is a header.
     """
     if len(octets) < header.HEAD.size:
         raise _make_error(f"{len(octets)} octets are less than a header")
@@ -24,7 +25,10 @@
         length > header.MOST_DATA_OCTETS
         or len(octets) != header.HEAD.size + length
     ):
-        raise _make_error(f"{len(octets)} octets hold no {length} of data")
+        caller = f"{flows.format_address(src)}:{sport}"
+        raise _make_error(
+            f"{len(octets)} octets hold no {length} of data", caller
+        )
     opens = flags & header.OPENS != 0
     return packets.Packet(
         flow=flows.FlowId(src, sport, dst, dport),
@@ -79,5 +83,5 @@
     )
 
 
-def _make_error(text: str) -> errors.MalformedPacketError:
-    return errors.MalformedPacketError(text, step="decode packet")
+def _make_error(reason: str, peer: str = "") -> errors.MalformedPacketError:
+    return errors.MalformedPacketError(reason, step="decode packet", peer=peer)
