Hand back the processor while packets arrive without end

A platform that counts a program that doesn't hand back the processor as ended ends them.

Cause: `ForwardCore.handle_due_openings` read batches until one was not full, and `_handle_openings` called it again without an await while openings were overdue. The same call is made before each import, so a start under load never ended.

All packets were read first so that answers that are still unread after a pause don't make live upstreams suspected. `OverdueOpenings` keeps that in rounds: it judges the openings that were overdue when a round began, once the datagrams that the socket can have held then (4,096, by the size of its buffer) were read or the socket was empty; a batch in each turn, with a checkpoint after it.

--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -149,6 +149,7 @@
             # It reads packets, too, and new flows among them may have to wait.
             self._core.handle_due_openings()
             self._wake_release()
+            await trio.lowlevel.checkpoint()
 
     def _wake_release(self) -> None:
         if self._core.forwarder.has_waiting_flows:
@@ -183,4 +184,5 @@
             idle_s = self._settings.flow_life_s
             if state is not None:
                 idle_s = state.idle_timeout_s
-            self._core.tracker.remove_expired(idle_s)
+            for _ in self._core.tracker.remove_expired_in_slices(idle_s):
+                await trio.lowlevel.checkpoint()
--- a/persimmonhinge/forwarding/binding.py
+++ b/persimmonhinge/forwarding/binding.py
@@ -8,6 +8,11 @@
 from persimmonhinge.forwarding import flow
 
 _RECEIVE_BUFFER_OCTETS = 1 << 20
+# The kernel doubles the size that it is asked for, and takes more than this for
+# the smallest datagram.
+_MIN_KERNEL_OCTETS = 512
+# Maximum number of datagrams that the socket holds unread.
+MAX_UNREAD_DATAGRAMS = 2 * _RECEIVE_BUFFER_OCTETS // _MIN_KERNEL_OCTETS
 
 
 def bind_packet_socket(address: flow.Endpoint) -> _socket.socket:
--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -4,6 +4,7 @@
 
 from persimmonhinge import ids
 from persimmonhinge import random_sampling
+from persimmonhinge.forwarding import binding
 from persimmonhinge.forwarding import entry_replica
 from persimmonhinge.forwarding import flow
 from persimmonhinge.forwarding import flow_table
@@ -19,6 +20,7 @@
 from persimmonhinge.forwarding.decisions.placement import loads
 from persimmonhinge.forwarding.decisions.placement import warm_up_shares
 from persimmonhinge.forwarding.decisions.upstream_health import openings
+from persimmonhinge.forwarding.decisions.upstream_health import overdue_openings
 from persimmonhinge.forwarding.decisions.upstream_health import suspicions
 from persimmonhinge.forwarding.peers import peer_table
 from persimmonhinge.light_typing import TYPE_CHECKING
@@ -57,6 +59,7 @@
             do not switch their detection on.
         tracker: Flows and their requests.
         openings: Opening packets that wait for an answer.
+        overdue_openings: When those without an answer may be judged.
         socket: The packet socket.
         eligibility: Conditions for upstreams of new flows.
         chooser: Chooses the upstream of each new flow.
@@ -89,6 +92,9 @@
             reader, self.knowledge, self.counts
         )
         self.openings = openings.Openings()
+        self.overdue_openings = overdue_openings.OverdueOpenings(
+            self.openings, binding.MAX_UNREAD_DATAGRAMS
+        )
         self.socket = sockets.PacketSocket(packet_socket, self.counts)
         # Only the method `random` is called, which `draws.source` has, too.
         self._random: random.Random = random_sampling.generator  # type: ignore[assignment]
@@ -143,18 +149,27 @@
 
     def receive_batch(self) -> int:
         """Forwards one batch of received packets; returns their number."""
-        return self.socket.receive_batch(self.forwarder.handle_datagram)
+        count = self.socket.receive_batch(self.forwarder.handle_datagram)
+        self.overdue_openings.record_read(
+            count, is_emptied=count < sockets.MAX_BATCH_DATAGRAMS
+        )
+        return count
+
+    def handle_due_openings(self) -> bool:
+        """Takes one turn at retrying overdue openings at other upstreams.
 
-    def handle_due_openings(self) -> None:
-        """Retries overdue opening packets at other upstreams.
+        The packets that had been received when they were overdue are read
+        first, a batch in each turn. Otherwise the host would suspect live
+        upstreams after its own process was suspended: their answers may still
+        be unread in the socket.
 
-        All received packets are read first. Otherwise the host would suspect
-        live upstreams after its own process was suspended: their answers may
-        still be unread in the socket.
+        Returns:
+            Whether another turn is needed for the openings that are overdue.
         """
-        while self.receive_batch() == sockets.MAX_BATCH_DATAGRAMS:
-            pass
-        self.forwarder.retry_openings(self.openings.pop_due())
+        self.overdue_openings.begin_turn()
+        self.receive_batch()
+        self.forwarder.retry_openings(self.overdue_openings.pop())
+        return self.overdue_openings.is_in_round
 
     def start_overload_control(
         self, sources: demand_sources.DemandSources | None = None
--- a/persimmonhinge/forwarding/decisions/upstream_health/openings.py
+++ b/persimmonhinge/forwarding/decisions/upstream_health/openings.py
@@ -111,11 +111,23 @@
             self._in_send_order.popleft()
         return self._in_send_order[0].due_at if self._in_send_order else None
 
-    def pop_due(self) -> list[Opening]:
-        """Removes and returns the openings that were not answered in time."""
-        now = self._clock()
+    def pop_due(
+        self, due_until: float | None = None, max_count: int | None = None
+    ) -> list[Opening]:
+        """Removes and returns the openings that were not answered in time.
+
+        Args:
+            due_until: Time until which they were due, seconds; None for now.
+            max_count: Maximum number of them; None for all.
+        """
+        if due_until is None:
+            due_until = self._clock()
         due: list[Opening] = []
-        while self._in_send_order and self._in_send_order[0].due_at <= now:
+        while (
+            self._in_send_order and self._in_send_order[0].due_at <= due_until
+        ):
+            if len(due) == max_count:
+                break
             opening = self._in_send_order.popleft()
             if self._is_pending(opening):
                 del self._pending[opening.packet.flow]
--- a/persimmonhinge/forwarding/flow_table.py
+++ b/persimmonhinge/forwarding/flow_table.py
@@ -48,6 +48,11 @@
     is_counted: bool = False
     repeated: bool = False
 
+    def is_waiting_since(self, started_before: float) -> bool:
+        """Returns whether its request in flight started before a time."""
+        started_at = self.request_started_at
+        return started_at is not None and started_at < started_before
+
     def advance_acknowledged(self, packet: packet_module.Packet) -> int:
         """Updates the highest acknowledged sequence number from a packet.
 
@@ -129,10 +134,17 @@
         """Removes a flow; returns its record, or None if the table has none."""
         return self._records.pop(flow, None)
 
-    def remove_idle(self, last_packet_before: float) -> list[FlowRecord]:
-        """Removes flows without packets since a time; returns their records."""
-        removed = []
-        while self._records:
+    def remove_idle(
+        self, last_packet_before: float, max_count: int
+    ) -> list[FlowRecord]:
+        """Removes flows without packets since a time; returns their records.
+
+        Args:
+            last_packet_before: The time, seconds.
+            max_count: Maximum number of flows to remove.
+        """
+        removed: list[FlowRecord] = []
+        while self._records and len(removed) < max_count:
             flow, record = next(iter(self._records.items()))
             if record.last_packet_at >= last_packet_before:
                 break
@@ -145,6 +157,5 @@
         return [
             record
             for record in self._records.values()
-            if record.request_started_at is not None
-            and record.request_started_at < started_before
+            if record.is_waiting_since(started_before)
         ]
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -44,6 +44,9 @@
 # caller sends the next copy. A limit is needed because a caller that gave up
 # does not continue the flow, whichever upstream answers.
 _MAX_UPSTREAMS_TRIED = 3
+# Maximum number of waiting flows that are released at once; other tasks wait
+# meanwhile.
+_MAX_RELEASES = 256
 
 
 class Forwarder:
@@ -144,13 +147,17 @@
         self._send_opening(opening.packet, opening.tried_upstreams, now)
 
     def release_waiting_flows(self) -> None:
-        """Places new flows that need not wait longer; rejects expired ones."""
+        """Places new flows that need not wait longer; rejects expired ones.
+
+        A call handles a bounded number of them; the others follow in the next.
+        """
         if self._gate is None or not self._gate.has_waiting:
             return
         now = self._clock()
         verdicts = self._gate.pop_due(now)
-        while self._apply_next_verdict(verdicts, now):
-            pass
+        for _ in range(_MAX_RELEASES):
+            if not self._apply_next_verdict(verdicts, now):
+                break
 
     def place_waiting_flows(self) -> None:
         """Places all waiting flows, before a planned stop of the host."""
--- a/persimmonhinge/forwarding/startup.py
+++ b/persimmonhinge/forwarding/startup.py
@@ -24,6 +24,10 @@
 logger = early_logs.get_logger(__name__)
 
 _MS_PER_S = 1000
+# Maximum time for packets that were received during one import, and during all
+# imports, seconds. What is left is read a batch for each import.
+_MAX_BACKLOG_TIME_S = 0.05
+_MAX_TOTAL_BACKLOG_TIME_S = 1.0
 # Longest wait for packets while new flows wait to be released, seconds.
 _RELEASE_INTERVAL_S = 0.01
 
@@ -38,6 +42,7 @@
     def __init__(self, core: core_module.ForwardCore) -> None:
         self._core = core
         self._pace = import_pace.ImportPace()
+        self._backlog_time_left_s = _MAX_TOTAL_BACKLOG_TIME_S
         self._poll = select.poll()
         self._poll.register(core.socket.socket.fileno(), select.POLLIN)
 
@@ -49,12 +54,20 @@
     ) -> importlib.machinery.ModuleSpec | None:
         """Forwards received packets; returns None for the next finder."""
         packet_count = self._core.receive_batch()
-        self._core.handle_due_openings()
+        self._handle_backlog()
         self._core.forwarder.release_waiting_flows()
         self._forward_for(self._pace.record_import_end(packet_count))
         self._pace.record_import_start()
         return None
 
+    def _handle_backlog(self) -> None:
+        """Reads the packets that were received, within a limit of time."""
+        began_at = time.monotonic()
+        ends_at = began_at + min(_MAX_BACKLOG_TIME_S, self._backlog_time_left_s)
+        while self._core.handle_due_openings() and time.monotonic() < ends_at:
+            pass
+        self._backlog_time_left_s -= time.monotonic() - began_at
+
     def _forward_for(self, duration_s: float) -> None:
         """Forwards packets as they arrive, for a duration in seconds."""
         ends_at = time.monotonic() + duration_s
--- a/persimmonhinge/forwarding/tracker.py
+++ b/persimmonhinge/forwarding/tracker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import time
 
@@ -25,6 +26,8 @@
 # upstream, seconds. Callers of the shortest requests give up after 1 s, and
 # later packets of the flow may have passed through another host.
 _REQUEST_TIMEOUT_S = 3.0
+# Maximum number of flows that a sweep ends before packets are read again.
+_MAX_SWEPT_AT_ONCE = 500
 # Maximum data of one packet of a flow, octets.
 _MAX_PACKET_DATA_OCTETS = 1_200
 
@@ -171,11 +174,31 @@
         Args:
             idle_s: Time without a packet after which a flow is idle, seconds.
         """
+        for _ in self.remove_expired_in_slices(idle_s):
+            pass
+
+    def remove_expired_in_slices(self, idle_s: float) -> Iterator[None]:
+        """Does the same, and yields where other work may be done.
+
+        Args:
+            idle_s: See `remove_expired`.
+        """
         now = self._clock()
-        for record in self._flows.remove_idle(now - idle_s):
-            self._sweep_flow(record, self._end_flow)
-        for record in self._flows.list_waiting(now - _REQUEST_TIMEOUT_S):
-            self._sweep_flow(record, self._end_lost_request)
+        is_more = True
+        while is_more:
+            idle = self._flows.remove_idle(now - idle_s, _MAX_SWEPT_AT_ONCE)
+            for record in idle:
+                self._sweep_flow(record, self._end_flow)
+            is_more = len(idle) == _MAX_SWEPT_AT_ONCE
+            yield
+        started_before = now - _REQUEST_TIMEOUT_S
+        waiting = self._flows.list_waiting(started_before)
+        for number, record in enumerate(waiting, start=1):
+            # The request may have ended since the last slice.
+            if record.is_waiting_since(started_before):
+                self._sweep_flow(record, self._end_lost_request)
+            if number % _MAX_SWEPT_AT_ONCE == 0:
+                yield
 
     def _sweep_flow(
         self,
