Bound what errors of the packet socket cost

Callers waited longer where the kernel reported an error of the network between two datagrams, and operators could see a host that used its whole core and wrote a line for each error.

Cause: a read that failed ended the batch, and a socket with an error is ready to be read at once, so `_receive_packets` went round without a pause.

When all reads of a batch fail, the next batch is 0.1 s later.

--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -29,6 +29,8 @@
 _STOP_IDLE_S = 0.7
 _STOP_IDLE_CHECK_INTERVAL_S = 0.1
 _SWEEP_INTERVAL_S = 1.0
+# Time between two batches while all reads of the packet socket fail, seconds.
+_RECEIVE_RETRY_INTERVAL_S = 0.1
 _READINESS_PATH = "/ready"
 _READINESS_CHECK_INTERVAL_S = 0.01
 # Time between two releases of waiting flows, seconds. At most 20 ms are
@@ -131,7 +133,11 @@
             await trio.sleep(_READINESS_CHECK_INTERVAL_S)
         while True:
             await trio.lowlevel.wait_readable(self._core.socket.socket)
-            if self._core.receive_batch():
+            count = self._core.receive_batch()
+            if self._core.socket.is_failing:
+                # A socket with an error is ready to be read at any time.
+                await trio.sleep(_RECEIVE_RETRY_INTERVAL_S)
+            elif count:
                 self._last_received_at = trio.current_time()
                 self._packets_received.set()
                 self._wake_release()
