Refuse page requests that can't be read, with an answer

One request for the target `//[` ended a host: the platform's probes go to the same port, and the host came back only to be ended again. HEAD requests and requests with a broken head were closed without an answer.

Cause: `urlsplit` raises ValueError for some targets, which `_serve` did not expect, so that it went through the nursery of the listener to the event loop. h11 raises LocalProtocolError for the body of an answer to HEAD and CONNECT.

`PageServer` reports refused and failed requests, one connection at a time, to an optional `RequestRecord`; the forwarding host counts them with its other inputs, other programs log them as before.

--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -12,6 +12,7 @@
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import follower
 from persimmonhinge.forwarding import gauges
+from persimmonhinge.forwarding import page_requests
 from persimmonhinge.forwarding import room_page
 from persimmonhinge.forwarding import settings
 from persimmonhinge.forwarding.peers import follower_role
@@ -71,11 +72,12 @@
             self._following,
             self._settings.coalesce_s,
         )
+        requests = page_requests.PageRequests(core.refusals)
         self._page_server = page.PageServer(
-            *settings.parse_endpoint(self._settings.pages)
+            *settings.parse_endpoint(self._settings.pages), requests
         )
         self._metrics_server = page.PageServer(
-            self._settings.own_address, self._settings.metrics_port
+            self._settings.own_address, self._settings.metrics_port, requests
         )
         gauges.register_gauges(core, self._following)
         for server in (self._page_server, self._metrics_server):
