Bound the connections to the pages of a host

Each idle connection to a page kept a descriptor for 10 s. At the limit of 4,100 descriptors the host's own connections to the store and to its peers fail with EMFILE, and other errors of `accept` ended the process.

Cause: `PageServer` had no limit of its connections. `trio.serve_listeners` retries after EMFILE, ENFILE, ENOMEM and ENOBUFS, `SocketListener.accept` passes over the errors of single connections (ECONNABORTED, EPERM, EPROTO and others); any other one ends the nursery.

A server now has 100 connections at most, and the oldest is closed for a new one, so that probes are answered beside any number of idle connections. A connection that is closed for that or for its time is a refused request. Any error of `accept` is logged, and the next try is 0.1 s later.

--- a/persimmonhinge/metrics/page.py
+++ b/persimmonhinge/metrics/page.py
@@ -19,12 +19,17 @@
 
 from persimmonhinge import errors
 from persimmonhinge import registry
+from persimmonhinge.metrics import open_connections
 from persimmonhinge.metrics import request_record
 
 logger = logging.getLogger(__name__)
 
+# Maximum number of open connections of a server, well below the descriptors
+# that a process may have.
+MAX_CONNECTIONS = 100
 _RECEIVE_OCTETS = 4096
 _REQUEST_LIMIT_S = 10.0
+_ACCEPT_RETRY_INTERVAL_S = 0.1
 # Maximum number of parameters of a query; pages have two at most.
 _MAX_PARAMETERS = 100
 _BAD_REQUEST = 400
@@ -95,6 +100,9 @@
         self._address = address
         self._port = port
         self._requests = requests or request_record.LoggedRequests()
+        self._connections = open_connections.OpenConnections(
+            MAX_CONNECTIONS, _REQUEST_LIMIT_S
+        )
         self.pages: registry.Registry[Page] = registry.Registry("page")
 
     async def run(self, task_status: trio.TaskStatus[int]) -> None:
@@ -105,17 +113,38 @@
         port = listeners[0].socket.getsockname()[1]
         logger.info("Serves pages on %s:%d.", self._address, port)
         async with trio.open_nursery() as nursery:
-            await nursery.start(trio.serve_listeners, self._serve, listeners)
+            for listener in listeners:
+                nursery.start_soon(self._accept, listener, nursery)
             task_status.started(port)
 
+    async def _accept(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        """Accepts connections; an error of the kernel does not end it.
+
+        `trio.serve_listeners` goes on only after errors that it knows.
+        """
+        async with listener:
+            while True:
+                try:
+                    stream = await listener.accept()
+                except OSError as error:
+                    logger.error(
+                        "Can't accept a connection for a page.",
+                        extra={"error": str(error)},
+                    )
+                    await trio.sleep(_ACCEPT_RETRY_INTERVAL_S)
+                else:
+                    nursery.start_soon(self._serve, stream)
+
     async def _serve(self, stream: trio.SocketStream) -> None:
         peer = _get_peer(stream)
         try:
-            with trio.move_on_after(_REQUEST_LIMIT_S) as scope:
+            with self._connections.open() as scope:
                 await self._answer_one(stream, peer)
             if scope.cancelled_caught:
                 raise errors.MalformedRequestError(
-                    "not complete in time",
+                    "not complete in time, or closed for newer connections",
                     step=_READ_STEP,
                     peer=peer,
                 )
--- a/tests/test_metrics_page.py
+++ b/tests/test_metrics_page.py
@@ -4,9 +4,11 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import errno
 import re
 import socket
 import struct
+from typing import Any
 
 import hypothesis
 from hypothesis import strategies
@@ -18,6 +20,7 @@
 
 _GOOD = b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n"
 _LIMIT_S = 5.0
+_IDLE = 300
 
 
 def _make_request(target: str = "/ready", head: str = "Host: h") -> bytes:
@@ -228,3 +231,46 @@
             stream.socket.close()
         assert read_status(await exchange(port, _GOOD)) == 200
     assert requests.failed == []
+
+
+@trios.trio_test
+async def test_idle_connections_give_way_to_new_ones() -> None:
+    """Guards against idle connections that use up all descriptors."""
+    requests = Requests()
+    async with _serve(requests) as (_, port):
+        async with contextlib.AsyncExitStack() as stack:
+            idle = [
+                await stack.enter_async_context(
+                    await trio.open_tcp_stream("127.0.0.1", port)
+                )
+                for _ in range(_IDLE)
+            ]
+            with trio.fail_after(_LIMIT_S):
+                assert read_status(await exchange(port, _GOOD)) == 200
+                # The oldest ones are closed.
+                for stream in idle[: _IDLE - 2 * page.MAX_CONNECTIONS]:
+                    assert await stream.receive_some(1) == b""
+            assert len(requests.refused) >= _IDLE - 2 * page.MAX_CONNECTIONS
+
+
+@trios.trio_test
+async def test_errors_of_accept_end_no_server() -> None:
+    """Guards against a host that ends as the kernel accepts no connection.
+
+    `trio.serve_listeners` goes on after a lack of descriptors or memory only.
+    """
+    numbers = [errno.EMFILE, errno.ENOMEM, errno.EIO, errno.ETOOMANYREFS]
+    real_accept = trio.SocketListener.accept
+
+    async def accept(self: Any) -> trio.SocketStream:
+        if numbers:
+            raise OSError(numbers.pop(), "accept")
+        return await real_accept(self)
+
+    trio.SocketListener.accept = accept  # type: ignore[method-assign]
+    try:
+        async with _serve() as (_, port):
+            assert read_status(await exchange(port, _GOOD)) == 200
+    finally:
+        trio.SocketListener.accept = real_accept  # type: ignore[method-assign]
+    assert numbers == []
