Bound the openings and first attempts that a host keeps

A flood of opening packets of random callers could take a host beyond its 300 MB while it reads faster than it judges, above all at a start or at a small share of a core; the platform kills it then, without a line.

Cause: the flow table is bounded, but `Openings` kept each opening, with its packet, until it was judged, and each first attempt for 1.4 s.

Evidence: test_flood_of_openings_is_kept_within_bounds (the bound is new).

--- a/persimmonhinge/forwarding/decisions/upstream_health/openings.py
+++ b/persimmonhinge/forwarding/decisions/upstream_health/openings.py
@@ -14,6 +14,9 @@
 
 # A caller gives up an opening after 1.4 s. Its answer time is not used then.
 _MAX_ATTEMPT_AGE_S = 1.4
+# Maximum number of openings, and of first attempts, that are kept; an opening
+# with its packet takes 2 KB at most.
+MAX_OPENINGS = 10_000
 
 
 class Opening(records.Record):
@@ -58,12 +61,16 @@
         self,
         packet: packet_module.Packet,
         tried_upstreams: list[ids.UpstreamId],
-    ) -> None:
+    ) -> bool:
         """Adds an opening packet that was just forwarded.
 
         Args:
             packet: The packet.
             tried_upstreams: Upstreams that it was sent to, in this order.
+
+        Returns:
+            Whether the oldest opening was removed, as there are too many. It
+            is not retried unless its caller sends a copy.
         """
         now = self._clock()
         opening = Opening(
@@ -76,6 +83,9 @@
                 tried_upstreams[0], now
             )
         self._remove_old_attempts(now - _MAX_ATTEMPT_AGE_S)
+        if len(self._in_send_order) <= MAX_OPENINGS:
+            return False
+        return self._remove_oldest()
 
     def record_answer(
         self, flow: flow_module.FlowId, upstream: ids.UpstreamId
@@ -134,10 +144,21 @@
                 due.append(opening)
         return due
 
+    def _remove_oldest(self) -> bool:
+        """Removes the oldest opening; returns whether it was unanswered."""
+        oldest = self._in_send_order.popleft()
+        if not self._is_pending(oldest):
+            return False
+        del self._pending[oldest.packet.flow]
+        return True
+
     def _remove_old_attempts(self, min_sent_at: float) -> None:
         while self._first_attempts:
             flow, first = next(iter(self._first_attempts.items()))
-            if first.sent_at >= min_sent_at:
+            if (
+                first.sent_at >= min_sent_at
+                and len(self._first_attempts) <= MAX_OPENINGS
+            ):
                 break
             del self._first_attempts[flow]
 
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -269,7 +269,8 @@
             return
         upstream = chosen.upstream
         self._tracker.record_opening(packet.flow, upstream.id, upstream.token)
-        self._openings.add(packet, [*tried, upstream.id])
+        if self._openings.add(packet, [*tried, upstream.id]):
+            self._counts.add("openings_evicted_total")
         self._counts.add("flows_opened_total", upstream=upstream.id)
         if self._overload is not None:
             self._overload.record_placement(route, upstream)
--- a/tests/test_forwarding/test_forwarding_openings.py
+++ b/tests/test_forwarding/test_forwarding_openings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from persimmonhinge.forwarding.decisions.upstream_health import answer_timeout
+from persimmonhinge.forwarding.decisions.upstream_health import openings
 from tests.test_forwarding import scene as scenes
 
 
@@ -160,3 +161,17 @@
         octets[8:][12] == scenes.SYN for octets, _ in scene.output.to_upstreams
     )
     assert openings <= 1.5 * flows_opened, openings / flows_opened
+
+
+def test_flood_of_openings_is_kept_within_bounds() -> None:
+    """Guards against a host that a flood of openings ends for its memory."""
+    scene = scenes.Scene()
+    scene.add(scenes.make_upstream(1))
+    surplus = 500
+    for caller in range(openings.MAX_OPENINGS + surplus):
+        scene.receive(scenes.make_packet(1000, scenes.SYN, caller=caller))
+    found = scene.openings
+    assert len(found._pending) == openings.MAX_OPENINGS
+    assert len(found._in_send_order) == openings.MAX_OPENINGS
+    assert len(found._first_attempts) == openings.MAX_OPENINGS
+    assert scene.counts.get("openings_evicted_total") == surplus
