--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -12,6 +12,7 @@
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import follower
 from persimmonhinge.forwarding import gauges
+from persimmonhinge.forwarding import page_requests
 from persimmonhinge.forwarding import room_page
 from persimmonhinge.forwarding import settings
 from persimmonhinge.forwarding.peers import follower_role
@@ -29,6 +30,8 @@
 _STOP_IDLE_S = 0.7
 _STOP_IDLE_CHECK_INTERVAL_S = 0.1
 _SWEEP_INTERVAL_S = 1.0
+# Time between two batches while all reads of the packet socket fail, seconds.
+_RECEIVE_RETRY_INTERVAL_S = 0.1
 _READINESS_PATH = "/ready"
 _READINESS_CHECK_INTERVAL_S = 0.01
 # Time between two releases of waiting flows, seconds. At most 20 ms are
@@ -69,11 +72,12 @@
             self._following,
             self._settings.coalesce_s,
         )
+        requests = page_requests.PageRequests(core.refusals)
         self._page_server = page.PageServer(
-            *settings.parse_endpoint(self._settings.pages)
+            *settings.parse_endpoint(self._settings.pages), requests
         )
         self._metrics_server = page.PageServer(
-            self._settings.own_address, self._settings.metrics_port
+            self._settings.own_address, self._settings.metrics_port, requests
         )
         gauges.register_gauges(core, self._following)
         for server in (self._page_server, self._metrics_server):
@@ -131,7 +135,11 @@
             await trio.sleep(_READINESS_CHECK_INTERVAL_S)
         while True:
             await trio.lowlevel.wait_readable(self._core.socket.socket)
-            if self._core.receive_batch():
+            count = self._core.receive_batch()
+            if self._core.socket.is_failing:
+                # A socket with an error is ready to be read at any time.
+                await trio.sleep(_RECEIVE_RETRY_INTERVAL_S)
+            elif count:
                 self._last_received_at = trio.current_time()
                 self._packets_received.set()
                 self._wake_release()
@@ -149,6 +157,7 @@
             # It reads packets, too, and new flows among them may have to wait.
             self._core.handle_due_openings()
             self._wake_release()
+            await trio.lowlevel.checkpoint()
 
     def _wake_release(self) -> None:
         if self._core.forwarder.has_waiting_flows:
@@ -183,4 +192,5 @@
             idle_s = self._settings.flow_life_s
             if state is not None:
                 idle_s = state.idle_timeout_s
-            self._core.tracker.remove_expired(idle_s)
+            for _ in self._core.tracker.remove_expired_in_slices(idle_s):
+                await trio.lowlevel.checkpoint()
--- a/persimmonhinge/forwarding/tracker.py
+++ b/persimmonhinge/forwarding/tracker.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import time
 
 from persimmonhinge import ids
 from persimmonhinge.forwarding import flow as flow_module
 from persimmonhinge.forwarding import flow_table as flow_table_module
+from persimmonhinge.forwarding import input_source
 from persimmonhinge.forwarding import packet as packet_module
+from persimmonhinge.forwarding import refusals as refusals_module
 from persimmonhinge.forwarding import route as route_module
 from persimmonhinge.forwarding.decisions.placement import loads as loads_module
 from persimmonhinge.light_typing import TYPE_CHECKING
@@ -23,6 +26,8 @@
 # upstream, seconds. Callers of the shortest requests give up after 1 s, and
 # later packets of the flow may have passed through another host.
 _REQUEST_TIMEOUT_S = 3.0
+# Maximum number of flows that a sweep ends before packets are read again.
+_MAX_SWEPT_AT_ONCE = 500
 # Maximum data of one packet of a flow, octets.
 _MAX_PACKET_DATA_OCTETS = 1_200
 
@@ -43,6 +48,7 @@
         clock: Callable[[], float] = time.monotonic,
         observers: Sequence[request_observer.RequestObserver] = (),
         flow_observer: flow_observer_module.FlowObserver | None = None,
+        refusals: refusals_module.Refusals | None = None,
     ) -> None:
         """Creates a tracker.
 
@@ -53,6 +59,7 @@
             clock: Returns the current time, seconds.
             observers: See the attribute.
             flow_observer: See the attribute.
+            refusals: Receives errors of a sweep; None for a new record.
         """
         self._flows = flow_table
         self._loads = loads
@@ -60,6 +67,7 @@
         self._clock = clock
         self.observers = observers
         self.flow_observer = flow_observer
+        self._refusals = refusals or refusals_module.Refusals(counts)
 
     def get(
         self, flow: flow_module.FlowId
@@ -166,11 +174,49 @@
         Args:
             idle_s: Time without a packet after which a flow is idle, seconds.
         """
+        for _ in self.remove_expired_in_slices(idle_s):
+            pass
+
+    def remove_expired_in_slices(self, idle_s: float) -> Iterator[None]:
+        """Does the same, and yields where other work may be done.
+
+        Args:
+            idle_s: See `remove_expired`.
+        """
         now = self._clock()
-        for record in self._flows.remove_idle(now - idle_s):
-            self._end_flow(record)
-        for record in self._flows.list_waiting(now - _REQUEST_TIMEOUT_S):
-            self._report_loss(record, now)
+        is_more = True
+        while is_more:
+            idle = self._flows.remove_idle(now - idle_s, _MAX_SWEPT_AT_ONCE)
+            for record in idle:
+                self._sweep_flow(record, self._end_flow)
+            is_more = len(idle) == _MAX_SWEPT_AT_ONCE
+            yield
+        started_before = now - _REQUEST_TIMEOUT_S
+        waiting = self._flows.list_waiting(started_before)
+        for number, record in enumerate(waiting, start=1):
+            # The request may have ended since the last slice.
+            if record.is_waiting_since(started_before):
+                self._sweep_flow(record, self._end_lost_request)
+            if number % _MAX_SWEPT_AT_ONCE == 0:
+                yield
+
+    def _sweep_flow(
+        self,
+        record: flow_table_module.FlowRecord,
+        sweep: Callable[[flow_table_module.FlowRecord], None],
+    ) -> None:
+        """Sweeps one flow; an error of it affects no other."""
+        try:
+            sweep(record)
+        except Exception as error:
+            self._refusals.record_failure(
+                input_source.InputSource.PACKET, record.upstream, error
+            )
+
+    def _end_lost_request(self, record: flow_table_module.FlowRecord) -> None:
+        try:
+            self._report_loss(record, self._clock())
+        finally:
             self._finish_request(record)
             if not record.established:
                 self._end_flow(record)
