Count an address of the store that can't be used as an unreachable store

A host whose settings hold a store address with a NUL ended at its start by "TypeError: host name must not contain null character" (BlockingTransport.open), as callers of a transport only expect OSError and ValueError. A host name was looked up there, without any time limit, before the host read a packet.

The blocking transport now only connects to IPv4 addresses and raises OSError for all else; a name is still looked up by the transport on trio, beside all other tasks and within the limit of the call. The transport on trio also turns trio's errors of a stream that is closed or in use elsewhere into OSError.

The tests failed before with the TypeError above, a connection to the name, and trio.BusyResourceError out of HttpConnection.call.

--- a/persimmonhinge/store/blocking_transport.py
+++ b/persimmonhinge/store/blocking_transport.py
@@ -31,8 +31,10 @@
     async def open(self) -> None:
         """See `transport.Transport`."""
         if self._socket is None:
+            host, port = self._address
+            address = _read_address(host)
             self._socket = _socket.socket(_socket.AF_INET, _socket.SOCK_STREAM)
-            self._get_socket().connect(self._address)
+            self._get_socket().connect((address, port))
 
     async def send_all(self, octets: bytes) -> None:
         """See `transport.Transport`."""
@@ -70,6 +72,21 @@
         return rest_s
 
 
+def _read_address(host: str) -> str:
+    """Returns an IPv4 address in its usual form.
+
+    Guards against the look-up of a name, which knows no time limit and would
+    block the start of a host.
+
+    Raises:
+        OSError: It is no IPv4 address.
+    """
+    try:
+        return _socket.inet_ntoa(_socket.inet_aton(host))
+    except (OSError, ValueError) as error:
+        raise OSError(f"{host!r:.80} is no IPv4 address") from error
+
+
 def run(coroutine: Coroutine[Any, Any, T]) -> T:
     """Runs a coroutine that uses only blocking transports to its end."""
     try:
--- a/persimmonhinge/store/trio_transport.py
+++ b/persimmonhinge/store/trio_transport.py
@@ -13,6 +13,11 @@
 T = TypeVar("T")
 
 _RECEIVE_OCTETS = 65_536
+_STREAM_ERRORS = (
+    trio.BrokenResourceError,
+    trio.BusyResourceError,
+    trio.ClosedResourceError,
+)
 
 
 class TrioTransport:
@@ -34,14 +39,14 @@
         """See `transport.Transport`."""
         try:
             await self._get_stream().send_all(octets)
-        except trio.BrokenResourceError as error:
+        except _STREAM_ERRORS as error:
             raise ConnectionError("connection broke") from error
 
     async def receive_some(self) -> bytes:
         """See `transport.Transport`."""
         try:
             octets = await self._get_stream().receive_some(_RECEIVE_OCTETS)
-        except trio.BrokenResourceError as error:
+        except _STREAM_ERRORS as error:
             raise ConnectionError("connection broke") from error
         self._limit.record_octets(trio.current_time())
         self._scope.deadline = self._limit.deadline
