Refuse an unreadable item of the store alone and keep only used ones

A host that started while one item of the store was damaged never got ready: the read of all entries failed for as long as the item was there, "PlatformError: store /kv-range: answer can't be read: Invalid base64-encoded string", and so with an item that is no object or whose value is null. Revisions of 2**64 or below 0 were taken, and can't be encoded in messages to other hosts later; a key with a lone surrogate was taken and raised UnicodeEncodeError in StoreReader.get_prefix as soon as it ended a page, which ended the process. All values under any key were kept until the end of the read: some hundred values of 1 MB of another program exceed the memory limit of 300 MB.

Items are now checked one by one (type, range of the revision, length and encoding of the key, strict base64). What can't be read is refused alone, counted and logged with key, field and reason. With a readable key it counts as an entry whose value can't be read, so that it is not taken for deleted; with an unreadable revision it changes nothing. The frame of an answer (list, revision, HasMore) is refused as a whole. A host drops items that it does not use while it decodes a page, and refuses values of over 4 KB except the desired state. Commands keep the former rule: an answer with an unreadable item is one error, an UnreadableAnswerError.

--- a/persimmonhinge/cmd/forward_host.py
+++ b/persimmonhinge/cmd/forward_host.py
@@ -46,6 +46,7 @@
         (settings.store.address,),
         blocking_transport.BlockingTransport,
         settings.first_call_limit_s,
+        refusals=core.refusals,
     )
     startup.forward_during_imports(lambda: _import_rest(core), core, store)
     _run(core, path)
--- a/persimmonhinge/errors.py
+++ b/persimmonhinge/errors.py
@@ -106,6 +106,14 @@
     """The platform gave no answer; a write may have taken effect."""
 
 
+class UnreadableAnswerError(PlatformError, RefusedInputError):
+    """The platform's answer, or an item of it, can't be read."""
+
+
+class UnreadableResponseError(PlatformUnavailableError, RefusedInputError):
+    """The platform's answer is not one of HTTP; a write may have happened."""
+
+
 class PlatformUnreachableError(PlatformUnavailableError):
     """No connection to the platform could be opened: nothing was done."""
 
--- a/persimmonhinge/forwarding/program.py
+++ b/persimmonhinge/forwarding/program.py
@@ -12,6 +12,7 @@
 from persimmonhinge import collector
 from persimmonhinge.forwarding import application
 from persimmonhinge.forwarding import core as core_module
+from persimmonhinge.forwarding import refusals
 from persimmonhinge.forwarding import reloading
 from persimmonhinge.store import port
 from persimmonhinge.store import transport
@@ -27,6 +28,7 @@
         Callable[[str, int], transport.Transport],
         float,
         float,
+        refusals.Refusals,
     ],
     port.PlatformReader,
 ]
@@ -51,6 +53,7 @@
         trio_transport.TrioTransport,
         settings.call_limit_s,
         settings.watch_wait_s,
+        core.refusals,
     )
     reloader = reloading.SettingsReloader(settings_path, settings, core.peers)
     trio.run(_run_host, application.ForwardApplication(core, store), reloader)
--- a/persimmonhinge/platform/adapter.py
+++ b/persimmonhinge/platform/adapter.py
@@ -12,11 +12,13 @@
 from persimmonhinge.forwarding import upstream as upstreams
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.platform import entries
+from persimmonhinge.platform import host_item_policy
 from persimmonhinge.platform import packets as packet_format
 from persimmonhinge.platform import store_reader
 from persimmonhinge.store import port
 
 if TYPE_CHECKING:
+    from persimmonhinge.forwarding import refusals as refusals_module
     from persimmonhinge.store import transport as transports
 
 SETTINGS_VARIABLE = "PERSIMMONHINGE_NODE_FILE"
@@ -68,6 +70,7 @@
     make_transport: Callable[[str, int], transports.Transport],
     timeout_s: float,
     watch_wait_s: float = WATCH_WAIT_S,
+    refusals: refusals_module.Refusals | None = None,
 ) -> store_reader.StoreReader:
     """Returns a client of the store that only reads.
 
@@ -76,9 +79,14 @@
         make_transport: Makes a connection.
         timeout_s: Limit of a call, seconds.
         watch_wait_s: How long a watch waits for a change, seconds.
+        refusals: Records the items that a host refuses; None for a client that
+            keeps all items, and refuses an answer with an unreadable one.
     """
     settings = make_settings(addresses, timeout_s, watch_wait_s)
-    return store_reader.StoreReader(settings, make_transport)
+    policy = None
+    if refusals is not None:
+        policy = host_item_policy.HostItemPolicy(refusals)
+    return store_reader.StoreReader(settings, make_transport, policy)
 
 
 def make_settings(
--- a/persimmonhinge/platform/answers.py
+++ b/persimmonhinge/platform/answers.py
@@ -4,34 +4,51 @@
 
 import binascii
 
+from persimmonhinge import errors
 from persimmonhinge import json_reader
 from persimmonhinge import records
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.store import port
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from typing import Any
+    from typing import TypeVar
+
+    from persimmonhinge.platform import item_policy
+
+    T = TypeVar("T")
+
+# Largest whole number that hosts can encode in their messages.
+MAX_NUMBER = (1 << 63) - 1
+_MAX_KEY_OCTETS = 200
+# What an unreadable item counts as. An empty value is that of no readable
+# entry, and no change is older than the revision.
+_UNREADABLE_VALUE = b""
+_UNKNOWN_REVISION = 0
 
 
 class Page(records.Record, frozen=True):
     """A page of items, in order of their keys.
 
     Attributes:
-        items: The items.
+        items: The items that the client uses.
         revision: Revision of the whole store, not that of any item.
         has_more: True if this is not the last page.
+        last_key: Last key of the page, used or not; None without any.
     """
 
     items: tuple[port.KeyValue, ...]
     revision: int
     has_more: bool
+    last_key: str | None
 
 
 class News(records.Record, frozen=True):
     """Changes since the revision that was asked for.
 
     Attributes:
-        events: The changes.
+        events: The changes of keys that the client uses.
         revision: Revision of the store up to which these are all.
     """
 
@@ -39,32 +56,43 @@
     revision: int
 
 
-def read_page(document: dict[str, Any]) -> Page:
+def read_page(document: dict[str, Any], policy: item_policy.ItemPolicy) -> Page:
     """Reads a page of items.
 
     Raises:
         ValueError: It is none.
+        UnreadableAnswerError: The policy does not accept one of its items.
     """
-    items = json_reader.read_field(document, "items", list)
+    keyed = _read_keys(json_reader.read_field(document, "items", list), policy)
+    items = []
+    for key, item in keyed:
+        if policy.is_used(key):
+            revision, value = _read_content(key, item, policy, _read_value)
+            items.append(port.KeyValue(key, value, revision))
     return Page(
-        tuple(read_item(json_reader.expect(i, dict, "item")) for i in items),
-        json_reader.read_field(document, "CurrentRev", int),
+        tuple(items),
+        json_reader.read_integer(document, "CurrentRev", 0, MAX_NUMBER),
         json_reader.read_field(document, "HasMore", bool, False),
+        keyed[-1][0] if keyed else None,
     )
 
 
-def read_news(document: dict[str, Any]) -> News:
+def read_news(document: dict[str, Any], policy: item_policy.ItemPolicy) -> News:
     """Reads the changes that a watch told.
 
     Raises:
         ValueError: They are none.
+        UnreadableAnswerError: The policy does not accept one of them.
     """
-    events = json_reader.read_field(document, "events", list)
+    listed = json_reader.read_field(document, "events", list)
+    events = []
+    for key, event in _read_keys(listed, policy):
+        if policy.is_used(key):
+            revision, value = _read_content(key, event, policy, _read_change)
+            events.append(port.WatchEvent(key, value, revision))
     return News(
-        tuple(
-            _read_event(json_reader.expect(e, dict, "event")) for e in events
-        ),
-        json_reader.read_field(document, "CurrentRev", int),
+        tuple(events),
+        json_reader.read_integer(document, "CurrentRev", 0, MAX_NUMBER),
     )
 
 
@@ -74,24 +102,92 @@
     Raises:
         ValueError: It is none.
     """
-    read = json_reader.read_field
     return port.KeyValue(
-        read(document, "Key", str),
-        _read_value(document),
-        read(document, "Revision", int),
+        _read_key(document),
+        _read_value(document, None),
+        json_reader.read_integer(document, "Revision", 1, MAX_NUMBER),
     )
 
 
-def _read_event(document: dict[str, Any]) -> port.WatchEvent:
-    read = json_reader.read_field
-    deleted = read(document, "Tombstone", bool, False)
-    return port.WatchEvent(
-        read(document, "Key", str),
-        None if deleted else _read_value(document),
-        read(document, "Revision", int),
+def make_error(
+    error: ValueError, step: str, key: str = ""
+) -> errors.UnreadableAnswerError:
+    """Returns the error of an answer, or of one of its items.
+
+    Args:
+        error: Why it can't be read.
+        step: What was being done.
+        key: Key of the item; empty for the whole answer.
+    """
+    field, reason = "", str(error)
+    if isinstance(error, json_reader.FieldError):
+        field, reason = error.field, error.reason
+    return errors.UnreadableAnswerError(
+        reason, step=step, peer=key, field=field
     )
 
 
-def _read_value(document: dict[str, Any]) -> bytes:
-    text = json_reader.read_field(document, "Value", str, "")
-    return binascii.a2b_base64(text)
+def _read_keys(
+    listed: list[object], policy: item_policy.ItemPolicy
+) -> list[tuple[str, dict[str, Any]]]:
+    """Returns the items whose key can be read, each with its key."""
+    keyed = []
+    for listed_item in listed:
+        try:
+            item = json_reader.expect(listed_item, dict, "item")
+            keyed.append((_read_key(item), item))
+        except ValueError as error:
+            policy.refuse_item("", make_error(error, "read item"))
+    return keyed
+
+
+def _read_key(item: dict[str, Any]) -> str:
+    key = json_reader.read_field(item, "Key", str)
+    try:
+        length = len(key.encode())
+    except UnicodeEncodeError as error:
+        raise json_reader.FieldError("Key", "can't be encoded") from error
+    if length > _MAX_KEY_OCTETS:
+        raise json_reader.FieldError("Key", f"has {length} octets")
+    return key
+
+
+def _read_content(
+    key: str,
+    item: dict[str, Any],
+    policy: item_policy.ItemPolicy,
+    read_value: Callable[[dict[str, Any], int | None], T],
+) -> tuple[int, T | bytes]:
+    """Returns the revision and the value of an item.
+
+    Guards against the deletion of an entry that is there but can't be read: the
+    item is not left out.
+    """
+    revision = _UNKNOWN_REVISION
+    value: T | bytes = _UNREADABLE_VALUE
+    try:
+        revision = json_reader.read_integer(item, "Revision", 1, MAX_NUMBER)
+        value = read_value(item, policy.get_max_octets(key))
+    except ValueError as error:
+        policy.refuse_item(key, make_error(error, "read item", key))
+    return revision, value
+
+
+def _read_change(item: dict[str, Any], max_octets: int | None) -> bytes | None:
+    """Returns the value of an event; None for a delete."""
+    if json_reader.read_field(item, "Tombstone", bool, False):
+        return None
+    return _read_value(item, max_octets)
+
+
+def _read_value(item: dict[str, Any], max_octets: int | None) -> bytes:
+    text = json_reader.read_field(item, "Value", str, "")
+    # Checked before the value is decoded, which takes memory.
+    if max_octets is not None and len(text) > (max_octets + 2) // 3 * 4:
+        raise json_reader.FieldError("Value", f"has {len(text)} characters")
+    try:
+        return binascii.a2b_base64(text, strict_mode=True)
+    except ValueError as error:
+        raise json_reader.FieldError("Value", f"is no base64: {error}") from (
+            error
+        )
--- /dev/null
+++ b/persimmonhinge/platform/host_item_policy.py
@@ -0,0 +1,52 @@
+"""Which items of the store's answers a forwarding host keeps."""
+
+from __future__ import annotations
+
+from persimmonhinge import errors
+from persimmonhinge.forwarding import input_source
+from persimmonhinge.light_typing import TYPE_CHECKING
+from persimmonhinge.platform import entries
+
+if TYPE_CHECKING:
+    from persimmonhinge.forwarding import refusals as refusals_module
+
+# Longest value of an entry other than the desired state, octets. The entry of
+# an upstream takes some hundred.
+_MAX_ENTRY_OCTETS = 4_096
+# The desired state may take as much as an answer holds.
+_MAX_STATE_OCTETS = 4 * 1024 * 1024
+_USED_PREFIXES = (entries.UPSTREAMS, entries.EVACUATIONS)
+
+
+class HostItemPolicy:
+    """Keeps what a host uses; an unreadable item is refused alone.
+
+    Guards against a start that fails for as long as one item can't be read,
+    and against values of other programs that fill the memory of a host.
+    """
+
+    def __init__(self, refusals: refusals_module.Refusals) -> None:
+        """Initializes the policy.
+
+        Args:
+            refusals: Counts and logs the items that are refused.
+        """
+        self._refusals = refusals
+
+    def is_used(self, key: str) -> bool:
+        """See `item_policy.ItemPolicy`."""
+        return key == entries.DESIRED_STATE or key.startswith(_USED_PREFIXES)
+
+    def get_max_octets(self, key: str) -> int:
+        """See `item_policy.ItemPolicy`."""
+        if key == entries.DESIRED_STATE:
+            return _MAX_STATE_OCTETS
+        return _MAX_ENTRY_OCTETS
+
+    def refuse_item(
+        self, key: str, error: errors.UnreadableAnswerError
+    ) -> None:
+        """See `item_policy.ItemPolicy`; never raises."""
+        self._refusals.record_refusal(
+            input_source.InputSource.STORE_ANSWER, key, error
+        )
--- /dev/null
+++ b/persimmonhinge/platform/item_policy.py
@@ -0,0 +1,50 @@
+"""Which items of the store's answers a client keeps."""
+
+from __future__ import annotations
+
+from persimmonhinge import errors
+from persimmonhinge.light_typing import Protocol
+
+# Longer than any answer that is read.
+_NO_LIMIT_OCTETS = 1 << 32
+
+
+class ItemPolicy(Protocol):
+    """Decides which items are kept, and what an unreadable one means."""
+
+    def is_used(self, key: str) -> bool:
+        """Returns whether items of a key are kept."""
+
+    def get_max_octets(self, key: str) -> int:
+        """Returns the length above which a value is refused, octets."""
+
+    def refuse_item(
+        self, key: str, error: errors.UnreadableAnswerError
+    ) -> None:
+        """Handles an item that can't be read.
+
+        Args:
+            key: Its key; empty if not even that can be read.
+            error: Why it can't be read.
+
+        Raises:
+            UnreadableAnswerError: The whole answer is refused.
+        """
+
+
+class StrictPolicy:
+    """Keeps all items, and refuses an answer with an unreadable one."""
+
+    def is_used(self, key: str) -> bool:
+        """Returns true."""
+        return True
+
+    def get_max_octets(self, key: str) -> int:
+        """Returns more than an answer holds."""
+        return _NO_LIMIT_OCTETS
+
+    def refuse_item(
+        self, key: str, error: errors.UnreadableAnswerError
+    ) -> None:
+        """Raises the error."""
+        raise error
--- a/persimmonhinge/platform/store_reader.py
+++ b/persimmonhinge/platform/store_reader.py
@@ -9,6 +9,7 @@
 from persimmonhinge import json_reader
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.platform import answers
+from persimmonhinge.platform import item_policy
 from persimmonhinge.platform import watch as watches
 from persimmonhinge.store import http
 from persimmonhinge.store import pool as pools
@@ -48,8 +49,18 @@
         self,
         settings: port.StoreSettings,
         make_transport: Callable[[str, int], transports.Transport],
+        policy: item_policy.ItemPolicy | None = None,
     ) -> None:
+        """Makes a client without connections.
+
+        Args:
+            settings: How the store is reached.
+            make_transport: Makes a connection to an address and a port.
+            policy: Which items of pages and watches are kept; None to keep
+                all, and to refuse an answer with an unreadable one.
+        """
         self._settings = settings
+        self._policy = policy or item_policy.StrictPolicy()
         self._pool = pools.ConnectionPool(settings, make_transport)
 
     async def __aenter__(self) -> Self:
@@ -88,7 +99,7 @@
         while True:
             target = _make_target("/kv-range", **parameters)
             response = await self._call("GET", target, b"", {OK})
-            page = decode_answer(response.body, answers.read_page, target)
+            page = decode_answer(response.body, self._read_page, target)
             revision = revision or page.revision
             values.extend(page.items)
             if not page.has_more or not page.items or 0 < limit <= len(values):
@@ -96,6 +107,12 @@
             parameters["after"] = page.items[-1].key
         return port.PrefixState(revision, tuple(values[: limit or None]))
 
+    def _read_page(self, document: dict[str, Any]) -> answers.Page:
+        return answers.read_page(document, self._policy)
+
+    def _read_news(self, document: dict[str, Any]) -> answers.News:
+        return answers.read_news(document, self._policy)
+
     def watch(self, prefix: str, start_revision: int) -> watches.Watch:
         """See `port.PlatformReader`."""
         connection = self._pool.connect()
@@ -115,7 +132,7 @@
             )
             response = await self._call_watch(connection, target)
             _check(response, target, {OK})
-            answer = decode_answer(response.body, answers.read_news, target)
+            answer = decode_answer(response.body, self._read_news, target)
             after = max(after, answer.revision)
             yield answer.events
 
@@ -187,12 +204,10 @@
     """Reads the body of an answer.
 
     Raises:
-        PlatformError: It can't be read.
+        UnreadableAnswerError: It can't be read.
     """
     try:
         return read(json_reader.decode_object(body))
     except ValueError as error:
-        raise errors.PlatformError(
-            f"answer can't be read: {error}",
-            step=f"store {target.partition('?')[0]}",
-        ) from error
+        step = f"read answer of store {target.partition('?')[0]}"
+        raise answers.make_error(error, step) from error
--- a/persimmonhinge/store/http.py
+++ b/persimmonhinge/store/http.py
@@ -45,9 +45,11 @@
 
         Raises:
             PlatformUnreachableError: No connection could be opened.
+            UnreadableResponseError: The answer is not one of HTTP.
             PlatformUnavailableError: No answer in time, or the connection
                 failed; the call may have taken effect.
         """
+        step = f"store {method} {target.partition('?')[0]}"
         octets = self._encode(method, target, body)
         response = None
 
@@ -57,13 +59,14 @@
         try:
             response = await self._transport.run_within(timeout_s, exchange)
         except (OSError, ValueError) as error:
+            kind: type[errors.PlatformUnavailableError]
             kind = errors.PlatformUnavailableError
             if not self._opened:
                 kind = errors.PlatformUnreachableError
+            elif isinstance(error, ValueError):
+                kind = errors.UnreadableResponseError
             raise kind(
-                str(error) or type(error).__name__,
-                step=f"store {method} {target.partition('?')[0]}",
-                peer=self._peer,
+                str(error) or type(error).__name__, step=step, peer=self._peer
             ) from error
         finally:
             self.is_used = response is not None and response.keeps
