End a read of the store whose pages don't go on

An empty page that promises another one ended the read, and the part that had come was taken for all entries, so that those of the rest count as deleted; since unused items are dropped, so did a page of other programs' keys.

Each page but the last one must now end behind the key where it began, judged by all its keys, used or not.

A key with octets that are no UTF-8 on a command line raised UnicodeEncodeError (a traceback); it is a PlatformError now.

The tests failed before with "were taken for all entries", the missing entry behind a page without used items, and the UnicodeEncodeError.

--- a/persimmonhinge/platform/store_reader.py
+++ b/persimmonhinge/platform/store_reader.py
@@ -93,20 +93,38 @@
         """
         values: list[port.KeyValue] = []
         revision = 0
-        parameters = {"Prefix": prefix}
-        if after:
-            parameters["after"] = after
-        while True:
-            target = _make_target("/kv-range", **parameters)
-            response = await self._call("GET", target, b"", {OK})
-            page = decode_answer(response.body, self._read_page, target)
+        has_more = True
+        while has_more and (limit == 0 or len(values) < limit):
+            page = await self._get_page(prefix, after)
             revision = revision or page.revision
             values.extend(page.items)
-            if not page.has_more or not page.items or 0 < limit <= len(values):
-                break
-            parameters["after"] = page.items[-1].key
+            has_more = page.has_more
+            after = page.last_key or after
         return port.PrefixState(revision, tuple(values[: limit or None]))
 
+    async def _get_page(self, prefix: str, after: str) -> answers.Page:
+        """Returns the page of the keys behind one.
+
+        Guards against a read that never ends, and against a part of the keys
+        that is taken for all of them: each page but the last one must go on.
+
+        Raises:
+            UnreadableAnswerError: It can't be read, or does not go on.
+        """
+        parameters = {"Prefix": prefix}
+        if after:
+            parameters["after"] = after
+        target = _make_target("/kv-range", **parameters)
+        response = await self._call("GET", target, b"", {OK})
+        page = decode_answer(response.body, self._read_page, target)
+        if page.has_more and (page.last_key or "") <= after:
+            raise errors.UnreadableAnswerError(
+                f"is true, but no key is behind {after!r}",
+                step="read answer of store /kv-range",
+                field="HasMore",
+            )
+        return page
+
     def _read_page(self, document: dict[str, Any]) -> answers.Page:
         return answers.read_page(document, self._policy)
 
@@ -180,7 +198,12 @@
     # host would spend before it serves.
     import urllib.parse
 
-    return urllib.parse.quote(text, safe="")
+    try:
+        return urllib.parse.quote(text, safe="")
+    except UnicodeEncodeError as error:
+        raise errors.PlatformError(
+            f"{text!r:.80} can't be encoded", step="call store"
+        ) from error
 
 
 def _check(
--- /dev/null
+++ b/tests/test_platform/test_platform_pages.py
@@ -0,0 +1,59 @@
+"""Tests of reads whose pages don't come to an end."""
+
+from __future__ import annotations
+
+from persimmonhinge import errors
+from persimmonhinge.store import blocking_transport
+from tests.test_platform import scripted_store
+
+# Keys of the pages that a store returns in turn, the last one again and again;
+# all pages promise another one.
+_ENDLESS: tuple[tuple[tuple[object, ...], ...], ...] = (
+    (("a",),),
+    ((),),
+    (("b",), ("a",)),
+    (("b",), ("c", "b")),
+    (("b",), ()),
+    (("b",), (5,)),
+    (("\ud800",),),
+)
+_MOST_CALLS = 3
+
+
+def _make_page(keys: tuple[object, ...], *, has_more: bool) -> bytes:
+    items = [{"Key": key, "Value": "", "Revision": 1} for key in keys]
+    return scripted_store.make_page(*items, HasMore=has_more)
+
+
+def test_read_whose_pages_do_not_go_on_is_refused() -> None:
+    """Guards against a host that reads for ever, or takes a part for all."""
+    for pages in _ENDLESS:
+        bodies = [_make_page(keys, has_more=True) for keys in pages]
+        host = scripted_store.make_host(*bodies)
+        try:
+            host.read_prefix()
+        except errors.UnreadableAnswerError:
+            assert len(host.targets) <= _MOST_CALLS
+            continue
+        raise AssertionError(f"{pages} were taken for all entries")
+
+
+def test_page_without_a_used_item_is_gone_past() -> None:
+    """Guards against a read that ends early where other programs' keys are."""
+    host = scripted_store.make_host(
+        _make_page(("op/a", "op/b"), has_more=True),
+        _make_page(("servers/a",), has_more=False),
+    )
+    (pair,) = host.read_prefix().values
+    assert pair.key == "servers/a"
+    assert "after=op/b" in host.targets[1]
+
+
+def test_key_that_cannot_be_encoded_is_an_error_of_the_call() -> None:
+    """Guards against a command that ends with a traceback."""
+    host = scripted_store.make_host(b"{}")
+    try:
+        blocking_transport.run(host.strict_client.get("contracts/\udcff"))
+    except errors.PlatformError:
+        return
+    raise AssertionError("the key was sent")
