Take an unexpected error of one answer for a failed call to the store

Any error but PlatformError in a read, in the use of its answer or in a batch of changes ended the follower's nursery, and so the process; at a start it ended the process before its first packet. A watch that the store answers at once and with nothing, for ever, made a host call in a loop without a pause, which also kept its other tasks from running on a slow core; so did reads and watches by turns where every watch fails.

Each call is now isolated: an unexpected error is recorded with its frames (input_failures_total, source store-answer), counts as a failed call, and the next call is made after the usual wait. Calls of a watch begin at least one interval apart also if it tells nothing, and reads that succeed are an interval apart also if the watch after them fails. Both are in one commit, as a test of the first never ends without the second.

The tests failed before: "IndexError: fault" out of Follower.run (read), the same in an ExceptionGroup (batch) and out of forward_during_imports; the test of the watch that is answered at once did not end within 15 s on a mock clock of 10 s.

--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -68,6 +68,7 @@
             core.entries,
             self._following,
             self._settings.coalesce_s,
+            core.refusals,
         )
         self._page_server = page.PageServer(
             *settings.parse_endpoint(self._settings.pages)
--- a/persimmonhinge/forwarding/follower.py
+++ b/persimmonhinge/forwarding/follower.py
@@ -11,7 +11,10 @@
 
 from persimmonhinge import errors
 from persimmonhinge.forwarding import entry_replica
+from persimmonhinge.forwarding import refusals as refusals_module
+from persimmonhinge.forwarding import store_failures
 from persimmonhinge.forwarding.peers import follower_role
+from persimmonhinge.metrics import counts
 from persimmonhinge.store import port
 
 logger = logging.getLogger(__name__)
@@ -59,6 +62,7 @@
         entries: entry_replica.EntryReplica,
         following: follower_role.FollowerRole,
         min_call_interval_s: float,
+        refusals: refusals_module.Refusals | None = None,
     ) -> None:
         """Creates a follower; it reads nothing before `run` is called.
 
@@ -69,8 +73,11 @@
             min_call_interval_s: Time from a change to the next call of the
                 watch, and minimum time between two reads of all entries,
                 seconds.
+            refusals: Records answers that are refused or fail unexpectedly;
+                None for a record of its own.
         """
         self._store = store
+        self._refusals = refusals or refusals_module.Refusals(counts.Counts())
         self._entries = entries
         self._following = following
         self._min_call_interval_s = min_call_interval_s
@@ -100,8 +107,8 @@
         """
         try:
             await self._entries.read_all(self._store)
-        except errors.PlatformError as error:
-            self._entries.record_failure(error)
+        except Exception as error:
+            self._record_failure(error)
             self._following.reaches_store = False
 
     async def _wait_for_turn(self) -> None:
@@ -122,8 +129,8 @@
             return
         try:
             await self._store.get_prefix(self._entries.state_key)
-        except errors.PlatformError as error:
-            self._entries.record_failure(error)
+        except Exception as error:
+            self._record_failure(error)
         else:
             self._record_answer()
 
@@ -136,20 +143,23 @@
 
     async def _follow_with_retries(self) -> None:
         while True:
+            started_at = trio.current_time()
             try:
                 await self._read_and_watch()
             except errors.PlatformHistoryGoneError as error:
                 logger.warning("Reading all store entries again: %s.", error)
-                await trio.sleep_until(
-                    self._read_at + self._min_call_interval_s
-                )
-            except errors.PlatformError as error:
+                await trio.sleep_until(started_at + self._min_call_interval_s)
+            except Exception as error:
                 failed_at = time.monotonic()
-                self._entries.record_failure(error)
+                self._record_failure(error)
                 self._following.reaches_store = False
                 await trio.sleep(
                     self._next_retry_interval() * random.uniform(0.5, 1.0)
                 )
+                # Reads may succeed while all watches fail.
+                await trio.sleep_until(
+                    self._read_at + self._min_call_interval_s
+                )
                 await self._wait_while_another_follows(failed_at)
 
     async def _wait_while_another_follows(self, failed_at: float) -> None:
@@ -169,17 +179,22 @@
             await trio.sleep(_POLL_INTERVAL_S)
 
     async def _read_and_watch(self) -> None:
-        self._read_at = trio.current_time()
+        started_at = trio.current_time()
         revision = await self._entries.read_all(self._store)
+        self._read_at = started_at
         self._record_answer()
         async with self._store.watch(_ALL_KEYS_PREFIX, revision + 1) as batches:
+            called_at = trio.current_time()
             async for batch in batches:
                 self._record_answer()
                 self._entries.apply_batch(batch)
-                if batch:
-                    await trio.sleep(self._min_call_interval_s)
-                else:
+                next_call_at = trio.current_time() + self._min_call_interval_s
+                if not batch:
                     self._entries.report_no_changes()
+                    # A store that does not wait for changes must be paced, too.
+                    next_call_at = called_at + self._min_call_interval_s
+                await trio.sleep_until(next_call_at)
+                called_at = trio.current_time()
 
     def _next_retry_interval(self) -> float:
         """Counts a failure; returns the maximum wait after it, seconds.
@@ -195,6 +210,9 @@
         self._failures += 1
         return max_interval_s * 2.0 ** (doublings - _RETRY_DOUBLINGS)
 
+    def _record_failure(self, error: Exception) -> None:
+        store_failures.record_failed_call(self._entries, self._refusals, error)
+
     def _record_answer(self) -> None:
         self._entries.record_answer()
         self._following.reaches_store = True
--- a/persimmonhinge/forwarding/startup.py
+++ b/persimmonhinge/forwarding/startup.py
@@ -9,8 +9,8 @@
 import time
 
 from persimmonhinge import early_logs
-from persimmonhinge import errors
 from persimmonhinge.forwarding import core as core_module
+from persimmonhinge.forwarding import store_failures
 from persimmonhinge.forwarding.decisions.pace import import_pace
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.store import blocking_transport
@@ -87,8 +87,8 @@
     """
     try:
         blocking_transport.run(core.entries.read_all(store))
-    except errors.PlatformError as error:
-        core.entries.record_failure(error)
+    except Exception as error:
+        store_failures.record_failed_call(core.entries, core.refusals, error)
         _pull_from_seeds(core)
     finder = _ForwardingFinder(core)
     if core.knowledge.is_complete():
