--- a/persimmonhinge/platform/store.py
+++ b/persimmonhinge/platform/store.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from persimmonhinge import json_reader
+from persimmonhinge.platform import answers
 from persimmonhinge.platform import store_reader
 from persimmonhinge.store import port
 
@@ -75,6 +76,6 @@
 
 def _read_number(body: bytes, name: str, target: str) -> int:
     def read(document: dict[str, Any]) -> int:
-        return json_reader.read_field(document, name, int)
+        return json_reader.read_integer(document, name, 1, answers.MAX_NUMBER)
 
     return store_reader.decode_answer(body, read, target)
--- a/tests/test_platform/scripted_store.py
+++ b/tests/test_platform/scripted_store.py
@@ -20,7 +20,7 @@
 Answer = Callable[[str], bytes]
 
 
-class _Transport:
+class Transport:
     """Carries calls to a function; see `transport.Transport`."""
 
     def __init__(self, answer: Answer) -> None:
@@ -28,23 +28,26 @@
         self._octets = b""
 
     async def open(self) -> None:
-        pass
+        """See `transport.Transport`."""
 
     async def send_all(self, octets: bytes) -> None:
+        """See `transport.Transport`."""
         body = self._answer(octets.split(b" ")[1].decode())
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
         self._octets = head.encode() + body
 
     async def receive_some(self) -> bytes:
+        """See `transport.Transport`."""
         return self._octets
 
     async def run_within(
         self, limit_s: float, work: Callable[[], Awaitable[Any]]
     ) -> Any:
+        """See `transport.Transport`."""
         return await work()
 
     def close(self) -> None:
-        pass
+        """See `transport.Transport`."""
 
 
 class ScriptedHost:
@@ -75,7 +78,7 @@
     ) -> store_reader.StoreReader:
         return adapter.make_reader(
             ("127.0.0.1:1",),
-            lambda host, number: _Transport(self._record_call),
+            lambda host, number: Transport(self._record_call),
             1.0,
             refusals=record,
         )
--- a/tests/test_platform/test_platform_answers.py
+++ b/tests/test_platform/test_platform_answers.py
@@ -11,12 +11,12 @@
 from tests.test_forwarding import test_forwarding_entry_replica as readers
 from tests.test_platform import scripted_store
 
-_GOOD: dict[str, Any] = {
+GOOD: dict[str, Any] = {
     "Key": readers.make_key("1"),
     "Value": base64.b64encode(readers.make_entry()).decode(),
     "Revision": 3,
 }
-_OTHER = {**_GOOD, "Key": readers.make_key("2")}
+_OTHER = {**GOOD, "Key": readers.make_key("2")}
 _NO_REVISIONS: tuple[object, ...] = (
     -1,
     0,
@@ -50,7 +50,7 @@
     [],
     "x",
     {},
-    *({**_GOOD, "Key": key} for key in _NO_KEYS),
+    *({**GOOD, "Key": key} for key in _NO_KEYS),
 )
 _LARGE_OCTETS = 700_000
 _FRAMES: tuple[dict[str, Any], ...] = (
@@ -70,7 +70,7 @@
 def test_unreadable_item_is_refused_alone() -> None:
     """Guards against a host that doesn't start while one item is damaged."""
     for fields in _UNREADABLE:
-        page = scripted_store.make_page({**_GOOD, **fields}, _OTHER)
+        page = scripted_store.make_page({**GOOD, **fields}, _OTHER)
         host = scripted_store.make_host(page)
         assert host.read_all() == 9
         assert _find(host, "1") is None
@@ -82,8 +82,8 @@
     """Guards against flows that are reset since an entry looks deleted."""
     for fields in _UNREADABLE:
         pages = [
-            scripted_store.make_page(_GOOD, _OTHER),
-            scripted_store.make_page({**_GOOD, "Revision": 5, **fields}),
+            scripted_store.make_page(GOOD, _OTHER),
+            scripted_store.make_page({**GOOD, "Revision": 5, **fields}),
         ]
         host = scripted_store.make_host(*pages)
         host.read_all()
@@ -92,7 +92,7 @@
             entry.key: entry.value
             for entry in host.entries.make_snapshot(0, ()).entries
         }
-        assert values[_GOOD["Key"]] is not None, fields
+        assert values[GOOD["Key"]] is not None, fields
         assert values[_OTHER["Key"]] is None
 
 
@@ -108,17 +108,17 @@
 
 def test_unreadable_event_is_refused_alone() -> None:
     for fields in (*_UNREADABLE, {"Tombstone": 1}):
-        news = scripted_store.make_news(5, {**_GOOD, **fields}, _OTHER)
+        news = scripted_store.make_news(5, {**GOOD, **fields}, _OTHER)
         host = scripted_store.make_host(news)
         first, second = host.watch_once()
-        assert (first.key, first.value) == (_GOOD["Key"], b"")
+        assert (first.key, first.value) == (GOOD["Key"], b"")
         assert second.mod_revision == 3
         assert _find(host, "2") is not None
         assert host.count_refused() == 2
 
 
 def test_answer_whose_frame_is_unreadable_is_refused() -> None:
-    frames = [scripted_store.make_page(_GOOD, **fields) for fields in _FRAMES]
+    frames = [scripted_store.make_page(GOOD, **fields) for fields in _FRAMES]
     deep = b"[" * 100_000
     for body in (*frames, b"", b"{", b"[]", b"7", b'{"items":' + deep, b"\xff"):
         host = scripted_store.make_host(body)
@@ -133,7 +133,7 @@
 def test_client_of_commands_refuses_an_answer_with_an_unreadable_item() -> None:
     """Guards against a command that changes what it could read in part."""
     for fields in _UNREADABLE[:-1]:
-        page = scripted_store.make_page({**_GOOD, **fields}, _OTHER)
+        page = scripted_store.make_page({**GOOD, **fields}, _OTHER)
         host = scripted_store.make_host(page)
         try:
             blocking_transport.run(host.strict_client.get_prefix(""))
@@ -146,10 +146,10 @@
     """Guards against a host that is killed for the memory of other values."""
     large = base64.b64encode(bytes(_LARGE_OCTETS)).decode()
     page = scripted_store.make_page(
-        {**_GOOD, "Key": "op/other", "Value": large},
-        {**_GOOD, "Key": "persimmonhinge/hosts/a", "Value": "no base64"},
-        {**_GOOD, "Key": "op/config", "Value": large},
-        {**_GOOD, "Key": readers.make_key("1"), "Value": large},
+        {**GOOD, "Key": "op/other", "Value": large},
+        {**GOOD, "Key": "persimmonhinge/hosts/a", "Value": "no base64"},
+        {**GOOD, "Key": "op/config", "Value": large},
+        {**GOOD, "Key": readers.make_key("1"), "Value": large},
     )
     host = scripted_store.make_host(page)
     kept = host.read_prefix().values
