Refuse a read whose entries would fill the memory of a host

Another writer that puts many entries under the upstreams' prefix made each host keep them all until the process was killed at its memory limit, after each restart anew; a kill leaves no last line in the log. The entries of one read may now take 32 MB (some ten thousand upstreams of the usual length); a longer read is a call that fails, counted and logged with its reason. Commands have no such limit, as before.

--- a/persimmonhinge/platform/host_item_policy.py
+++ b/persimmonhinge/platform/host_item_policy.py
@@ -15,6 +15,9 @@
 _MAX_ENTRY_OCTETS = 4_096
 # The desired state may take as much as an answer holds.
 _MAX_STATE_OCTETS = 4 * 1024 * 1024
+# Memory for the items of one read, octets: some ten thousand upstreams, and a
+# fraction of the smallest limit of a process.
+_MAX_READ_OCTETS = 32 * 1024 * 1024
 _USED_PREFIXES = (entries.UPSTREAMS, entries.EVACUATIONS)
 
 
@@ -25,6 +28,8 @@
     and against values of other programs that fill the memory of a host.
     """
 
+    max_read_octets = _MAX_READ_OCTETS
+
     def __init__(self, refusals: refusals_module.Refusals) -> None:
         """Initializes the policy.
 
--- a/persimmonhinge/platform/item_policy.py
+++ b/persimmonhinge/platform/item_policy.py
@@ -5,12 +5,18 @@
 from persimmonhinge import errors
 from persimmonhinge.light_typing import Protocol
 
-# Longer than any answer that is read.
-_NO_LIMIT_OCTETS = 1 << 32
+# More than the memory of any machine.
+_NO_LIMIT_OCTETS = 1 << 62
 
 
 class ItemPolicy(Protocol):
-    """Decides which items are kept, and what an unreadable one means."""
+    """Decides which items are kept, and what an unreadable one means.
+
+    Attributes:
+        max_read_octets: Memory that the items of one read may take, octets.
+    """
+
+    max_read_octets: int
 
     def is_used(self, key: str) -> bool:
         """Returns whether items of a key are kept."""
@@ -35,6 +41,8 @@
 class StrictPolicy:
     """Keeps all items, and refuses an answer with an unreadable one."""
 
+    max_read_octets = _NO_LIMIT_OCTETS
+
     def is_used(self, key: str) -> bool:
         """Returns true."""
         return True
--- a/persimmonhinge/platform/store_reader.py
+++ b/persimmonhinge/platform/store_reader.py
@@ -33,6 +33,9 @@
 # How much later than asked for a waiting watch may be answered before it
 # counts as silent: a slow store answers within some hundred milliseconds.
 _WATCH_SLACK_S = 0.4
+# Memory that an item takes beside its value: its key and the objects.
+_ITEM_OCTETS = 500
+_READ_PAGE_STEP = "read answer of store /kv-range"
 _PLAIN = frozenset(
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789_./-"
 )
@@ -90,14 +93,26 @@
 
         The pages of a long prefix are no snapshot: the revision is that of
         the first page, so that a watch from there on misses no change.
+
+        Raises:
+            UnreadableAnswerError: A page can't be read, or the items take more
+                memory than the policy allows.
         """
         values: list[port.KeyValue] = []
+        kept_octets = 0
         revision = 0
         has_more = True
         while has_more and (limit == 0 or len(values) < limit):
             page = await self._get_page(prefix, after)
             revision = revision or page.revision
             values.extend(page.items)
+            kept_octets += sum(_ITEM_OCTETS + len(i.value) for i in page.items)
+            if kept_octets > self._policy.max_read_octets:
+                raise errors.UnreadableAnswerError(
+                    f"take more than {self._policy.max_read_octets} octets",
+                    step=_READ_PAGE_STEP,
+                    field="items",
+                )
             has_more = page.has_more
             after = page.last_key or after
         return port.PrefixState(revision, tuple(values[: limit or None]))
@@ -120,7 +135,7 @@
         if page.has_more and (page.last_key or "") <= after:
             raise errors.UnreadableAnswerError(
                 f"is true, but no key is behind {after!r}",
-                step="read answer of store /kv-range",
+                step=_READ_PAGE_STEP,
                 field="HasMore",
             )
         return page
--- a/tests/test_platform/test_platform_pages.py
+++ b/tests/test_platform/test_platform_pages.py
@@ -18,6 +18,7 @@
     (("\ud800",),),
 )
 _MOST_CALLS = 3
+_MOST_PAGES = 30
 
 
 def _make_page(keys: tuple[object, ...], *, has_more: bool) -> bytes:
@@ -38,6 +39,33 @@
         raise AssertionError(f"{pages} were taken for all entries")
 
 
+def test_read_of_more_than_fits_is_refused() -> None:
+    """Guards against a host that is killed for the memory of many entries."""
+
+    def answer(_: str) -> bytes:
+        number = len(host.targets)
+        if number > _MOST_PAGES:
+            raise AssertionError("the read goes on")
+        items = [
+            {
+                "Key": f"servers/{number:04}-{i:03}",
+                "Value": value,
+                "Revision": 1,
+            }
+            for i in range(500)
+        ]
+        return scripted_store.make_page(*items, HasMore=True)
+
+    value = "A" * 4_000
+    host = scripted_store.ScriptedHost(answer)
+    try:
+        host.read_prefix()
+    except errors.UnreadableAnswerError as error:
+        assert error.field == "items"
+        return
+    raise AssertionError("the read has ended")
+
+
 def test_page_without_a_used_item_is_gone_past() -> None:
     """Guards against a read that ends early where other programs' keys are."""
     host = scripted_store.make_host(
