--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -71,6 +71,7 @@
             core.entries,
             self._following,
             self._settings.coalesce_s,
+            core.refusals,
         )
         requests = page_requests.PageRequests(core.refusals)
         self._page_server = page.PageServer(
--- a/persimmonhinge/platform/store_reader.py
+++ b/persimmonhinge/platform/store_reader.py
@@ -9,6 +9,7 @@
 from persimmonhinge import json_reader
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.platform import answers
+from persimmonhinge.platform import item_policy
 from persimmonhinge.platform import watch as watches
 from persimmonhinge.store import http
 from persimmonhinge.store import pool as pools
@@ -32,6 +33,9 @@
 # How much later than asked for a waiting watch may be answered before it
 # counts as silent: a slow store answers within some hundred milliseconds.
 _WATCH_SLACK_S = 0.4
+# Memory that an item takes beside its value: its key and the objects.
+_ITEM_OCTETS = 500
+_READ_PAGE_STEP = "read answer of store /kv-range"
 _PLAIN = frozenset(
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789_./-"
 )
@@ -48,8 +52,18 @@
         self,
         settings: port.StoreSettings,
         make_transport: Callable[[str, int], transports.Transport],
+        policy: item_policy.ItemPolicy | None = None,
     ) -> None:
+        """Makes a client without connections.
+
+        Args:
+            settings: How the store is reached.
+            make_transport: Makes a connection to an address and a port.
+            policy: Which items of pages and watches are kept; None to keep
+                all, and to refuse an answer with an unreadable one.
+        """
         self._settings = settings
+        self._policy = policy or item_policy.StrictPolicy()
         self._pool = pools.ConnectionPool(settings, make_transport)
 
     async def __aenter__(self) -> Self:
@@ -79,23 +93,59 @@
 
         The pages of a long prefix are no snapshot: the revision is that of
         the first page, so that a watch from there on misses no change.
+
+        Raises:
+            UnreadableAnswerError: A page can't be read, or the items take more
+                memory than the policy allows.
         """
         values: list[port.KeyValue] = []
+        kept_octets = 0
         revision = 0
-        parameters = {"Prefix": prefix}
-        if after:
-            parameters["after"] = after
-        while True:
-            target = _make_target("/kv-range", **parameters)
-            response = await self._call("GET", target, b"", {OK})
-            page = decode_answer(response.body, answers.read_page, target)
+        has_more = True
+        while has_more and (limit == 0 or len(values) < limit):
+            page = await self._get_page(prefix, after)
             revision = revision or page.revision
             values.extend(page.items)
-            if not page.has_more or not page.items or 0 < limit <= len(values):
-                break
-            parameters["after"] = page.items[-1].key
+            kept_octets += sum(_ITEM_OCTETS + len(i.value) for i in page.items)
+            if kept_octets > self._policy.max_read_octets:
+                raise errors.UnreadableAnswerError(
+                    f"take more than {self._policy.max_read_octets} octets",
+                    step=_READ_PAGE_STEP,
+                    field="items",
+                )
+            has_more = page.has_more
+            after = page.last_key or after
         return port.PrefixState(revision, tuple(values[: limit or None]))
 
+    async def _get_page(self, prefix: str, after: str) -> answers.Page:
+        """Returns the page of the keys behind one.
+
+        Guards against a read that never ends, and against a part of the keys
+        that is taken for all of them: each page but the last one must go on.
+
+        Raises:
+            UnreadableAnswerError: It can't be read, or does not go on.
+        """
+        parameters = {"Prefix": prefix}
+        if after:
+            parameters["after"] = after
+        target = _make_target("/kv-range", **parameters)
+        response = await self._call("GET", target, b"", {OK})
+        page = decode_answer(response.body, self._read_page, target)
+        if page.has_more and (page.last_key or "") <= after:
+            raise errors.UnreadableAnswerError(
+                f"is true, but no key is behind {after!r}",
+                step=_READ_PAGE_STEP,
+                field="HasMore",
+            )
+        return page
+
+    def _read_page(self, document: dict[str, Any]) -> answers.Page:
+        return answers.read_page(document, self._policy)
+
+    def _read_news(self, document: dict[str, Any]) -> answers.News:
+        return answers.read_news(document, self._policy)
+
     def watch(self, prefix: str, start_revision: int) -> watches.Watch:
         """See `port.PlatformReader`."""
         connection = self._pool.connect()
@@ -115,7 +165,7 @@
             )
             response = await self._call_watch(connection, target)
             _check(response, target, {OK})
-            answer = decode_answer(response.body, answers.read_news, target)
+            answer = decode_answer(response.body, self._read_news, target)
             after = max(after, answer.revision)
             yield answer.events
 
@@ -163,7 +213,12 @@
     # host would spend before it serves.
     import urllib.parse
 
-    return urllib.parse.quote(text, safe="")
+    try:
+        return urllib.parse.quote(text, safe="")
+    except UnicodeEncodeError as error:
+        raise errors.PlatformError(
+            f"{text!r:.80} can't be encoded", step="call store"
+        ) from error
 
 
 def _check(
@@ -187,12 +242,10 @@
     """Reads the body of an answer.
 
     Raises:
-        PlatformError: It can't be read.
+        UnreadableAnswerError: It can't be read.
     """
     try:
         return read(json_reader.decode_object(body))
     except ValueError as error:
-        raise errors.PlatformError(
-            f"answer can't be read: {error}",
-            step=f"store {target.partition('?')[0]}",
-        ) from error
+        step = f"read answer of store {target.partition('?')[0]}"
+        raise answers.make_error(error, step) from error
