--- a/persimmonhinge/errors.py
+++ b/persimmonhinge/errors.py
@@ -54,6 +54,10 @@
         self.reason = reason
 
 
+class RefusedSettingsError(RefusedInputError, SettingsError):
+    """A settings file can't be read or used; it is not applied."""
+
+
 class MalformedPacketError(RefusedInputError):
     """A datagram is not a packet of a flow."""
 
