Write log lines that can't be encoded in a reduced form

A log line with a number beyond 64 bits, a surrogate, or an object whose text raises, raised out of the handler into the code that logged it, and ended the process; a closed standard output did so at the start (`os.set_blocking`). Such a line is now written with its event, the kind of the error and a running count.

A pipe that took a line in part got the next line in the middle of it, so that neither could be read; the rest is now written first. The count of lines that were left out was lost if the line that tells it found no room.

Evidence: before, `UnicodeEncodeError: surrogates not allowed` out of `emit`, and `JSONDecodeError: Expecting ',' delimiter: line 1 column 13233` in the log of the test with a pipe that is read slowly.

--- a/persimmonhinge/logs.py
+++ b/persimmonhinge/logs.py
@@ -87,3 +87,13 @@
         logger.handlers = [handler]
         logger.propagate = False
         logger.setLevel(level)
+
+
+def set_level(level: str) -> None:
+    """Changes the lowest level of this package.
+
+    Args:
+        level: Name of the lowest level that is written.
+    """
+    for logger_name in (_PACKAGE, _MAIN):
+        logging.getLogger(logger_name).setLevel(level)
--- a/persimmonhinge/structured_logs.py
+++ b/persimmonhinge/structured_logs.py
@@ -42,7 +42,11 @@
             clock: Tells the time, seconds.
         """
         super().__init__()
-        os.set_blocking(file, False)
+        try:
+            os.set_blocking(file, False)
+        except OSError:
+            # It is closed: each line is left out.
+            pass
         self._host = host
         self._file = file
         self._clock = clock
@@ -50,6 +54,10 @@
         self._encoder = msgspec.json.Encoder(enc_hook=str)
         self._left_out = 0
         self._left_out_since = 0.0
+        # Lines that could only be written in a reduced form.
+        self._reduced = 0
+        # Rest of a line that the file took in part.
+        self._rest = b""
 
     def emit(self, record: logging.LogRecord) -> None:
         """Writes a record, or counts it as left out."""
@@ -57,7 +65,30 @@
             self._leave_out()
             return
         self._tell_left_out()
-        self._write(self._render(record))
+        if not self._write(self._encode(record)):
+            self._leave_out()
+
+    def flush(self) -> None:
+        """Writes the rest of a line that the file took in part."""
+        self._write(b"")
+
+    def _encode(self, record: logging.LogRecord) -> bytes:
+        try:
+            return self._encoder.encode(self._render(record)) + b"\n"
+        # Fields come from all over the program, and encode themselves: numbers
+        # beyond 64 bits, surrogates or texts of objects raise any error.
+        except Exception as error:
+            self._reduced += 1
+            line = {
+                "time": round(record.created, 3),
+                "level": record.levelname,
+                "host": self._host,
+                "part": logs.name_part(record.name),
+                "event": _make_printable(record.msg),
+                "not_encoded": type(error).__name__,
+                "reduced_lines": self._reduced,
+            }
+            return self._encoder.encode(line) + b"\n"
 
     def _render(self, record: logging.LogRecord) -> dict[str, object]:
         line: dict[str, object] = {
@@ -74,17 +105,24 @@
             line["error"] = logging.Formatter().formatException(record.exc_info)
         return line
 
-    def _write(self, line: dict[str, object]) -> None:
-        octets = self._encoder.encode(line) + b"\n"
+    def _write(self, octets: bytes) -> bool:
+        """Writes a line after the rest of a former one, or nothing of it.
+
+        Returns:
+            Whether the file took the line, or its first part.
+        """
         try:
-            written = os.write(self._file, octets)
+            if self._rest:
+                self._rest = self._rest[os.write(self._file, self._rest) :]
+                if self._rest:
+                    return False
+            if octets:
+                self._rest = octets[os.write(self._file, octets) :]
         except OSError:
             # Nowhere is left to say so; the next line that can be written
             # counts this one.
-            self._leave_out()
-            return
-        if written < len(octets):
-            self._leave_out()
+            return False
+        return True
 
     def _leave_out(self) -> None:
         if not self._left_out:
@@ -96,17 +134,23 @@
             return
         if self._clock() - self._left_out_since < _TELL_S:
             return
-        count, self._left_out = self._left_out, 0
-        self._write(
-            {
-                "time": round(time.time(), 3),
-                "level": "WARNING",
-                "host": self._host,
-                "part": "logs",
-                "event": "Lines were left out.",
-                "lines": count,
-            }
-        )
+        line = {
+            "time": round(time.time(), 3),
+            "level": "WARNING",
+            "host": self._host,
+            "part": "logs",
+            "event": "Lines were left out.",
+            "lines": self._left_out,
+        }
+        if self._write(self._encoder.encode(line) + b"\n"):
+            self._left_out = 0
+
+
+def _make_printable(value: object) -> str:
+    """Returns the text of a record, as far as it has one."""
+    if not isinstance(value, str):
+        return type(value).__name__
+    return value.encode("utf-8", "backslashreplace").decode()
 
 
 def configure(host: str, level: str) -> None:
@@ -117,3 +161,12 @@
         level: Name of the lowest level that is written.
     """
     logs.install(StructuredHandler(host), level)
+
+
+def set_level(level: str) -> None:
+    """Changes the lowest level that is written.
+
+    Args:
+        level: Name of the level.
+    """
+    logs.set_level(level)
--- a/tests/test_structured_logs.py
+++ b/tests/test_structured_logs.py
@@ -95,3 +95,69 @@
     assert later["event"] == "later"
     os.close(near)
     os.close(far)
+
+
+class Unprintable:
+    """An object whose text raises an error."""
+
+    def __str__(self) -> str:
+        raise ZeroDivisionError
+
+
+def test_line_that_can_t_be_encoded_is_written_reduced_and_counted() -> None:
+    """Guards against a log line that ends the process that writes it."""
+    near, far = os.pipe()
+    handler = structured_logs.StructuredHandler("h-1", far)
+    nested: list[object] = []
+    for _ in range(100_000):
+        nested = [nested]
+    values = (10**400, "\ud800", Unprintable(), {(1, 2): {3}}, nested)
+    for value in values:
+        handler.emit(make_record("Chose.", value=value))
+    handler.emit(make_record("%d of %s", args=("x",)))
+    handler.emit(make_record("\udfff", value=Unprintable()))
+    lines = read_lines(near)
+    assert len(lines) == len(values) + 2
+    reduced = [line for line in lines if "not_encoded" in line]
+    assert [line["reduced_lines"] for line in reduced] == list(
+        range(1, len(reduced) + 1)
+    )
+    assert len(reduced) >= 5
+    assert lines[0]["event"] == "Chose."
+    assert lines[0]["level"] == "INFO"
+    os.close(near)
+    os.close(far)
+
+
+def test_line_taken_in_part_does_not_spoil_the_next_one() -> None:
+    """Guards against a log in which a line ends in the middle of another."""
+    near, far = os.pipe()
+    os.set_blocking(near, False)
+    handler = structured_logs.StructuredHandler("h-1", far)
+    octets = b""
+    for number in range(20):
+        handler.emit(make_record("x" * 50_000, number=number))
+        if number % 3 == 0:
+            octets += os.read(near, 100_000)
+    for _ in range(4):
+        while chunk := read_lines_raw(near):
+            octets += chunk
+        handler.flush()
+    lines = [json.loads(line) for line in octets.splitlines()]
+    assert 1 < len(lines) < 20
+    os.close(near)
+    os.close(far)
+
+
+def test_log_to_a_file_that_is_closed_or_full_raises_nothing() -> None:
+    """Guards against a host that ends because its log can't be written."""
+    full = os.open("/dev/full", os.O_WRONLY)
+    closed, far = os.pipe()
+    os.close(closed)
+    for file in (closed, far, full):
+        handler = structured_logs.StructuredHandler("h-1", file)
+        for _ in range(3):
+            handler.emit(make_record("Chose."))
+        handler.flush()
+    os.close(far)
+    os.close(full)
