Say in a last log line why a process ends, and handle signals at once

Operators of a host that ended saw a traceback of exception groups on standard error, in the middle of a log of JSON lines, or nothing. Whatever ends the process now writes one last line of the log's form: reason and innermost frames with groups flattened, exit code, uptime, peak memory and descriptors. It is written without `logging` and `json`, so that it also comes before their import, with no descriptor left, or with no memory. Exit codes stay: 2 for settings, 1 for errors, 0 after a planned stop. The process then ends by `os._exit`, so that a standard output that can't be flushed doesn't turn 0 into 120. Numbers 0 to 2 that are closed at the start are opened as the null device; the log went into whichever socket got the number.

SIGQUIT, SIGUSR1, SIGUSR2 and SIGALRM keep their default actions: they are sent by operators only, to end a process. SIGPIPE and SIGXFSZ are ignored by the interpreter.

--- a/persimmonhinge/cmd/forward.py
+++ b/persimmonhinge/cmd/forward.py
@@ -6,6 +6,8 @@
 import _signal  # type: ignore[import-not-found]
 
 from persimmonhinge import collector
+from persimmonhinge import process_end
+from persimmonhinge import standard_files
 
 
 def main() -> None:
@@ -13,12 +15,17 @@
     # The default action would end a host that is told of new settings before
     # it follows signals.
     _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+    process_end.end_at_signals()
     # Before all else is imported: nothing that modules make at their import is
     # garbage, and a host that was restarted forwards nothing while it looks.
     collector.pause()
-    from persimmonhinge.cmd import forward_host
+    try:
+        standard_files.open_missing()
+        from persimmonhinge.cmd import forward_host
 
-    forward_host.run()
+        forward_host.run()
+    except BaseException as error:
+        process_end.end_with_error(error)
 
 
 if __name__ == "__main__":
--- a/persimmonhinge/cmd/forward_host.py
+++ b/persimmonhinge/cmd/forward_host.py
@@ -7,6 +7,7 @@
 
 from persimmonhinge import early_logs
 from persimmonhinge import errors
+from persimmonhinge import process_end
 from persimmonhinge.forwarding import binding
 from persimmonhinge.forwarding import core as cores
 from persimmonhinge.forwarding import settings as forward_settings
@@ -14,7 +15,6 @@
 from persimmonhinge.platform import adapter
 from persimmonhinge.store import blocking_transport
 
-EXIT_BAD_SETTINGS = 2
 CHECK_OPTION = "--check"
 
 
@@ -33,12 +33,12 @@
         if CHECK_OPTION in sys.argv:
             print(f"{path}: settings are good")
             return
+        process_end.name_host(settings.host)
         bound = binding.bind_packet_socket(
             forward_settings.parse_endpoint(settings.packets)
         )
     except (errors.SettingsError, OSError) as error:
-        print(f"error: {error}", file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
+        process_end.end_with_bad_settings(error)
     core = cores.ForwardCore(
         settings, bound, adapter.PacketFormat(), adapter.EntryFormat()
     )
@@ -49,6 +49,7 @@
     )
     startup.forward_during_imports(lambda: _import_rest(core), core, store)
     _run(core, path)
+    process_end.end_planned("planned stop")
 
 
 def _import_rest(core: cores.ForwardCore) -> None:
