--- a/persimmonhinge/forwarding/gauges.py
+++ b/persimmonhinge/forwarding/gauges.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import math
 import time
 
+from persimmonhinge import process_usage
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding.peers import follower_role
+from persimmonhinge.metrics import counts as counts_module
 
 
 def register_gauges(
@@ -55,7 +58,27 @@
         "upstreams_in_doubt",
         lambda: core.suspicions.count_suspected(time.monotonic()),
     )
+    _register_usage(counts)
     if core.overload is not None:
         from persimmonhinge.forwarding import overload_gauges
 
         overload_gauges.register_gauges(core.overload)
+
+
+def _register_usage(counts: counts_module.Counts) -> None:
+    """Registers what the process uses, by the names that Prometheus uses."""
+    for name, read in (
+        ("resident_memory_bytes", process_usage.read_resident_octets),
+        ("peak_memory_bytes", process_usage.read_peak_octets),
+        ("open_fds", process_usage.count_descriptors),
+        ("max_fds", process_usage.read_descriptor_limit),
+    ):
+        counts.watch(f"process_{name}", _make_gauge(read))
+
+
+def _make_gauge(read: Callable[[], int | None]) -> Callable[[], float]:
+    def read_or_nan() -> float:
+        value = read()
+        return math.nan if value is None else float(value)
+
+    return read_or_nan
--- a/persimmonhinge/forwarding/settings.py
+++ b/persimmonhinge/forwarding/settings.py
@@ -96,6 +96,8 @@
         log_level: Name of the lowest level that is logged.
         overload_control: Which parts of the overload control run; by default
             none.
+        memory_limit_mb: Memory above which the platform ends the process, MB;
+            None if it is not known.
     """
 
     host: str
@@ -119,6 +121,7 @@
     overload_control: overload_settings.OverloadSettings = (
         overload_settings.OverloadSettings()
     )
+    memory_limit_mb: float | None = None
 
     @property
     def watch_wait_s(self) -> float:
@@ -487,6 +490,7 @@
     "choice": _read_choice,
     "log_level": _read_log_level,
     "overload_control": _read_overload_control,
+    "memory_limit_mb": _read_positive,
 }
 # Settings that the platform may write without a figure.
 _LIMITS = frozenset(
@@ -496,6 +500,7 @@
         "evacuation_limit_ms",
         "stop_limit_s",
         "flow_life_s",
+        "memory_limit_mb",
     }
 )
 # Names of the settings without a default value.
