Read settings again while they are written, and apply them whole

A reload reported to the hosts at the new first peer port, which no socket uses before a restart, put the new name of the host into the log, and forgot in the second reload what needed a restart. It also made a new log handler each time, with a new budget of lines. An error in a reload that isn't one of the settings ended the process; it is recorded now.

--- a/persimmonhinge/cmd/forward_host.py
+++ b/persimmonhinge/cmd/forward_host.py
@@ -11,6 +11,7 @@
 from persimmonhinge.forwarding import binding
 from persimmonhinge.forwarding import core as cores
 from persimmonhinge.forwarding import settings as forward_settings
+from persimmonhinge.forwarding import settings_file
 from persimmonhinge.forwarding import startup
 from persimmonhinge.platform import adapter
 from persimmonhinge.store import blocking_transport
@@ -28,11 +29,13 @@
     """
     words = [word for word in sys.argv[1:] if word != CHECK_OPTION]
     path = words[0] if words else os.environ.get(adapter.SETTINGS_VARIABLE, "")
+    file = settings_file.SettingsFile(path)
     try:
-        settings = forward_settings.load(path)
         if CHECK_OPTION in sys.argv:
+            file.load()
             print(f"{path}: settings are good")
             return
+        settings = file.load_at_start()
         process_end.name_host(settings.host)
         bound = binding.bind_packet_socket(
             forward_settings.parse_endpoint(settings.packets)
@@ -48,7 +51,7 @@
         settings.first_call_limit_s,
     )
     startup.forward_during_imports(lambda: _import_rest(core), core, store)
-    _run(core, path)
+    _run(core, file)
     process_end.end_planned("planned stop")
 
 
@@ -64,7 +67,7 @@
     from persimmonhinge.forwarding import program  # noqa: F401
 
 
-def _run(core: cores.ForwardCore, path: str) -> None:
+def _run(core: cores.ForwardCore, file: settings_file.SettingsFile) -> None:
     from persimmonhinge.forwarding import program
 
-    program.run(core, adapter.make_reader, path)
+    program.run(core, adapter.make_reader, file)
--- a/persimmonhinge/forwarding/program.py
+++ b/persimmonhinge/forwarding/program.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 import logging
 import signal
+import time
 
 import trio
 
@@ -13,6 +14,8 @@
 from persimmonhinge.forwarding import application
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import reloading
+from persimmonhinge.forwarding import settings_file
+from persimmonhinge.forwarding import usage_reports
 from persimmonhinge.store import port
 from persimmonhinge.store import transport
 from persimmonhinge.store import trio_transport
@@ -20,6 +23,7 @@
 logger = logging.getLogger(__name__)
 
 _SETTINGS_CHECK_INTERVAL_S = 2.0
+_USAGE_CHECK_INTERVAL_S = 5.0
 
 ReaderFactory = Callable[
     [
@@ -35,14 +39,14 @@
 def run(
     core: core_module.ForwardCore,
     make_reader: ReaderFactory,
-    settings_path: str,
+    file: settings_file.SettingsFile,
 ) -> None:
     """Runs a host until a planned stop is complete.
 
     Args:
         core: The parts of the host that need no event loop.
         make_reader: Creates a client of the store.
-        settings_path: Path of the settings file.
+        file: The settings file, from which the settings of the host were read.
     """
     collector.relax()
     settings = core.settings
@@ -52,16 +56,23 @@
         settings.call_limit_s,
         settings.watch_wait_s,
     )
-    reloader = reloading.SettingsReloader(settings_path, settings, core.peers)
-    trio.run(_run_host, application.ForwardApplication(core, store), reloader)
+    reloader = reloading.SettingsReloader(
+        file, settings, core.peers, core.refusals
+    )
+    reports = usage_reports.UsageReports(settings.memory_limit_mb)
+    app = application.ForwardApplication(core, store)
+    trio.run(_run_host, app, reloader, reports)
 
 
 async def _run_host(
-    app: application.ForwardApplication, reloader: reloading.SettingsReloader
+    app: application.ForwardApplication,
+    reloader: reloading.SettingsReloader,
+    reports: usage_reports.UsageReports,
 ) -> None:
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_handle_signals, app, reloader)
         nursery.start_soon(_watch_settings_file, reloader)
+        nursery.start_soon(_report_usage, reports)
         await app.run()
         nursery.cancel_scope.cancel()
 
@@ -84,3 +95,9 @@
         await trio.sleep(_SETTINGS_CHECK_INTERVAL_S)
         if reloader.is_file_changed():
             reloader.reload()
+
+
+async def _report_usage(reports: usage_reports.UsageReports) -> None:
+    while True:
+        reports.report(time.monotonic())
+        await trio.sleep(_USAGE_CHECK_INTERVAL_S)
--- a/persimmonhinge/forwarding/reloading.py
+++ b/persimmonhinge/forwarding/reloading.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import logging
-import os
 import time
 
 from persimmonhinge import errors
 from persimmonhinge import structured_logs
 from persimmonhinge.forwarding import flow
+from persimmonhinge.forwarding import input_source
+from persimmonhinge.forwarding import refusals as refusals_module
 from persimmonhinge.forwarding import settings as settings_module
+from persimmonhinge.forwarding import settings_file
 from persimmonhinge.forwarding.peers import peer_table
 
 logger = logging.getLogger(__name__)
@@ -23,65 +25,69 @@
 
     def __init__(
         self,
-        path: str,
+        file: settings_file.SettingsFile,
         settings: settings_module.ForwardSettings,
         peers: peer_table.PeerTable,
+        refusals: refusals_module.Refusals,
     ) -> None:
         """Creates the reloader.
 
         Args:
-            path: Path of the settings file.
-            settings: The settings in force.
+            file: The settings file.
+            settings: The settings that the host was started with.
             peers: The other hosts, to which new seeds are added.
+            refusals: Records files that can't be used.
         """
-        self._path = path
+        self._file = file
+        self._started_with = settings
         self._settings = settings
         self._peers = peers
-        self._modified_at = self._read_modified_at()
+        self._refusals = refusals
 
     def is_file_changed(self) -> bool:
-        """Returns whether the file was modified since it was last read."""
-        return self._read_modified_at() != self._modified_at
+        """Returns whether the file was changed since it was last read."""
+        return self._file.is_changed()
 
     def reload(self) -> None:
         """Reloads the file; on an error, the former settings stay in force."""
-        self._modified_at = self._read_modified_at()
+        source = input_source.InputSource.SETTINGS
         try:
-            new_settings = settings_module.load(self._path)
-        except errors.SettingsError as error:
+            self._apply(self._file.load())
+        except errors.RefusedSettingsError as error:
+            self._refusals.record_refusal(source, self._file.path, error)
             logger.error("Keeps the former settings: %s.", error)
-            return
-        changed_fields = self._list_changed_fields(new_settings)
+        except Exception as error:
+            self._refusals.record_failure(source, self._file.path, error)
+
+    def _apply(self, new_settings: settings_module.ForwardSettings) -> None:
+        changed = _list_changed_fields(self._settings, new_settings)
+        needs_restart = _list_changed_fields(self._started_with, new_settings)
+        seeds = [
+            # The port that this host uses until it is restarted.
+            flow.Endpoint(address, self._started_with.report_port)
+            for address in new_settings.seed_addresses()
+        ]
         self._settings = new_settings
-        structured_logs.configure(new_settings.host, new_settings.log_level)
+        structured_logs.set_level(new_settings.log_level)
         now = time.monotonic()
-        for seed in new_settings.seed_addresses():
-            self._peers.add(flow.Endpoint(seed, new_settings.report_port), now)
+        for seed in seeds:
+            self._peers.add(seed, now)
         logger.info(
             "Read the settings again.",
             extra={
-                "changed": sorted(changed_fields & _RELOADABLE_FIELDS),
-                "needs_restart": sorted(changed_fields - _RELOADABLE_FIELDS),
+                "changed": sorted(changed & _RELOADABLE_FIELDS),
+                "needs_restart": sorted(needs_restart - _RELOADABLE_FIELDS),
             },
         )
 
-    def _list_changed_fields(
-        self, new_settings: settings_module.ForwardSettings
-    ) -> set[str]:
-        former_values = vars(self._settings)
-        new_values = vars(new_settings)
-        return {
-            name
-            for name in new_values
-            if new_values[name] != former_values[name]
-        }
 
-    def _read_modified_at(self) -> float | None:
-        try:
-            return os.stat(self._path).st_mtime
-        except OSError as error:
-            logger.warning(
-                "Can't read the modification time of the settings file: %s.",
-                error,
-            )
-            return None
+def _list_changed_fields(
+    former: settings_module.ForwardSettings,
+    new: settings_module.ForwardSettings,
+) -> set[str]:
+    former_values = vars(former)
+    return {
+        name
+        for name, value in vars(new).items()
+        if value != former_values[name]
+    }
