Try ports again that another process holds for a moment

Without the port of the metrics page a host goes on, as before, but also tries it for 2 s.

A stop limit below 1 s (`GraceS: 0.5`) ended a planned stop with exit code 1 (ValueError: `seconds` must be non-negative); it now ends without waiting.

--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import socket
 import time
 
 import trio
@@ -10,7 +11,9 @@
 from persimmonhinge import ids
 from persimmonhinge.forwarding import auto_reset_event
 from persimmonhinge.forwarding import core as core_module
+from persimmonhinge.forwarding import flow
 from persimmonhinge.forwarding import follower
+from persimmonhinge.forwarding import free_ports
 from persimmonhinge.forwarding import gauges
 from persimmonhinge.forwarding import room_page
 from persimmonhinge.forwarding import settings
@@ -104,6 +107,7 @@
             nursery.start_soon(self._handle_openings)
             nursery.start_soon(self._release_waiting_flows)
             nursery.start_soon(self._sweep_periodically)
+            await self._wait_for_ports()
             await nursery.start(self._page_server.run)
             await nursery.start(self._peer_service.run)
             if self._settings.metrics_port:
@@ -114,9 +118,32 @@
             nursery.cancel_scope.cancel()
         logger.info("Stopped.")
 
+    async def _wait_for_ports(self) -> None:
+        """Waits for the ports that a host can't do without.
+
+        Raises:
+            OSError: Another process holds one of them.
+        """
+        address = self._settings.own_address
+        pages = settings.parse_endpoint(self._settings.pages)
+        reports = flow.Endpoint(address, self._settings.report_port)
+        snapshots = flow.Endpoint(address, self._settings.snapshot_port)
+        for use, endpoint, kind in (
+            ("pages", pages, socket.SOCK_STREAM),
+            ("reports", reports, socket.SOCK_DGRAM),
+            ("snapshots", snapshots, socket.SOCK_STREAM),
+        ):
+            await free_ports.wait_until_free(use, endpoint, kind)
+
     async def _serve_metrics(self) -> None:
+        endpoint = flow.Endpoint(
+            self._settings.own_address, self._settings.metrics_port
+        )
         try:
             async with trio.open_nursery() as nursery:
+                await free_ports.wait_until_free(
+                    "metrics", endpoint, socket.SOCK_STREAM
+                )
                 await nursery.start(self._metrics_server.run)
         except* OSError as group:
             logger.error(
@@ -169,7 +196,7 @@
         self._following.leaving = True
         logger.info("Planned stop started.")
         self._core.forwarder.place_waiting_flows()
-        limit_s = self._settings.stop_limit_s - _STOP_MARGIN_S
+        limit_s = max(self._settings.stop_limit_s - _STOP_MARGIN_S, 0.0)
         self._last_received_at = trio.current_time()
         with trio.move_on_after(limit_s):
             while trio.current_time() - self._last_received_at < _STOP_IDLE_S:
