Write the lines of libraries into the log

With few descriptors left (`ulimit -n 12`) the event loop wrote a traceback to standard error for each connection that it couldn't accept, ten a second, without a budget and not as lines of the log. Warnings and errors of libraries now go through the same handler.

Evidence: the traceback `OSError: [Errno 24] Too many open files` on the standard error of such a host, in a trial; the test has the line of a library's logger in the log.

--- a/persimmonhinge/logs.py
+++ b/persimmonhinge/logs.py
@@ -97,3 +97,14 @@
     """
     for logger_name in (_PACKAGE, _MAIN):
         logging.getLogger(logger_name).setLevel(level)
+
+
+def install_for_libraries(handler: logging.Handler) -> None:
+    """Makes a handler the only one of the libraries that log.
+
+    Args:
+        handler: The handler.
+    """
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(logging.WARNING)
--- a/persimmonhinge/structured_logs.py
+++ b/persimmonhinge/structured_logs.py
@@ -160,7 +160,9 @@
         host: Name of the host in each line.
         level: Name of the lowest level that is written.
     """
-    logs.install(StructuredHandler(host), level)
+    handler = StructuredHandler(host)
+    logs.install(handler, level)
+    logs.install_for_libraries(handler)
 
 
 def set_level(level: str) -> None:
--- a/tests/test_structured_logs.py
+++ b/tests/test_structured_logs.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import os
+from unittest import mock
 
 from persimmonhinge import structured_logs
 
@@ -161,3 +162,32 @@
         handler.flush()
     os.close(far)
     os.close(full)
+
+
+def test_lines_of_libraries_have_the_form_of_the_log() -> None:
+    """Guards against tracebacks of a library beside the log, without a budget.
+
+    The event loop writes one each time that no descriptor is left for a
+    connection.
+    """
+    near, far = os.pipe()
+    loggers = [logging.getLogger(n) for n in ("", "persimmonhinge", "__main__")]
+    former = [(g, g.handlers, g.level, g.propagate) for g in loggers]
+    handler = structured_logs.StructuredHandler("h-1", far)
+    with mock.patch.object(
+        structured_logs, "StructuredHandler", return_value=handler
+    ):
+        structured_logs.configure("h-1", "ERROR")
+    try:
+        raise OSError("no descriptor")
+    except OSError as error:
+        logging.getLogger("trio.x").error("Accept.", exc_info=error)
+    finally:
+        for logger, handlers, level, propagate in former:
+            logger.handlers, logger.propagate = handlers, propagate
+            logger.setLevel(level)
+    (line,) = read_lines(near)
+    assert line["event"] == "Accept."
+    assert "OSError: no descriptor" in str(line["error"])
+    os.close(near)
+    os.close(far)
