--- a/persimmonhinge/forwarding/settings_file.py
+++ b/persimmonhinge/forwarding/settings_file.py
@@ -10,7 +10,7 @@
 
 # Time for which a start reads a file again that is missing or can't be used,
 # seconds: the platform writes it at each start.
-_START_LIMIT_S = 0.5
+_START_LIMIT_S = 1.0
 _START_RETRY_INTERVAL_S = 0.02
 
 # Time of the last modification in nanoseconds, octets, and inode.
