--- a/persimmonhinge/cmd/forward.py
+++ b/persimmonhinge/cmd/forward.py
@@ -4,10 +4,12 @@
 
 # The plain module: `signal` makes enumerations of all it names.
 import _signal  # type: ignore[import-not-found]
+import os
 
 from persimmonhinge import collector
 from persimmonhinge import process_end
-from persimmonhinge import standard_files
+
+_STANDARD_FILES = (0, 1, 2)
 
 
 def main() -> None:
@@ -20,7 +22,7 @@
     # garbage, and a host that was restarted forwards nothing while it looks.
     collector.pause()
     try:
-        standard_files.open_missing()
+        _open_missing_files()
         from persimmonhinge.cmd import forward_host
 
         forward_host.run()
@@ -28,5 +30,19 @@
         process_end.end_with_error(error)
 
 
+def _open_missing_files() -> None:
+    """Opens the null device for each standard file that is closed.
+
+    Otherwise the next file or socket that is opened gets its number, and the
+    log is written into it.
+    """
+    for file in _STANDARD_FILES:
+        try:
+            os.fstat(file)
+        except OSError:
+            # The system call returns the lowest number that is free.
+            os.open(os.devnull, os.O_RDWR)
+
+
 if __name__ == "__main__":
     main()
--- a/persimmonhinge/process_end.py
+++ b/persimmonhinge/process_end.py
@@ -15,7 +15,6 @@
 import sys
 import time
 
-from persimmonhinge import process_usage
 from persimmonhinge.light_typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -95,7 +94,8 @@
         reason = "; ".join(_describe(e) for e in errors[:_MAX_ERRORS])
         if len(errors) > _MAX_ERRORS:
             reason += f"; and {len(errors) - _MAX_ERRORS} more"
-        where = _list_frames(errors[0])
+        # An error of a group that was never raised itself has no frames.
+        where = _list_frames(errors[0]) or _list_frames(error)
         # The frames of the traceback hold memory that the line may need.
         error.__traceback__ = None
         _write_early_lines()
@@ -186,6 +186,7 @@
     for number in (_signal.SIGTERM, _signal.SIGINT):
         _signal.signal(number, _signal.SIG_IGN)
     _flush_log()
+    peak_octets, descriptors = _read_usage()
     uptime_s = time.monotonic() - _process.started_at
     frames = ",".join(map(_quote, where))
     line = (
@@ -193,13 +194,24 @@
         f'"host":{_quote(_process.host)},"part":"cmd","event":"{_EVENT}",'
         f'"reason":{_quote(reason)},"where":[{frames}],'
         f'"uptime_s":{uptime_s:.3f},"exit_code":{exit_code},'
-        f'"peak_memory_bytes":{_write_number(process_usage.read_peak_octets())},'
-        f'"open_fds":{_write_number(process_usage.count_descriptors())}}}\n'
+        f'"peak_memory_bytes":{_write_number(peak_octets)},'
+        f'"open_fds":{_write_number(descriptors)}}}\n'
     ).encode()
     if not _write_to(_STDOUT, line):
         _write_to(_STDERR, line)
 
 
+def _read_usage() -> tuple[int | None, int | None]:
+    """Returns the peak memory, octets, and the number of descriptors."""
+    try:
+        # Only here, as a start needs none of it; the metrics import it, too.
+        from persimmonhinge import process_usage
+    except Exception:
+        # With no descriptor left, no module can be imported.
+        return None, None
+    return process_usage.read_peak_octets(), process_usage.count_descriptors()
+
+
 def _quote(text: str) -> str:
     # `json` is not imported: with no descriptor left, an import fails.
     return _json.encode_basestring_ascii(text)
--- a/persimmonhinge/process_usage.py
+++ b/persimmonhinge/process_usage.py
@@ -34,7 +34,9 @@
         import resource
 
         usage = resource.getrusage(resource.RUSAGE_SELF)
-    except (ImportError, OSError, MemoryError):
+    # The import may be what a signal interrupted, or run finders of modules
+    # that fail.
+    except Exception:
         return None
     return usage.ru_maxrss * _OCTETS_PER_KB
 
--- a/tests/test_process_end.py
+++ b/tests/test_process_end.py
@@ -96,6 +96,7 @@
         assert line["reason"] == reason
         assert line["event"] == "Process ended."
         assert line["level"] == "ERROR"
+        assert line["where"][-1].endswith(" end"), error
 
 
 def test_line_holds_innermost_frames_and_usage() -> None:
