--- a/persimmonhinge/cmd/forward_host.py
+++ b/persimmonhinge/cmd/forward_host.py
@@ -7,14 +7,15 @@
 
 from persimmonhinge import early_logs
 from persimmonhinge import errors
+from persimmonhinge import process_end
 from persimmonhinge.forwarding import binding
 from persimmonhinge.forwarding import core as cores
 from persimmonhinge.forwarding import settings as forward_settings
+from persimmonhinge.forwarding import settings_file
 from persimmonhinge.forwarding import startup
 from persimmonhinge.platform import adapter
 from persimmonhinge.store import blocking_transport
 
-EXIT_BAD_SETTINGS = 2
 CHECK_OPTION = "--check"
 
 
@@ -28,17 +29,19 @@
     """
     words = [word for word in sys.argv[1:] if word != CHECK_OPTION]
     path = words[0] if words else os.environ.get(adapter.SETTINGS_VARIABLE, "")
+    file = settings_file.SettingsFile(path)
     try:
-        settings = forward_settings.load(path)
         if CHECK_OPTION in sys.argv:
+            file.load()
             print(f"{path}: settings are good")
             return
+        settings = file.load_at_start()
+        process_end.name_host(settings.host)
         bound = binding.bind_packet_socket(
             forward_settings.parse_endpoint(settings.packets)
         )
     except (errors.SettingsError, OSError) as error:
-        print(f"error: {error}", file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
+        process_end.end_with_bad_settings(error)
     core = cores.ForwardCore(
         settings, bound, adapter.PacketFormat(), adapter.EntryFormat()
     )
@@ -49,7 +52,8 @@
         refusals=core.refusals,
     )
     startup.forward_during_imports(lambda: _import_rest(core), core, store)
-    _run(core, path)
+    _run(core, file)
+    process_end.end_planned("planned stop")
 
 
 def _import_rest(core: cores.ForwardCore) -> None:
@@ -64,7 +68,7 @@
     from persimmonhinge.forwarding import program  # noqa: F401
 
 
-def _run(core: cores.ForwardCore, path: str) -> None:
+def _run(core: cores.ForwardCore, file: settings_file.SettingsFile) -> None:
     from persimmonhinge.forwarding import program
 
-    program.run(core, adapter.make_reader, path)
+    program.run(core, adapter.make_reader, file)
--- a/persimmonhinge/logs.py
+++ b/persimmonhinge/logs.py
@@ -87,3 +87,24 @@
         logger.handlers = [handler]
         logger.propagate = False
         logger.setLevel(level)
+
+
+def set_level(level: str) -> None:
+    """Changes the lowest level of this package.
+
+    Args:
+        level: Name of the lowest level that is written.
+    """
+    for logger_name in (_PACKAGE, _MAIN):
+        logging.getLogger(logger_name).setLevel(level)
+
+
+def install_for_libraries(handler: logging.Handler) -> None:
+    """Makes a handler the only one of the libraries that log.
+
+    Args:
+        handler: The handler.
+    """
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(logging.WARNING)
