Refuse upstreams whose address packets can't be sent to

Callers of a host saw their flows stop: it ended each time it chose an upstream whose entry another writer had written with an address that is none, and again after each restart, as the entry was still there.

Cause: all text before the last colon of `Addr` was taken as an address. `sendto` raises `TypeError` for a host name that can't be encoded or holds a NUL, which `PacketSocket._send` doesn't expect, and it looks up all other names, in the event loop, once for each packet. Ports in digits of other scripts were taken, too, and addresses of no single host (0.0.0.0/8, multicast, broadcast). The route addresses had been read by `inet_aton`, which takes "1", "127.1", octal and text after a space, and ports by `int`, which takes -4,  and 8_0.

Host names, "127.1", "1.2.3.4 x", "10.0.0.256" were taken, as was each port in other digits.

An error names the field and the reason.

--- /dev/null
+++ b/persimmonhinge/forwarding/address_text.py
@@ -0,0 +1,76 @@
+"""IPv4 addresses and ports in text form.
+
+`inet_aton` of the C library also accepts octal and shortened addresses, and
+text after a space; `sendto` looks up everything else as a host name.
+"""
+
+from __future__ import annotations
+
+from persimmonhinge.forwarding import flow
+
+_OCTETS = 4
+_MAX_OCTET = 255
+_MAX_OCTET_DIGITS = 3
+_MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
+# First address after 0.0.0.0/8, which names no host.
+_FIRST_UNICAST = 1 << 24
+# Multicast addresses, and the broadcast address.
+_FIRST_MULTICAST = 0xE0000000
+_FIRST_AFTER_MULTICAST = 0xF0000000
+_BROADCAST = 0xFFFFFFFF
+
+
+def parse_address(text: str) -> int:
+    """Parses an address of four decimal octets; returns its 32 bits.
+
+    Raises:
+        ValueError: The text is something else.
+    """
+    octets = text.split(".") if text.isascii() else []
+    if len(octets) != _OCTETS or not all(map(_is_octet, octets)):
+        raise ValueError("is no IPv4 address of four decimal octets")
+    return int.from_bytes(map(int, octets))
+
+
+def parse_port(text: str) -> int:
+    """Parses the number of a port, 1 to 65535.
+
+    Raises:
+        ValueError: The text is something else.
+    """
+    if not text.isascii() or not text.isdigit() or len(text) > _MAX_PORT_DIGITS:
+        raise ValueError("has no port in decimal digits")
+    port = int(text)
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f"has no port from 1 to {_MAX_PORT}")
+    return port
+
+
+def parse_destination(text: str) -> flow.Endpoint:
+    """Parses an address and port that packets can be sent to.
+
+    Raises:
+        ValueError: The text is something else, or the address is that of no
+            single host.
+    """
+    host, _, port = text.rpartition(":")
+    if not _is_unicast(parse_address(host)):
+        raise ValueError("is the address of no single host")
+    return flow.Endpoint(host, parse_port(port))
+
+
+def _is_octet(text: str) -> bool:
+    return (
+        text.isdigit()
+        and len(text) <= _MAX_OCTET_DIGITS
+        and int(text) <= _MAX_OCTET
+        and (text[0] != "0" or len(text) == 1)
+    )
+
+
+def _is_unicast(address: int) -> bool:
+    return (
+        _FIRST_UNICAST <= address < _FIRST_MULTICAST
+        or _FIRST_AFTER_MULTICAST <= address < _BROADCAST
+    )
--- a/persimmonhinge/json_reader.py
+++ b/persimmonhinge/json_reader.py
@@ -14,6 +14,7 @@
 
 _SPACE = " \t\r\n"
 _INFINITY = float("inf")
+_DESCRIBED_CHARACTERS = 40
 
 
 class FieldError(ValueError):
@@ -98,7 +99,20 @@
         not isinstance(value, bool) or kind is bool
     ):
         return value
-    raise FieldError(name, f"is {value!r:.40}, not of type {kind.__name__}")
+    raise FieldError(name, f"is {describe(value)}, not of type {kind.__name__}")
+
+
+def describe(value: object) -> str:
+    """Returns a value as a short printable text, for the reason of a refusal.
+
+    The contents of lists and objects are left out: they may be long, and too
+    deep for their text to be made.
+    """
+    if isinstance(value, (list, dict)):
+        return f"of type {type(value).__name__}"
+    if isinstance(value, str):
+        value = value[:_DESCRIBED_CHARACTERS]
+    return repr(value)[:_DESCRIBED_CHARACTERS]
 
 
 def expect_number(value: object, name: str) -> float:
--- a/persimmonhinge/platform/entries.py
+++ b/persimmonhinge/platform/entries.py
@@ -6,17 +6,16 @@
 
 from __future__ import annotations
 
-import _socket
-
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge import json_reader
+from persimmonhinge.forwarding import address_text
 from persimmonhinge.forwarding import desired_state as desired_states
 from persimmonhinge.forwarding import route as routes
-from persimmonhinge.forwarding import settings
 from persimmonhinge.forwarding import tokens
 from persimmonhinge.forwarding import upstream as upstreams
 from persimmonhinge.light_typing import TYPE_CHECKING
+from persimmonhinge.platform import entry_fields
 
 if TYPE_CHECKING:
     from typing import Any
@@ -44,7 +43,7 @@
     """
     try:
         return _convert_state(json_reader.decode_object(value))
-    except (ValueError, OSError) as error:
+    except ValueError as error:
         raise _make_error(DESIRED_STATE, error) from error
 
 
@@ -57,7 +56,7 @@
     try:
         entry = json_reader.decode_object(value)
         return _convert_upstream(key.removeprefix(UPSTREAMS), entry)
-    except (ValueError, OSError) as error:
+    except ValueError as error:
         raise _make_error(key, error) from error
 
 
@@ -127,14 +126,9 @@
     repetition = routes.Repetition.AT_MOST_ONCE
     if read(entry, "Kind", str, "") in _REPEATABLE:
         repetition = routes.Repetition.IDEMPOTENT
-    # `Host` is an address of the platform here, not the name of a host, and
-    # `Prefix` a port between slashes, not the start of a path.
-    address = int.from_bytes(_socket.inet_aton(read(entry, "Host", str)))
     return routes.Route(
         name=read(entry, "Name", str),
-        virtual_address=routes.RouteAddress(
-            address, int(read(entry, "Prefix", str).strip("/"))
-        ),
+        virtual_address=_read_route_address(entry),
         shares=tuple(_convert_shares(entry)),
         priority=read(entry, "Priority", int, 0),
         repetition=repetition,
@@ -147,6 +141,23 @@
     )
 
 
+def _read_route_address(entry: dict[str, Any]) -> routes.RouteAddress:
+    """Returns the address and port of a route.
+
+    `Host` is an address of the platform here, not the name of a host, and
+    `Prefix` a port between slashes, not the start of a path.
+    """
+    parse = entry_fields.parse_field
+    return routes.RouteAddress(
+        parse(entry, "Host", address_text.parse_address),
+        parse(entry, "Prefix", _parse_prefix),
+    )
+
+
+def _parse_prefix(text: str) -> int:
+    return address_text.parse_port(text.strip("/"))
+
+
 def _read_time_s(entry: dict[str, Any], field: str) -> float | None:
     """Returns a time in seconds; None if the field is absent or 0."""
     time_ms = json_reader.expect_number(entry.get(field, 0), field)
@@ -190,7 +201,9 @@
         number=_read_number(name),
         token=tokens.compute_token(identity),
         service=ids.ServiceName(read(entry, "Service", str)),
-        address=settings.parse_endpoint(read(entry, "Addr", str)),
+        address=entry_fields.parse_field(
+            entry, "Addr", address_text.parse_destination
+        ),
         domain=ids.DomainId(read(entry, "Zone", str)),
         slots=slots,
         state=_STATES[word],
@@ -225,5 +238,10 @@
     return number
 
 
-def _make_error(key: str, error: Exception) -> errors.UnreadableEntryError:
-    return errors.UnreadableEntryError(str(error), step="read entry", peer=key)
+def _make_error(key: str, error: ValueError) -> errors.UnreadableEntryError:
+    field, reason = "", str(error)
+    if isinstance(error, json_reader.FieldError):
+        field, reason = error.field, error.reason
+    return errors.UnreadableEntryError(
+        reason, step="read entry", peer=key, field=field
+    )
