Refuse numbers out of range in entries

A host that read an entry with a whole number of 400 digits ended, and didn't start while the entry was there.

Cause: numbers were checked for their type and sign alone. Python divides and converts whole numbers beyond the range of floats with `OverflowError`, which is no `ValueError`, and raises it also where a large float is squared.

Before, in one process: `OverflowError: integer division result too large for a float` for ColdLeftMs (entries.py `_convert_upstream`) and IdleTimeoutMs (`_convert_state`), `int too large to convert to float` for Slots (capacities.py `_compute`, at the first new flow), `(34, 'Numerical result out of range')` for AimMs 1e308 (demand_rates.py `variance`). A version of 2**64 came into force and left no later one a chance. Negative weights, times and priorities were taken. The new test failed at the first number of 400 digits.

Each number now has a range, in which all that is computed from it is finite and fits into 64 bits: counts of 31 bits, times of 50 days, versions and times since 1970 of 63 bits, weights and rates of 1e9.

--- a/persimmonhinge/json_reader.py
+++ b/persimmonhinge/json_reader.py
@@ -132,6 +132,36 @@
     return number
 
 
+def read_number(
+    document: dict[str, Any],
+    name: str,
+    smallest: float,
+    largest: float,
+    default: float | None = None,
+) -> float:
+    """Returns a field of an object if it is a number in a range.
+
+    Args:
+        document: The object.
+        name: Name of the field.
+        smallest: The smallest number that is allowed.
+        largest: The largest number that is allowed.
+        default: What a field that is not there counts as; None if it must be
+            there.
+
+    Raises:
+        FieldError: It is not there, of another type, or out of range.
+    """
+    if name not in document:
+        if default is None:
+            raise FieldError(name, "is missing")
+        return default
+    number = expect_number(document[name], name)
+    if not smallest <= number <= largest:
+        raise FieldError(name, f"is not from {smallest} to {largest}")
+    return number
+
+
 def read_integer(
     document: dict[str, Any],
     name: str,
--- a/persimmonhinge/platform/entries.py
+++ b/persimmonhinge/platform/entries.py
@@ -81,9 +81,13 @@
         for route in read(entry, "Routes", list, [])
     ]
     limits = read(entry, "Limits", dict, {})
-    idle_ms = read(limits, "IdleTimeoutMs", int, _IDLE_TIMEOUT_MS)
+    idle_ms = json_reader.read_integer(
+        limits, "IdleTimeoutMs", 0, entry_fields.MAX_TIME_MS, _IDLE_TIMEOUT_MS
+    )
     return desired_states.DesiredState(
-        version=read(entry, "Version", int),
+        version=json_reader.read_integer(
+            entry, "Version", 0, entry_fields.MAX_VERSION
+        ),
         routes={route.virtual_address: route for route in found},
         idle_timeout_s=idle_ms / 1000,
         warm_up_limits=_read_cold_limits(entry),
@@ -100,7 +104,9 @@
     limits = {}
     for listed in read(entry, "Services", list, []):
         service = json_reader.expect(listed, dict, "service")
-        rate = json_reader.expect_number(service.get("ColdPerS", 0), "ColdPerS")
+        rate = json_reader.read_number(
+            service, "ColdPerS", 0, entry_fields.MAX_RATE, 0
+        )
         if rate > 0:
             limits[ids.ServiceName(read(service, "Name", str))] = rate
     return limits
@@ -115,7 +121,9 @@
     limits = {}
     for listed in read(entry, "Services", list, []):
         service = json_reader.expect(listed, dict, "service")
-        max_flows = read(service, "MaxConns", int, 0)
+        max_flows = json_reader.read_integer(
+            service, "MaxConns", 0, entry_fields.MAX_COUNT, 0
+        )
         if max_flows > 0:
             limits[ids.ServiceName(read(service, "Name", str))] = max_flows
     return limits
@@ -130,7 +138,9 @@
         name=read(entry, "Name", str),
         virtual_address=_read_route_address(entry),
         shares=tuple(_convert_shares(entry)),
-        priority=read(entry, "Priority", int, 0),
+        priority=json_reader.read_integer(
+            entry, "Priority", 0, entry_fields.MAX_COUNT, 0
+        ),
         repetition=repetition,
         regions=frozenset(
             ids.RegionId(json_reader.expect(region, str, "AllowedRegions"))
@@ -160,7 +170,9 @@
 
 def _read_time_s(entry: dict[str, Any], field: str) -> float | None:
     """Returns a time in seconds; None if the field is absent or 0."""
-    time_ms = json_reader.expect_number(entry.get(field, 0), field)
+    time_ms = json_reader.read_number(
+        entry, field, 0, entry_fields.MAX_TIME_MS, 0
+    )
     return time_ms / 1000 if time_ms > 0 else None
 
 
@@ -171,7 +183,9 @@
     for backend in read(entry, "Backends", list, []):
         named = json_reader.expect(backend, dict, "Backends")
         service = ids.ServiceName(read(named, "Service", str))
-        weight = json_reader.expect_number(named.get("Weight"), "Weight")
+        weight = json_reader.read_number(
+            named, "Weight", 0, entry_fields.MAX_RATE
+        )
         shares.append(routes.Share(service, weight))
     if not shares:
         service = ids.ServiceName(read(entry, "Service", str, ""))
@@ -180,32 +194,32 @@
 
 
 def _convert_upstream(name: str, entry: dict[str, Any]) -> upstreams.Upstream:
+    fields = entry_fields
     read = json_reader.read_field
+    read_integer = json_reader.read_integer
     word = read(entry, "State", str)
     if word not in _STATES:
-        raise ValueError(f"State is {word!r:.40}")
-    slots = read(entry, "Slots", int)
-    # How much longer it is slow after its start, as of its last write.
-    cold_left_ms = read(entry, "ColdLeftMs", int)
+        raise json_reader.FieldError(
+            "State", f"is {json_reader.describe(word)}"
+        )
     # Not used, but an entry without them is not one of an upstream.
     read(entry, "Seq", int)
     read(entry, "Version", str)
     # Upstreams that never start again under their name leave it out.
-    born_ms = read(entry, "born", int, 0)
-    if slots < 1 or cold_left_ms < 0 or born_ms < 0:
-        numbers = f"Slots {slots}, ColdLeftMs {cold_left_ms}, born {born_ms}"
-        raise ValueError(f"not allowed: {numbers}")
+    born_ms = read_integer(entry, "born", 0, fields.MAX_VERSION, 0)
+    # How much longer it is slow after its start, as of its last write.
+    cold_left_ms = read_integer(entry, "ColdLeftMs", 0, fields.MAX_TIME_MS)
     identity = make_upstream_id(name, born_ms)
     return upstreams.Upstream(
         id=identity,
         number=_read_number(name),
         token=tokens.compute_token(identity),
         service=ids.ServiceName(read(entry, "Service", str)),
-        address=entry_fields.parse_field(
+        address=fields.parse_field(
             entry, "Addr", address_text.parse_destination
         ),
         domain=ids.DomainId(read(entry, "Zone", str)),
-        slots=slots,
+        slots=read_integer(entry, "Slots", 1, fields.MAX_COUNT),
         state=_STATES[word],
         warm_up_s=cold_left_ms / 1000,
     )
--- a/persimmonhinge/platform/entry_fields.py
+++ b/persimmonhinge/platform/entry_fields.py
@@ -1,4 +1,4 @@
-"""Fields of entries."""
+"""Fields of entries, with the ranges that the rest of the system relies on."""
 
 from __future__ import annotations
 
@@ -13,6 +13,16 @@
     T = TypeVar("T")
 
 
+# Largest number of slots, of flows or of a priority: 31 bits.
+MAX_COUNT = (1 << 31) - 1
+# Longest time, milliseconds: 32 bits, 50 days.
+MAX_TIME_MS = (1 << 32) - 1
+# Largest version and largest time since 1970 in milliseconds: 63 bits.
+MAX_VERSION = (1 << 63) - 1
+# Largest weight, and largest rate of requests per second.
+MAX_RATE = 1e9
+
+
 def parse_field(
     entry: dict[str, Any], field: str, parse: Callable[[str], T]
 ) -> T:
--- a/tests/test_platform/test_platform_entry_ranges.py
+++ b/tests/test_platform/test_platform_entry_ranges.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import contextlib
 import socket
 
@@ -35,6 +36,12 @@
 )
 
 
+# Out of the range of each whole number that is not negative.
+_FOREIGN_NUMBERS = (10**400, -(10**400), 1e999, 2**64, -1, 1e308, 5e-324, 4.5)
+# Out of the range of numbers that may be fractions.
+_FOREIGN_FRACTIONS = (10**400, -(10**400), 1e999, -1e999, 2**64, -1, 1e308)
+
+
 def find_refused_field(**fields: object) -> str | None:
     """Returns the field for which an upstream is refused; None if it is not."""
     document = {**entry_scene.UPSTREAM, **fields}
@@ -46,6 +53,23 @@
     return None
 
 
+def is_state_refused(changes: dict[str, object]) -> bool:
+    """Returns whether a desired state or one of its parts is refused."""
+    document = {**entry_scene.STATE, **changes}
+    try:
+        entries.decode_desired_state(entry_scene.encode(document))
+    except errors.UnreadableEntryError:
+        return True
+    return False
+
+
+def list_states(
+    field: str, values: Iterable[object]
+) -> list[dict[str, object]]:
+    """Returns the routes of states that have one field of a route changed."""
+    return [{"Routes": [{**entry_scene.ROUTE, field: v}]} for v in values]
+
+
 def test_addresses_that_no_packet_can_be_sent_to_are_refused() -> None:
     """Guards against a host that ends when it sends to an upstream.
 
@@ -58,6 +82,33 @@
         assert find_refused_field(Addr=address) is None, address
 
 
+def test_numbers_out_of_range_are_refused() -> None:
+    """Guards against a host that ends, or doesn't start, by a large number.
+
+    Whole numbers beyond the range of floats raise `OverflowError` where they
+    are divided, and floats near its end where they are squared.
+    """
+    for field in ("Slots", "ColdLeftMs", "born"):
+        for number in _FOREIGN_NUMBERS:
+            assert find_refused_field(**{field: number}) == field, number
+    for changed in list_states("Priority", _FOREIGN_NUMBERS):
+        assert is_state_refused(changed), changed
+    for field in ("AimMs", "TimeoutMs"):
+        for changed in list_states(field, _FOREIGN_FRACTIONS):
+            assert is_state_refused(changed), changed
+    for number in _FOREIGN_FRACTIONS:
+        backends = [{"Service": "a", "Weight": number}]
+        route = {**entry_scene.ROUTE, "Backends": backends}
+        cold = {"Name": "a", "ColdPerS": number}
+        assert is_state_refused({"Routes": [route]}), number
+        assert is_state_refused({"Services": [cold]}), number
+    for number in _FOREIGN_NUMBERS:
+        assert is_state_refused({"Version": number}), number
+        assert is_state_refused({"Limits": {"IdleTimeoutMs": number}}), number
+        full = {"Name": "a", "MaxConns": number}
+        assert is_state_refused({"Services": [full]}), number
+
+
 @hypothesis.given(
     strategies.text("0123456789.x \x00²")
     | strategies.ip_addresses(v=4).map(str)
