Apply the other entries when one fails, and record refused ones

Cause: `EntryEffects.apply`, through which all entries go, expected `UnreadableEntryError` alone.

Before, with a failure put into `Knowledge.apply_upstream` for the second of three entries: `KeyError: 'i-2'` out of `apply_batch`; the third entry was not applied.

Other errors are now recorded there, for one entry at a time, as `input_failures_total{source="entry"}` with their frames, and refused entries as `inputs_refused_total{source="entry"}` with key, field and reason. `unreadable_entries_total` and its log line stay.

--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -86,7 +86,7 @@
             settings.flow_life_s, settings.max_current_age_s
         )
         self.entries = entry_replica.EntryReplica(
-            reader, self.knowledge, self.counts
+            reader, self.knowledge, self.counts, self.refusals
         )
         self.openings = openings.Openings()
         self.socket = sockets.PacketSocket(packet_socket, self.counts)
--- a/persimmonhinge/forwarding/entry_effects.py
+++ b/persimmonhinge/forwarding/entry_effects.py
@@ -7,7 +7,9 @@
 
 from persimmonhinge import early_logs
 from persimmonhinge import errors
+from persimmonhinge.forwarding import input_source
 from persimmonhinge.forwarding import knowledge as knowledge_module
+from persimmonhinge.forwarding import refusals as refusals_module
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.metrics import counts as counts_module
 
@@ -23,6 +25,9 @@
 _MIN_UNREADABLE_LOG_INTERVAL_S = 1.0
 
 
+_ENTRY = input_source.InputSource.ENTRY
+
+
 class EntryEffects:
     """Applies store entries to the knowledge of a host.
 
@@ -34,10 +39,12 @@
         reader: entry_reader.EntryReader,
         knowledge: knowledge_module.Knowledge,
         counts: counts_module.Counts,
+        refusals: refusals_module.Refusals,
     ) -> None:
         self._reader = reader
         self._knowledge = knowledge
         self._counts = counts
+        self._refusals = refusals
         # Upstream id, including the incarnation, of the newest readable
         # entry of each key.
         self._incarnations: dict[str, ids.UpstreamId] = {}
@@ -53,14 +60,24 @@
     def apply(self, entry: store_entry.StoreEntry, source: str) -> None:
         """Applies an entry; the content of an unreadable one is ignored.
 
+        An error is recorded and doesn't keep the caller from the next entry.
+
         Args:
             entry: The newest entry of its key, or its deletion.
             source: Sender of the entry, for the log.
         """
         try:
-            self._apply(entry.key, entry.value, source)
+            self._apply_readable(entry.key, entry.value, source)
+        except Exception as error:
+            self._refusals.record_failure(_ENTRY, entry.key, error)
+
+    def _apply_readable(
+        self, key: str, value: bytes | None, source: str
+    ) -> None:
+        try:
+            self._apply(key, value, source)
         except errors.UnreadableEntryError as error:
-            self._reject_unreadable(entry.key, error, source)
+            self._reject_unreadable(key, error, source)
 
     def _apply(self, key: str, value: bytes | None, source: str) -> None:
         reader = self._reader
@@ -109,6 +126,7 @@
         limited because a writer may overwrite thousands of keys.
         """
         self._counts.add("unreadable_entries_total")
+        self._refusals.record_refusal(_ENTRY, key, error)
         known = self._incarnations.get(key)
         if known is not None:
             self._knowledge.stop_new_flows(known, source)
--- a/persimmonhinge/forwarding/entry_replica.py
+++ b/persimmonhinge/forwarding/entry_replica.py
@@ -12,6 +12,7 @@
 from persimmonhinge.forwarding import entry_effects
 from persimmonhinge.forwarding import entry_table
 from persimmonhinge.forwarding import knowledge as knowledge_module
+from persimmonhinge.forwarding import refusals as refusals_module
 from persimmonhinge.forwarding import store_entry
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.metrics import counts as counts_module
@@ -50,12 +51,27 @@
         reader: entry_reader.EntryReader,
         knowledge: knowledge_module.Knowledge,
         counts: counts_module.Counts,
+        refusals: refusals_module.Refusals | None = None,
     ) -> None:
+        """Creates a replica without entries.
+
+        Args:
+            reader: Decodes the entries.
+            knowledge: The host's knowledge.
+            counts: Counters of the host.
+            refusals: Records entries that are not used; None for a record of
+                the replica's own.
+        """
         self._reader = reader
         self._knowledge = knowledge
         self._counts = counts
         self._table = entry_table.EntryTable()
-        self._effects = entry_effects.EntryEffects(reader, knowledge, counts)
+        self._effects = entry_effects.EntryEffects(
+            reader,
+            knowledge,
+            counts,
+            refusals or refusals_module.Refusals(counts),
+        )
         self.completeness = completeness.Completeness()
         self.on_changes: ChangesCallback | None = None
 
--- /dev/null
+++ b/tests/test_forwarding/test_forwarding_entry_effects.py
@@ -0,0 +1,95 @@
+"""Tests of the effects of store entries on a host."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+from persimmonhinge.forwarding import knowledge as knowledge_module
+from persimmonhinge.forwarding import store_entry
+from persimmonhinge.forwarding import upstream as upstream_module
+from persimmonhinge.forwarding.peers import messages
+from persimmonhinge.store import port
+from tests.test_forwarding import test_forwarding_entry_replica as readers
+from tests.test_forwarding import test_forwarding_evacuation as evacuations
+
+_READY = upstream_module.UpstreamState.READY
+_KEYS = tuple(map(readers.make_key, "123"))
+
+
+def apply_batch(replica: readers.HostReplica) -> None:
+    """Applies entries as a watch of the store returns them."""
+    replica.entries.apply_batch(
+        [
+            port.WatchEvent(key, readers.make_entry(), revision)
+            for revision, key in enumerate(_KEYS, 1)
+        ]
+    )
+
+
+def read_store(replica: readers.HostReplica) -> None:
+    """Applies entries as a read of the whole store returns them."""
+    evacuations.read_store(
+        replica,
+        3,
+        *(port.KeyValue(k, readers.make_entry(), r) for r, k in _number()),
+    )
+
+
+def apply_update(replica: readers.HostReplica) -> None:
+    """Applies entries as another host sends changes."""
+    replica.entries.apply_update(
+        messages.EntryUpdate(0, 3, True, _list_entries()), "peer"
+    )
+
+
+def apply_snapshot(replica: readers.HostReplica) -> None:
+    """Applies entries as another host sends all."""
+    replica.entries.apply_snapshot(
+        messages.Snapshot(3, True, _list_entries(), (), True), "peer"
+    )
+
+
+def _number() -> list[tuple[int, str]]:
+    return list(enumerate(_KEYS, 1))
+
+
+def _list_entries() -> tuple[store_entry.StoreEntry, ...]:
+    return tuple(
+        store_entry.StoreEntry(k, readers.make_entry(), r) for r, k in _number()
+    )
+
+
+def test_failing_entry_keeps_no_other_from_being_applied() -> None:
+    """Guards against one entry that ends a host by an unforeseen error."""
+    put = knowledge_module.Knowledge.apply_upstream
+
+    def fail_for_second(
+        knowledge: knowledge_module.Knowledge,
+        upstream: upstream_module.Upstream,
+        now: float,
+        source: str,
+    ) -> None:
+        if upstream.id == "i-2":
+            raise KeyError(upstream.id)
+        put(knowledge, upstream, now, source)
+
+    for apply in (apply_batch, read_store, apply_update, apply_snapshot):
+        replica = readers.HostReplica()
+        with mock.patch.object(
+            knowledge_module.Knowledge, "apply_upstream", fail_for_second
+        ):
+            apply(replica)
+        found = [replica.find_upstream_state(name) for name in "123"]
+        assert found == [_READY, None, _READY], apply.__name__
+        assert replica.counts.get("input_failures_total", source="entry") == 1
+        assert replica.entries.revision == 3
+
+
+def test_unreadable_entries_are_recorded_by_source() -> None:
+    """Guards against refused entries that an operator can't find."""
+    replica = readers.HostReplica()
+    replica.entries.apply(readers.make_key("1"), b"{", 1)
+    replica.entries.apply("op/evacuate/", b"{}", 2)
+    refused = replica.counts.get("inputs_refused_total", source="entry")
+    assert refused == replica.counts.get("unreadable_entries_total") == 2
+    assert replica.counts.sum("input_failures_total") == 0
