Refuse names and keys in entries that no encoder takes

A host ended when it logged, reported or showed a name of an entry that holds half of a surrogate pair, as "\ud800" in JSON does, and ended again after its restart.

Cause: texts of any kind were names. UTF-8 has no form for such a half, so the encoders of log lines, metrics and messages to other hosts, and the hash of a service's name, raise `UnicodeEncodeError` or `TypeError`. The key of a refused entry was part of the line about its refusal.

Before, in one process: `UnicodeEncodeError` in structured_logs.py `_write` for Service of an upstream, Name of a route, and keys of upstreams and evacuations; in service_demand.py `hash_service` for Service of a route and of its backends; `TypeError: str is not valid UTF-8` in render.py for Zone. A key was also passed on to other hosts, whose messages can't hold it.

Names now have at most 200 characters, the length of the longest key, and hold neither surrogates nor control characters; those of an upstream's service and domain are not empty. Entries with keys that can't be encoded are refused before they are stored, so they reach no other host.

An upstream whose name is the id of an incarnation of another one ("i-1@1000") is refused, too: it replaced that one, and ended its flows when its own entry ended.

--- a/persimmonhinge/forwarding/entry_effects.py
+++ b/persimmonhinge/forwarding/entry_effects.py
@@ -51,11 +51,20 @@
         self._unreadable_logged_at = -math.inf
 
     def is_relevant(self, key: str) -> bool:
-        """Returns whether entries of a key affect the knowledge of a host."""
-        reader = self._reader
-        return key == reader.state_key or key.startswith(
-            (reader.upstreams_prefix, reader.evacuations_prefix)
-        )
+        """Returns whether entries of a key affect the knowledge of a host.
+
+        Keys that can't be sent to other hosts don't.
+        """
+        return self._is_known(key) and _is_encodable(key)
+
+    def refuse_key(self, key: str) -> None:
+        """Records an entry that is not relevant only because of its key."""
+        if self._is_known(key):
+            error = errors.UnreadableEntryError(
+                "holds surrogates", step="read entry", field="key"
+            )
+            self._counts.add("unreadable_entries_total")
+            self._refusals.record_refusal(_ENTRY, key, error)
 
     def apply(self, entry: store_entry.StoreEntry, source: str) -> None:
         """Applies an entry; the content of an unreadable one is ignored.
@@ -114,6 +123,12 @@
         else:
             self._knowledge.evacuate(domain, source)
 
+    def _is_known(self, key: str) -> bool:
+        reader = self._reader
+        return key == reader.state_key or key.startswith(
+            (reader.upstreams_prefix, reader.evacuations_prefix)
+        )
+
     def _reject_unreadable(
         self, key: str, error: errors.UnreadableEntryError, source: str
     ) -> None:
@@ -134,3 +149,13 @@
         if now - self._unreadable_logged_at >= _MIN_UNREADABLE_LOG_INTERVAL_S:
             self._unreadable_logged_at = now
             logger.error("Ignoring an unreadable store entry: %s.", error)
+
+
+def _is_encodable(key: str) -> bool:
+    if key.isprintable():
+        return True
+    try:
+        key.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/persimmonhinge/forwarding/entry_replica.py
+++ b/persimmonhinge/forwarding/entry_replica.py
@@ -354,6 +354,7 @@
         partitioned or a late answer of the store may deliver.
         """
         if not self._effects.is_relevant(entry.key):
+            self._effects.refuse_key(entry.key)
             return False
         if not self._table.put(entry):
             return False
--- a/persimmonhinge/json_reader.py
+++ b/persimmonhinge/json_reader.py
@@ -14,6 +14,8 @@
 
 _SPACE = " \t\r\n"
 _INFINITY = float("inf")
+# Control characters, which have no place in a name.
+_CONTROLS = frozenset(map(chr, (*range(32), *range(127, 160))))
 _DESCRIBED_CHARACTERS = 40
 
 
@@ -132,6 +134,26 @@
     return number
 
 
+def check_name(text: str, name: str, max_characters: int) -> str:
+    """Returns a text that can be a name in logs, metrics and messages.
+
+    Raises:
+        FieldError: It is too long, or holds control characters or surrogates,
+            which no encoder accepts.
+    """
+    if len(text) > max_characters:
+        raise FieldError(name, f"has more than {max_characters} characters")
+    if text.isprintable():
+        return text
+    if not _CONTROLS.isdisjoint(text):
+        raise FieldError(name, "holds control characters")
+    try:
+        text.encode()
+    except UnicodeEncodeError as error:
+        raise FieldError(name, "holds surrogates") from error
+    return text
+
+
 def read_number(
     document: dict[str, Any],
     name: str,
--- a/persimmonhinge/platform/entries.py
+++ b/persimmonhinge/platform/entries.py
@@ -33,6 +33,11 @@
 }
 _IDLE_TIMEOUT_MS = 15_000
 _HEX_DIGITS = frozenset("0123456789abcdef")
+_MAX_NUMBER = (1 << 64) - 1
+# Between the name and the time of the start in the id of an incarnation.
+_BORN_SEPARATOR = "@"
+# Field of errors about the key of an entry.
+_KEY_FIELD = "key"
 
 
 def decode_desired_state(value: bytes) -> desired_states.DesiredState:
@@ -69,6 +74,12 @@
         UnreadableEntryError: The key names none.
     """
     domain = key.removeprefix(EVACUATIONS)
+    try:
+        json_reader.check_name(
+            domain, _KEY_FIELD, entry_fields.MAX_NAME_CHARACTERS
+        )
+    except json_reader.FieldError as error:
+        raise _make_error(key, error) from error
     if not domain or "/" in domain:
         raise _make_error(key, ValueError("no failure domain is named"))
     return ids.DomainId(domain)
@@ -108,7 +119,9 @@
             service, "ColdPerS", 0, entry_fields.MAX_RATE, 0
         )
         if rate > 0:
-            limits[ids.ServiceName(read(service, "Name", str))] = rate
+            limits[ids.ServiceName(entry_fields.read_name(service, "Name"))] = (
+                rate
+            )
     return limits
 
 
@@ -125,7 +138,9 @@
             service, "MaxConns", 0, entry_fields.MAX_COUNT, 0
         )
         if max_flows > 0:
-            limits[ids.ServiceName(read(service, "Name", str))] = max_flows
+            limits[ids.ServiceName(entry_fields.read_name(service, "Name"))] = (
+                max_flows
+            )
     return limits
 
 
@@ -135,7 +150,7 @@
     if read(entry, "Kind", str, "") in _REPEATABLE:
         repetition = routes.Repetition.IDEMPOTENT
     return routes.Route(
-        name=read(entry, "Name", str),
+        name=entry_fields.read_name(entry, "Name"),
         virtual_address=_read_route_address(entry),
         shares=tuple(_convert_shares(entry)),
         priority=json_reader.read_integer(
@@ -143,8 +158,7 @@
         ),
         repetition=repetition,
         regions=frozenset(
-            ids.RegionId(json_reader.expect(region, str, "AllowedRegions"))
-            for region in read(entry, "AllowedRegions", list, [])
+            map(_check_region, read(entry, "AllowedRegions", list, []))
         ),
         target_latency_s=_read_time_s(entry, "AimMs"),
         timeout_s=_read_time_s(entry, "TimeoutMs"),
@@ -168,6 +182,15 @@
     return address_text.parse_port(text.strip("/"))
 
 
+def _check_region(region: object) -> ids.RegionId:
+    name = json_reader.expect(region, str, "AllowedRegions")
+    return ids.RegionId(
+        json_reader.check_name(
+            name, "AllowedRegions", entry_fields.MAX_NAME_CHARACTERS
+        )
+    )
+
+
 def _read_time_s(entry: dict[str, Any], field: str) -> float | None:
     """Returns a time in seconds; None if the field is absent or 0."""
     time_ms = json_reader.read_number(
@@ -182,13 +205,13 @@
     shares = []
     for backend in read(entry, "Backends", list, []):
         named = json_reader.expect(backend, dict, "Backends")
-        service = ids.ServiceName(read(named, "Service", str))
+        service = ids.ServiceName(entry_fields.read_name(named, "Service"))
         weight = json_reader.read_number(
             named, "Weight", 0, entry_fields.MAX_RATE
         )
         shares.append(routes.Share(service, weight))
     if not shares:
-        service = ids.ServiceName(read(entry, "Service", str, ""))
+        service = ids.ServiceName(entry_fields.read_name(entry, "Service", ""))
         shares.append(routes.Share(service, 1.0))
     return shares
 
@@ -209,22 +232,37 @@
     born_ms = read_integer(entry, "born", 0, fields.MAX_VERSION, 0)
     # How much longer it is slow after its start, as of its last write.
     cold_left_ms = read_integer(entry, "ColdLeftMs", 0, fields.MAX_TIME_MS)
-    identity = make_upstream_id(name, born_ms)
+    identity = make_upstream_id(_check_name(name), born_ms)
     return upstreams.Upstream(
         id=identity,
         number=_read_number(name),
         token=tokens.compute_token(identity),
-        service=ids.ServiceName(read(entry, "Service", str)),
+        service=ids.ServiceName(fields.read_own_name(entry, "Service")),
         address=fields.parse_field(
             entry, "Addr", address_text.parse_destination
         ),
-        domain=ids.DomainId(read(entry, "Zone", str)),
+        domain=ids.DomainId(fields.read_own_name(entry, "Zone")),
         slots=read_integer(entry, "Slots", 1, fields.MAX_COUNT),
         state=_STATES[word],
         warm_up_s=cold_left_ms / 1000,
     )
 
 
+def _check_name(name: str) -> str:
+    """Returns the name of an upstream if it can be one.
+
+    Raises:
+        FieldError: It can't be used in logs and metrics, or is the id of an
+            incarnation of another upstream.
+    """
+    json_reader.check_name(name, _KEY_FIELD, entry_fields.MAX_NAME_CHARACTERS)
+    if name.rpartition(_BORN_SEPARATOR)[2].isdigit() and (
+        _BORN_SEPARATOR in name
+    ):
+        raise json_reader.FieldError(_KEY_FIELD, "names an incarnation")
+    return name
+
+
 def make_upstream_id(name: str, born_ms: int) -> ids.UpstreamId:
     """Returns the id of one incarnation of an upstream.
 
@@ -236,7 +274,9 @@
         name: The name under which it enters itself.
         born_ms: When it started, milliseconds since 1970; 0 if not told.
     """
-    return ids.UpstreamId(f"{name}@{born_ms}" if born_ms else name)
+    return ids.UpstreamId(
+        f"{name}{_BORN_SEPARATOR}{born_ms}" if born_ms else name
+    )
 
 
 def _read_number(name: str) -> int:
@@ -246,16 +286,18 @@
         ValueError: The name has no digits, or too many.
     """
     digits = "".join(c for c in name.lower() if c in _HEX_DIGITS)
-    number = int(digits, 16)
-    if number >= 1 << 64:
-        raise ValueError(f"{name!r:.40} names no number of 64 bits")
-    return number
+    if not digits or int(digits, 16) > _MAX_NUMBER:
+        raise json_reader.FieldError(_KEY_FIELD, "names no number of 64 bits")
+    return int(digits, 16)
 
 
 def _make_error(key: str, error: ValueError) -> errors.UnreadableEntryError:
     field, reason = "", str(error)
     if isinstance(error, json_reader.FieldError):
         field, reason = error.field, error.reason
+    # Keys may hold surrogates, which no log line can.
+    peer = key[: entry_fields.MAX_NAME_CHARACTERS]
+    peer = peer.encode("utf-8", "backslashreplace").decode()
     return errors.UnreadableEntryError(
-        reason, step="read entry", peer=key, field=field
+        reason, step="read entry", peer=peer, field=field
     )
--- a/persimmonhinge/platform/entry_fields.py
+++ b/persimmonhinge/platform/entry_fields.py
@@ -12,7 +12,8 @@
 
     T = TypeVar("T")
 
-
+# Length of the longest key of the store.
+MAX_NAME_CHARACTERS = 200
 # Largest number of slots, of flows or of a priority: 31 bits.
 MAX_COUNT = (1 << 31) - 1
 # Longest time, milliseconds: 32 bits, 50 days.
@@ -23,6 +24,30 @@
 MAX_RATE = 1e9
 
 
+def read_name(
+    entry: dict[str, Any], field: str, default: str | None = None
+) -> str:
+    """Returns the field of a name.
+
+    Raises:
+        FieldError: It is not there, or can't be a name.
+    """
+    text = json_reader.read_field(entry, field, str, default)
+    return json_reader.check_name(text, field, MAX_NAME_CHARACTERS)
+
+
+def read_own_name(entry: dict[str, Any], field: str) -> str:
+    """Returns the field of a name that must not be empty.
+
+    Raises:
+        FieldError: It is not there, empty, or can't be a name.
+    """
+    text = read_name(entry, field)
+    if not text:
+        raise json_reader.FieldError(field, "is empty")
+    return text
+
+
 def parse_field(
     entry: dict[str, Any], field: str, parse: Callable[[str], T]
 ) -> T:
--- a/tests/test_forwarding/test_forwarding_entry_effects.py
+++ b/tests/test_forwarding/test_forwarding_entry_effects.py
@@ -93,3 +93,21 @@
     refused = replica.counts.get("inputs_refused_total", source="entry")
     assert refused == replica.counts.get("unreadable_entries_total") == 2
     assert replica.counts.sum("input_failures_total") == 0
+
+
+def test_key_that_no_encoder_takes_is_kept_from_other_hosts() -> None:
+    """Guards against a host that ends when it sends an entry to others."""
+    replica = readers.HostReplica()
+    sent: list[store_entry.StoreEntry] = []
+    replica.entries.on_changes = lambda _, entries: sent.extend(entries)
+    keys = ("servers/i-\ud8001", "op/evacuate/\udfff", *_KEYS, "else/\ud800")
+    replica.entries.apply_batch(
+        [
+            port.WatchEvent(key, readers.make_entry(), revision)
+            for revision, key in enumerate(keys, 1)
+        ]
+    )
+    snapshot = replica.entries.make_snapshot(0, ())
+    assert {entry.key for entry in sent} == set(_KEYS)
+    assert {entry.key for entry in snapshot.entries} == set(_KEYS)
+    assert replica.counts.get("inputs_refused_total", source="entry") == 2
--- a/tests/test_platform/test_platform_entry_ranges.py
+++ b/tests/test_platform/test_platform_entry_ranges.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 import contextlib
 import socket
+import unittest
 
 import hypothesis
 from hypothesis import strategies
@@ -14,6 +15,7 @@
 from persimmonhinge.platform import entries
 from tests.test_forwarding import entry_scene
 
+check = unittest.TestCase()
 _FOREIGN_ADDRESSES = (
     "\ufffd\ufffd:80",
     "10.0\x00.0.1:80",
@@ -42,6 +44,10 @@
 _FOREIGN_FRACTIONS = (10**400, -(10**400), 1e999, -1e999, 2**64, -1, 1e308)
 
 
+_FOREIGN_NAMES = ("\ud800", "a\x00b", "a\nb", "\x85", "x" * 201)
+_FOREIGN_UPSTREAMS = (*_FOREIGN_NAMES, "f@1791174346251", "", "xyz", "f" * 17)
+
+
 def find_refused_field(**fields: object) -> str | None:
     """Returns the field for which an upstream is refused; None if it is not."""
     document = {**entry_scene.UPSTREAM, **fields}
@@ -109,6 +115,42 @@
         assert is_state_refused({"Services": [full]}), number
 
 
+def test_names_that_no_encoder_takes_are_refused() -> None:
+    """Guards against a host that ends when it logs or reports a name."""
+    for name in _FOREIGN_NAMES:
+        for field in ("Name", "Service"):
+            assert all(map(is_state_refused, list_states(field, [name])))
+        assert all(
+            map(is_state_refused, list_states("AllowedRegions", [[name]]))
+        )
+        backends = [{"Service": name, "Weight": 1}]
+        assert all(map(is_state_refused, list_states("Backends", [backends])))
+        service = {"Name": name, "MaxConns": 1}
+        assert is_state_refused({"Services": [service]}), name
+    for name in (*_FOREIGN_NAMES, ""):
+        for field in ("Service", "Zone"):
+            assert find_refused_field(**{field: name}) == field, name
+    for name in ("", "quai-é", "ラベル\u200d", "x" * 200):
+        assert not any(map(is_state_refused, list_states("Name", [name])))
+
+
+def test_keys_that_no_encoder_takes_are_refused() -> None:
+    """Guards against a host that ends when it logs the key of an entry.
+
+    An upstream whose name is the id of an incarnation of another one would
+    take its flows.
+    """
+    value = entry_scene.encode(entry_scene.UPSTREAM)
+    for name in _FOREIGN_UPSTREAMS:
+        with check.assertRaises(errors.UnreadableEntryError) as refused:
+            entries.decode_upstream(f"servers/{name}", value)
+        assert refused.exception.field == "key", name
+        str(refused.exception).encode()
+    for name in _FOREIGN_NAMES:
+        with check.assertRaises(errors.UnreadableEntryError):
+            entries.decode_evacuated_domain(f"op/evacuate/{name}")
+
+
 @hypothesis.given(
     strategies.text("0123456789.x \x00²")
     | strategies.ip_addresses(v=4).map(str)
