Apply a desired state of which a part can't be read

One route that a host couldn't read kept the whole desired state from coming into force: callers of all other routes were served by the former version.

Cause: the desired state was decoded as a whole, so any error refused it.

Before, in one process: after version 8 with one Weight of 400 digits, version 7 stayed in force and one unreadable entry was counted, likewise for an unreadable Host, Prefix or service.

A route, service or limit that can't be read is now refused alone, and recorded with its place, such as `Routes[3].Prefix`. What was in force of it before stays: a route by its name, or else its address, as callers are better served by its former form than by a reset of their open flows. If it states neither, no route is removed by this state, as each may be the one. A state whose version or list of routes can't be read is refused whole, as before. Of two routes with one address the last one is in force, as before.

--- a/persimmonhinge/forwarding/desired_state.py
+++ b/persimmonhinge/forwarding/desired_state.py
@@ -7,6 +7,7 @@
 
 from persimmonhinge import ids
 from persimmonhinge import records
+from persimmonhinge.forwarding import refused_part
 from persimmonhinge.forwarding import route
 
 
@@ -22,6 +23,7 @@
             limit are absent.
         max_flows: Maximum numbers of open flows at one upstream, by service.
             Services without a limit are absent.
+        refused: Parts that can't be read, and are in none of the others.
     """
 
     version: int
@@ -29,3 +31,4 @@
     idle_timeout_s: float
     warm_up_limits: Mapping[ids.ServiceName, float] = MappingProxyType({})
     max_flows: Mapping[ids.ServiceName, int] = MappingProxyType({})
+    refused: tuple[refused_part.RefusedPart, ...] = ()
--- a/persimmonhinge/forwarding/entry_effects.py
+++ b/persimmonhinge/forwarding/entry_effects.py
@@ -7,6 +7,7 @@
 
 from persimmonhinge import early_logs
 from persimmonhinge import errors
+from persimmonhinge.forwarding import former_parts
 from persimmonhinge.forwarding import input_source
 from persimmonhinge.forwarding import knowledge as knowledge_module
 from persimmonhinge.forwarding import refusals as refusals_module
@@ -95,7 +96,18 @@
         elif key.startswith(reader.evacuations_prefix):
             self._apply_evacuation(key, value, source)
         elif value is not None:
-            self._knowledge.apply_state(reader.read_state(value), source)
+            self._apply_state(key, value, source)
+
+    def _apply_state(self, key: str, value: bytes, source: str) -> None:
+        state = self._reader.read_state(value)
+        if state.refused:
+            self._counts.add("unreadable_entries_total")
+            for part in state.refused:
+                self._refusals.record_refusal(_ENTRY, key, part.error)
+            former = self._knowledge.state
+            if former is not None:
+                state = former_parts.retain_former_parts(state, former)
+        self._knowledge.apply_state(state, source)
 
     def _apply_upstream(
         self, key: str, value: bytes | None, source: str
--- a/tests/test_forwarding/test_forwarding_entry_effects.py
+++ b/tests/test_forwarding/test_forwarding_entry_effects.py
@@ -9,6 +9,7 @@
 from persimmonhinge.forwarding import upstream as upstream_module
 from persimmonhinge.forwarding.peers import messages
 from persimmonhinge.store import port
+from tests.test_forwarding import entry_scene
 from tests.test_forwarding import test_forwarding_entry_replica as readers
 from tests.test_forwarding import test_forwarding_evacuation as evacuations
 
@@ -111,3 +112,25 @@
     assert {entry.key for entry in sent} == set(_KEYS)
     assert {entry.key for entry in snapshot.entries} == set(_KEYS)
     assert replica.counts.get("inputs_refused_total", source="entry") == 2
+
+
+def test_state_with_an_unreadable_part_is_in_force_and_recorded() -> None:
+    """Guards against a change that one bad route keeps from all callers."""
+    with entry_scene.run_host() as host:
+        first, second = entry_scene.STATE["Routes"]
+        document = {
+            **entry_scene.STATE,
+            "Version": 8,
+            "Routes": [{**first, "Priority": 3}, {**second, "Host": "1"}],
+        }
+        host.put((entry_scene.STATE_KEY, entry_scene.encode(document)))
+        state = host.core.knowledge.state
+        assert state is not None
+        assert state.version == 8
+        assert [(r.name, r.priority) for r in state.routes.values()] == [
+            ("r-2", 1),
+            ("r-1", 3),
+        ]
+        counts = host.core.counts
+        assert counts.get("inputs_refused_total", source="entry") == 1
+        assert counts.get("unreadable_entries_total") == 1
