Bound what a host remembers of entries that came and went

A host's memory grew with each upstream, route, failure domain and evacuation that ever existed, until it exceeds its limit and is killed.

Cause: counters with the id of an upstream or the name of a route as labels, the addresses of removed routes, failure domains, empty lists of services, ranks of upstreams that were warming up, upstreams that ended after an outage, and lists of ready upstreams for each set of excluded domains were never removed.

Each has a limit well above the size of a large deployment. Series of counters and histograms beyond 10,000 are merged into one with the label `other`, so that the sums of metrics go on; that and the other removals happen outside the packet path or when a list is made anew.

--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -184,3 +184,4 @@
             if state is not None:
                 idle_s = state.idle_timeout_s
             self._core.tracker.remove_expired(idle_s)
+            self._core.counts.limit_series()
--- a/persimmonhinge/forwarding/decisions/placement/candidates.py
+++ b/persimmonhinge/forwarding/decisions/placement/candidates.py
@@ -19,6 +19,9 @@
 SAMPLE_SIZE = 2
 # Maximum number of draws to find usable upstreams when many are suspected.
 _MAX_DRAWS = 8
+# Maximum number of lists in memory: several for each service in use. All are
+# dropped beyond, as those of former evacuations are not used again.
+_MAX_CACHED = 1024
 
 
 class _ReadyUpstreams(records.Record, frozen=True):
@@ -102,6 +105,8 @@
         local = [u for u in allowed if u.domain == self._domain]
         remote = [u for u in allowed if u.domain != self._domain]
         ready_upstreams = _ReadyUpstreams(ready, local, remote)
+        if len(self._ready_cache) >= _MAX_CACHED:
+            self._ready_cache.clear()
         self._ready_cache[service, excluded_domains] = ready_upstreams
         return ready_upstreams
 
--- a/persimmonhinge/forwarding/decisions/placement/chooser.py
+++ b/persimmonhinge/forwarding/decisions/placement/chooser.py
@@ -36,6 +36,8 @@
 # that takes part in overload control, seconds. Below the 200 ms after which
 # callers send a copy of an opening packet.
 _FULL_FOR_S = 0.05
+# Maximum number of services and excluded domains in memory that were full.
+_MAX_FULL_GROUPS = 1024
 
 
 class ChosenUpstream(records.Record, frozen=True):
@@ -205,6 +207,8 @@
         if found:
             self._full_at.pop(group, None)
         else:
+            if len(self._full_at) >= _MAX_FULL_GROUPS:
+                self._full_at.clear()
             self._full_at[group] = new_flow.now
         return found
 
--- a/persimmonhinge/forwarding/decisions/placement/warm_up_shares.py
+++ b/persimmonhinge/forwarding/decisions/placement/warm_up_shares.py
@@ -15,6 +15,9 @@
 _FLOW_INTERVAL_S = 1.0
 # A rank older than this is computed again, from the hosts known by then.
 _MAX_RANK_AGE_S = 1.0
+# Number of ranks from which those of upstreams that are no longer warming up
+# are removed.
+_MAX_RANKS = 1024
 
 
 class _Rank(records.Record, frozen=True):
@@ -85,9 +88,18 @@
                 _make_sort_key(other, upstream) < own
                 for other in self._list_others()
             )
+            if len(self._ranks) >= _MAX_RANKS:
+                self._remove_old_ranks(now)
             rank = self._ranks[upstream] = _Rank(position, now)
         return rank.position
 
+    def _remove_old_ranks(self, now: float) -> None:
+        self._ranks = {
+            upstream: rank
+            for upstream, rank in self._ranks.items()
+            if now - rank.computed_at <= _MAX_RANK_AGE_S
+        }
+
 
 def _make_sort_key(host: str, upstream: ids.UpstreamId) -> tuple[int, str]:
     return xxhash.xxh32_intdigest(f"{host}\n{upstream}".encode()), host
--- a/persimmonhinge/forwarding/directory.py
+++ b/persimmonhinge/forwarding/directory.py
@@ -15,6 +15,10 @@
     upstream_module.UpstreamState.MISSING,
 )
 
+# Maximum number of failure domains without upstreams: more than a deployment
+# has. Hosts there may still have demand.
+_MAX_EMPTY_DOMAINS = 64
+
 
 class Directory:
     """Holds the upstreams as described by their newest entries.
@@ -24,7 +28,8 @@
     this host has not learned of yet.
 
     Attributes:
-        domains: Failure domains in which an upstream has been seen.
+        domains: Failure domains in which an upstream has been seen. Of those
+            that have none any more, only the newest are retained.
     """
 
     def __init__(self, retention_s: float) -> None:
@@ -35,6 +40,9 @@
         """
         self._retention_s = retention_s
         self.domains: set[ids.DomainId] = set()
+        self._domain_sizes: dict[ids.DomainId, int] = {}
+        # In the order in which their last upstream was removed.
+        self._empty_domains: dict[ids.DomainId, None] = {}
         self._by_id: dict[ids.UpstreamId, upstream_module.Upstream] = {}
         self._by_token: dict[int, list[ids.UpstreamId]] = {}
         self._by_service: dict[ids.ServiceName, list[ids.UpstreamId]] = {}
@@ -56,8 +64,9 @@
             self._remove_from_service(former)
             upstream_ids = self._by_service.setdefault(upstream.service, [])
             upstream_ids.append(upstream.id)
+        self._add_to_domain(upstream)
+        self._remove_from_domain(former)
         self._by_id[upstream.id] = upstream
-        self.domains.add(upstream.domain)
         self._ready.pop(upstream.service, None)
         self._ended_at.pop(upstream.id, None)
         self._warmed_up_at[upstream.id] = now + upstream.warm_up_s
@@ -137,13 +146,39 @@
     def _remove_from_service(
         self, upstream: upstream_module.Upstream | None
     ) -> None:
-        if upstream is not None:
-            self._by_service[upstream.service].remove(upstream.id)
-            self._ready.pop(upstream.service, None)
+        if upstream is None:
+            return
+        self._by_service[upstream.service].remove(upstream.id)
+        if not self._by_service[upstream.service]:
+            del self._by_service[upstream.service]
+        self._ready.pop(upstream.service, None)
+
+    def _add_to_domain(self, upstream: upstream_module.Upstream) -> None:
+        domain = upstream.domain
+        self._domain_sizes[domain] = self._domain_sizes.get(domain, 0) + 1
+        self._empty_domains.pop(domain, None)
+        self.domains.add(domain)
+
+    def _remove_from_domain(
+        self, upstream: upstream_module.Upstream | None
+    ) -> None:
+        if upstream is None:
+            return
+        domain = upstream.domain
+        self._domain_sizes[domain] -= 1
+        if self._domain_sizes[domain]:
+            return
+        del self._domain_sizes[domain]
+        self._empty_domains[domain] = None
+        if len(self._empty_domains) > _MAX_EMPTY_DOMAINS:
+            oldest = next(iter(self._empty_domains))
+            del self._empty_domains[oldest]
+            self.domains.discard(oldest)
 
     def _evict(self, upstream_id: ids.UpstreamId) -> None:
         known = self._by_id.pop(upstream_id)
         self._remove_from_service(known)
+        self._remove_from_domain(known)
         self._by_token[known.token].remove(upstream_id)
         if not self._by_token[known.token]:
             del self._by_token[known.token]
--- a/persimmonhinge/forwarding/entry_effects.py
+++ b/persimmonhinge/forwarding/entry_effects.py
@@ -25,6 +25,8 @@
 _MIN_UNREADABLE_LOG_INTERVAL_S = 1.0
 
 
+# Number of upstreams in memory that ended without a deletion of their entry.
+_MAX_ENDED_INCARNATIONS = 1000
 _ENTRY = input_source.InputSource.ENTRY
 
 
@@ -125,9 +127,21 @@
         upstream = self._reader.read_upstream(key, value)
         if former is not None and former != upstream.id:
             self._knowledge.end_incarnation(former, now, source)
+        if former is None:
+            self._remove_ended_incarnations()
         self._incarnations[key] = upstream.id
         self._knowledge.apply_upstream(upstream, now, source)
 
+    def _remove_ended_incarnations(self) -> None:
+        """Removes upstreams that ended after an outage, if there are many."""
+        known = len(self._knowledge.directory)
+        if len(self._incarnations) > known + _MAX_ENDED_INCARNATIONS:
+            self._incarnations = {
+                key: upstream
+                for key, upstream in self._incarnations.items()
+                if not self._knowledge.has_ended(upstream)
+            }
+
     def _apply_evacuation(
         self, key: str, value: bytes | None, source: str
     ) -> None:
--- a/persimmonhinge/forwarding/knowledge.py
+++ b/persimmonhinge/forwarding/knowledge.py
@@ -17,6 +17,10 @@
 
 logger = early_logs.get_logger(__name__)
 
+# Maximum number of removed routes in memory: twice those of a large state. The
+# flows of a removed route end within a minute.
+_MAX_REMOVED_ROUTES = 10_000
+
 
 class Knowledge:
     """The desired state, upstreams and evacuations that a host received last.
@@ -45,7 +49,8 @@
         self.on_state_change: Callable[[], None] | None = None
         self.confirmed_at: float | None = None
         self._state: desired_state.DesiredState | None = None
-        self._removed_routes: set[route.RouteAddress] = set()
+        # In the order in which they were removed.
+        self._removed_routes: dict[route.RouteAddress, None] = {}
 
     @property
     def state(self) -> desired_state.DesiredState | None:
@@ -115,9 +120,7 @@
         former = self._state.version if self._state is not None else None
         if former is not None and former >= state.version:
             return False
-        if self._state is not None:
-            self._removed_routes |= self._state.routes.keys()
-        self._removed_routes -= state.routes.keys()
+        self._record_removed_routes(state)
         self._state = state
         logger.info(
             "Desired state in force.",
@@ -132,6 +135,17 @@
             self.on_state_change()
         return True
 
+    def _record_removed_routes(self, state: desired_state.DesiredState) -> None:
+        """Records the routes that are not in a new desired state."""
+        removed = self._removed_routes
+        if self._state is not None:
+            gone = self._state.routes.keys() - state.routes.keys()
+            removed.update(dict.fromkeys(gone))
+        for address in removed.keys() & state.routes.keys():
+            del removed[address]
+        while len(removed) > _MAX_REMOVED_ROUTES:
+            del removed[next(iter(removed))]
+
     def evacuate(self, domain: ids.DomainId, source: str) -> None:
         """Stops new flows to the upstreams of a failure domain."""
         self._set_evacuated(self.evacuated | {domain}, domain, source)
--- a/persimmonhinge/metrics/counts.py
+++ b/persimmonhinge/metrics/counts.py
@@ -9,7 +9,14 @@
 
 Labels = tuple[tuple[str, str], ...]
 Samples = Iterable[tuple[Labels, float]]
+Series = tuple[str, Labels]
 
+# Number of series from which older ones are merged: twice the upstreams of a
+# large deployment. A series takes about 400 octets.
+_MAX_SERIES = 10_000
+# Metrics with fewer series keep all of them.
+_MIN_MERGED_SERIES = 100
+_MERGED_LABEL = "other"
 
 # Upper bounds of the buckets of a histogram, seconds: from the time of an
 # opening (4 ms) to the longest that a caller waits.
@@ -33,6 +40,14 @@
         self.counts[bisect.bisect_left(BUCKETS_S, duration_s)] += 1
         self.total_s += duration_s
 
+    def merge(self, other: Histogram) -> None:
+        """Adds the durations of another histogram."""
+        self.counts = [
+            own + added
+            for own, added in zip(self.counts, other.counts, strict=True)
+        ]
+        self.total_s += other.total_s
+
 
 class Counts:
     """Counts events by name and labels.
@@ -84,6 +99,22 @@
         }
         return {**unlabelled, **self._labelled_histograms}
 
+    def limit_series(self) -> None:
+        """Merges older series of counters and histograms if there are many.
+
+        Guards against memory use that grows with each upstream and route that
+        ever existed. The series have `other` for all labels, and keep the sum
+        of their metric. One that is still in use starts again from 0.
+        """
+        if len(self._counters) > _MAX_SERIES:
+            for merged, series in _list_older(self._counters):
+                self._counters[merged] += self._counters.pop(series)
+        if len(self._labelled_histograms) > _MAX_SERIES:
+            histograms = self._labelled_histograms
+            for merged, series in _list_older(histograms):
+                target = histograms.setdefault(merged, Histogram())
+                target.merge(histograms.pop(series))
+
     def watch(self, name: str, read: Callable[[], float]) -> None:
         """Sets a function that reads a gauge when the page is asked for."""
         self._gauges[name] = read
@@ -113,3 +144,22 @@
     ) -> dict[str, Callable[[], Samples]]:
         """Returns the functions that read the gauges with labels."""
         return dict(self._gauge_families)
+
+
+def _list_older(all_series: Iterable[Series]) -> list[tuple[Series, Series]]:
+    """Returns the older half of the series of each metric with many.
+
+    Returns:
+        Pairs of the series that replaces one, and that one.
+    """
+    by_name: dict[str, list[Series]] = {}
+    for series in all_series:
+        by_name.setdefault(series[0], []).append(series)
+    return [
+        ((name, tuple((label, _MERGED_LABEL) for label, _ in labels)), series)
+        for found in by_name.values()
+        if len(found) >= _MIN_MERGED_SERIES
+        for series in found[: len(found) // 2]
+        for name, labels in (series,)
+        if any(value != _MERGED_LABEL for _, value in labels)
+    ]
--- a/tests/test_forwarding/entry_scene.py
+++ b/tests/test_forwarding/entry_scene.py
@@ -7,8 +7,10 @@
 import itertools
 import json
 import logging
+import math
 import os
 import socket
+import time
 from typing import Any
 
 import trio
@@ -139,6 +141,18 @@
                     token = known.token
                     handle(_make_packet(address, caller, scenes.ACK, token))
 
+    def expire(self) -> None:
+        """Ends all flows, and removes what belongs to ended upstreams."""
+        core = self.core
+        core.knowledge.end_missing_upstreams(time.monotonic())
+        core.tracker.remove_expired(0.0)
+        core.openings._remove_old_attempts(math.inf)
+        core.openings._pending.clear()
+        core.openings.get_next_due_at()
+        core.counts.limit_series()
+        self._service._reporter._list_loads()
+        self._service._pending_updates.clear()
+
     async def show(self) -> None:
         """Sends reports and updates, and shows the pages and a snapshot."""
         core = self.core
