Bound the services that a host remembers

Work budgets, capacities, balances and outliers of each service that a desired state ever named stayed in memory, the capacities with the upstreams that they were computed from.

Each part remembers 1,024 services, those that it saw last. Calls happen when a service is added, not for each packet.

--- a/persimmonhinge/forwarding/decisions/admission/admission.py
+++ b/persimmonhinge/forwarding/decisions/admission/admission.py
@@ -10,6 +10,7 @@
 from persimmonhinge.forwarding import overload_settings
 from persimmonhinge.forwarding import packet as packet_module
 from persimmonhinge.forwarding import route as route_module
+from persimmonhinge.forwarding import service_limit
 from persimmonhinge.forwarding.decisions.admission import budget as budgets
 from persimmonhinge.forwarding.decisions.admission import decision
 from persimmonhinge.forwarding.decisions.admission import demand_sources
@@ -166,6 +167,7 @@
         flow = self._waiting.pop_expired(now)
         if flow is not None:
             self._expired_at[flow.service, flow.route.priority] = now
+            service_limit.remove_oldest(self._expired_at)
         if flow is not None and can_reset:
             self._record_rejection(flow, now)
         return flow
--- a/persimmonhinge/forwarding/decisions/admission/budget.py
+++ b/persimmonhinge/forwarding/decisions/admission/budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from persimmonhinge import ids
+from persimmonhinge.forwarding import service_limit
 from persimmonhinge.forwarding.decisions.admission import budget_level
 from persimmonhinge.forwarding.decisions.admission import token_bucket
 
@@ -196,6 +197,7 @@
         budget = self._services.get(service)
         if budget is None:
             budget = self._services[service] = _ServiceBudget()
+            service_limit.remove_oldest(self._services)
         if priority not in budget.buckets:
             budget.add(priority, now)
             if self.is_most_urgent(priority):
--- a/persimmonhinge/forwarding/decisions/demand/capacities.py
+++ b/persimmonhinge/forwarding/decisions/demand/capacities.py
@@ -10,6 +10,7 @@
 from persimmonhinge import ids
 from persimmonhinge import records
 from persimmonhinge.forwarding import directory as directory_module
+from persimmonhinge.forwarding import service_limit
 from persimmonhinge.forwarding import upstream as upstream_module
 
 # Time for which a capacity is reused while upstreams are warming up or their
@@ -71,6 +72,7 @@
             or cached.expires_at <= now
         ):
             cached = self._cached[service] = self._compute(ready, now)
+            service_limit.remove_oldest(self._cached)
         return cached.by_domain
 
     def _compute(
--- a/persimmonhinge/forwarding/decisions/demand/room.py
+++ b/persimmonhinge/forwarding/decisions/demand/room.py
@@ -5,6 +5,7 @@
 from persimmonhinge import ids
 from persimmonhinge import records
 from persimmonhinge.forwarding import knowledge as knowledge_module
+from persimmonhinge.forwarding import service_limit
 from persimmonhinge.forwarding.decisions.demand import (
     capacities as capacities_module,
 )
@@ -97,7 +98,7 @@
         self._picture = picture
         self.capacities = capacities_module.Capacities(knowledge.directory)
         self._balances: dict[ids.ServiceName, ServiceBalance] = {}
-        self._contended: set[ids.ServiceName] = set()
+        self._contended: dict[ids.ServiceName, None] = {}
 
     def capacity(
         self, service: ids.ServiceName, domain: ids.DomainId, now: float
@@ -146,11 +147,16 @@
             now: The current time, seconds.
         """
         utilization = self._get_balance(service, now).compute_utilization()
+        if service in self._contended:
+            if utilization < _UNCONTENDED_BELOW:
+                del self._contended[service]
+                return False
+            return True
         if utilization > _CONTENDED_ABOVE:
-            self._contended.add(service)
-        elif utilization < _UNCONTENDED_BELOW:
-            self._contended.discard(service)
-        return service in self._contended
+            self._contended[service] = None
+            service_limit.remove_oldest(self._contended)
+            return True
+        return False
 
     def host_share(self, service: ids.ServiceName, now: float) -> float:
         """Returns the work that this host may start per second, slots.
@@ -185,6 +191,7 @@
         ):
             balance = self._compute_balance(service, now)
             self._balances[service] = balance
+            service_limit.remove_oldest(self._balances)
         return balance
 
     def _compute_balance(
--- a/persimmonhinge/forwarding/decisions/demand/work_estimates.py
+++ b/persimmonhinge/forwarding/decisions/demand/work_estimates.py
@@ -9,6 +9,7 @@
 from persimmonhinge.forwarding import knowledge as knowledge_module
 from persimmonhinge.forwarding import partial_observer
 from persimmonhinge.forwarding import route as route_module
+from persimmonhinge.forwarding import service_limit
 from persimmonhinge.forwarding import upstream as upstream_module
 
 # Number of values over which the times of a route are averaged.
@@ -168,7 +169,10 @@
         if self.is_contended is None or not self.is_contended(service, now):
             self._contended_at.pop(service, None)
             return False
-        contended_at = self._contended_at.setdefault(service, now)
+        contended_at = self._contended_at.get(service)
+        if contended_at is None:
+            contended_at = self._contended_at[service] = now
+            service_limit.remove_oldest(self._contended_at)
         return now - contended_at < _MAX_PAUSE_S
 
     def _compute_network_s(self, times: RouteTimes) -> float:
--- a/persimmonhinge/forwarding/decisions/placement/domain_upstreams.py
+++ b/persimmonhinge/forwarding/decisions/placement/domain_upstreams.py
@@ -7,6 +7,7 @@
 from persimmonhinge import ids
 from persimmonhinge import records
 from persimmonhinge.forwarding import directory as directory_module
+from persimmonhinge.forwarding import service_limit
 from persimmonhinge.forwarding import upstream as upstream_module
 
 
@@ -37,6 +38,7 @@
         groups = self._groups.get(service)
         if groups is None or groups.ready is not ready:
             groups = self._groups[service] = _group(ready)
+            service_limit.remove_oldest(self._groups)
         return groups.by_domain.get(domain, ())
 
 
--- a/persimmonhinge/forwarding/decisions/placement/service_means.py
+++ b/persimmonhinge/forwarding/decisions/placement/service_means.py
@@ -7,6 +7,7 @@
 from persimmonhinge import ids
 from persimmonhinge.forwarding import knowledge as knowledge_module
 from persimmonhinge.forwarding import route as route_module
+from persimmonhinge.forwarding import service_limit
 from persimmonhinge.forwarding.decisions.placement import (
     flow_rates as flow_rates_module,
 )
@@ -52,6 +53,7 @@
         mean = self._means.get(service)
         if mean is None or now - mean.computed_at > _MAX_AGE_S:
             mean = self._means[service] = self._compute(service, now)
+            service_limit.remove_oldest(self._means)
         return mean
 
     def _compute(
--- a/persimmonhinge/forwarding/decisions/upstream_health/quality.py
+++ b/persimmonhinge/forwarding/decisions/upstream_health/quality.py
@@ -9,6 +9,7 @@
 from persimmonhinge.forwarding import knowledge as knowledge_module
 from persimmonhinge.forwarding import partial_observer
 from persimmonhinge.forwarding import route as route_module
+from persimmonhinge.forwarding import service_limit
 from persimmonhinge.forwarding import upstream as upstream_module
 from persimmonhinge.forwarding import upstream_load
 from persimmonhinge.forwarding.decisions.placement import work_source
@@ -239,6 +240,7 @@
         if baseline is None:
             baseline = answer_baseline.AnswerBaseline()
             self._baselines[service] = baseline
+            service_limit.remove_oldest(self._baselines)
         return baseline
 
     def _add(
@@ -275,6 +277,8 @@
         table = self._tables.get(service)
         if table is None:
             table = self._tables[service] = outlier_table.OutlierTable()
+            service_limit.remove_oldest(self._tables)
+            service_limit.remove_oldest(self._search_at)
         if now >= self._search_at.get(service, 0.0):
             ready = self._directory.list_ready(service)
             self._search_at[service] = (
--- a/persimmonhinge/forwarding/directory.py
+++ b/persimmonhinge/forwarding/directory.py
@@ -7,6 +7,7 @@
 
 from persimmonhinge import ids
 from persimmonhinge import records
+from persimmonhinge.forwarding import service_limit
 from persimmonhinge.forwarding import upstream as upstream_module
 
 _LIVE_STATES = (
@@ -133,6 +134,7 @@
                 service, upstream_module.UpstreamState.READY
             )
             self._ready[service] = ready
+            service_limit.remove_oldest(self._ready)
         return ready
 
     def list_all(self) -> Iterable[upstream_module.Upstream]:
--- a/tests/test_forwarding/test_forwarding_entry_memory.py
+++ b/tests/test_forwarding/test_forwarding_entry_memory.py
@@ -17,6 +17,7 @@
 from persimmonhinge.forwarding import flow
 from persimmonhinge.forwarding import knowledge as knowledge_module
 from persimmonhinge.forwarding import route as route_module
+from persimmonhinge.forwarding import service_limit
 from persimmonhinge.forwarding.decisions.placement import candidates
 from persimmonhinge.forwarding.decisions.placement import chooser
 from persimmonhinge.forwarding.decisions.placement import flow_rates
@@ -35,6 +36,7 @@
     (entry_table, "_MAX_DELETIONS"),
     (flow_rates, "_MAX_ROUTES"),
     (knowledge_module, "_MAX_REMOVED_ROUTES"),
+    (service_limit, "MAX_SERVICES"),
     (warm_up_shares, "_MAX_RANKS"),
 )
 _LIMIT = 10
@@ -65,6 +67,7 @@
     route = {
         **entry_scene.ROUTE,
         "Name": f"route-{number}",
+        "Service": f"service-{number}",
         "Host": f"198.19.{number // 250}.{number % 250}",
     }
     state = {
