Don't store long values of other writers' entries

A host keeps the value of each entry under `servers/` and `op/evacuate/`, to send it to other hosts: 100 values of a megabyte, which another writer may put there, exceed the memory of a small host, which is then killed.

A value above 16 KB of any entry but the desired state is replaced by an empty one, which is unreadable here and at other hosts; entries of upstreams have some hundred octets. An evacuation holds whatever its value is.

--- a/persimmonhinge/forwarding/entry_replica.py
+++ b/persimmonhinge/forwarding/entry_replica.py
@@ -30,6 +30,9 @@
 # Length above which a desired state is sent separately, after all other
 # entries, octets. A link of 5 Mbit/s transfers this length in 0.03 s.
 _LONG_STATE_OCTETS = 16_384
+# Length above which the value of any other entry is not stored, octets. Those
+# of upstreams have some hundred.
+_MAX_VALUE_OCTETS = 16_384
 
 # Called with the revision before some changes, and with the changes.
 ChangesCallback = Callable[[int, list[store_entry.StoreEntry]], None]
@@ -356,11 +359,27 @@
         if not self._effects.is_relevant(entry.key):
             self._effects.refuse_key(entry.key)
             return False
+        entry = self._omit_long_value(entry)
         if not self._table.put(entry):
             return False
         self._effects.apply(entry, source)
         return True
 
+    def _omit_long_value(
+        self, entry: store_entry.StoreEntry
+    ) -> store_entry.StoreEntry:
+        """Returns an entry with an empty value if its own is too long.
+
+        Guards against a host that exceeds its memory by the entries of another
+        writer. An empty value is unreadable, here and at other hosts, except
+        for that of an evacuation, whose value has no meaning.
+        """
+        if entry.value is None or len(entry.value) <= _MAX_VALUE_OCTETS:
+            return entry
+        if entry.key == self._reader.state_key:
+            return entry
+        return store_entry.StoreEntry(entry.key, b"", entry.revision)
+
     def _advance(self, revision: int) -> None:
         self.completeness.advance(revision)
         self._table.prune_deletions(self.revision)
--- a/tests/test_forwarding/test_forwarding_entry_effects.py
+++ b/tests/test_forwarding/test_forwarding_entry_effects.py
@@ -134,3 +134,19 @@
         counts = host.core.counts
         assert counts.get("inputs_refused_total", source="entry") == 1
         assert counts.get("unreadable_entries_total") == 1
+
+
+def test_long_values_of_other_writers_are_not_stored() -> None:
+    """Guards against a host that is killed when it exceeds its memory."""
+    replica = readers.HostReplica()
+    long = b" " * 1_000_000
+    replica.entries.apply(readers.make_key("1"), readers.make_entry() + long, 1)
+    replica.entries.apply("op/evacuate/north", long, 2)
+    replica.entries.apply("op/config", readers.make_state(3) + long, 3)
+    snapshot = replica.entries.make_snapshot(0, ())
+    lengths = {e.key: len(e.value or b"") for e in snapshot.entries}
+    assert lengths.pop("op/config") > len(long)
+    assert set(lengths.values()) == {0}
+    assert replica.knowledge.evacuated == {"north"}
+    assert replica.knowledge.state is not None
+    assert replica.counts.get("unreadable_entries_total") == 1
