--- a/persimmonhinge/platform/state_entry.py
+++ b/persimmonhinge/platform/state_entry.py
@@ -74,13 +74,12 @@
     def _refuse_route(
         self, number: int, entry: object, error: json_reader.FieldError
     ) -> None:
-        known = entry if isinstance(entry, dict) else {}
         self._refuse(
             refused_part.Section.ROUTE,
             f"Routes[{number}]",
             error,
-            _read_or_none(lambda: entry_fields.read_name(known, "Name")),
-            _read_or_none(lambda: _read_route_address(known)),
+            _find(entry, _read_name),
+            _find(entry, _read_route_address),
         )
 
     def _read_services(
@@ -104,10 +103,7 @@
                     _convert_service(json_reader.expect(service, dict, ""))
                 )
             except json_reader.FieldError as error:
-                known = service if isinstance(service, dict) else {}
-                name = _read_or_none(
-                    lambda k=known: entry_fields.read_name(k, "Name")  # type: ignore[misc]
-                )
+                name = _find(service, _read_name)
                 self._refuse(section, f"Services[{number}]", error, name)
         return found
 
@@ -154,14 +150,21 @@
     return _StateReader().read(entry)
 
 
-def _read_or_none(read: Callable[[], T]) -> T | None:
+def _find(entry: object, read: Callable[[dict[str, Any]], T]) -> T | None:
+    """Returns what a refused part states, or None if that can't be read."""
+    if not isinstance(entry, dict):
+        return None
     try:
-        return read()
+        return read(entry)
     except json_reader.FieldError:
         # The part is refused already, for this or another field.
         return None
 
 
+def _read_name(entry: dict[str, Any]) -> str:
+    return entry_fields.read_name(entry, "Name")
+
+
 def _convert_service(
     entry: dict[str, Any],
 ) -> tuple[ids.ServiceName, float, int]:
@@ -182,14 +185,16 @@
     if read(entry, "Kind", str, "") in _REPEATABLE:
         repetition = routes.Repetition.IDEMPOTENT
     return routes.Route(
-        name=entry_fields.read_name(entry, "Name"),
+        name=_read_name(entry),
         virtual_address=_read_route_address(entry),
         shares=tuple(_convert_shares(entry)),
         priority=json_reader.read_integer(
             entry, "Priority", 0, entry_fields.MAX_COUNT, 0
         ),
         repetition=repetition,
-        regions=frozenset(map(_check_region, _read_regions(entry))),
+        regions=frozenset(
+            map(_check_region, read(entry, "AllowedRegions", list, []))
+        ),
         target_latency_s=_read_time_s(entry, "AimMs"),
         timeout_s=_read_time_s(entry, "TimeoutMs"),
     )
@@ -212,10 +217,6 @@
     return address_text.parse_port(text.strip("/"))
 
 
-def _read_regions(entry: dict[str, Any]) -> list[Any]:
-    return json_reader.read_field(entry, "AllowedRegions", list, [])
-
-
 def _check_region(region: object) -> ids.RegionId:
     name = json_reader.expect(region, str, "AllowedRegions")
     return ids.RegionId(
