--- a/persimmonhinge/forwarding/application.py
+++ b/persimmonhinge/forwarding/application.py
@@ -222,3 +222,4 @@
                 idle_s = state.idle_timeout_s
             for _ in self._core.tracker.remove_expired_in_slices(idle_s):
                 await trio.lowlevel.checkpoint()
+            self._core.counts.limit_series()
--- a/persimmonhinge/forwarding/entry_effects.py
+++ b/persimmonhinge/forwarding/entry_effects.py
@@ -7,7 +7,9 @@
 
 from persimmonhinge import early_logs
 from persimmonhinge import errors
+from persimmonhinge.forwarding import input_source
 from persimmonhinge.forwarding import knowledge as knowledge_module
+from persimmonhinge.forwarding import refusals as refusals_module
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.metrics import counts as counts_module
 
@@ -23,6 +25,11 @@
 _MIN_UNREADABLE_LOG_INTERVAL_S = 1.0
 
 
+# Number of upstreams in memory that ended without a deletion of their entry.
+_MAX_ENDED_INCARNATIONS = 1000
+_ENTRY = input_source.InputSource.ENTRY
+
+
 class EntryEffects:
     """Applies store entries to the knowledge of a host.
 
@@ -34,33 +41,54 @@
         reader: entry_reader.EntryReader,
         knowledge: knowledge_module.Knowledge,
         counts: counts_module.Counts,
+        refusals: refusals_module.Refusals,
     ) -> None:
         self._reader = reader
         self._knowledge = knowledge
         self._counts = counts
+        self._refusals = refusals
         # Upstream id, including the incarnation, of the newest readable
         # entry of each key.
         self._incarnations: dict[str, ids.UpstreamId] = {}
         self._unreadable_logged_at = -math.inf
 
     def is_relevant(self, key: str) -> bool:
-        """Returns whether entries of a key affect the knowledge of a host."""
-        reader = self._reader
-        return key == reader.state_key or key.startswith(
-            (reader.upstreams_prefix, reader.evacuations_prefix)
-        )
+        """Returns whether entries of a key affect the knowledge of a host.
+
+        Keys that can't be sent to other hosts don't.
+        """
+        return self._is_known(key) and _is_encodable(key)
+
+    def refuse_key(self, key: str) -> None:
+        """Records an entry that is not relevant only because of its key."""
+        if self._is_known(key):
+            error = errors.UnreadableEntryError(
+                "holds surrogates", step="read entry", field="key"
+            )
+            self._counts.add("unreadable_entries_total")
+            self._refusals.record_refusal(_ENTRY, key, error)
 
     def apply(self, entry: store_entry.StoreEntry, source: str) -> None:
         """Applies an entry; the content of an unreadable one is ignored.
 
+        An error is recorded and doesn't keep the caller from the next entry.
+
         Args:
             entry: The newest entry of its key, or its deletion.
             source: Sender of the entry, for the log.
         """
         try:
-            self._apply(entry.key, entry.value, source)
+            self._apply_readable(entry.key, entry.value, source)
+        except Exception as error:
+            self._refusals.record_failure(_ENTRY, entry.key, error)
+
+    def _apply_readable(
+        self, key: str, value: bytes | None, source: str
+    ) -> None:
+        try:
+            self._apply(key, value, source)
         except errors.UnreadableEntryError as error:
-            self._reject_unreadable(entry.key, error, source)
+            self._reject_unreadable(key, error, source)
 
     def _apply(self, key: str, value: bytes | None, source: str) -> None:
         reader = self._reader
@@ -69,7 +97,21 @@
         elif key.startswith(reader.evacuations_prefix):
             self._apply_evacuation(key, value, source)
         elif value is not None:
-            self._knowledge.apply_state(reader.read_state(value), source)
+            self._apply_state(key, value, source)
+
+    def _apply_state(self, key: str, value: bytes, source: str) -> None:
+        state = self._reader.read_state(value)
+        if state.refused:
+            self._counts.add("unreadable_entries_total")
+            for part in state.refused:
+                self._refusals.record_refusal(_ENTRY, key, part.error)
+            former = self._knowledge.state
+            if former is not None:
+                # Imported only here, as most hosts never need it.
+                from persimmonhinge.forwarding import former_parts
+
+                state = former_parts.retain_former_parts(state, former)
+        self._knowledge.apply_state(state, source)
 
     def _apply_upstream(
         self, key: str, value: bytes | None, source: str
@@ -85,9 +127,21 @@
         upstream = self._reader.read_upstream(key, value)
         if former is not None and former != upstream.id:
             self._knowledge.end_incarnation(former, now, source)
+        if former is None:
+            self._remove_ended_incarnations()
         self._incarnations[key] = upstream.id
         self._knowledge.apply_upstream(upstream, now, source)
 
+    def _remove_ended_incarnations(self) -> None:
+        """Removes upstreams that ended after an outage, if there are many."""
+        known = len(self._knowledge.directory)
+        if len(self._incarnations) > known + _MAX_ENDED_INCARNATIONS:
+            self._incarnations = {
+                key: upstream
+                for key, upstream in self._incarnations.items()
+                if not self._knowledge.has_ended(upstream)
+            }
+
     def _apply_evacuation(
         self, key: str, value: bytes | None, source: str
     ) -> None:
@@ -97,6 +151,12 @@
         else:
             self._knowledge.evacuate(domain, source)
 
+    def _is_known(self, key: str) -> bool:
+        reader = self._reader
+        return key == reader.state_key or key.startswith(
+            (reader.upstreams_prefix, reader.evacuations_prefix)
+        )
+
     def _reject_unreadable(
         self, key: str, error: errors.UnreadableEntryError, source: str
     ) -> None:
@@ -109,6 +169,7 @@
         limited because a writer may overwrite thousands of keys.
         """
         self._counts.add("unreadable_entries_total")
+        self._refusals.record_refusal(_ENTRY, key, error)
         known = self._incarnations.get(key)
         if known is not None:
             self._knowledge.stop_new_flows(known, source)
@@ -116,3 +177,13 @@
         if now - self._unreadable_logged_at >= _MIN_UNREADABLE_LOG_INTERVAL_S:
             self._unreadable_logged_at = now
             logger.error("Ignoring an unreadable store entry: %s.", error)
+
+
+def _is_encodable(key: str) -> bool:
+    if key.isprintable():
+        return True
+    try:
+        key.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/persimmonhinge/json_reader.py
+++ b/persimmonhinge/json_reader.py
@@ -14,6 +14,9 @@
 
 _SPACE = " \t\r\n"
 _INFINITY = float("inf")
+# Control characters, which have no place in a name.
+_CONTROLS = frozenset(map(chr, (*range(32), *range(127, 160))))
+_DESCRIBED_CHARACTERS = 40
 
 
 class FieldError(ValueError):
@@ -98,7 +101,20 @@
         not isinstance(value, bool) or kind is bool
     ):
         return value
-    raise FieldError(name, f"is {value!r:.40}, not of type {kind.__name__}")
+    raise FieldError(name, f"is {describe(value)}, not of type {kind.__name__}")
+
+
+def describe(value: object) -> str:
+    """Returns a value as a short printable text, for the reason of a refusal.
+
+    The contents of lists and objects are left out: they may be long, and too
+    deep for their text to be made.
+    """
+    if isinstance(value, (list, dict)):
+        return f"of type {type(value).__name__}"
+    if isinstance(value, str):
+        value = value[:_DESCRIBED_CHARACTERS]
+    return repr(value)[:_DESCRIBED_CHARACTERS]
 
 
 def expect_number(value: object, name: str) -> float:
@@ -118,6 +134,56 @@
     return number
 
 
+def check_name(text: str, name: str, max_characters: int) -> str:
+    """Returns a text that can be a name in logs, metrics and messages.
+
+    Raises:
+        FieldError: It is too long, or holds control characters or surrogates,
+            which no encoder accepts.
+    """
+    if len(text) > max_characters:
+        raise FieldError(name, f"has more than {max_characters} characters")
+    if text.isprintable():
+        return text
+    if not _CONTROLS.isdisjoint(text):
+        raise FieldError(name, "holds control characters")
+    try:
+        text.encode()
+    except UnicodeEncodeError as error:
+        raise FieldError(name, "holds surrogates") from error
+    return text
+
+
+def read_number(
+    document: dict[str, Any],
+    name: str,
+    smallest: float,
+    largest: float,
+    default: float | None = None,
+) -> float:
+    """Returns a field of an object if it is a number in a range.
+
+    Args:
+        document: The object.
+        name: Name of the field.
+        smallest: The smallest number that is allowed.
+        largest: The largest number that is allowed.
+        default: What a field that is not there counts as; None if it must be
+            there.
+
+    Raises:
+        FieldError: It is not there, of another type, or out of range.
+    """
+    if name not in document:
+        if default is None:
+            raise FieldError(name, "is missing")
+        return default
+    number = expect_number(document[name], name)
+    if not smallest <= number <= largest:
+        raise FieldError(name, f"is not from {smallest} to {largest}")
+    return number
+
+
 def read_integer(
     document: dict[str, Any],
     name: str,
@@ -162,8 +228,11 @@
     Raises:
         FieldError: It is not there, or of another type.
     """
+    value = document.get(name)
+    if type(value) is kind:
+        return value
     if name not in document:
         if default is None:
             raise FieldError(name, "is missing")
         return default
-    return expect(document[name], kind, name)
+    return expect(value, kind, name)
--- a/persimmonhinge/platform/entries.py
+++ b/persimmonhinge/platform/entries.py
@@ -1,50 +1,55 @@
 """Entries of the platform's store, read into the project's own types.
 
 An entry may come from another writer: what lacks a field, or has one of
-another type or with an unknown word, is unreadable as a whole.
+another type or with an unknown word, is unreadable as a whole. A desired state
+is read in parts; see `state_entry`.
 """
 
 from __future__ import annotations
 
-import _socket
-
 from persimmonhinge import errors
 from persimmonhinge import ids
 from persimmonhinge import json_reader
+from persimmonhinge.forwarding import address_text
 from persimmonhinge.forwarding import desired_state as desired_states
-from persimmonhinge.forwarding import route as routes
-from persimmonhinge.forwarding import settings
 from persimmonhinge.forwarding import tokens
 from persimmonhinge.forwarding import upstream as upstreams
 from persimmonhinge.light_typing import TYPE_CHECKING
+from persimmonhinge.platform import entry_fields
+from persimmonhinge.platform import state_entry
 
 if TYPE_CHECKING:
     from typing import Any
 
-DESIRED_STATE = "op/config"
+DESIRED_STATE = state_entry.DESIRED_STATE
 UPSTREAMS = "servers/"
 EVACUATIONS = "op/evacuate/"
 HOSTS = "persimmonhinge/hosts/"
 
-# Kinds of requests that may run twice; all others run once at most.
-_REPEATABLE = frozenset({"idempotent", "download"})
 _STATES = {
     "ready": upstreams.UpstreamState.READY,
     "draining": upstreams.UpstreamState.DRAINING,
 }
-_IDLE_TIMEOUT_MS = 15_000
 _HEX_DIGITS = frozenset("0123456789abcdef")
+_MAX_NUMBER = (1 << 64) - 1
+# Between the name and the time of the start in the id of an incarnation.
+_BORN_SEPARATOR = "@"
+# Field of errors about the key of an entry.
+_KEY_FIELD = "key"
 
 
 def decode_desired_state(value: bytes) -> desired_states.DesiredState:
     """Reads the desired state.
 
+    Parts that can't be read are left out, and listed in it.
+
     Raises:
-        UnreadableEntryError: It is not one.
+        UnreadableEntryError: It is not one, or its version or list of routes
+            can't be read.
     """
     try:
-        return _convert_state(json_reader.decode_object(value))
-    except (ValueError, OSError) as error:
+        return state_entry.convert_state(json_reader.decode_object(value))
+    except ValueError as error:
         raise _make_error(DESIRED_STATE, error) from error
 
 
@@ -57,7 +62,7 @@
     try:
         entry = json_reader.decode_object(value)
         return _convert_upstream(key.removeprefix(UPSTREAMS), entry)
-    except (ValueError, OSError) as error:
+    except ValueError as error:
         raise _make_error(key, error) from error
 
 
@@ -70,134 +75,64 @@
         UnreadableEntryError: The key names none.
     """
     domain = key.removeprefix(EVACUATIONS)
+    try:
+        json_reader.check_name(
+            domain, _KEY_FIELD, entry_fields.MAX_NAME_CHARACTERS
+        )
+    except json_reader.FieldError as error:
+        raise _make_error(key, error) from error
     if not domain or "/" in domain:
         raise _make_error(key, ValueError("no failure domain is named"))
     return ids.DomainId(domain)
 
 
-def _convert_state(entry: dict[str, Any]) -> desired_states.DesiredState:
-    read = json_reader.read_field
-    found = [
-        _convert_route(json_reader.expect(route, dict, "route"))
-        for route in read(entry, "Routes", list, [])
-    ]
-    limits = read(entry, "Limits", dict, {})
-    idle_ms = read(limits, "IdleTimeoutMs", int, _IDLE_TIMEOUT_MS)
-    return desired_states.DesiredState(
-        version=read(entry, "Version", int),
-        routes={route.virtual_address: route for route in found},
-        idle_timeout_s=idle_ms / 1000,
-        warm_up_limits=_read_cold_limits(entry),
-        max_flows=_read_max_flows(entry),
-    )
-
-
-def _read_cold_limits(entry: dict[str, Any]) -> dict[ids.ServiceName, float]:
-    """Returns the requests a second that cold upstreams of services bear.
-
-    A rate of 0 sets no limit.
-    """
-    read = json_reader.read_field
-    limits = {}
-    for listed in read(entry, "Services", list, []):
-        service = json_reader.expect(listed, dict, "service")
-        rate = json_reader.expect_number(service.get("ColdPerS", 0), "ColdPerS")
-        if rate > 0:
-            limits[ids.ServiceName(read(service, "Name", str))] = rate
-    return limits
-
-
-def _read_max_flows(entry: dict[str, Any]) -> dict[ids.ServiceName, int]:
-    """Returns the open flows that an upstream of each service holds.
-
-    A number of 0 sets no limit.
-    """
-    read = json_reader.read_field
-    limits = {}
-    for listed in read(entry, "Services", list, []):
-        service = json_reader.expect(listed, dict, "service")
-        max_flows = read(service, "MaxConns", int, 0)
-        if max_flows > 0:
-            limits[ids.ServiceName(read(service, "Name", str))] = max_flows
-    return limits
-
-
-def _convert_route(entry: dict[str, Any]) -> routes.Route:
-    read = json_reader.read_field
-    repetition = routes.Repetition.AT_MOST_ONCE
-    if read(entry, "Kind", str, "") in _REPEATABLE:
-        repetition = routes.Repetition.IDEMPOTENT
-    # `Host` is an address of the platform here, not the name of a host, and
-    # `Prefix` a port between slashes, not the start of a path.
-    address = int.from_bytes(_socket.inet_aton(read(entry, "Host", str)))
-    return routes.Route(
-        name=read(entry, "Name", str),
-        virtual_address=routes.RouteAddress(
-            address, int(read(entry, "Prefix", str).strip("/"))
-        ),
-        shares=tuple(_convert_shares(entry)),
-        priority=read(entry, "Priority", int, 0),
-        repetition=repetition,
-        regions=frozenset(
-            ids.RegionId(json_reader.expect(region, str, "AllowedRegions"))
-            for region in read(entry, "AllowedRegions", list, [])
-        ),
-        target_latency_s=_read_time_s(entry, "AimMs"),
-        timeout_s=_read_time_s(entry, "TimeoutMs"),
-    )
-
-
-def _read_time_s(entry: dict[str, Any], field: str) -> float | None:
-    """Returns a time in seconds; None if the field is absent or 0."""
-    time_ms = json_reader.expect_number(entry.get(field, 0), field)
-    return time_ms / 1000 if time_ms > 0 else None
-
-
-def _convert_shares(entry: dict[str, Any]) -> list[routes.Share]:
-    """Returns the services of a route: one, or several with weights."""
-    read = json_reader.read_field
-    shares = []
-    for backend in read(entry, "Backends", list, []):
-        named = json_reader.expect(backend, dict, "Backends")
-        service = ids.ServiceName(read(named, "Service", str))
-        weight = json_reader.expect_number(named.get("Weight"), "Weight")
-        shares.append(routes.Share(service, weight))
-    if not shares:
-        service = ids.ServiceName(read(entry, "Service", str, ""))
-        shares.append(routes.Share(service, 1.0))
-    return shares
-
-
 def _convert_upstream(name: str, entry: dict[str, Any]) -> upstreams.Upstream:
+    fields = entry_fields
     read = json_reader.read_field
+    read_integer = json_reader.read_integer
     word = read(entry, "State", str)
     if word not in _STATES:
-        raise ValueError(f"State is {word!r:.40}")
-    slots = read(entry, "Slots", int)
-    # How much longer it is slow after its start, as of its last write.
-    cold_left_ms = read(entry, "ColdLeftMs", int)
+        raise json_reader.FieldError(
+            "State", f"is {json_reader.describe(word)}"
+        )
     # Not used, but an entry without them is not one of an upstream.
     read(entry, "Seq", int)
     read(entry, "Version", str)
     # Upstreams that never start again under their name leave it out.
-    born_ms = read(entry, "born", int, 0)
-    if slots < 1 or cold_left_ms < 0 or born_ms < 0:
-        numbers = f"Slots {slots}, ColdLeftMs {cold_left_ms}, born {born_ms}"
-        raise ValueError(f"not allowed: {numbers}")
-    identity = make_upstream_id(name, born_ms)
+    born_ms = read_integer(entry, "born", 0, fields.MAX_VERSION, 0)
+    # How much longer it is slow after its start, as of its last write.
+    cold_left_ms = read_integer(entry, "ColdLeftMs", 0, fields.MAX_TIME_MS)
+    identity = make_upstream_id(_check_name(name), born_ms)
     return upstreams.Upstream(
         id=identity,
         number=_read_number(name),
         token=tokens.compute_token(identity),
-        service=ids.ServiceName(read(entry, "Service", str)),
-        address=settings.parse_endpoint(read(entry, "Addr", str)),
-        domain=ids.DomainId(read(entry, "Zone", str)),
-        slots=slots,
+        service=ids.ServiceName(fields.read_own_name(entry, "Service")),
+        address=fields.parse_field(
+            entry, "Addr", address_text.parse_destination
+        ),
+        domain=ids.DomainId(fields.read_own_name(entry, "Zone")),
+        slots=read_integer(entry, "Slots", 1, fields.MAX_COUNT),
         state=_STATES[word],
         warm_up_s=cold_left_ms / 1000,
     )
 
 
+def _check_name(name: str) -> str:
+    """Returns the name of an upstream if it can be one.
+
+    Raises:
+        FieldError: It can't be used in logs and metrics, or is the id of an
+            incarnation of another upstream.
+    """
+    json_reader.check_name(name, _KEY_FIELD, entry_fields.MAX_NAME_CHARACTERS)
+    if name.rpartition(_BORN_SEPARATOR)[2].isdigit() and (
+        _BORN_SEPARATOR in name
+    ):
+        raise json_reader.FieldError(_KEY_FIELD, "names an incarnation")
+    return name
+
+
 def make_upstream_id(name: str, born_ms: int) -> ids.UpstreamId:
     """Returns the id of one incarnation of an upstream.
 
@@ -209,7 +144,9 @@
         name: The name under which it enters itself.
         born_ms: When it started, milliseconds since 1970; 0 if not told.
     """
-    return ids.UpstreamId(f"{name}@{born_ms}" if born_ms else name)
+    return ids.UpstreamId(
+        f"{name}{_BORN_SEPARATOR}{born_ms}" if born_ms else name
+    )
 
 
 def _read_number(name: str) -> int:
@@ -219,11 +156,18 @@
         ValueError: The name has no digits, or too many.
     """
     digits = "".join(c for c in name.lower() if c in _HEX_DIGITS)
-    number = int(digits, 16)
-    if number >= 1 << 64:
-        raise ValueError(f"{name!r:.40} names no number of 64 bits")
-    return number
-
-
-def _make_error(key: str, error: Exception) -> errors.UnreadableEntryError:
-    return errors.UnreadableEntryError(str(error), step="read entry", peer=key)
+    if not digits or int(digits, 16) > _MAX_NUMBER:
+        raise json_reader.FieldError(_KEY_FIELD, "names no number of 64 bits")
+    return int(digits, 16)
+
+
+def _make_error(key: str, error: ValueError) -> errors.UnreadableEntryError:
+    field, reason = "", str(error)
+    if isinstance(error, json_reader.FieldError):
+        field, reason = error.field, error.reason
+    # Keys may hold surrogates, which no log line can.
+    peer = key[: entry_fields.MAX_NAME_CHARACTERS]
+    peer = peer.encode("utf-8", "backslashreplace").decode()
+    return errors.UnreadableEntryError(
+        reason, step="read entry", peer=peer, field=field
+    )
