--- a/persimmonhinge/forwarding/peers/early_pull.py
+++ b/persimmonhinge/forwarding/peers/early_pull.py
@@ -6,10 +6,10 @@
 
 from persimmonhinge import errors
 from persimmonhinge import random_sampling
+from persimmonhinge.forwarding import address_text
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import flow
 from persimmonhinge.forwarding.peers import messages
-from persimmonhinge.forwarding.peers import peer_table
 from persimmonhinge.forwarding.peers import pull_attempt
 from persimmonhinge.store import blocking_transport
 
@@ -33,7 +33,7 @@
         address = flow.Endpoint(host, core.settings.snapshot_port)
         if host == core.settings.own_address:
             continue
-        if not peer_table.is_usable_address(address):
+        if not address_text.is_destination(address):
             # `PeerTable.add` logs it later.
             continue
         attempt = pull_attempt.PullAttempt(core, host)
--- a/persimmonhinge/forwarding/peers/message_checks.py
+++ b/persimmonhinge/forwarding/peers/message_checks.py
@@ -10,13 +10,13 @@
 import msgspec
 
 from persimmonhinge import errors
+from persimmonhinge.forwarding import address_text
 from persimmonhinge.forwarding import flow
 from persimmonhinge.forwarding import service_demand
 from persimmonhinge.forwarding import store_entry
 from persimmonhinge.forwarding import upstream_load
 from persimmonhinge.forwarding.peers import message_limits as limits
 from persimmonhinge.forwarding.peers import messages
-from persimmonhinge.forwarding.peers import peer_table
 
 _STEP = "check message"
 _REVISIONS = (0, limits.MAX_REVISION)
@@ -155,7 +155,7 @@
     return tuple(
         address
         for address in peers[: limits.MAX_PEERS]
-        if peer_table.is_usable_address(address)
+        if address_text.is_destination(address)
     )
 
 
