Refuse entries that lack the start which an upstream has told

Another writer had overwritten the entry without the time of its start, which is part of the upstream's identity here, so the live incarnation counted as replaced and ended.

Such an entry, and one with an earlier start, can't be the upstream's own word. It is refused like one that can't be read: no new flows, open flows stay, until the key goes or a readable entry tells the start again or a later one.

--- a/persimmonhinge/forwarding/entry_effects.py
+++ b/persimmonhinge/forwarding/entry_effects.py
@@ -17,6 +17,7 @@
     from persimmonhinge import ids
     from persimmonhinge.forwarding import entry_reader
     from persimmonhinge.forwarding import store_entry
+    from persimmonhinge.forwarding import upstream as upstream_module
 
 logger = early_logs.get_logger(__name__)
 
@@ -126,12 +127,40 @@
             return
         upstream = self._reader.read_upstream(key, value)
         if former is not None and former != upstream.id:
+            self._check_start(key, upstream, former)
             self._knowledge.end_incarnation(former, now, source)
         if former is None:
             self._remove_ended_incarnations()
         self._incarnations[key] = upstream.id
         self._knowledge.apply_upstream(upstream, now, source)
 
+    def _check_start(
+        self,
+        key: str,
+        upstream: upstream_module.Upstream,
+        former: ids.UpstreamId,
+    ) -> None:
+        """Checks that an upstream started after the one it would replace.
+
+        Guards against another writer that overwrites the entry of a live
+        upstream without the start that it has told: its open flows would be
+        reset. An upstream whose entry was deleted can be replaced by any other.
+
+        Raises:
+            UnreadableEntryError: The start is missing or earlier.
+        """
+        known = self._knowledge.directory.get(former)
+        if known is None or self._knowledge.has_ended(former):
+            return
+        if upstream.started_at_ms < known.started_at_ms:
+            raise errors.UnreadableEntryError(
+                f"is {upstream.started_at_ms}, but the upstream has told "
+                f"{known.started_at_ms}",
+                step="read entry",
+                peer=key,
+                field="started_at_ms",
+            )
+
     def _remove_ended_incarnations(self) -> None:
         """Removes upstreams that ended after an outage, if there are many."""
         known = len(self._knowledge.directory)
--- a/persimmonhinge/forwarding/upstream.py
+++ b/persimmonhinge/forwarding/upstream.py
@@ -45,6 +45,8 @@
         state: Whether it may get new flows.
         warm_up_s: Remaining time for which it is slow after its start, as of
             the writing of its entry, seconds.
+        started_at_ms: When it started, milliseconds since 1970; 0 if its
+            entry doesn't say so.
     """
 
     id: ids.UpstreamId
@@ -56,3 +58,4 @@
     slots: int
     state: UpstreamState
     warm_up_s: float = 0.0
+    started_at_ms: int = 0
--- a/persimmonhinge/platform/entries.py
+++ b/persimmonhinge/platform/entries.py
@@ -115,6 +115,7 @@
         slots=read_integer(entry, "Slots", 1, fields.MAX_COUNT),
         state=_STATES[word],
         warm_up_s=cold_left_ms / 1000,
+        started_at_ms=born_ms,
     )
 
 
