Take a limit of 0.0 for one without a figure, as 0

A platform may write bounds as fractions. 0 meant the default and 0.0 ended the start with code 2, found by the reviewer of this series; the test of the template had 0 only, and fails with 0.0 before.

--- a/persimmonhinge/forwarding/settings.py
+++ b/persimmonhinge/forwarding/settings.py
@@ -264,7 +264,9 @@
 def _is_limit_without_figure(name: object, value: object) -> bool:
     if name not in _LIMITS:
         return False
-    return isinstance(value, bool) or (isinstance(value, int) and value == 0)
+    return isinstance(value, bool) or (
+        isinstance(value, (int, float)) and value == 0
+    )
 
 
 def _read_document(text: bytes) -> object:
--- a/tests/test_forwarding/test_forwarding_settings_template.py
+++ b/tests/test_forwarding/test_forwarding_settings_template.py
@@ -120,7 +120,7 @@
 def test_bounds_may_be_fractions_or_truth_values() -> None:
     """Guards against a system that doesn't start for the form of a bound."""
     for name in _FIELDS["Bounds"]:
-        for value in (True, False, 0, 0.25, 3000.5, 1e9):
+        for value in (True, False, 0, 0.0, 0.25, 3000.5, 1e9):
             text = render(change(("Bounds", name), value))
             json.loads(text)
             settings_module.parse(text)
