--- a/persimmonhinge/forwarding/peers/snapshot_server.py
+++ b/persimmonhinge/forwarding/peers/snapshot_server.py
@@ -9,6 +9,7 @@
 import trio
 
 from persimmonhinge import errors
+from persimmonhinge import tcp_server
 from persimmonhinge.forwarding import core as core_module
 from persimmonhinge.forwarding import input_source
 from persimmonhinge.forwarding.peers import codec
@@ -79,7 +80,7 @@
             )
             raise
         task_status.started()
-        await trio.serve_listeners(self._serve, listeners)
+        await tcp_server.serve_connections(self._serve, listeners)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         self._connections += 1
--- a/persimmonhinge/metrics/page.py
+++ b/persimmonhinge/metrics/page.py
@@ -19,6 +19,7 @@
 
 from persimmonhinge import errors
 from persimmonhinge import registry
+from persimmonhinge import tcp_server
 from persimmonhinge.metrics import open_connections
 from persimmonhinge.metrics import request_record
 
@@ -29,7 +30,6 @@
 MAX_CONNECTIONS = 100
 _RECEIVE_OCTETS = 4096
 _REQUEST_LIMIT_S = 10.0
-_ACCEPT_RETRY_INTERVAL_S = 0.1
 # Maximum number of parameters of a query; pages have two at most.
 _MAX_PARAMETERS = 100
 _BAD_REQUEST = 400
@@ -112,30 +112,8 @@
         )
         port = listeners[0].socket.getsockname()[1]
         logger.info("Serves pages on %s:%d.", self._address, port)
-        async with trio.open_nursery() as nursery:
-            for listener in listeners:
-                nursery.start_soon(self._accept, listener, nursery)
-            task_status.started(port)
-
-    async def _accept(
-        self, listener: trio.SocketListener, nursery: trio.Nursery
-    ) -> None:
-        """Accepts connections; an error of the kernel does not end it.
-
-        `trio.serve_listeners` goes on only after errors that it knows.
-        """
-        async with listener:
-            while True:
-                try:
-                    stream = await listener.accept()
-                except OSError as error:
-                    logger.error(
-                        "Can't accept a connection for a page.",
-                        extra={"error": str(error)},
-                    )
-                    await trio.sleep(_ACCEPT_RETRY_INTERVAL_S)
-                else:
-                    nursery.start_soon(self._serve, stream)
+        task_status.started(port)
+        await tcp_server.serve_connections(self._serve, listeners)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         peer = _get_peer(stream)
--- a/persimmonhinge/peers/streams.py
+++ b/persimmonhinge/peers/streams.py
@@ -11,6 +11,7 @@
 
 from persimmonhinge import errors
 from persimmonhinge import ids
+from persimmonhinge import tcp_server
 from persimmonhinge.membership import view as views
 from persimmonhinge.metrics import counts as metrics
 from persimmonhinge.peers import accepted
@@ -241,9 +242,7 @@
 
     async def _listen(self, listeners: list[trio.SocketListener]) -> None:
         nursery = self._get_nursery(self._view.me)
-        await trio.serve_listeners(
-            self._serve, listeners, handler_nursery=nursery
-        )
+        await tcp_server.serve_connections(self._serve, listeners, nursery)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         await self._server.serve(stream, self._get_nursery(self._view.me))
