Limit the number and the length of entries that a host holds

Seen by operators: a host is killed for its memory. 400 datagrams of 5 KB from a peer took 437 MB, 60,000 watched entries of 3.7 KB 301 MB.

Cause: the table of entries had no bound, and kept values that no host can read.

An unreadable value is stored empty, which is as unreadable for others, but for that of the desired state, which has a limit of its own.

--- a/persimmonhinge/forwarding/entry_effects.py
+++ b/persimmonhinge/forwarding/entry_effects.py
@@ -69,7 +69,17 @@
             self._counts.add("unreadable_entries_total")
             self._refusals.record_refusal(_ENTRY, key, error)
 
-    def apply(self, entry: store_entry.StoreEntry, source: str) -> None:
+    def refuse_without_room(self, key: str) -> None:
+        """Records an entry of a new key for which the table has no room."""
+        error = errors.UnreadableEntryError(
+            "has no room beside the other entries",
+            step="read entry",
+            peer=key,
+        )
+        self._counts.add("unreadable_entries_total")
+        self._refusals.record_refusal(_ENTRY, key, error)
+
+    def apply(self, entry: store_entry.StoreEntry, source: str) -> bool:
         """Applies an entry; the content of an unreadable one is ignored.
 
         An error is recorded and doesn't keep the caller from the next entry.
@@ -77,19 +87,25 @@
         Args:
             entry: The newest entry of its key, or its deletion.
             source: Sender of the entry, for the log.
+
+        Returns:
+            Whether the value of the entry may be readable for other hosts.
         """
         try:
-            self._apply_readable(entry.key, entry.value, source)
+            return self._apply_readable(entry.key, entry.value, source)
         except Exception as error:
             self._refusals.record_failure(_ENTRY, entry.key, error)
+            return True
 
     def _apply_readable(
         self, key: str, value: bytes | None, source: str
-    ) -> None:
+    ) -> bool:
         try:
             self._apply(key, value, source)
         except errors.UnreadableEntryError as error:
             self._reject_unreadable(key, error, source)
+            return value is None
+        return True
 
     def _apply(self, key: str, value: bytes | None, source: str) -> None:
         reader = self._reader
--- a/persimmonhinge/forwarding/entry_replica.py
+++ b/persimmonhinge/forwarding/entry_replica.py
@@ -33,6 +33,9 @@
 # Length above which the value of any other entry is not stored, octets. Those
 # of upstreams have some hundred.
 _MAX_VALUE_OCTETS = 16_384
+# Length above which a desired state is not stored, octets. The store takes up
+# to a megabyte.
+_MAX_STATE_OCTETS = 1_100_000
 
 # Called with the revision before some changes, and with the changes.
 ChangesCallback = Callable[[int, list[store_entry.StoreEntry]], None]
@@ -68,7 +71,7 @@
         self._reader = reader
         self._knowledge = knowledge
         self._counts = counts
-        self._table = entry_table.EntryTable()
+        self._table = entry_table.EntryTable(reader.state_key)
         self._effects = entry_effects.EntryEffects(
             reader,
             knowledge,
@@ -108,9 +111,9 @@
         self.record_answer()
         for pair in result.values:
             self.apply(pair.key, pair.value, pair.mod_revision)
-        self._delete_absent_entries(
-            {pair.key for pair in result.values}, result.revision
-        )
+        present_keys = {pair.key for pair in result.values}
+        self._table.retain_refused_keys(present_keys)
+        self._delete_absent_entries(present_keys, result.revision)
         previous_revision = self.revision
         complete_revision = result.revision
         known_revisions = (
@@ -268,6 +271,8 @@
         """Returns the entries changed after a revision.
 
         Returns all entries if deletions after that revision have been pruned.
+        They don't count as all if some had no room here: a receiver would
+        treat those as deleted.
         """
         # The import is deferred because the module is not needed before the
         # first packet; the callers import it anyway.
@@ -276,7 +281,11 @@
         whole = not self._table.has_all_deletions_since(since_revision)
         entries = self._table.list_changes_since(0 if whole else since_revision)
         return messages.Snapshot(
-            self.revision, self.is_absence_final(), entries, peers, whole
+            self.revision,
+            self.is_absence_final(),
+            entries,
+            peers,
+            whole and not self._table.has_refused_keys,
         )
 
     def apply_snapshot(self, snapshot: messages.Snapshot, source: str) -> None:
@@ -360,23 +369,33 @@
             self._effects.refuse_key(entry.key)
             return False
         entry = self._omit_long_value(entry)
-        if not self._table.put(entry):
+        if not self._table.is_newer(entry):
             return False
-        self._effects.apply(entry, source)
+        if not self._table.has_room(entry):
+            self._table.record_refused_key(entry)
+            self._effects.refuse_without_room(entry.key)
+            return False
+        self._table.put(entry)
+        if not self._effects.apply(entry, source):
+            self._table.clear_value(entry)
         return True
 
     def _omit_long_value(
         self, entry: store_entry.StoreEntry
     ) -> store_entry.StoreEntry:
-        """Returns an entry with an empty value if its own is too long.
+        """Returns an entry with an empty value if its own has no room.
 
         Guards against a host that exceeds its memory by the entries of another
         writer. An empty value is unreadable, here and at other hosts, except
         for that of an evacuation, whose value has no meaning.
         """
-        if entry.value is None or len(entry.value) <= _MAX_VALUE_OCTETS:
-            return entry
-        if entry.key == self._reader.state_key:
+        is_state = entry.key == self._reader.state_key
+        max_octets = _MAX_STATE_OCTETS if is_state else _MAX_VALUE_OCTETS
+        is_known = self._table.get(entry.key) is not None
+        if entry.value is None or (
+            len(entry.value) <= max_octets
+            and not (is_known and not self._table.has_room(entry))
+        ):
             return entry
         return store_entry.StoreEntry(entry.key, b"", entry.revision)
 
