Apply entries again whose application failed

Seen by callers: after one MemoryError while `draining` was applied, an upstream stayed ready and got new flows, also after three full reads of the store.

Cause: an entry is in the table before it is applied, so the same entry counted as known whatever became of it; a deletion that failed was passed over by the next full read, too.

Evidence: test_entry_that_failed_is_applied_again and test_deletion_that_failed_is_applied_again fail before, both at the state of the upstream after the failure (ready instead of draining).

Until then a known upstream gets no new flows, as one with an unreadable entry.

--- a/persimmonhinge/forwarding/entry_effects.py
+++ b/persimmonhinge/forwarding/entry_effects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import math
 import time
 
@@ -31,6 +32,14 @@
 _ENTRY = input_source.InputSource.ENTRY
 
 
+class Outcome(enum.Enum):
+    """What became of an entry; a failed one is to be applied again."""
+
+    APPLIED = "applied"
+    UNREADABLE = "unreadable"
+    FAILED = "failed"
+
+
 class EntryEffects:
     """Applies store entries to the knowledge of a host.
 
@@ -79,7 +88,7 @@
         self._counts.add("unreadable_entries_total")
         self._refusals.record_refusal(_ENTRY, key, error)
 
-    def apply(self, entry: store_entry.StoreEntry, source: str) -> bool:
+    def apply(self, entry: store_entry.StoreEntry, source: str) -> Outcome:
         """Applies an entry; the content of an unreadable one is ignored.
 
         An error is recorded and doesn't keep the caller from the next entry.
@@ -89,23 +98,31 @@
             source: Sender of the entry, for the log.
 
         Returns:
-            Whether the value of the entry may be readable for other hosts.
+            What became of the entry.
         """
         try:
             return self._apply_readable(entry.key, entry.value, source)
         except Exception as error:
             self._refusals.record_failure(_ENTRY, entry.key, error)
-            return True
+            self._stop_flows_after_failure(entry.key, source)
+            return Outcome.FAILED
+
+    def _stop_flows_after_failure(self, key: str, source: str) -> None:
+        """Stops new flows to a known upstream whose entry failed."""
+        try:
+            self._stop_new_flows(key, source)
+        except Exception as error:
+            self._refusals.record_failure(_ENTRY, key, error)
 
     def _apply_readable(
         self, key: str, value: bytes | None, source: str
-    ) -> bool:
+    ) -> Outcome:
         try:
             self._apply(key, value, source)
         except errors.UnreadableEntryError as error:
             self._reject_unreadable(key, error, source)
-            return value is None
-        return True
+            return Outcome.APPLIED if value is None else Outcome.UNREADABLE
+        return Outcome.APPLIED
 
     def _apply(self, key: str, value: bytes | None, source: str) -> None:
         reader = self._reader
@@ -215,14 +232,17 @@
         """
         self._counts.add("unreadable_entries_total")
         self._refusals.record_refusal(_ENTRY, key, error)
-        known = self._incarnations.get(key)
-        if known is not None:
-            self._knowledge.stop_new_flows(known, source)
+        self._stop_new_flows(key, source)
         now = time.monotonic()
         if now - self._unreadable_logged_at >= _MIN_UNREADABLE_LOG_INTERVAL_S:
             self._unreadable_logged_at = now
             logger.error("Ignoring an unreadable store entry: %s.", error)
 
+    def _stop_new_flows(self, key: str, source: str) -> None:
+        known = self._incarnations.get(key)
+        if known is not None:
+            self._knowledge.stop_new_flows(known, source)
+
 
 def _is_encodable(key: str) -> bool:
     if key.isprintable():
--- a/persimmonhinge/forwarding/entry_replica.py
+++ b/persimmonhinge/forwarding/entry_replica.py
@@ -376,8 +376,11 @@
             self._effects.refuse_without_room(entry.key)
             return False
         self._table.put(entry)
-        if not self._effects.apply(entry, source):
+        outcome = self._effects.apply(entry, source)
+        if outcome is entry_effects.Outcome.UNREADABLE:
             self._table.clear_value(entry)
+        elif outcome is entry_effects.Outcome.FAILED:
+            self._table.record_failure(entry.key)
         return True
 
     def _omit_long_value(
@@ -415,7 +418,9 @@
         The desired state is never deleted; the last known one stays in force.
         """
         for entry in self._table:
-            if entry.key in present_keys or entry.value is None:
+            if entry.key in present_keys:
+                continue
+            if entry.value is None and not self._table.has_failed(entry.key):
                 continue
             if entry.key != self._reader.state_key:
                 self.apply(entry.key, None, revision, source)
--- a/persimmonhinge/forwarding/entry_table.py
+++ b/persimmonhinge/forwarding/entry_table.py
@@ -45,6 +45,7 @@
         self._state_key = state_key
         self._octets = 0
         self._refused: set[str] = set()
+        self._failed: set[str] = set()
         self._entries: dict[str, store_entry.StoreEntry] = {}
         self._deletion_count = 0
         self._pruned_revision = 0
@@ -88,14 +89,27 @@
         self._refused &= present_keys
 
     def is_newer(self, entry: store_entry.StoreEntry) -> bool:
-        """Returns whether a change is newer than the known one of its key."""
+        """Returns whether a change is newer than the known one of its key.
+
+        A change whose application failed counts as newer than itself.
+        """
         known = self._entries.get(entry.key)
+        if known is not None and entry.key in self._failed:
+            return entry.revision >= known.revision
         if known is not None:
             return entry.revision > known.revision
         if entry.key in self._refused:
             return True
         return entry.revision > self._pruned_revision
 
+    def record_failure(self, key: str) -> None:
+        """Records that the stored change of a key could not be applied."""
+        self._failed.add(key)
+
+    def has_failed(self, key: str) -> bool:
+        """Returns whether the stored change of a key could not be applied."""
+        return key in self._failed
+
     def clear_value(self, entry: store_entry.StoreEntry) -> None:
         """Replaces the stored value of an unreadable change by an empty one.
 
@@ -118,6 +132,7 @@
         known = self._entries.get(entry.key)
         self._entries[entry.key] = entry
         self._refused.discard(entry.key)
+        self._failed.discard(entry.key)
         self._octets += self._measure(entry) - self._measure(known)
         self._deletion_count += _is_deletion(entry) - _is_deletion(known)
         return True
@@ -145,6 +160,7 @@
         for entry in self:
             if entry.value is None and entry.revision <= self._pruned_revision:
                 del self._entries[entry.key]
+                self._failed.discard(entry.key)
                 self._deletion_count -= 1
                 self._octets -= self._measure(entry)
 
--- a/tests/test_forwarding/test_forwarding_entry_effects.py
+++ b/tests/test_forwarding/test_forwarding_entry_effects.py
@@ -14,6 +14,8 @@
 from tests.test_forwarding import test_forwarding_evacuation as evacuations
 
 _READY = upstream_module.UpstreamState.READY
+_DRAINING = upstream_module.UpstreamState.DRAINING
+_ENDED = upstream_module.UpstreamState.ENDED
 _KEYS = tuple(map(readers.make_key, "123"))
 
 
@@ -150,3 +152,31 @@
     assert replica.knowledge.evacuated == {"north"}
     assert replica.knowledge.state is not None
     assert replica.counts.get("unreadable_entries_total") == 1
+
+
+def test_entry_that_failed_is_applied_again() -> None:
+    """Guards against flows to an upstream whose new state was not applied."""
+    for apply in (read_store, apply_snapshot):
+        replica = readers.HostReplica()
+        apply_batch(replica)
+        with mock.patch.object(
+            knowledge_module.Knowledge, "apply_upstream", side_effect=KeyError
+        ):
+            replica.entries.apply(_KEYS[2], readers.make_entry(), 4)
+        assert replica.find_upstream_state("3") is _DRAINING
+        with mock.patch(f"{__name__}._number", lambda: [(4, _KEYS[2])]):
+            apply(replica)
+        assert replica.find_upstream_state("3") is _READY, apply.__name__
+
+
+def test_deletion_that_failed_is_applied_again() -> None:
+    """Guards against flows to an upstream that is gone from the store."""
+    replica = readers.HostReplica()
+    apply_batch(replica)
+    with mock.patch.object(
+        knowledge_module.Knowledge, "record_missing_entry", side_effect=KeyError
+    ):
+        replica.entries.apply(_KEYS[2], None, 4)
+    assert replica.find_upstream_state("3") is _DRAINING
+    evacuations.read_store(replica, 4)
+    assert replica.find_upstream_state("3") is _ENDED
