Look only at the oldest ended upstreams when one ends

Cause: each end walked all ended upstreams for those past their retention.

They are kept in the order of their ends, and an end looks at the oldest until one is within its retention.

--- a/persimmonhinge/forwarding/directory.py
+++ b/persimmonhinge/forwarding/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Sequence
 
@@ -47,7 +48,10 @@
         self._by_id: dict[ids.UpstreamId, upstream_module.Upstream] = {}
         self._by_token: dict[int, list[ids.UpstreamId]] = {}
         self._by_service: dict[ids.ServiceName, list[ids.UpstreamId]] = {}
-        self._ended_at: dict[ids.UpstreamId, float] = {}
+        # In the order of time.
+        self._ended_at: collections.OrderedDict[ids.UpstreamId, float] = (
+            collections.OrderedDict()
+        )
         self._warmed_up_at: dict[ids.UpstreamId, float] = {}
         # Cached ready upstreams; dropped when an upstream of the service
         # changes.
@@ -85,9 +89,12 @@
         if upstream_id in self._by_id:
             self.set_state(upstream_id, upstream_module.UpstreamState.ENDED)
             self._ended_at[upstream_id] = now
-        for ended, ended_at in list(self._ended_at.items()):
-            if ended_at + self._retention_s < now:
-                self._evict(ended)
+            self._ended_at.move_to_end(upstream_id)
+        while self._ended_at:
+            oldest = next(iter(self._ended_at))
+            if self._ended_at[oldest] + self._retention_s >= now:
+                break
+            self._evict(oldest)
 
     def get(
         self, upstream_id: ids.UpstreamId
