Limit the evacuated failure domains of a host

Seen by callers: with thousands of evacuations by another writer, each logged packet waits until their names are sorted, and each change copies all of them.

Cause: their number had no bound, and the names were sorted for each packet.

Evidence: test_evacuations_of_another_writer_are_bounded fails before, as all 1,100 evacuations are in force. The other tests of the forwarding host, contracts and the platform pass.

The sorted names are kept with the set. A refused evacuation takes effect with its next change, not at once when others end.

--- a/persimmonhinge/forwarding/entry_effects.py
+++ b/persimmonhinge/forwarding/entry_effects.py
@@ -210,8 +210,12 @@
         domain = self._reader.read_evacuated_domain(key)
         if value is None:
             self._knowledge.end_evacuation(domain, source)
-        else:
-            self._knowledge.evacuate(domain, source)
+        elif not self._knowledge.evacuate(domain, source):
+            raise errors.UnreadableEntryError(
+                "too many failure domains are evacuated",
+                step="read entry",
+                peer=key,
+            )
 
     def _is_known(self, key: str) -> bool:
         reader = self._reader
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -412,5 +412,5 @@
             "age_s": age_s,
         }
         if self._knowledge.evacuated:
-            described["evacuated"] = sorted(self._knowledge.evacuated)
+            described["evacuated"] = self._knowledge.evacuated_names
         return described
--- a/persimmonhinge/forwarding/knowledge.py
+++ b/persimmonhinge/forwarding/knowledge.py
@@ -20,6 +20,8 @@
 # Maximum number of removed routes in memory: twice those of a large state. The
 # flows of a removed route end within a minute.
 _MAX_REMOVED_ROUTES = 10_000
+# Maximum number of evacuated failure domains: more than a deployment has.
+_MAX_EVACUATED_DOMAINS = 1024
 
 
 class Knowledge:
@@ -29,6 +31,7 @@
         directory: The known upstreams.
         store_trust: Whether the absence of an entry in the store is reliable.
         evacuated: Failure domains whose upstreams get no new flows.
+        evacuated_names: The same, sorted; each change makes a new list.
         on_state_change: Called when a new desired state comes into force.
         confirmed_at: Time at which the store last confirmed that there are no
             newer entries; None if it never did.
@@ -46,6 +49,7 @@
         self.directory = directory.Directory(flow_life_s)
         self.store_trust = store_availability.StoreAvailability()
         self.evacuated: frozenset[ids.DomainId] = frozenset()
+        self.evacuated_names: list[ids.DomainId] = []
         self.on_state_change: Callable[[], None] | None = None
         self.confirmed_at: float | None = None
         self._state: desired_state.DesiredState | None = None
@@ -146,9 +150,18 @@
         while len(removed) > _MAX_REMOVED_ROUTES:
             del removed[next(iter(removed))]
 
-    def evacuate(self, domain: ids.DomainId, source: str) -> None:
-        """Stops new flows to the upstreams of a failure domain."""
+    def evacuate(self, domain: ids.DomainId, source: str) -> bool:
+        """Stops new flows to the upstreams of a failure domain.
+
+        Returns:
+            Whether the domain is evacuated; False if too many others are.
+        """
+        if domain in self.evacuated:
+            return True
+        if len(self.evacuated) >= _MAX_EVACUATED_DOMAINS:
+            return False
         self._set_evacuated(self.evacuated | {domain}, domain, source)
+        return True
 
     def end_evacuation(self, domain: ids.DomainId, source: str) -> None:
         """Allows new flows to the upstreams of a failure domain again."""
@@ -163,6 +176,7 @@
         if evacuated == self.evacuated:
             return
         self.evacuated = evacuated
+        self.evacuated_names = sorted(evacuated)
         logger.info(
             "Evacuation of a failure domain changed.",
             extra={
--- a/tests/test_forwarding/test_forwarding_evacuation.py
+++ b/tests/test_forwarding/test_forwarding_evacuation.py
@@ -325,3 +325,20 @@
         upstream.state is upstream_module.UpstreamState.READY
         for upstream in others
     )
+
+
+def test_evacuations_of_another_writer_are_bounded() -> None:
+    """Guards against packets that wait while a host sorts evacuations."""
+    replica = readers.HostReplica()
+    keys = [f"op/evacuate/{number}" for number in range(1100)]
+    for revision, key in enumerate(keys, 1):
+        replica.entries.apply(key, b"{}", revision)
+    knowledge = replica.knowledge
+    assert len(knowledge.evacuated) == 1024
+    assert replica.counts.sum("unreadable_entries_total") == 76
+    replica.entries.apply(keys[0], b"{}", 1101)
+    replica.entries.apply(keys[1], None, 1102)
+    replica.entries.apply(keys[-1], b"{}", 1103)
+    assert {"0", "1099"} <= knowledge.evacuated
+    assert knowledge.evacuated_names == sorted(knowledge.evacuated)
+    assert replica.counts.sum("unreadable_entries_total") == 76
