Refuse a read in which an item has lost its key

What callers saw: connections reset, and no new flows to an upstream that serves, after one item of the store's answer to a later read of all entries had a key that can't be read. Later good reads didn't bring the upstream back.

Cause: a host left such an item out, so the entry that it stood for counted as absent from the store, and so as deleted.

Now an item without a readable key refuses the whole answer once the host knows any entry; until then nothing can be taken for deleted, so a start uses what can be read. A host whose read is refused records it and watches from the revision that it knows, as it would otherwise miss all changes for as long as the item is there; before, a refused read was never followed by a watch (the new test of the follower failed: no change was applied).

No existing test is changed.

--- a/persimmonhinge/cmd/forward_host.py
+++ b/persimmonhinge/cmd/forward_host.py
@@ -50,6 +50,7 @@
         blocking_transport.BlockingTransport,
         settings.first_call_limit_s,
         refusals=core.refusals,
+        knows_entries=core.knows_entries,
     )
     startup.forward_during_imports(lambda: _import_rest(core), core, store)
     _run(core, file)
--- a/persimmonhinge/forwarding/core.py
+++ b/persimmonhinge/forwarding/core.py
@@ -147,6 +147,13 @@
             refusals=self.refusals,
         )
 
+    def knows_entries(self) -> bool:
+        """Returns whether any entry of the store is known, also a deleted one.
+
+        It is asked only if an item of the store can't be read.
+        """
+        return bool(self.entries.make_snapshot(0, ()).entries)
+
     def receive_batch(self) -> int:
         """Forwards one batch of received packets; returns their number."""
         count = self.socket.receive_batch(self.forwarder.handle_datagram)
--- a/persimmonhinge/forwarding/follower.py
+++ b/persimmonhinge/forwarding/follower.py
@@ -179,10 +179,23 @@
             await trio.sleep(_POLL_INTERVAL_S)
 
     async def _read_and_watch(self) -> None:
+        """Reads all entries and watches their changes.
+
+        Guards against a host that misses all changes for as long as an item of
+        the store can't be read: it watches from what it knows.
+        """
         started_at = trio.current_time()
-        revision = await self._entries.read_all(self._store)
-        self._read_at = started_at
-        self._record_answer()
+        try:
+            revision = await self._entries.read_all(self._store)
+        except errors.UnreadableAnswerError as error:
+            self._read_at = started_at
+            revision = self._entries.revision
+            if not revision:
+                raise
+            self._record_failure(error)
+        else:
+            self._read_at = started_at
+            self._record_answer()
         async with self._store.watch(_ALL_KEYS_PREFIX, revision + 1) as batches:
             called_at = trio.current_time()
             async for batch in batches:
--- a/persimmonhinge/forwarding/program.py
+++ b/persimmonhinge/forwarding/program.py
@@ -33,6 +33,7 @@
         float,
         float,
         refusals.Refusals,
+        Callable[[], bool],
     ],
     port.PlatformReader,
 ]
@@ -58,6 +59,7 @@
         settings.call_limit_s,
         settings.watch_wait_s,
         core.refusals,
+        core.knows_entries,
     )
     reloader = reloading.SettingsReloader(
         file, settings, core.peers, core.refusals
--- a/persimmonhinge/platform/adapter.py
+++ b/persimmonhinge/platform/adapter.py
@@ -71,6 +71,7 @@
     timeout_s: float,
     watch_wait_s: float = WATCH_WAIT_S,
     refusals: refusals_module.Refusals | None = None,
+    knows_entries: Callable[[], bool] = lambda: True,
 ) -> store_reader.StoreReader:
     """Returns a client of the store that only reads.
 
@@ -81,11 +82,12 @@
         watch_wait_s: How long a watch waits for a change, seconds.
         refusals: Records the items that a host refuses; None for a client that
             keeps all items, and refuses an answer with an unreadable one.
+        knows_entries: Returns whether the host that reads knows any entry.
     """
     settings = make_settings(addresses, timeout_s, watch_wait_s)
     policy = None
     if refusals is not None:
-        policy = host_item_policy.HostItemPolicy(refusals)
+        policy = host_item_policy.HostItemPolicy(refusals, knows_entries)
     return store_reader.StoreReader(settings, make_transport, policy)
 
 
--- a/persimmonhinge/platform/host_item_policy.py
+++ b/persimmonhinge/platform/host_item_policy.py
@@ -8,6 +8,8 @@
 from persimmonhinge.platform import entries
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from persimmonhinge.forwarding import refusals as refusals_module
 
 # Longest value of an entry other than the desired state, octets. The entry of
@@ -30,13 +32,20 @@
 
     max_read_octets = _MAX_READ_OCTETS
 
-    def __init__(self, refusals: refusals_module.Refusals) -> None:
+    def __init__(
+        self,
+        refusals: refusals_module.Refusals,
+        knows_entries: Callable[[], bool],
+    ) -> None:
         """Initializes the policy.
 
         Args:
             refusals: Counts and logs the items that are refused.
+            knows_entries: Returns whether the host knows any entry, which it
+                would take for deleted if its item is left out.
         """
         self._refusals = refusals
+        self._knows_entries = knows_entries
 
     def is_used(self, key: str) -> bool:
         """See `item_policy.ItemPolicy`."""
@@ -51,7 +60,13 @@
     def refuse_item(
         self, key: str, error: errors.UnreadableAnswerError
     ) -> None:
-        """See `item_policy.ItemPolicy`; never raises."""
+        """See `item_policy.ItemPolicy`.
+
+        Guards against the deletion of an entry whose item has lost its key:
+        such an item is left out only while there is nothing to be deleted.
+        """
+        if not key and self._knows_entries():
+            raise error
         self._refusals.record_refusal(
             input_source.InputSource.STORE_ANSWER, key, error
         )
--- a/tests/test_forwarding/test_forwarding_store_failures.py
+++ b/tests/test_forwarding/test_forwarding_store_failures.py
@@ -117,6 +117,20 @@
     assert replica.counts.get("store_failures_total") > 1
 
 
+@trios.clock_test
+async def test_host_whose_reads_are_refused_watches_from_what_it_knows() -> (
+    None
+):
+    """Guards against missed changes while one item can't be read."""
+    known = port.WatchEvent(readers.make_key("2"), readers.make_entry(), 1)
+    replica = await follow(
+        FailingStore(_REFUSED, (_EVENT,)),
+        lambda replica: replica.entries.apply_batch([known]),
+    )
+    assert replica.entries.revision == _EVENT.mod_revision
+    assert count(replica, "inputs_refused_total") > 0
+
+
 @trios.clock_test
 async def test_read_that_is_told_of_dropped_history_is_paced() -> None:
     gone = errors.PlatformHistoryGoneError("gone", step="read")
--- a/tests/test_platform/scripted_store.py
+++ b/tests/test_platform/scripted_store.py
@@ -81,6 +81,9 @@
             lambda host, number: Transport(self._record_call),
             1.0,
             refusals=record,
+            knows_entries=lambda: bool(
+                self.entries.make_snapshot(0, ()).entries
+            ),
         )
 
     def _record_call(self, target: str) -> bytes:
--- a/tests/test_platform/test_platform_answers.py
+++ b/tests/test_platform/test_platform_answers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Callable
 from typing import Any
 
 from persimmonhinge import errors
 from persimmonhinge import ids
+from persimmonhinge.forwarding import upstream
 from persimmonhinge.store import blocking_transport
 from tests.test_forwarding import test_forwarding_entry_replica as readers
 from tests.test_platform import scripted_store
@@ -63,7 +65,9 @@
 )
 
 
-def _find(host: scripted_store.ScriptedHost, name: str) -> object:
+def _find(
+    host: scripted_store.ScriptedHost, name: str
+) -> upstream.Upstream | None:
     return host.knowledge.directory.get(ids.UpstreamId(f"i-{name}"))
 
 
@@ -106,6 +110,28 @@
         assert host.count_refused() == 1
 
 
+def _is_refused(read: Callable[[], object]) -> bool:
+    try:
+        read()
+    except errors.UnreadableAnswerError:
+        return True
+    return False
+
+
+def test_later_read_with_an_item_without_a_key_is_refused() -> None:
+    """Guards against flows that are reset since an item has lost its key."""
+    for item in _WITHOUT_KEY:
+        host = scripted_store.make_host(
+            scripted_store.make_page(GOOD, _OTHER),
+            scripted_store.make_page(item, _OTHER),
+        )
+        host.read_all()
+        assert _is_refused(host.read_all), item
+        found = _find(host, "1")
+        assert found is not None
+        assert found.state is upstream.UpstreamState.READY
+
+
 def test_unreadable_event_is_refused_alone() -> None:
     for fields in (*_UNREADABLE, {"Tombstone": 1}):
         news = scripted_store.make_news(5, {**GOOD, **fields}, _OTHER)
