Follow a page that does not tell whether it is the last one

What callers saw: connections reset, after one page of the store's answer came without `HasMore`.

Cause: a missing `HasMore` counted as false, so the entries behind the page counted as deleted.

Evidence: the new test of the pages fails before, as it gets the first page's key alone.

Now such a page counts as one that goes on if it holds items, and the read ends with an empty one. That loses nothing with a store that leaves out a false value; to require the field would keep hosts from starting there.

Two stand-ins of tests answered without `HasMore`, whatever page was asked for. They now answer as the protocol says; no assertion is changed.

--- a/persimmonhinge/platform/answers.py
+++ b/persimmonhinge/platform/answers.py
@@ -63,7 +63,8 @@
         ValueError: It is none.
         UnreadableAnswerError: The policy does not accept one of its items.
     """
-    keyed = _read_keys(json_reader.read_field(document, "items", list), policy)
+    listed = json_reader.read_field(document, "items", list)
+    keyed = _read_keys(listed, policy)
     items = []
     for key, item in keyed:
         if policy.is_used(key):
@@ -72,7 +73,8 @@
     return Page(
         tuple(items),
         json_reader.read_integer(document, "CurrentRev", 0, MAX_NUMBER),
-        json_reader.read_field(document, "HasMore", bool, False),
+        # A page that does not tell whether it is the last one is followed.
+        json_reader.read_field(document, "HasMore", bool, bool(listed)),
         keyed[-1][0] if keyed else None,
     )
 
--- a/tests/test_integration/test_integration_hostile_store.py
+++ b/tests/test_integration/test_integration_hostile_store.py
@@ -118,7 +118,9 @@
             await trio.sleep(1.0)
             return _encode({"events": _DAMAGED_ITEMS, "CurrentRev": _REVISION})
         items = [*_DAMAGED_ITEMS, *_ITEMS]
-        return _encode({"items": items, "CurrentRev": _REVISION})
+        return _encode(
+            {"items": items, "CurrentRev": _REVISION, "HasMore": False}
+        )
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_platform/scripted_store.py
+++ b/tests/test_platform/scripted_store.py
@@ -127,7 +127,7 @@
 
 def make_page(*items: object, **fields: object) -> bytes:
     """Returns the body of a page."""
-    return encode({"items": items, "CurrentRev": 9, **fields})
+    return encode({"items": items, "CurrentRev": 9, "HasMore": False, **fields})
 
 
 def make_news(*events: object, **fields: object) -> bytes:
--- a/tests/test_platform/test_platform_pages.py
+++ b/tests/test_platform/test_platform_pages.py
@@ -77,6 +77,21 @@
     assert "after=op/b" in host.targets[1]
 
 
+def test_page_that_does_not_tell_whether_it_is_the_last_is_followed() -> None:
+    """Guards against a part of the entries that is taken for all of them."""
+    pages = [
+        scripted_store.encode(
+            {
+                "items": [{"Key": k, "Value": "", "Revision": 1} for k in keys],
+                "CurrentRev": 9,
+            }
+        )
+        for keys in (["servers/a"], ["servers/b"], [])
+    ]
+    kept = scripted_store.make_host(*pages).read_prefix().values
+    assert [pair.key for pair in kept] == ["servers/a", "servers/b"]
+
+
 def test_key_that_cannot_be_encoded_is_an_error_of_the_call() -> None:
     """Guards against a command that ends with a traceback."""
     host = scripted_store.make_host(b"{}")
