Refuse news of which one tells no readable key or revision

What callers saw: an upstream that was draining still got new flows, until the next read of all entries, after the event that told of it had a key or a revision that can't be read.

Cause: such an event was refused alone, and the watch went on from `CurrentRev`, behind it, so that the change was never told again.

Evidence: the new test of news fails before at the first event without a key (`5`): the answer was taken.

Now an event without a readable key, or of a used key without a readable revision, refuses the answer: the follower reads everything anew.

`test_unreadable_event_is_refused_alone` asserted the fault for these two fields. They are asserted to be refused in `test_news_whose_place_is_unreadable_are_refused`, with more keys; the rest of the test stays, under a narrower name.

--- a/persimmonhinge/platform/answers.py
+++ b/persimmonhinge/platform/answers.py
@@ -82,14 +82,21 @@
 def read_news(document: dict[str, Any], policy: item_policy.ItemPolicy) -> News:
     """Reads the changes that a watch told.
 
+    Guards against a change that is lost: no watch tells it again, so all are
+    refused if it can't be read which key changed at which revision.
+
     Raises:
         ValueError: They are none.
-        UnreadableAnswerError: The policy does not accept one of them.
+        UnreadableAnswerError: The policy does not accept one of them, or one
+            has no readable key or, if the key is used, revision.
     """
     listed = json_reader.read_field(document, "events", list)
     events = []
-    for key, event in _read_keys(listed, policy):
+    for listed_event in listed:
+        event = json_reader.expect(listed_event, dict, "event")
+        key = _read_key(event)
         if policy.is_used(key):
+            _check_revision(key, event)
             revision, value = _read_content(key, event, policy, _read_change)
             events.append(port.WatchEvent(key, value, revision))
     return News(
@@ -154,6 +161,13 @@
     return key
 
 
+def _check_revision(key: str, event: dict[str, Any]) -> None:
+    try:
+        json_reader.read_integer(event, "Revision", 1, MAX_NUMBER)
+    except ValueError as error:
+        raise make_error(error, "read event", key) from error
+
+
 def _read_content(
     key: str,
     item: dict[str, Any],
--- a/tests/test_platform/test_platform_answers.py
+++ b/tests/test_platform/test_platform_answers.py
@@ -132,15 +132,28 @@
         assert found.state is upstream.UpstreamState.READY
 
 
-def test_unreadable_event_is_refused_alone() -> None:
-    for fields in (*_UNREADABLE, {"Tombstone": 1}):
-        news = scripted_store.make_news(5, {**GOOD, **fields}, _OTHER)
+def test_news_whose_place_is_unreadable_are_refused() -> None:
+    """Guards against a change that is lost, as the watch goes on behind it."""
+    events = [{**GOOD, "Revision": revision} for revision in _NO_REVISIONS]
+    for event in (*_WITHOUT_KEY, *events):
+        news = scripted_store.make_news(event, _OTHER)
+        host = scripted_store.make_host(news)
+        assert _is_refused(host.watch_once), event
+    unused = {"Key": "x/1", "Revision": 0}
+    news = scripted_store.make_news(unused, _OTHER)
+    assert len(scripted_store.make_host(news).watch_once()) == 1
+
+
+def test_event_with_an_unreadable_value_is_refused_alone() -> None:
+    damaged = [{**GOOD, "Value": value} for value in _NO_VALUES]
+    for event in (*damaged, {**GOOD, "Tombstone": 1}):
+        news = scripted_store.make_news(event, _OTHER)
         host = scripted_store.make_host(news)
         first, second = host.watch_once()
         assert (first.key, first.value) == (GOOD["Key"], b"")
-        assert second.mod_revision == 3
+        assert (first.mod_revision, second.mod_revision) == (3, 3)
         assert _find(host, "2") is not None
-        assert host.count_refused() == 2
+        assert host.count_refused() == 1
 
 
 def test_answer_whose_frame_is_unreadable_is_refused() -> None:
