Bound the pages, items and time of a read of the store

What callers saw: a host that starts neither forwards nor answers, for as long as the store's pages hold keys that no host uses, each one behind the last, and promise another page.

Cause: only the items that a host keeps were counted, and only a call had a limit of time, not the read.

Now a read of a host ends with an error after 200,000 items, used or not, or 2,000 pages: a platform holds 5,000 upstreams, 1,300 addresses, 610 hosts' keys and those of other systems. The read at a start also ends after 5 s, after which other hosts are asked. Commands have no such limits, as before.

--- a/persimmonhinge/cmd/forward_host.py
+++ b/persimmonhinge/cmd/forward_host.py
@@ -51,6 +51,7 @@
         settings.first_call_limit_s,
         refusals=core.refusals,
         knows_entries=core.knows_entries,
+        max_read_s=startup.MAX_READ_S,
     )
     startup.forward_during_imports(lambda: _import_rest(core), core, store)
     _run(core, file)
--- a/persimmonhinge/forwarding/startup.py
+++ b/persimmonhinge/forwarding/startup.py
@@ -24,6 +24,9 @@
 logger = early_logs.get_logger(__name__)
 
 _MS_PER_S = 1000
+# Time for the read of all entries at a start, seconds, after which other hosts
+# are asked. A single call has a shorter limit.
+MAX_READ_S = 5.0
 # Maximum time for packets that were received during one import, and during all
 # imports, seconds. What is left is read a batch for each import.
 _MAX_BACKLOG_TIME_S = 0.05
--- a/persimmonhinge/platform/adapter.py
+++ b/persimmonhinge/platform/adapter.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import math
 
 from persimmonhinge import ids
 from persimmonhinge.forwarding import desired_state as desired_states
@@ -72,6 +73,7 @@
     watch_wait_s: float = WATCH_WAIT_S,
     refusals: refusals_module.Refusals | None = None,
     knows_entries: Callable[[], bool] = lambda: True,
+    max_read_s: float = math.inf,
 ) -> store_reader.StoreReader:
     """Returns a client of the store that only reads.
 
@@ -83,12 +85,16 @@
         refusals: Records the items that a host refuses; None for a client that
             keeps all items, and refuses an answer with an unreadable one.
         knows_entries: Returns whether the host that reads knows any entry.
+        max_read_s: Time after which a read of many pages asks for no more of
+            them, seconds.
     """
     settings = make_settings(addresses, timeout_s, watch_wait_s)
     policy = None
     if refusals is not None:
         policy = host_item_policy.HostItemPolicy(refusals, knows_entries)
-    return store_reader.StoreReader(settings, make_transport, policy)
+    return store_reader.StoreReader(
+        settings, make_transport, policy, max_read_s
+    )
 
 
 def make_settings(
--- a/persimmonhinge/platform/answers.py
+++ b/persimmonhinge/platform/answers.py
@@ -36,12 +36,14 @@
         revision: Revision of the whole store, not that of any item.
         has_more: True if this is not the last page.
         last_key: Last key of the page, used or not; None without any.
+        listed: Number of items of the page, used or not.
     """
 
     items: tuple[port.KeyValue, ...]
     revision: int
     has_more: bool
     last_key: str | None
+    listed: int
 
 
 class News(records.Record, frozen=True):
@@ -76,6 +78,7 @@
         # A page that does not tell whether it is the last one is followed.
         json_reader.read_field(document, "HasMore", bool, bool(listed)),
         keyed[-1][0] if keyed else None,
+        len(listed),
     )
 
 
--- a/persimmonhinge/platform/host_item_policy.py
+++ b/persimmonhinge/platform/host_item_policy.py
@@ -20,6 +20,10 @@
 # Memory for the items of one read, octets: some ten thousand upstreams, and a
 # fraction of the smallest limit of a process.
 _MAX_READ_OCTETS = 32 * 1024 * 1024
+# Items and pages of one read, whether a host uses them or not: many times what
+# the largest platform holds, with keys of other programs.
+_MAX_READ_ITEMS = 200_000
+_MAX_READ_PAGES = 2_000
 _USED_PREFIXES = (entries.UPSTREAMS, entries.EVACUATIONS)
 
 
@@ -27,15 +31,18 @@
     """Keeps what a host uses; an unreadable item is refused alone.
 
     Guards against a start that fails for as long as one item can't be read,
-    and against values of other programs that fill the memory of a host.
+    against values of other programs that fill the memory of a host, and
+    against a read of keys of other programs that never ends.
     """
 
     max_read_octets = _MAX_READ_OCTETS
+    max_read_items = _MAX_READ_ITEMS
+    max_read_pages = _MAX_READ_PAGES
 
     def __init__(
         self,
         refusals: refusals_module.Refusals,
-        knows_entries: Callable[[], bool],
+        knows_entries: Callable[[], bool] = lambda: True,
     ) -> None:
         """Initializes the policy.
 
--- a/persimmonhinge/platform/item_policy.py
+++ b/persimmonhinge/platform/item_policy.py
@@ -5,8 +5,8 @@
 from persimmonhinge import errors
 from persimmonhinge.light_typing import Protocol
 
-# More than the memory of any machine.
-_NO_LIMIT_OCTETS = 1 << 62
+# More than the memory of any machine, or than a read can go through.
+_NO_LIMIT = 1 << 62
 
 
 class ItemPolicy(Protocol):
@@ -14,9 +14,13 @@
 
     Attributes:
         max_read_octets: Memory that the items of one read may take, octets.
+        max_read_items: How many items one read may list, kept or not.
+        max_read_pages: How many pages one read may take.
     """
 
     max_read_octets: int
+    max_read_items: int
+    max_read_pages: int
 
     def is_used(self, key: str) -> bool:
         """Returns whether items of a key are kept."""
@@ -41,7 +45,9 @@
 class StrictPolicy:
     """Keeps all items, and refuses an answer with an unreadable one."""
 
-    max_read_octets = _NO_LIMIT_OCTETS
+    max_read_octets = _NO_LIMIT
+    max_read_items = _NO_LIMIT
+    max_read_pages = _NO_LIMIT
 
     def is_used(self, key: str) -> bool:
         """Returns true."""
@@ -49,7 +55,7 @@
 
     def get_max_octets(self, key: str) -> int:
         """Returns more than an answer holds."""
-        return _NO_LIMIT_OCTETS
+        return _NO_LIMIT
 
     def refuse_item(
         self, key: str, error: errors.UnreadableAnswerError
--- a/persimmonhinge/platform/store_reader.py
+++ b/persimmonhinge/platform/store_reader.py
@@ -4,6 +4,8 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+import math
+import time
 
 from persimmonhinge import errors
 from persimmonhinge import json_reader
@@ -53,6 +55,7 @@
         settings: port.StoreSettings,
         make_transport: Callable[[str, int], transports.Transport],
         policy: item_policy.ItemPolicy | None = None,
+        max_read_s: float = math.inf,
     ) -> None:
         """Makes a client without connections.
 
@@ -61,9 +64,12 @@
             make_transport: Makes a connection to an address and a port.
             policy: Which items of pages and watches are kept; None to keep
                 all, and to refuse an answer with an unreadable one.
+            max_read_s: Time after which a read of many pages asks for no more
+                of them, seconds.
         """
         self._settings = settings
         self._policy = policy or item_policy.StrictPolicy()
+        self._max_read_s = max_read_s
         self._pool = pools.ConnectionPool(settings, make_transport)
 
     async def __aenter__(self) -> Self:
@@ -95,27 +101,45 @@
         the first page, so that a watch from there on misses no change.
 
         Raises:
-            UnreadableAnswerError: A page can't be read, or the items take more
-                memory than the policy allows.
+            UnreadableAnswerError: A page can't be read, or the items are more,
+                or take more memory, than the policy allows.
+            PlatformUnavailableError: The read takes too long.
         """
         values: list[port.KeyValue] = []
-        kept_octets = 0
+        ends_at = time.monotonic() + self._max_read_s
+        pages = listed = kept_octets = 0
         revision = 0
         has_more = True
         while has_more and (limit == 0 or len(values) < limit):
             page = await self._get_page(prefix, after)
             revision = revision or page.revision
             values.extend(page.items)
+            pages += 1
+            listed += page.listed
             kept_octets += sum(_ITEM_OCTETS + len(i.value) for i in page.items)
-            if kept_octets > self._policy.max_read_octets:
+            self._check_read(pages, listed, kept_octets)
+            has_more = page.has_more
+            after = page.last_key or after
+            if has_more and time.monotonic() >= ends_at:
+                raise errors.PlatformUnavailableError(
+                    f"took more than {self._max_read_s} s for {pages} pages",
+                    step=_READ_PAGE_STEP,
+                )
+        return port.PrefixState(revision, tuple(values[: limit or None]))
+
+    def _check_read(self, pages: int, items: int, octets: int) -> None:
+        policy = self._policy
+        for number, most, unit in (
+            (pages, policy.max_read_pages, "pages"),
+            (items, policy.max_read_items, "items"),
+            (octets, policy.max_read_octets, "octets"),
+        ):
+            if number > most:
                 raise errors.UnreadableAnswerError(
-                    f"take more than {self._policy.max_read_octets} octets",
+                    f"take more than {most} {unit}",
                     step=_READ_PAGE_STEP,
                     field="items",
                 )
-            has_more = page.has_more
-            after = page.last_key or after
-        return port.PrefixState(revision, tuple(values[: limit or None]))
 
     async def _get_page(self, prefix: str, after: str) -> answers.Page:
         """Returns the page of the keys behind one.
--- a/tests/test_platform/test_platform_pages.py
+++ b/tests/test_platform/test_platform_pages.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import functools
+
 from persimmonhinge import errors
+from persimmonhinge.platform import adapter
 from persimmonhinge.store import blocking_transport
 from tests.test_platform import scripted_store
 
@@ -19,6 +22,8 @@
 )
 _MOST_CALLS = 3
 _MOST_PAGES = 30
+_MOST_UNUSED_PAGES = 3_000
+_MOST_UNUSED_ITEMS = 300_000
 
 
 def _make_page(keys: tuple[object, ...], *, has_more: bool) -> bytes:
@@ -66,6 +71,49 @@
     raise AssertionError("the read has ended")
 
 
+def _answer_unused(targets: list[str], length: int, target: str) -> bytes:
+    """Returns a page of keys that no host uses, which promises another one."""
+    targets.append(target)
+    page = len(targets)
+    if page * length > _MOST_UNUSED_ITEMS or page > _MOST_UNUSED_PAGES:
+        raise AssertionError("the read goes on")
+    keys = (f"x/{page:06}-{i:04}" for i in range(length))
+    return _make_page(tuple(keys), has_more=True)
+
+
+def test_read_of_keys_that_no_host_uses_comes_to_an_end() -> None:
+    """Guards against a start that never ends as other programs' keys don't."""
+    for length in (1, 5_000):
+        targets: list[str] = []
+        host = scripted_store.ScriptedHost(
+            functools.partial(_answer_unused, targets, length)
+        )
+        try:
+            host.read_prefix()
+        except errors.UnreadableAnswerError as error:
+            assert error.field == "items"
+            continue
+        raise AssertionError("the read has ended")
+
+
+def test_read_that_takes_too_long_is_given_up() -> None:
+    """Guards against a start that doesn't ask other hosts by a slow store."""
+    targets: list[str] = []
+    answer = functools.partial(_answer_unused, targets, 1)
+    client = adapter.make_reader(
+        ("127.0.0.1:1",),
+        lambda host, number: scripted_store.Transport(answer),
+        1.0,
+        max_read_s=0.0,
+    )
+    try:
+        blocking_transport.run(client.get_prefix(""))
+    except errors.PlatformUnavailableError:
+        assert len(targets) == 1
+        return
+    raise AssertionError("the read has ended")
+
+
 def test_page_without_a_used_item_is_gone_past() -> None:
     """Guards against a read that ends early where other programs' keys are."""
     host = scripted_store.make_host(
