Refuse revisions above the store's, and watches of one not reached

What callers saw: an upstream that was draining still got new flows. After one answer with a wrong number a host took no change any more, of one key (an item whose `Revision` was too high, until a restart) or of all keys (a watch whose `CurrentRev` was too high, until the watch broke).

Cause: an item's `Revision` was not compared with the answer's `CurrentRev`, and a watch went on from the highest `CurrentRev` of any answer.

Evidence: with 10 and 2**63-1 in answers at revision 9, three tests of the answers fail before: a page and news were taken as told. The new test of the watch fails, as the answer behind that with 2**63-1 was not refused.

Now a `Revision` above `CurrentRev` can't be read: news are refused whole; in a page the item is refused alone, as one with any other unreadable revision, so that one number keeps no host from reading all other entries. A watch whose answer is at a lower revision than it was asked to follow is refused, and all entries are read anew: the store's responses are linearizable and its counter never decreases, so an earlier number was wrong. Jumps upwards are not limited, since one page or one change may be any number of revisions ahead.

--- a/persimmonhinge/platform/answers.py
+++ b/persimmonhinge/platform/answers.py
@@ -65,16 +65,19 @@
         ValueError: It is none.
         UnreadableAnswerError: The policy does not accept one of its items.
     """
+    current = json_reader.read_integer(document, "CurrentRev", 0, MAX_NUMBER)
     listed = json_reader.read_field(document, "items", list)
     keyed = _read_keys(listed, policy)
     items = []
     for key, item in keyed:
         if policy.is_used(key):
-            revision, value = _read_content(key, item, policy, _read_value)
+            revision, value = _read_content(
+                key, item, policy, _read_value, current
+            )
             items.append(port.KeyValue(key, value, revision))
     return Page(
         tuple(items),
-        json_reader.read_integer(document, "CurrentRev", 0, MAX_NUMBER),
+        current,
         # A page that does not tell whether it is the last one is followed.
         json_reader.read_field(document, "HasMore", bool, bool(listed)),
         keyed[-1][0] if keyed else None,
@@ -93,19 +96,19 @@
         UnreadableAnswerError: The policy does not accept one of them, or one
             has no readable key or, if the key is used, revision.
     """
+    current = json_reader.read_integer(document, "CurrentRev", 0, MAX_NUMBER)
     listed = json_reader.read_field(document, "events", list)
     events = []
     for listed_event in listed:
         event = json_reader.expect(listed_event, dict, "event")
         key = _read_key(event)
         if policy.is_used(key):
-            _check_revision(key, event)
-            revision, value = _read_content(key, event, policy, _read_change)
+            _check_revision(key, event, current)
+            revision, value = _read_content(
+                key, event, policy, _read_change, current
+            )
             events.append(port.WatchEvent(key, value, revision))
-    return News(
-        tuple(events),
-        json_reader.read_integer(document, "CurrentRev", 0, MAX_NUMBER),
-    )
+    return News(tuple(events), current)
 
 
 def read_item(document: dict[str, Any]) -> port.KeyValue:
@@ -164,9 +167,9 @@
     return key
 
 
-def _check_revision(key: str, event: dict[str, Any]) -> None:
+def _check_revision(key: str, event: dict[str, Any], current: int) -> None:
     try:
-        json_reader.read_integer(event, "Revision", 1, MAX_NUMBER)
+        json_reader.read_integer(event, "Revision", 1, current)
     except ValueError as error:
         raise make_error(error, "read event", key) from error
 
@@ -176,16 +179,18 @@
     item: dict[str, Any],
     policy: item_policy.ItemPolicy,
     read_value: Callable[[dict[str, Any], int | None], T],
+    current: int,
 ) -> tuple[int, T | bytes]:
     """Returns the revision and the value of an item.
 
     Guards against the deletion of an entry that is there but can't be read: the
-    item is not left out.
+    item is not left out. Also guards against an entry that hides all of its
+    later changes: no revision is above the current one of the store.
     """
     revision = _UNKNOWN_REVISION
     value: T | bytes = _UNREADABLE_VALUE
     try:
-        revision = json_reader.read_integer(item, "Revision", 1, MAX_NUMBER)
+        revision = json_reader.read_integer(item, "Revision", 1, current)
         value = read_value(item, policy.get_max_octets(key))
     except ValueError as error:
         policy.refuse_item(key, make_error(error, "read item", key))
--- a/persimmonhinge/platform/store_reader.py
+++ b/persimmonhinge/platform/store_reader.py
@@ -190,7 +190,14 @@
             response = await self._call_watch(connection, target)
             _check(response, target, {OK})
             answer = decode_answer(response.body, self._read_news, target)
-            after = max(after, answer.revision)
+            if answer.revision < after:
+                # A watch of a revision that is not reached tells no change.
+                raise errors.UnreadableAnswerError(
+                    f"is {answer.revision}, below {after}",
+                    step="read answer of store /kv-watch",
+                    field="CurrentRev",
+                )
+            after = answer.revision
             yield answer.events
 
     async def _call_watch(
--- a/tests/test_platform/test_platform_answers.py
+++ b/tests/test_platform/test_platform_answers.py
@@ -29,6 +29,9 @@
     "3",
     True,
     None,
+    # Above the revision of the store.
+    10,
+    (1 << 63) - 1,
 )
 _NO_VALUES: tuple[object, ...] = (
     "a",
@@ -144,6 +147,23 @@
     assert len(scripted_store.make_host(news).watch_once()) == 1
 
 
+def test_watch_of_a_revision_that_the_store_has_not_reached_is_refused() -> (
+    None
+):
+    """Guards against a host that sees no change after one wrong number."""
+    most = (1 << 63) - 1
+    host = scripted_store.make_host(
+        scripted_store.make_news(CurrentRev=most), scripted_store.make_news()
+    )
+
+    async def watch() -> None:
+        async with host.client.watch("", 1) as batches:
+            assert await anext(batches) == ()
+            await anext(batches)
+
+    assert _is_refused(lambda: blocking_transport.run(watch()))
+
+
 def test_event_with_an_unreadable_value_is_refused_alone() -> None:
     damaged = [{**GOOD, "Value": value} for value in _NO_VALUES]
     for event in (*damaged, {**GOOD, "Tombstone": 1}):
