--- a/persimmonhinge/platform/answers.py
+++ b/persimmonhinge/platform/answers.py
@@ -7,6 +7,7 @@
 from persimmonhinge import errors
 from persimmonhinge import json_reader
 from persimmonhinge import records
+from persimmonhinge.forwarding.peers import message_limits
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.store import port
 
@@ -19,8 +20,8 @@
 
     T = TypeVar("T")
 
-# Largest whole number that hosts can encode in their messages.
-MAX_NUMBER = (1 << 63) - 1
+# Largest whole number that hosts accept in messages of each other.
+MAX_NUMBER = message_limits.MAX_REVISION
 _MAX_KEY_OCTETS = 200
 # What an unreadable item counts as. An empty value is that of no readable
 # entry, and no change is older than the revision.
