Test the pace of a host whose reads and watches are both refused

Reads that are refused again and again, each with a watch that is refused at once, take no more than two calls in each minimum interval.

--- a/tests/test_forwarding/test_forwarding_store_failures.py
+++ b/tests/test_forwarding/test_forwarding_store_failures.py
@@ -75,6 +75,15 @@
             yield self._batch
 
 
+class RefusedStore(FailingStore):
+    """A store of which a host refuses the answers to reads and watches."""
+
+    async def _answer(self) -> AsyncIterator[tuple[port.WatchEvent, ...]]:
+        async for _ in super()._answer():
+            raise _REFUSED
+            yield ()
+
+
 async def follow(
     store: FailingStore,
     prepare: Callable[[readers.HostReplica], object] = lambda _: None,
@@ -123,11 +132,14 @@
 ):
     """Guards against missed changes while one item can't be read."""
     known = port.WatchEvent(readers.make_key("2"), readers.make_entry(), 1)
-    replica = await follow(
-        FailingStore(_REFUSED, (_EVENT,)),
-        lambda replica: replica.entries.apply_batch([known]),
-    )
+
+    def prepare(replica: readers.HostReplica) -> None:
+        replica.entries.apply_batch([known])
+
+    replica = await follow(FailingStore(_REFUSED, (_EVENT,)), prepare)
     assert replica.entries.revision == _EVENT.mod_revision
+    replica = await follow(RefusedStore(_REFUSED), prepare)
+    assert replica.entries.revision == known.mod_revision
     assert count(replica, "inputs_refused_total") > 0
 
 
