--- a/persimmonhinge/platform/answers.py
+++ b/persimmonhinge/platform/answers.py
@@ -7,6 +7,7 @@
 from persimmonhinge import errors
 from persimmonhinge import json_reader
 from persimmonhinge import records
+from persimmonhinge.forwarding.peers import message_limits
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.store import port
 
@@ -19,8 +20,8 @@
 
     T = TypeVar("T")
 
-# Largest whole number that hosts can encode in their messages.
-MAX_NUMBER = (1 << 63) - 1
+# Largest whole number that hosts accept in messages of each other.
+MAX_NUMBER = message_limits.MAX_REVISION
 _MAX_KEY_OCTETS = 200
 # What an unreadable item counts as. An empty value is that of no readable
 # entry, and no change is older than the revision.
@@ -36,12 +37,14 @@
         revision: Revision of the whole store, not that of any item.
         has_more: True if this is not the last page.
         last_key: Last key of the page, used or not; None without any.
+        listed: Number of items of the page, used or not.
     """
 
     items: tuple[port.KeyValue, ...]
     revision: int
     has_more: bool
     last_key: str | None
+    listed: int
 
 
 class News(records.Record, frozen=True):
@@ -63,37 +66,50 @@
         ValueError: It is none.
         UnreadableAnswerError: The policy does not accept one of its items.
     """
-    keyed = _read_keys(json_reader.read_field(document, "items", list), policy)
+    current = json_reader.read_integer(document, "CurrentRev", 0, MAX_NUMBER)
+    listed = json_reader.read_field(document, "items", list)
+    keyed = _read_keys(listed, policy)
     items = []
     for key, item in keyed:
         if policy.is_used(key):
-            revision, value = _read_content(key, item, policy, _read_value)
+            revision, value = _read_content(
+                key, item, policy, _read_value, current
+            )
             items.append(port.KeyValue(key, value, revision))
     return Page(
         tuple(items),
-        json_reader.read_integer(document, "CurrentRev", 0, MAX_NUMBER),
-        json_reader.read_field(document, "HasMore", bool, False),
+        current,
+        # A page that does not tell whether it is the last one is followed.
+        json_reader.read_field(document, "HasMore", bool, bool(listed)),
         keyed[-1][0] if keyed else None,
+        len(listed),
     )
 
 
 def read_news(document: dict[str, Any], policy: item_policy.ItemPolicy) -> News:
     """Reads the changes that a watch told.
 
+    Guards against a change that is lost: no watch tells it again, so all are
+    refused if it can't be read which key changed at which revision.
+
     Raises:
         ValueError: They are none.
-        UnreadableAnswerError: The policy does not accept one of them.
+        UnreadableAnswerError: The policy does not accept one of them, or one
+            has no readable key or, if the key is used, revision.
     """
+    current = json_reader.read_integer(document, "CurrentRev", 0, MAX_NUMBER)
     listed = json_reader.read_field(document, "events", list)
     events = []
-    for key, event in _read_keys(listed, policy):
+    for listed_event in listed:
+        event = json_reader.expect(listed_event, dict, "event")
+        key = _read_key(event)
         if policy.is_used(key):
-            revision, value = _read_content(key, event, policy, _read_change)
+            _check_revision(key, event, current)
+            revision, value = _read_content(
+                key, event, policy, _read_change, current
+            )
             events.append(port.WatchEvent(key, value, revision))
-    return News(
-        tuple(events),
-        json_reader.read_integer(document, "CurrentRev", 0, MAX_NUMBER),
-    )
+    return News(tuple(events), current)
 
 
 def read_item(document: dict[str, Any]) -> port.KeyValue:
@@ -152,21 +168,30 @@
     return key
 
 
+def _check_revision(key: str, event: dict[str, Any], current: int) -> None:
+    try:
+        json_reader.read_integer(event, "Revision", 1, current)
+    except ValueError as error:
+        raise make_error(error, "read event", key) from error
+
+
 def _read_content(
     key: str,
     item: dict[str, Any],
     policy: item_policy.ItemPolicy,
     read_value: Callable[[dict[str, Any], int | None], T],
+    current: int,
 ) -> tuple[int, T | bytes]:
     """Returns the revision and the value of an item.
 
     Guards against the deletion of an entry that is there but can't be read: the
-    item is not left out.
+    item is not left out. Also guards against an entry that hides all of its
+    later changes: no revision is above the current one of the store.
     """
     revision = _UNKNOWN_REVISION
     value: T | bytes = _UNREADABLE_VALUE
     try:
-        revision = json_reader.read_integer(item, "Revision", 1, MAX_NUMBER)
+        revision = json_reader.read_integer(item, "Revision", 1, current)
         value = read_value(item, policy.get_max_octets(key))
     except ValueError as error:
         policy.refuse_item(key, make_error(error, "read item", key))
--- a/tests/test_platform/scripted_store.py
+++ b/tests/test_platform/scripted_store.py
@@ -81,6 +81,9 @@
             lambda host, number: Transport(self._record_call),
             1.0,
             refusals=record,
+            knows_entries=lambda: bool(
+                self.entries.make_snapshot(0, ()).entries
+            ),
         )
 
     def _record_call(self, target: str) -> bytes:
@@ -124,7 +127,7 @@
 
 def make_page(*items: object, **fields: object) -> bytes:
     """Returns the body of a page."""
-    return encode({"items": items, "CurrentRev": 9, **fields})
+    return encode({"items": items, "CurrentRev": 9, "HasMore": False, **fields})
 
 
 def make_news(*events: object, **fields: object) -> bytes:
--- a/tests/test_platform/test_platform_answers.py
+++ b/tests/test_platform/test_platform_answers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Callable
 from typing import Any
 
 from persimmonhinge import errors
 from persimmonhinge import ids
+from persimmonhinge.forwarding import upstream
 from persimmonhinge.store import blocking_transport
 from tests.test_forwarding import test_forwarding_entry_replica as readers
 from tests.test_platform import scripted_store
@@ -27,6 +29,9 @@
     "3",
     True,
     None,
+    # Above the revision of the store.
+    10,
+    (1 << 63) - 1,
 )
 _NO_VALUES: tuple[object, ...] = (
     "a",
@@ -63,7 +68,9 @@
 )
 
 
-def _find(host: scripted_store.ScriptedHost, name: str) -> object:
+def _find(
+    host: scripted_store.ScriptedHost, name: str
+) -> upstream.Upstream | None:
     return host.knowledge.directory.get(ids.UpstreamId(f"i-{name}"))
 
 
@@ -106,15 +113,67 @@
         assert host.count_refused() == 1
 
 
-def test_unreadable_event_is_refused_alone() -> None:
-    for fields in (*_UNREADABLE, {"Tombstone": 1}):
-        news = scripted_store.make_news(5, {**GOOD, **fields}, _OTHER)
+def _is_refused(read: Callable[[], object]) -> bool:
+    try:
+        read()
+    except errors.UnreadableAnswerError:
+        return True
+    return False
+
+
+def test_later_read_with_an_item_without_a_key_is_refused() -> None:
+    """Guards against flows that are reset since an item has lost its key."""
+    for item in _WITHOUT_KEY:
+        host = scripted_store.make_host(
+            scripted_store.make_page(GOOD, _OTHER),
+            scripted_store.make_page(item, _OTHER),
+        )
+        host.read_all()
+        assert _is_refused(host.read_all), item
+        found = _find(host, "1")
+        assert found is not None
+        assert found.state is upstream.UpstreamState.READY
+
+
+def test_news_whose_place_is_unreadable_are_refused() -> None:
+    """Guards against a change that is lost, as the watch goes on behind it."""
+    events = [{**GOOD, "Revision": revision} for revision in _NO_REVISIONS]
+    for event in (*_WITHOUT_KEY, *events):
+        news = scripted_store.make_news(event, _OTHER)
+        host = scripted_store.make_host(news)
+        assert _is_refused(host.watch_once), event
+    unused = {"Key": "x/1", "Revision": 0}
+    news = scripted_store.make_news(unused, _OTHER)
+    assert len(scripted_store.make_host(news).watch_once()) == 1
+
+
+def test_watch_of_a_revision_that_the_store_has_not_reached_is_refused() -> (
+    None
+):
+    """Guards against a host that sees no change after one wrong number."""
+    most = (1 << 63) - 1
+    host = scripted_store.make_host(
+        scripted_store.make_news(CurrentRev=most), scripted_store.make_news()
+    )
+
+    async def watch() -> None:
+        async with host.client.watch("", 1) as batches:
+            assert await anext(batches) == ()
+            await anext(batches)
+
+    assert _is_refused(lambda: blocking_transport.run(watch()))
+
+
+def test_event_with_an_unreadable_value_is_refused_alone() -> None:
+    damaged = [{**GOOD, "Value": value} for value in _NO_VALUES]
+    for event in (*damaged, {**GOOD, "Tombstone": 1}):
+        news = scripted_store.make_news(event, _OTHER)
         host = scripted_store.make_host(news)
         first, second = host.watch_once()
         assert (first.key, first.value) == (GOOD["Key"], b"")
-        assert second.mod_revision == 3
+        assert (first.mod_revision, second.mod_revision) == (3, 3)
         assert _find(host, "2") is not None
-        assert host.count_refused() == 2
+        assert host.count_refused() == 1
 
 
 def test_answer_whose_frame_is_unreadable_is_refused() -> None:
