--- a/tests/test_integration/test_integration_forward_start.py
+++ b/tests/test_integration/test_integration_forward_start.py
@@ -423,8 +423,9 @@
     def check(host: Host, case: tuple[str, str, str]) -> None:
         module, source, reason = case
         (host.folder / f"{module}.py").write_text(source)
-        path = f"{host.folder}{os.pathsep}{_PACKAGES}"
-        host.environment["PYTHONPATH"] = path
+        # The program puts the packages of a build in front, unless named here.
+        path = [str(host.folder), str(_ROOT / "target" / "deps"), _PACKAGES]
+        host.environment["PYTHONPATH"] = os.pathsep.join(path)
         host.start()
         assert host.wait_ended() == 1
         check_last_line(host, 1, reason)
