--- a/tests/soak/injectors/hostile.py
+++ b/tests/soak/injectors/hostile.py
@@ -107,7 +107,7 @@
 
 
 @base.injectors.register(plans.FaultKind.HOSTILE_ANSWERS.value)
-async def _spoil_answers(scene: scenes.SoakScene, fault: plans.Fault) -> None:
+async def _replace_answers(scene: scenes.SoakScene, fault: plans.Fault) -> None:
     source = _draw(fault)
     store = scene.deployment.store
     async with scene.store_lock:
--- a/tests/test_forwarding/test_forwarding_peers_hostile_connections.py
+++ b/tests/test_forwarding/test_forwarding_peers_hostile_connections.py
@@ -27,7 +27,7 @@
 )
 
 _HOST = "127.0.0.9"
-_LIAR = "127.0.0.8"
+_FORGER = "127.0.0.8"
 _BEHIND = "127.0.0.7"
 _CHUNK = b"\xc0" * 65_536
 _CHUNKS = 1_000
@@ -146,7 +146,7 @@
     """Guards against a forged revision that keeps a host behind for good."""
     port = ports.find_tcp_port(_HOST)
     honest = hosts.make_core(port, _HOST)
-    liar = hosts.make_core(port, _LIAR)
+    forger = hosts.make_core(port, _FORGER)
     behind = hosts.make_core(port, _BEHIND)
     key = readers.make_key("1")
     honest.entries.apply_update(
@@ -155,10 +155,10 @@
         ),
         _HOST,
     )
-    receive_report(behind, _LIAR, port, 2**50)
+    receive_report(behind, _FORGER, port, 2**50)
     receive_report(behind, _HOST, port, 5)
     async with trio.open_nursery() as nursery:
-        for core in (honest, liar):
+        for core in (honest, forger):
             await nursery.start(snapshot_server.SnapshotServer(core).run)
         nursery.start_soon(pulls.SnapshotPuller(behind).run)
         with trio.fail_after(_MAX_WAIT_S):
--- a/tests/test_structured_logs.py
+++ b/tests/test_structured_logs.py
@@ -130,7 +130,7 @@
     os.close(far)
 
 
-def test_line_taken_in_part_does_not_spoil_the_next_one() -> None:
+def test_line_taken_in_part_does_not_corrupt_the_next_one() -> None:
     """Guards against a log in which a line ends in the middle of another."""
     near, far = os.pipe()
     os.set_blocking(near, False)
