Keep flows that an upstream accepted after a restart

Cause: the routing token was a hash of the upstream's id and start. An upstream that is cut off from the store, crashes and starts again under its id accepts flows before any host has read its new entry; hosts give these flows the token of the former start. When the entry came, that start was marked as ended, and its token with it, so hosts reset the flows of the live process like those of the dead one.

Ruled out by a copy of the case that also shows the hosts' resets and ended entries: that the entry had lapsed (no such line), and that the flows were those of the dead process (the upstream noted them as open after its restart). All 53 resets were "upstream-gone" with the token of the former start.

Why this works: the token is a hash of id and service. Whichever start a host knows, a packet goes to the process that runs under the id, and the process resets flows that it does not hold, as the platform's protocol says. The host no longer has to know when a flow was opened. A start of another service has another token, so no packet of a former flow reaches it.

Bound: beside those that run, one ended record for each id and service; it was one for each start.

Flows that are open while hosts of the former release are replaced end, as those write other tokens.

--- a/persimmonhinge/forwarding/decisions/reports/report_lines.py
+++ b/persimmonhinge/forwarding/decisions/reports/report_lines.py
@@ -25,7 +25,9 @@
 ) -> list[upstream_load.UpstreamLoad]:
     """Returns a line for each upstream with load, misses or open flows.
 
-    Loads and suspicions of upstreams that were removed are deleted.
+    Loads and suspicions of upstreams that were removed are deleted. Those of a
+    former incarnation are not reported: other hosts would count them for its
+    successor.
 
     Args:
         knowledge: The host's view of the platform, for the known upstreams.
@@ -44,6 +46,8 @@
             if quality is not None:
                 quality.remove_upstream(upstream)
             continue
+        if knowledge.directory.has_successor(known):
+            continue
         line = upstream_load.UpstreamLoad(
             known.token,
             loads.in_flight(upstream),
--- a/persimmonhinge/forwarding/directory.py
+++ b/persimmonhinge/forwarding/directory.py
@@ -27,7 +27,9 @@
 
     An ended upstream is retained for the maximum lifetime of a flow, so that
     packets of its flows can be distinguished from packets for upstreams that
-    this host has not learned of yet.
+    this host has not learned of yet. Of those with the same token, only the
+    newest one is retained, so the number of upstreams does not grow with the
+    number of their starts.
 
     Attributes:
         domains: Failure domains in which an upstream has been seen. Of those
@@ -63,7 +65,10 @@
     def put(self, upstream: upstream_module.Upstream, now: float) -> None:
         """Adds an upstream, or replaces its description by a newer one."""
         former = self._by_id.get(upstream.id)
-        if former is None:
+        if former is not None and former.token != upstream.token:
+            self._by_token[former.token].remove(former.id)
+            self._add_ended(former, now)
+        if former is None or former.token != upstream.token:
             self._by_token.setdefault(upstream.token, []).append(upstream.id)
         if former is None or former.service != upstream.service:
             self._remove_from_service(former)
@@ -86,10 +91,12 @@
 
     def mark_ended(self, upstream_id: ids.UpstreamId, now: float) -> None:
         """Marks an upstream as ended; evicts those past their retention."""
-        if upstream_id in self._by_id:
+        known = self._by_id.get(upstream_id)
+        if known is not None:
             self.set_state(upstream_id, upstream_module.UpstreamState.ENDED)
             self._ended_at[upstream_id] = now
             self._ended_at.move_to_end(upstream_id)
+            self._evict_ended_before(known)
         while self._ended_at:
             oldest = next(iter(self._ended_at))
             if self._ended_at[oldest] + self._retention_s >= now:
@@ -105,6 +112,7 @@
     def find_by_token(self, token: int) -> upstream_module.Upstream | None:
         """Returns the upstream that a routing token identifies.
 
+        An ended upstream is returned only if no running one has the token.
         Returns None if the token is unknown, and if two upstreams share it
         and both may be running: sending a packet to the wrong one would break
         an intact flow.
@@ -114,6 +122,12 @@
         candidates = running or with_token
         return candidates[0] if len(candidates) == 1 else None
 
+    def has_successor(self, upstream: upstream_module.Upstream) -> bool:
+        """Returns whether packets of an ended upstream go to another one."""
+        if upstream.state in _LIVE_STATES:
+            return False
+        return self.find_by_token(upstream.token) is not upstream
+
     def has_unique_token(self, upstream: upstream_module.Upstream) -> bool:
         """Returns whether the token of a running upstream identifies it."""
         if len(self._by_token[upstream.token]) == 1:
@@ -184,6 +198,22 @@
             del self._empty_domains[oldest]
             self.domains.discard(oldest)
 
+    def _add_ended(self, former: upstream_module.Upstream, now: float) -> None:
+        """Adds an ended upstream for the former token of a running one.
+
+        Guards against packets of its flows that reach the other service to
+        which the upstream belongs now.
+        """
+        upstream_id = ids.UpstreamId(f"{former.id}/{former.service}")
+        self.put(records.replace(former, id=upstream_id), now)
+        self.mark_ended(upstream_id, now)
+
+    def _evict_ended_before(self, ended: upstream_module.Upstream) -> None:
+        """Evicts the upstreams with the same token that ended before."""
+        for upstream_id in list(self._by_token[ended.token]):
+            if upstream_id != ended.id and upstream_id in self._ended_at:
+                self._evict(upstream_id)
+
     def _evict(self, upstream_id: ids.UpstreamId) -> None:
         known = self._by_id.pop(upstream_id)
         self._remove_from_service(known)
--- a/persimmonhinge/forwarding/flow_table.py
+++ b/persimmonhinge/forwarding/flow_table.py
@@ -20,6 +20,7 @@
 
     Attributes:
         upstream: Upstream that receives the packets of the flow.
+        token: Routing token of that upstream.
         route: Address of the route of the flow.
         last_packet_at: When the last packet of the flow arrived, seconds.
         established: True once the caller sent a packet after its opening
@@ -38,6 +39,7 @@
     """
 
     upstream: ids.UpstreamId
+    token: int
     route: route_module.RouteAddress
     last_packet_at: float
     established: bool = False
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -243,12 +243,17 @@
         upstream of the original, too: packets that waited in the socket while
         the host started are read together, and the network duplicates some
         packets.
+        If that upstream has ended, the flow is placed anew: another service
+        may use its address.
         """
         if record.established or self._openings.find_pending(packet.flow):
-            upstream = self._knowledge.directory.get(record.upstream)
-            if upstream is not None:
+            upstream = self._knowledge.directory.find_by_token(record.token)
+            if upstream is None:
+                self._drop_packet(packet, "unknown-token")
+                return
+            if upstream.state is not upstream_module.UpstreamState.ENDED:
                 self._forward_packet(packet, upstream)
-            return
+                return
         self._openings.remove(packet.flow)
         if self._gate is not None:
             self._gate.cancel_start(packet)
--- a/persimmonhinge/forwarding/knowledge.py
+++ b/persimmonhinge/forwarding/knowledge.py
@@ -240,9 +240,10 @@
     ) -> None:
         """Marks an incarnation as ended after a newer one replaced it.
 
-        Guards against packets of its flows that reach its successor, which has
-        the same address but does not know the flows. The callers of these
-        flows get a reset immediately, even if the store is unreliable.
+        Packets of its flows go to its successor, which has the same token
+        unless it belongs to another service: a flow that was opened before
+        this host learned of the newer start may be open there. The successor
+        resets flows that it does not have.
         """
         known = self._find_not_ended(upstream_id)
         if known is None:
--- a/persimmonhinge/forwarding/tracker.py
+++ b/persimmonhinge/forwarding/tracker.py
@@ -93,7 +93,7 @@
         now = self._clock()
         if is_new and self.flow_observer is not None:
             self.flow_observer.record_flow_opening(flow, now)
-        record = _make_record(flow, upstream, now)
+        record = _make_record(flow, upstream, token, now)
         self._store_record(flow, record)
         self._start_request(record, token, now)
 
@@ -110,9 +110,10 @@
         record = self._flows.get(packet.flow)
         is_first = record is not None and not record.established
         if record is None:
-            record = self._add_flow_of_other_host(packet.flow, upstream, now)
+            record = self._add_flow_of_other_host(packet, upstream, now)
         if record.upstream != upstream:
             self._move_flow(record, upstream)
+            record.token = packet.token
         if is_first and record.request_started_at is not None:
             self._counts.observe(
                 "opening_seconds", now - record.request_started_at
@@ -122,7 +123,10 @@
         return is_first
 
     def _add_flow_of_other_host(
-        self, flow: flow_module.FlowId, upstream: ids.UpstreamId, now: float
+        self,
+        packet: packet_module.Packet,
+        upstream: ids.UpstreamId,
+        now: float,
     ) -> flow_table_module.FlowRecord:
         """Adds the record of a flow that another host opened.
 
@@ -130,8 +134,8 @@
         upstream answers: the upstream may have failed since the flow was
         opened, and the caller may be waiting for it.
         """
-        record = _make_record(flow, upstream, now)
-        self._store_record(flow, record)
+        record = _make_record(packet.flow, upstream, packet.token, now)
+        self._store_record(packet.flow, record)
         return record
 
     def _update_request(
@@ -332,7 +336,10 @@
 
 
 def _make_record(
-    flow: flow_module.FlowId, upstream: ids.UpstreamId, now: float
+    flow: flow_module.FlowId,
+    upstream: ids.UpstreamId,
+    token: int,
+    now: float,
 ) -> flow_table_module.FlowRecord:
     route = route_module.RouteAddress(flow.service, flow.service_port)
-    return flow_table_module.FlowRecord(upstream, route, now)
+    return flow_table_module.FlowRecord(upstream, token, route, now)
--- a/persimmonhinge/forwarding/upstream.py
+++ b/persimmonhinge/forwarding/upstream.py
@@ -37,7 +37,8 @@
     Attributes:
         id: Id of this incarnation.
         number: Numeric form of the id, as carried by its packets.
-        token: Routing token of its flows.
+        token: Routing token of its flows, the same for all incarnations with
+            the same name and service.
         service: Service that it provides.
         address: Address and port at which it receives packets.
         domain: Failure domain that it runs in.
--- a/persimmonhinge/ids.py
+++ b/persimmonhinge/ids.py
@@ -9,6 +9,8 @@
 RegionId = NewType("RegionId", str)
 ServiceName = NewType("ServiceName", str)
 UpstreamId = NewType("UpstreamId", str)
+# What an upstream is called, whichever process runs under it.
+UpstreamName = NewType("UpstreamName", str)
 CallClassName = NewType("CallClassName", str)
 
 # Milliseconds of the wall clock at the start of the process, raised above
