Let upstreams of the soak start again under their id

The soak's upstreams told no start and came back with a new id, so it could not find that hosts reset flows which an upstream had accepted between its restart and its new entry.

Upstreams now tell their start, and one that restarts keeps its id and number. It takes flows for up to a second without an entry, in some faults after its former entry has lapsed. The check of crossed packets compares ids without the start: a packet of a former start may reach the new one, which resets it.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -84,7 +84,7 @@
             yield f"{flow} opened at {upstream.id} of {upstream.service}"
         elif arrival.segment.opens or arrival.known or owner is None:
             continue
-        elif owner.id != upstream.id:
+        elif owner.name != upstream.name:
             yield f"{flow} of {owner.id} is at {upstream.id}"
     book = evidence.scene.load.book
     yield from (f"answer to another: {key}" for key in book.crossed)
--- a/tests/soak/injectors/hostile.py
+++ b/tests/soak/injectors/hostile.py
@@ -60,7 +60,7 @@
         return
     async with place.lock:
         value = hostile_inputs.make_entry(source).decode("utf-8", "replace")
-        await scene.deployment.store.put(f"servers/{place.current.id}", value)
+        await scene.deployment.store.put(f"servers/{place.current.name}", value)
         await trio.sleep(fault.for_s)
         await place.write()
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -52,6 +52,8 @@
     HOSTILE_REQUESTS: A host gets connections that ask for nothing it has.
     HOSTILE_ANSWERS: The store's answers can't be read.
     GROW_STATE: The desired state has a thousand routes more.
+    RESTART_UPSTREAM: An upstream dies and starts again under its name; its
+        entry follows some time later, at times after the former one ended.
     """
 
     KILL_HOST = "kill-host"
@@ -84,6 +86,7 @@
     HOSTILE_REQUESTS = "hostile-requests"
     HOSTILE_ANSWERS = "hostile-answers"
     GROW_STATE = "grow-state"
+    RESTART_UPSTREAM = "restart-upstream"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -40,10 +40,14 @@
         """Starts an upstream there, and writes its entry."""
         self.service = service
         self.current = self._board.make(service, self._own_address)
-        self._scope = trio.CancelScope()
-        await nursery.start(self._run)
+        await self._start_current(nursery)
         await self.write()
 
+    async def start_again(self, nursery: trio.Nursery) -> None:
+        """Starts the upstream that has ended under its name; writes nothing."""
+        self.current = self._board.make_again(self.current, self._own_address)
+        await self._start_current(nursery)
+
     async def write(self, state: str = "ready") -> None:
         """Writes the entry of the upstream."""
         await self._board.deployment.put_upstream(
@@ -52,7 +56,7 @@
 
     async def remove(self) -> None:
         """Removes the entry of the upstream."""
-        key = f"servers/{self.current.id}"
+        key = f"servers/{self.current.name}"
         await self._board.deployment.store.put(key, None)
 
     async def drain(self) -> None:
@@ -67,6 +71,10 @@
         self.current.crash()
         self._scope.cancel()
 
+    async def _start_current(self, nursery: trio.Nursery) -> None:
+        self._scope = trio.CancelScope()
+        await nursery.start(self._run)
+
     async def _run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -100,3 +108,17 @@
         )
         self.all[upstream.id] = upstream
         return upstream
+
+    def make_again(
+        self, former: flow_upstream.FlowUpstream, address: tuple[str, int]
+    ) -> flow_upstream.FlowUpstream:
+        """Makes an upstream with the number of one that has ended."""
+        upstream = flow_upstream.FlowUpstream(
+            former.number,
+            former.service,
+            address,
+            self.deployment.packet_port,
+            start=len(self.all),
+        )
+        self.all[upstream.id] = upstream
+        return upstream
--- a/tests/standins/flow_upstream.py
+++ b/tests/standins/flow_upstream.py
@@ -73,7 +73,9 @@
     """Runs requests of flows; tells all that it saw.
 
     Attributes:
+        name: The name under which it enters itself.
         id: Its id; a new one for each start.
+        started_at_ms: When it started, milliseconds since 1970.
         number: Number in its datagrams.
         state: What it does with packets.
         arrivals: Opening packets, and packets of flows that it does not hold.
@@ -91,6 +93,7 @@
         queue: int = 8,
         work_s: float = 0.01,
         cold_s: float = 0.0,
+        start: int = 0,
     ) -> None:
         """Makes an upstream; `run` binds its socket.
 
@@ -103,9 +106,13 @@
             queue: Requests that wait; further ones are refused.
             work_s: Time that a request takes, seconds.
             cold_s: Time after its start in which work takes twice as long.
+            start: Number of its start, among those with its number; 0 for the
+                first.
         """
         self.number = number
-        self.id = f"i-{number:010x}"
+        self.name = f"i-{number:010x}"
+        self.id = f"{self.name}@{start}" if start else self.name
+        self.started_at_ms = time.time_ns() // 1_000_000
         self.service = service
         self.state = UpstreamState.LIVE
         self.arrivals: list[Arrival] = []
@@ -119,7 +126,7 @@
         self._warm_at = time.monotonic() + cold_s
         self._flows: dict[flows.FlowId, HeldFlow] = {}
         self._in_progress = 0
-        self._random = random.Random(number)
+        self._random = random.Random(f"{number}@{start}")
         self._socket = trio.socket.from_stdlib_socket(
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         )
--- a/tests/standins/forwarding_deployment.py
+++ b/tests/standins/forwarding_deployment.py
@@ -219,7 +219,11 @@
             "ColdLeftMs": 0,
             "Seq": 1,
         }
-        await self.store.put(f"servers/{upstream.id}", json.dumps(entry))
+        name = upstream.id
+        if isinstance(upstream, flow_upstream.FlowUpstream):
+            name = upstream.name
+            entry["born"] = upstream.started_at_ms
+        await self.store.put(f"servers/{name}", json.dumps(entry))
 
     async def is_ready(self, host: ForwardHost) -> bool:
         """Tells whether a host says that it is ready."""
