Refuse entries that move a live upstream to an unnamed service

Cause: the entry is readable and has a later start, so hosts took it for a restart. The upstream's own entry then has an earlier start than the known one, which is refused as the work of another writer.

Evidence: "Upstream was restarted." at all six hosts within 2 ms of the write, "Stopped new flows to an upstream with an unreadable entry." 0.4 s later.

Why this works: the desired state names all services. An entry that would move a running upstream to another one is refused like an unreadable one: no new flows, open flows stay, and the upstream's next entry ends it. It is kept, at most one for each key, and applied once a desired state names its service, so an upstream of a service that is about to come loses nothing. An upstream of an unnamed service, at a host that started meanwhile, does not keep out the entry of the real one.

--- a/persimmonhinge/forwarding/desired_state.py
+++ b/persimmonhinge/forwarding/desired_state.py
@@ -26,6 +26,7 @@
             limit are absent.
         max_flows: Maximum numbers of open flows at one upstream, by service.
             Services without a limit are absent.
+        services: The services that it names; empty if it names none.
         refused: Parts that can't be read, and are in none of the others.
     """
 
@@ -34,4 +35,5 @@
     idle_timeout_s: float
     warm_up_limits: Mapping[ids.ServiceName, float] = MappingProxyType({})
     max_flows: Mapping[ids.ServiceName, int] = MappingProxyType({})
+    services: frozenset[ids.ServiceName] = frozenset()
     refused: tuple[refused_part.RefusedPart, ...] = ()
--- a/persimmonhinge/forwarding/entry_effects.py
+++ b/persimmonhinge/forwarding/entry_effects.py
@@ -11,13 +11,13 @@
 from persimmonhinge.forwarding import input_source
 from persimmonhinge.forwarding import knowledge as knowledge_module
 from persimmonhinge.forwarding import refusals as refusals_module
+from persimmonhinge.forwarding import store_entry
 from persimmonhinge.light_typing import TYPE_CHECKING
 from persimmonhinge.metrics import counts as counts_module
 
 if TYPE_CHECKING:
     from persimmonhinge import ids
     from persimmonhinge.forwarding import entry_reader
-    from persimmonhinge.forwarding import store_entry
     from persimmonhinge.forwarding import upstream as upstream_module
 
 logger = early_logs.get_logger(__name__)
@@ -60,6 +60,9 @@
         # Upstream id, including the incarnation, of the newest readable
         # entry of each key.
         self._incarnations: dict[str, ids.UpstreamId] = {}
+        # Entries that were refused because the desired state does not name
+        # their service; at most one for each key.
+        self._unnamed: dict[str, bytes] = {}
         self._unreadable_logged_at = -math.inf
 
     def is_relevant(self, key: str) -> bool:
@@ -145,13 +148,20 @@
                 from persimmonhinge.forwarding import former_parts
 
                 state = former_parts.retain_former_parts(state, former)
-        self._knowledge.apply_state(state, source)
+        if self._knowledge.apply_state(state, source):
+            self._apply_unnamed(source)
+
+    def _apply_unnamed(self, source: str) -> None:
+        """Applies the entries whose service was not named before."""
+        for key, value in list(self._unnamed.items()):
+            self.apply(store_entry.StoreEntry(key, value, 0), source)
 
     def _apply_upstream(
         self, key: str, value: bytes | None, source: str
     ) -> None:
         now = time.monotonic()
         former = self._incarnations.get(key)
+        self._unnamed.pop(key, None)
         if value is None:
             if former is not None:
                 self._knowledge.record_missing_entry(former, now, source)
@@ -159,6 +169,12 @@
                 del self._incarnations[key]
             return
         upstream = self._reader.read_upstream(key, value)
+        if former is not None:
+            error = self._find_service_error(key, upstream, former)
+            if error is not None:
+                self._unnamed[key] = value
+                self._reject_unreadable(key, error, source)
+                return
         if former is not None and former != upstream.id:
             self._check_start(key, upstream, former)
             self._knowledge.end_incarnation(former, now, source)
@@ -167,6 +183,45 @@
         self._incarnations[key] = upstream.id
         self._knowledge.apply_upstream(upstream, now, source)
 
+    def _find_service_error(
+        self,
+        key: str,
+        upstream: upstream_module.Upstream,
+        former: ids.UpstreamId,
+    ) -> errors.UnreadableEntryError | None:
+        """Returns why an upstream can't move to the service of its entry.
+
+        Guards against another writer that overwrites the entry of a running
+        upstream: its open flows would be reset. The entry takes effect once a
+        desired state names its service.
+        """
+        known = self._find_running(former)
+        if known is None or known.service == upstream.service:
+            return None
+        if self._is_named(upstream.service):
+            return None
+        return errors.UnreadableEntryError(
+            "is not named in the desired state",
+            step="read entry",
+            peer=key,
+            field="service",
+        )
+
+    def _is_named(self, service: ids.ServiceName) -> bool:
+        """Returns whether the desired state names a service, if it is known."""
+        state = self._knowledge.state
+        if state is None or not state.services:
+            return True
+        return service in state.services
+
+    def _find_running(
+        self, upstream_id: ids.UpstreamId
+    ) -> upstream_module.Upstream | None:
+        """Returns an upstream, or None if it is unknown or has ended."""
+        if self._knowledge.has_ended(upstream_id):
+            return None
+        return self._knowledge.directory.get(upstream_id)
+
     def _check_start(
         self,
         key: str,
@@ -176,14 +231,15 @@
         """Checks that an upstream started after the one it would replace.
 
         Guards against another writer that overwrites the entry of a live
-        upstream without the start that it has told: its open flows would be
-        reset. An upstream whose entry was deleted can be replaced by any other.
+        upstream without the start that it has told: new flows would go to the
+        address that was written. An upstream whose entry was deleted can be
+        replaced by any other.
 
         Raises:
             UnreadableEntryError: The start is missing or earlier.
         """
-        known = self._knowledge.directory.get(former)
-        if known is None or self._knowledge.has_ended(former):
+        known = self._find_running(former)
+        if known is None or not self._is_named(known.service):
             return
         if upstream.started_at_ms < known.started_at_ms:
             raise errors.UnreadableEntryError(
--- a/persimmonhinge/forwarding/former_parts.py
+++ b/persimmonhinge/forwarding/former_parts.py
@@ -52,6 +52,7 @@
         idle_timeout_s=(
             former.idle_timeout_s if is_idle_unknown else state.idle_timeout_s
         ),
+        services=state.services | former.services,
     )
 
 
--- a/persimmonhinge/platform/state_entry.py
+++ b/persimmonhinge/platform/state_entry.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
     from typing import Any
     from typing import TypeVar
 
@@ -55,6 +56,7 @@
             # A rate or number of 0 sets no limit.
             warm_up_limits={n: rate for n, rate, _ in services if rate > 0},
             max_flows={n: flows for n, _, flows in services if flows > 0},
+            services=_list_services(found.values(), services),
             refused=tuple(self.refused),
         )
 
@@ -150,6 +152,16 @@
     return _StateReader().read(entry)
 
 
+def _list_services(
+    listed: Iterable[routes.Route],
+    services: Iterable[tuple[ids.ServiceName, float, int]],
+) -> frozenset[ids.ServiceName]:
+    """Returns the services of routes and those listed with their limits."""
+    names = {share.service for route in listed for share in route.shares}
+    names.update(name for name, _, _ in services)
+    return frozenset(filter(None, names))
+
+
 def _find(entry: object, read: Callable[[dict[str, Any]], T]) -> T | None:
     """Returns what a refused part states, or None if that can't be read."""
     if not isinstance(entry, dict):
