Accept a start again that a host knows

What callers saw: after an entry of another writer with a later start and a named service, a live upstream got no new flows until its entry was deleted.

Cause: an entry with an earlier start than the known one is refused as the work of another writer. The upstream's own start is the earlier one then.

Why this works: each process writes its own start. One that this host has known, and that is written again at a later revision, is told by a process that still runs. Starts that the host has never seen stay refused, and so do entries without one. No memory is added: the directory keeps one ended record for each name and service.

test_upstream_that_tells_its_start_again_is_used_again fails without it.

--- a/persimmonhinge/forwarding/entry_effects.py
+++ b/persimmonhinge/forwarding/entry_effects.py
@@ -233,7 +233,8 @@
         Guards against another writer that overwrites the entry of a live
         upstream without the start that it has told: new flows would go to the
         address that was written. An upstream whose entry was deleted can be
-        replaced by any other.
+        replaced by any other. A start that this host knows is told by a
+        process that still runs.
 
         Raises:
             UnreadableEntryError: The start is missing or earlier.
@@ -241,6 +242,9 @@
         known = self._find_running(former)
         if known is None or not self._is_named(known.service):
             return
+        is_told_again = self._knowledge.directory.get(upstream.id) is not None
+        if is_told_again and upstream.started_at_ms:
+            return
         if upstream.started_at_ms < known.started_at_ms:
             raise errors.UnreadableEntryError(
                 f"is {upstream.started_at_ms}, but the upstream has told "
--- a/tests/test_forwarding/test_forwarding_foreign_entries.py
+++ b/tests/test_forwarding/test_forwarding_foreign_entries.py
@@ -81,3 +81,24 @@
     scene.put(born=1000)
     assert scene.find("1@1000").state is _READY
     assert scene.open() == scene.find("1@1000")
+
+
+def test_upstream_that_tells_its_start_again_is_used_again() -> None:
+    """Guards against live upstreams that are refused after a foreign entry."""
+    scene = make_scene()
+    scene.put(born=1000)
+    opened_at = scene.open()
+    scene.put(born=2000, Addr=_OTHER_ADDRESS)
+    scene.put(born=1000)
+    assert scene.find("1@1000").state is _READY
+    scene.continue_flow(opened_at, data=10)
+    assert scene.last_upstream() == scene.find("1@1000")
+    assert scene.count_resets() == 0
+    assert scene.counts.get("unreadable_entries_total") == 0
+
+
+def test_start_of_before_a_host_knew_the_upstream_stays_refused() -> None:
+    scene = make_scene()
+    scene.put(born=2000)
+    scene.put(born=1000)
+    assert scene.find("1@2000").state is _DRAINING
