Keep flows that an upstream answers though its entry lapsed

What callers saw: an upstream was cut off from the store, but not from hosts and callers, and answered all the while; hosts reset all of its flows once its entry had lapsed.

Cause: hosts take the removal of an entry for the end of the process. The platform removes entries after three heartbeats of silence, whether the process has crashed or only can't reach the store.

Why this works: hosts see callers acknowledge answers. A process that answered a caller within the last second runs, so its flows stay there; one that crashed answered nobody since before its entry lapsed, and its flows are reset at once as before. The second is shorter than the time after which an address is used again, and an upstream whose address another one uses since is over at once. One that had announced to leave is over when its entry goes. New flows still go nowhere without an entry.

Bound: one time for each upstream with load at a host, and one id for each address of a known upstream.

--- a/persimmonhinge/forwarding/decisions/placement/loads.py
+++ b/persimmonhinge/forwarding/decisions/placement/loads.py
@@ -31,11 +31,14 @@
         average: Exponentially weighted moving average of `in_flight` at
             `averaged_at`.
         averaged_at: Time of the last change, seconds.
+        answered_at: Time of the last answer that a caller acknowledged,
+            seconds.
     """
 
     in_flight: int = 0
     average: float = 0.0
     averaged_at: float = 0.0
+    answered_at: float = -math.inf
 
     def average_at(self, now: float) -> float:
         """Returns the average at a given time."""
@@ -68,6 +71,19 @@
         """Counts a request that ended."""
         self._add_in_flight(upstream, -1)
 
+    def record_answer(self, upstream: ids.UpstreamId, now: float) -> None:
+        """Records that a caller acknowledged an answer of an upstream."""
+        load = self._loads.get(upstream)
+        if load is not None:
+            load.answered_at = now
+
+    def has_answered_since(
+        self, upstream: ids.UpstreamId, since: float
+    ) -> bool:
+        """Returns whether an upstream answered callers of this host lately."""
+        load = self._loads.get(upstream)
+        return load is not None and load.answered_at >= since
+
     def in_flight(self, upstream: ids.UpstreamId) -> int:
         """Returns the number of this host's requests at an upstream."""
         load = self._loads.get(upstream)
--- a/persimmonhinge/forwarding/directory.py
+++ b/persimmonhinge/forwarding/directory.py
@@ -8,6 +8,7 @@
 
 from persimmonhinge import ids
 from persimmonhinge import records
+from persimmonhinge.forwarding import flow
 from persimmonhinge.forwarding import service_limit
 from persimmonhinge.forwarding import upstream as upstream_module
 
@@ -54,6 +55,10 @@
         self._ended_at: collections.OrderedDict[ids.UpstreamId, float] = (
             collections.OrderedDict()
         )
+        # Ended upstreams that had not announced to leave.
+        self._lapsed: set[ids.UpstreamId] = set()
+        # The upstream that was added or changed last at each address.
+        self._newest_at: dict[flow.Endpoint, ids.UpstreamId] = {}
         self._warmed_up_at: dict[ids.UpstreamId, float] = {}
         # Cached ready upstreams; dropped when an upstream of the service
         # changes.
@@ -79,6 +84,9 @@
         self._by_id[upstream.id] = upstream
         self._ready.pop(upstream.service, None)
         self._ended_at.pop(upstream.id, None)
+        self._lapsed.discard(upstream.id)
+        self._release_address(former)
+        self._newest_at[upstream.address] = upstream.id
         self._warmed_up_at[upstream.id] = now + upstream.warm_up_s
 
     def set_state(
@@ -103,6 +111,22 @@
                 break
             self._evict(oldest)
 
+    def mark_lapsed(self, upstream_id: ids.UpstreamId, now: float) -> None:
+        """Marks an upstream as ended that had not announced to leave."""
+        self.mark_ended(upstream_id, now)
+        if upstream_id in self._by_id:
+            self._lapsed.add(upstream_id)
+
+    def has_lapsed(self, upstream: upstream_module.Upstream) -> bool:
+        """Returns whether an upstream ended that may still run.
+
+        It had not announced to leave, and no other one uses its address since.
+        """
+        return (
+            upstream.id in self._lapsed
+            and self._newest_at.get(upstream.address) == upstream.id
+        )
+
     def get(
         self, upstream_id: ids.UpstreamId
     ) -> upstream_module.Upstream | None:
@@ -214,6 +238,15 @@
             if upstream_id != ended.id and upstream_id in self._ended_at:
                 self._evict(upstream_id)
 
+    def _release_address(
+        self, upstream: upstream_module.Upstream | None
+    ) -> None:
+        """Removes the address of an upstream, unless another one uses it."""
+        if upstream is None:
+            return
+        if self._newest_at.get(upstream.address) == upstream.id:
+            del self._newest_at[upstream.address]
+
     def _evict(self, upstream_id: ids.UpstreamId) -> None:
         known = self._by_id.pop(upstream_id)
         self._remove_from_service(known)
@@ -222,4 +255,6 @@
         if not self._by_token[known.token]:
             del self._by_token[known.token]
         del self._ended_at[upstream_id]
+        self._lapsed.discard(upstream_id)
+        self._release_address(known)
         del self._warmed_up_at[upstream_id]
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -47,6 +47,9 @@
 # Maximum number of waiting flows that are released at once; other tasks wait
 # meanwhile.
 _MAX_RELEASES = 256
+# Time since its last answer for which an upstream whose entry lapsed counts as
+# running, seconds. An address is used again only after a longer time.
+_MAX_LAPSED_ANSWER_AGE_S = 1.0
 
 
 class Forwarder:
@@ -251,7 +254,7 @@
             if upstream is None:
                 self._drop_packet(packet, "unknown-token")
                 return
-            if upstream.state is not upstream_module.UpstreamState.ENDED:
+            if not self._is_over(upstream):
                 self._forward_packet(packet, upstream)
                 return
         self._openings.remove(packet.flow)
@@ -321,7 +324,7 @@
                 self._gate.remove(packet)
             self._drop_packet(packet, "unknown-token")
             return
-        if upstream.state is upstream_module.UpstreamState.ENDED:
+        if self._is_over(upstream):
             self._reset_flow(packet, "upstream-gone")
             self._tracker.remove_flow(packet.flow)
             return
@@ -330,6 +333,19 @@
         if self._gate is not None and packet.length:
             self.release_waiting_flows()
 
+    def _is_over(self, upstream: upstream_module.Upstream) -> bool:
+        """Returns whether no process holds the flows of an upstream.
+
+        An upstream that is cut off from the store loses its entry and goes on.
+        While it answers callers of this host, its flows stay there.
+        """
+        if upstream.state is not upstream_module.UpstreamState.ENDED:
+            return False
+        if not self._knowledge.directory.has_lapsed(upstream):
+            return True
+        since = self._clock() - _MAX_LAPSED_ANSWER_AGE_S
+        return not self._tracker.has_answered_since(upstream.id, since)
+
     def _track_packet(
         self, packet: packet_module.Packet, upstream: upstream_module.Upstream
     ) -> None:
--- a/persimmonhinge/forwarding/knowledge.py
+++ b/persimmonhinge/forwarding/knowledge.py
@@ -218,12 +218,14 @@
         known = self._find_not_ended(upstream_id)
         if known is None:
             return
-        if self.store_trust.confirms_absence(now):
-            self.directory.mark_ended(upstream_id, now)
-        else:
+        if not self.store_trust.confirms_absence(now):
             self.directory.set_state(
                 upstream_id, upstream_module.UpstreamState.MISSING
             )
+        elif known.state is upstream_module.UpstreamState.DRAINING:
+            self.directory.mark_ended(upstream_id, now)
+        else:
+            self.directory.mark_lapsed(upstream_id, now)
         remaining = self.directory.get(upstream_id)
         logger.info(
             "Entry of an upstream ended.",
--- a/persimmonhinge/forwarding/tracker.py
+++ b/persimmonhinge/forwarding/tracker.py
@@ -69,6 +69,12 @@
         self.flow_observer = flow_observer
         self._refusals = refusals or refusals_module.Refusals(counts)
 
+    def has_answered_since(
+        self, upstream: ids.UpstreamId, since: float
+    ) -> bool:
+        """Returns whether an upstream answered a tracked flow lately."""
+        return self._loads.has_answered_since(upstream, since)
+
     def get(
         self, flow: flow_module.FlowId
     ) -> flow_table_module.FlowRecord | None:
@@ -118,6 +124,7 @@
             self._counts.observe(
                 "opening_seconds", now - record.request_started_at
             )
+            self._loads.record_answer(record.upstream, now)
         record.established = True
         self._update_request(packet, record, now)
         return is_first
@@ -263,6 +270,7 @@
         if record.request_started_at is not None:
             waited_s = now - record.request_started_at
             self._counts.observe("answer_seconds", waited_s)
+            self._loads.record_answer(record.upstream, now)
             if record.in_flight_at_start is None:
                 return
             for observer in self.observers:
