Keep lines about starved tests out of captured output

What was seen: test_status_tells_what_is_wrong failed with JSONDecodeError in 2 of 2 whole runs beside other processes.

Cause: a test process that stood still prints a line about it to standard output. The command under test runs in a thread of the same process with its output captured, so the line comes before the JSON. It is no fault of the product.

Why this works: the line goes to the output that the process started with.

--- a/tests/standins/starvation.py
+++ b/tests/standins/starvation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import datetime
+import sys
 import time
 
 import trio
@@ -18,6 +19,8 @@
 
     A gap that the process spent in the queue for a processor, or stopped,
     comes from outside; of one that it spent on a processor it is the cause.
+    The lines go to the output of the process, also while a test captures that
+    of a command.
     """
     last, times = time.monotonic(), processor_times.read()
     while True:
@@ -29,6 +32,7 @@
             print(
                 f"{clock} did not run for {gap_s:.2f} s:"
                 f" {processor_times.describe(times, times_now)}",
+                file=sys.__stdout__,
                 flush=True,
             )
         last, times = now, times_now
