Place a flow of a port that was used before as a new one

Cause: an opening packet with the addresses and ports of a known flow counted as a copy, and went to the upstream of that flow.

Why this works: copies have the sequence number of the first opening packet, which hosts now keep. A host that did not see it compares with what the caller has sent since. A new flow ends the record of the former one, its pending opening and its request in flight, and is admitted and placed as any other: drains, routes, evacuations and limits apply.

--- a/persimmonhinge/forwarding/flow_table.py
+++ b/persimmonhinge/forwarding/flow_table.py
@@ -13,6 +13,8 @@
 # Sequence numbers have 32 bits, start at any value and wrap around.
 _SEQUENCE_MODULUS = 1 << 32
 _HALF_MODULUS = _SEQUENCE_MODULUS // 2
+# More data than a caller sends in one flow, octets.
+_MAX_SENT_OCTETS = 1 << 28
 
 
 class FlowRecord(records.Record):
@@ -36,6 +38,8 @@
             before overload control was ready.
         is_counted: Whether the flow counts as an open flow at its upstream.
         repeated: Whether the caller repeated data of the newest request.
+        opening_sequence: Sequence number of its opening packet; None if
+            another host received that.
     """
 
     upstream: ids.UpstreamId
@@ -49,6 +53,19 @@
     in_flight_at_start: int | None = None
     is_counted: bool = False
     repeated: bool = False
+    opening_sequence: int | None = None
+
+    def is_opened_by(self, packet: packet_module.Packet) -> bool:
+        """Returns whether an opening packet is one of this flow.
+
+        Otherwise its caller uses the port again, for another flow.
+        """
+        if self.opening_sequence is not None:
+            return packet.sequence == self.opening_sequence
+        if self.sent_up_to is None:
+            return True
+        sent_octets = (self.sent_up_to - packet.sequence) % _SEQUENCE_MODULUS
+        return sent_octets <= _MAX_SENT_OCTETS
 
     def is_waiting_since(self, started_before: float) -> bool:
         """Returns whether its request in flight started before a time."""
--- a/persimmonhinge/forwarding/forwarder.py
+++ b/persimmonhinge/forwarding/forwarder.py
@@ -217,9 +217,11 @@
         now = self._clock()
         self._budget.record_opening()
         record = self._tracker.get(packet.flow)
-        if record is not None:
+        if record is not None and record.is_opened_by(packet):
             self._handle_opening_copy(packet, record, now)
             return
+        if record is not None:
+            self._remove_former_flow(packet, record)
         if self._gate is None:
             if self._overload is not None and not packet.copy:
                 self._overload.record_arrival(packet.flow, now)
@@ -231,6 +233,19 @@
                 self._apply_verdict(verdict, now)
             self.release_waiting_flows()
 
+    def _remove_former_flow(
+        self, packet: packet_module.Packet, record: flow_table.FlowRecord
+    ) -> None:
+        """Removes the flow whose port its caller uses again.
+
+        Guards against new flows that go to the upstream of the former one,
+        which may be draining, evacuated or no longer in the route's service.
+        """
+        self._openings.remove(packet.flow)
+        if self._gate is not None and not record.established:
+            self._gate.cancel_start(packet)
+        self._tracker.remove_flow(packet.flow)
+
     def _handle_opening_copy(
         self,
         packet: packet_module.Packet,
@@ -276,7 +291,9 @@
             self._reject_opening(packet, now)
             return
         upstream = chosen.upstream
-        self._tracker.record_opening(packet.flow, upstream.id, upstream.token)
+        self._tracker.record_opening(
+            packet.flow, upstream.id, upstream.token, packet.sequence
+        )
         if self._openings.add(packet, [*tried, upstream.id]):
             self._counts.add("openings_evicted_total")
         self._counts.add("flows_opened_total", upstream=upstream.id)
--- a/persimmonhinge/forwarding/tracker.py
+++ b/persimmonhinge/forwarding/tracker.py
@@ -82,7 +82,11 @@
         return self._flows.get(flow)
 
     def record_opening(
-        self, flow: flow_module.FlowId, upstream: ids.UpstreamId, token: int
+        self,
+        flow: flow_module.FlowId,
+        upstream: ids.UpstreamId,
+        token: int,
+        sequence: int | None = None,
     ) -> None:
         """Records that an opening packet is sent to an upstream.
 
@@ -93,6 +97,7 @@
             flow: The flow.
             upstream: The upstream.
             token: Its routing token.
+            sequence: Sequence number of the packet; None if not known.
         """
         is_new = self._flows.get(flow) is None
         self.remove_flow(flow)
@@ -100,6 +105,7 @@
         if is_new and self.flow_observer is not None:
             self.flow_observer.record_flow_opening(flow, now)
         record = _make_record(flow, upstream, token, now)
+        record.opening_sequence = sequence
         self._store_record(flow, record)
         self._start_request(record, token, now)
 
