End no upstream by the first reading after a suspension

Cause: the host was suspended for 2.6 s. In this time the store was down and entries expired. Its first reading afterwards, 0.9 s after the store's return, showed no entries, and it had seen no failed call, so it took the absence for the end of all upstreams. Its peers had seen the outage and waited.

Evidence: host-3 wakes at 890.54, reads at 890.86 and logs "Entry of an upstream ended" with "gone" for nine upstreams from the store; the others log "Store is unreachable" at 889.30 and "reachable again" from 890.20 on; the entries come back at 892.23.

Why this works: a host whose last confirmation by the store, its own or that of a peer, is older than the limit for current knowledge can't tell whether the store was down in between. It then treats absent entries as missing for the usual 2.5 s after its next answer.

test_host_that_was_suspended_in_an_outage_ends_no_upstream fails before. The scene of test_forwarding_restarted_upstreams now starts its clock at the steady clock, by which entries are applied.

--- a/persimmonhinge/forwarding/entry_replica.py
+++ b/persimmonhinge/forwarding/entry_replica.py
@@ -310,6 +310,8 @@
     def record_answer(self) -> None:
         """Records that the store answered this host."""
         now = time.monotonic()
+        if self._knowledge.is_outdated(now):
+            self.record_reported_outage()
         self._knowledge.confirm(now)
         self._knowledge.end_missing_upstreams(now)
         if self._knowledge.store_trust.record_answer(now):
@@ -333,7 +335,8 @@
 
         Guards against treating upstreams as ended whose entries expired in an
         outage of the store that only another host observed: the one that
-        follows the store, or the one that did until shortly before.
+        follows the store, or the one that did until shortly before. None that
+        runs may have observed an outage while this host was suspended.
         """
         self._knowledge.store_trust.record_reported_return(time.monotonic())
 
--- a/persimmonhinge/forwarding/knowledge.py
+++ b/persimmonhinge/forwarding/knowledge.py
@@ -90,6 +90,13 @@
             return False
         return now - confirmed_at < self._max_age_s
 
+    def is_outdated(self, now: float) -> bool:
+        """Returns whether the store's last confirmation is too long ago."""
+        confirmed_at = self.confirmed_at
+        return confirmed_at is not None and (
+            now - confirmed_at >= self._max_age_s
+        )
+
     def confirm(self, answered_at: float) -> None:
         """Records when the store confirmed that there are no newer entries."""
         if self.confirmed_at is None or answered_at > self.confirmed_at:
--- a/tests/test_forwarding/test_forwarding_lapsed_entries.py
+++ b/tests/test_forwarding/test_forwarding_lapsed_entries.py
@@ -7,8 +7,11 @@
 from persimmonhinge import records
 from persimmonhinge.forwarding import upstream as upstream_module
 from tests.test_forwarding import scene as scenes
+from tests.test_forwarding import test_forwarding_entry_replica as replicas
 
 _DRAINING = upstream_module.UpstreamState.DRAINING
+_READY = upstream_module.UpstreamState.READY
+_SUSPENDED_S = 3.0
 
 
 def make_scene() -> tuple[scenes.Scene, upstream_module.Upstream]:
@@ -107,3 +110,20 @@
     assert ended is not None
     assert ended.state is upstream_module.UpstreamState.ENDED
     assert scene.count_sent() == (8, 0)
+
+
+def test_host_that_was_suspended_in_an_outage_ends_no_upstream() -> None:
+    """Guards against resets of flows whose entries expired in the outage."""
+    replica = replicas.HostReplica()
+    key = replicas.make_key("1")
+    replica.entries.apply("op/config", replicas.make_state(3), 1)
+    replica.entries.apply(key, replicas.make_entry(), 2)
+    replica.entries.record_answer()
+    assert replica.knowledge.confirmed_at is not None
+    replica.knowledge.confirmed_at -= _SUSPENDED_S
+    replica.entries.record_answer()
+    replica.entries.apply(key, None, 3)
+    missing = upstream_module.UpstreamState.MISSING
+    assert replica.find_upstream_state("1") is missing
+    replica.entries.apply(key, replicas.make_entry(), 4)
+    assert replica.find_upstream_state("1") is _READY
--- a/tests/test_forwarding/test_forwarding_restarted_upstreams.py
+++ b/tests/test_forwarding/test_forwarding_restarted_upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import time
 
 import hypothesis
 from hypothesis import strategies
@@ -24,7 +25,10 @@
     """A host that learns of its upstreams by entries of the store."""
 
     def __init__(self) -> None:
-        super().__init__()
+        clock = scenes.Clock()
+        # Entries are applied at the time of the steady clock.
+        clock.now = time.monotonic()
+        super().__init__(clock)
         self.entries = entry_replica.EntryReplica(
             adapter.EntryFormat(), self.knowledge, self.counts
         )
